Lay out the package: errors, clock, tickets and peer links

Cause: the project is empty and every subpackage needs the same base. Ruled out: validation against the merged state, since instances hold different states while a ticket spreads and must decide alike. Before: nothing. Conclusion: subpackages can be built side by side on this base.

--- /dev/null
+++ b/oriolepaddle/clock/__init__.py
@@ -0,0 +1,7 @@
+"""Time, read through an interface that is passed in."""
+
+from oriolepaddle.clock.clock import Clock
+from oriolepaddle.clock.manual import ManualClock
+from oriolepaddle.clock.system import SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/oriolepaddle/errors/__init__.py
@@ -0,0 +1,55 @@
+"""All exceptions of the project, each with a code and an outcome."""
+
+from oriolepaddle.errors.base import OriolepaddleError
+from oriolepaddle.errors.code import ErrorCode
+from oriolepaddle.errors.endpoint import (
+    EndpointError,
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+)
+from oriolepaddle.errors.gateway import (
+    AnswerMismatchedError,
+    AnswerTruncatedError,
+    AuthenticationError,
+    MalformedRequestError,
+    RefusedError,
+)
+from oriolepaddle.errors.operator import (
+    PermissionDeniedError,
+    PlatformUnavailableError,
+    SettingsError,
+    TicketError,
+)
+from oriolepaddle.errors.outcome import Outcome
+from oriolepaddle.errors.peer import (
+    PeerError,
+    PeerRejectedError,
+    PeerTimeoutError,
+    PeerUnavailableError,
+)
+
+__all__ = [
+    "AnswerMismatchedError",
+    "AnswerTruncatedError",
+    "AuthenticationError",
+    "EndpointError",
+    "EndpointFailedError",
+    "EndpointRefusedError",
+    "EndpointTimeoutError",
+    "EndpointUnreachableError",
+    "ErrorCode",
+    "MalformedRequestError",
+    "OriolepaddleError",
+    "Outcome",
+    "PeerError",
+    "PeerRejectedError",
+    "PeerTimeoutError",
+    "PeerUnavailableError",
+    "PermissionDeniedError",
+    "PlatformUnavailableError",
+    "RefusedError",
+    "SettingsError",
+    "TicketError",
+]
--- /dev/null
+++ b/oriolepaddle/errors/endpoint.py
@@ -0,0 +1,42 @@
+"""Errors of an endpoint's side."""
+
+from oriolepaddle.errors.base import OriolepaddleError
+from oriolepaddle.errors.code import ErrorCode
+
+__all__ = [
+    "EndpointError",
+    "EndpointFailedError",
+    "EndpointRefusedError",
+    "EndpointTimeoutError",
+    "EndpointUnreachableError",
+]
+
+
+class EndpointError(OriolepaddleError):
+    """A failed exchange with an endpoint."""
+
+    default_code = ErrorCode.ENDPOINT_FAILED
+
+
+class EndpointUnreachableError(EndpointError):
+    """No connection was made, so the request was not run."""
+
+    default_code = ErrorCode.ENDPOINT_UNREACHABLE
+
+
+class EndpointRefusedError(EndpointError):
+    """The endpoint itself says that it did not run the request."""
+
+    default_code = ErrorCode.ENDPOINT_REFUSED
+
+
+class EndpointTimeoutError(EndpointError):
+    """The endpoint did not answer in time; it may have run the request."""
+
+    default_code = ErrorCode.ENDPOINT_TIMEOUT
+
+
+class EndpointFailedError(EndpointError):
+    """The connection broke after the request was sent."""
+
+    default_code = ErrorCode.ENDPOINT_FAILED
--- /dev/null
+++ b/oriolepaddle/errors/gateway.py
@@ -0,0 +1,42 @@
+"""Errors of the caller's side: what a request can be refused for."""
+
+from oriolepaddle.errors.base import OriolepaddleError
+from oriolepaddle.errors.code import ErrorCode
+
+__all__ = [
+    "AnswerMismatchedError",
+    "AnswerTruncatedError",
+    "AuthenticationError",
+    "MalformedRequestError",
+    "RefusedError",
+]
+
+
+class RefusedError(OriolepaddleError):
+    """A request that the gateway did not run; the code tells why."""
+
+    default_code = ErrorCode.OVERLOADED
+
+
+class MalformedRequestError(RefusedError):
+    """A request that could not be parsed."""
+
+    default_code = ErrorCode.MALFORMED_REQUEST
+
+
+class AuthenticationError(RefusedError):
+    """A missing, unknown or withdrawn key."""
+
+    default_code = ErrorCode.KEY_UNKNOWN
+
+
+class AnswerMismatchedError(OriolepaddleError):
+    """An answer that carries another request's id."""
+
+    default_code = ErrorCode.ANSWER_MISMATCHED
+
+
+class AnswerTruncatedError(OriolepaddleError):
+    """An answer that ended before it was whole."""
+
+    default_code = ErrorCode.ANSWER_TRUNCATED
