Define the platform's and the membership's interfaces

Cause: limits, spread and routing need one view of the fleet to build on. Ruled out: one shared view type with behaviour, which would tie their tests to real links. Change: protocols and data types only. Before: 21 tests pass. After: the same. Conclusion: fakes can stand at each interface.

--- /dev/null
+++ b/oriolepaddle/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Membership: who is in the fleet, and who can be reached."""
+
+from oriolepaddle.membership.view import MembershipView
+
+__all__ = ["MembershipView"]
--- /dev/null
+++ b/oriolepaddle/platform/services.py
@@ -0,0 +1,60 @@
+"""The interfaces of the platform; it can only be read and watched."""
+
+from datetime import timedelta
+from typing import Protocol
+
+from oriolepaddle.platform.directory import ClientRecord
+from oriolepaddle.platform.instance import InstanceList
+from oriolepaddle.platform.value import ServiceReading
+
+__all__ = ["ClientDirectory", "ConfigurationService", "InstanceListService"]
+
+
+class ConfigurationService(Protocol):
+    """The platform's key-value service."""
+
+    def read(self, prefix: str, after_revision: int = 0) -> ServiceReading:
+        """Return the values below `prefix` written after a revision.
+
+        Raises:
+            PlatformUnavailableError: The service did not answer.
+        """
+        ...
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout: timedelta
+    ) -> ServiceReading:
+        """Wait for values written after a revision, at most `timeout`.
+
+        Raises:
+            PlatformUnavailableError: The service did not answer.
+        """
+        ...
+
+
+class InstanceListService(Protocol):
+    """The platform's list of entry instances."""
+
+    def watch(self, after_revision: int, timeout: timedelta) -> InstanceList:
+        """Wait until the list has changed, at most `timeout`, and return it.
+
+        Args:
+            after_revision: The revision held, or 0 to return at once.
+            timeout: The longest wait; the list is then returned unchanged.
+
+        Raises:
+            PlatformUnavailableError: The service did not answer.
+        """
+        ...
+
+
+class ClientDirectory(Protocol):
+    """The platform's list of clients."""
+
+    def read(self) -> tuple[ClientRecord, ...]:
+        """Return all clients.
+
+        Raises:
+            PlatformUnavailableError: The service did not answer.
+        """
+        ...
