Add the bounded HTTP server

Cause: werkzeug's own server closes each connection, bounds neither time nor threads, and cannot end an answer short of its end. Ruled out: a socket timeout per read alone, which a slow sender evades. Change: one thread of a bounded pool per connection, deadlines for header and body, idle connections give way when the pool is full. Conclusion: what was parsed must be counted, not only what was received.

--- /dev/null
+++ b/oriolepaddle/web/tests/test_server.py
@@ -0,0 +1,140 @@
+import json
+import socket
+import threading
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.web import HttpServer, ServerLimits
+
+
+class EchoApplication:
+    def __init__(self):
+        self.release = threading.Event()
+        self.entered = threading.Event()
+
+    def handle(self, request, writer):
+        if request.path == "/wait":
+            self.entered.set()
+            self.release.wait(10)
+        body = request.get_data()
+        writer.answer(200, request.method.encode() + b" " + body, "text/plain")
+
+
+def make_server(**limits):
+    server = HttpServer(
+        "127.0.0.1", 0, EchoApplication(), SystemClock(), ServerLimits(**limits)
+    )
+    server.start()
+    return server
+
+
+@pytest.fixture
+def server():
+    server = make_server(
+        max_connections=8,
+        max_header_bytes=2000,
+        max_body_bytes=1000,
+        header_timeout=timedelta(milliseconds=300),
+        body_timeout=timedelta(milliseconds=300),
+    )
+    yield server
+    server.application.release.set()
+    server.close()
+
+
+def connect(server):
+    return socket.create_connection(("127.0.0.1", server.port), timeout=5)
+
+
+def read_answer(connection):
+    stream = connection.makefile("rb")
+    status = int(stream.readline().split()[1])
+    length = 0
+    for line in iter(stream.readline, b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    return status, stream.read(length)
+
+
+def send(server, data):
+    with connect(server) as connection:
+        connection.sendall(data)
+        return read_answer(connection)
+
+
+BAD_REQUESTS = [
+    (b"nonsense\r\n\r\n", 400, "malformed_request"),
+    (b"GET / HTTP/1.1\r\nX: " + b"a" * 3000 + b"\r\n\r\n", 431, "header_too_large"),
+    (b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413, "body_too_large"),
+    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "malformed_request"),
+    (b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", 408, "request_timeout"),
+    (b"GET / HTTP/1.1\r\nX: ", 408, "request_timeout"),
+    (
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        400,
+        "malformed_request",
+    ),
+    (
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+        400,
+        "malformed_request",
+    ),
+    (
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"100\r\n"
+        + b"a" * 256
+        + b"\r\n" * 1
+        + (b"100\r\n" + b"a" * 256 + b"\r\n") * 5,
+        413,
+        "body_too_large",
+    ),
+]
+
+
+class TestHttpServer:
+    def test_keeps_connection_alive(self, server):
+        with connect(server) as connection:
+            for body in (b"one", b"two"):
+                head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+                connection.sendall(head + body)
+                assert read_answer(connection) == (200, b"POST " + body)
+
+    @pytest.mark.parametrize(("data", "status", "code"), BAD_REQUESTS)
+    def test_bad_request_has_typed_error(self, server, data, status, code):
+        answer = send(server, data)
+        assert answer[0] == status
+        error = json.loads(answer[1])["error"]
+        assert error["code"] == code
+        assert error["outcome"] == "not run"
+        assert send(server, b"GET / HTTP/1.1\r\n\r\n")[0] == 200
+
+    def test_full_pool_refuses_at_once(self):
+        server = make_server(max_connections=1)
+        with connect(server) as busy:
+            busy.sendall(b"GET /wait HTTP/1.1\r\n\r\n")
+            assert server.application.entered.wait(5)
+            status, body = send(server, b"GET / HTTP/1.1\r\n\r\n")
+            assert (status, json.loads(body)["error"]["code"]) == (503, "overloaded")
+            server.application.release.set()
+            assert read_answer(busy)[0] == 200
+        server.close()
+
+    def test_idle_connection_gives_way(self):
+        server = make_server(max_connections=1)
+        with connect(server) as idle:
+            idle.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            assert read_answer(idle)[0] == 200
+            assert send(server, b"GET / HTTP/1.1\r\n\r\n")[0] == 200
+        server.close()
+
+    def test_stop_accepting_lets_answers_finish(self, server):
+        with connect(server) as busy:
+            busy.sendall(b"GET /wait HTTP/1.1\r\n\r\n")
+            assert server.application.entered.wait(5)
+            server.stop_accepting()
+            with pytest.raises(OSError):
+                connect(server)
+            server.application.release.set()
+            assert read_answer(busy)[0] == 200
--- /dev/null
+++ b/oriolepaddle/web/writer.py
@@ -0,0 +1,145 @@
+"""Writing one answer to a caller."""
+
+import json
+import select
+import socket
+from collections.abc import Iterable
+from datetime import timedelta
+from http import HTTPStatus
+
+from oriolepaddle.errors import OriolepaddleError
+
+__all__ = ["AnswerWriter", "Headers", "write_error_body"]
+
+Headers = Iterable[tuple[str, str]]
+
+
+class AnswerWriter:
+    """Writes the status, headers and body of one HTTP/1.1 answer.
+
+    Args:
+        connection: The caller's socket.
+        write_timeout: The longest time for one write.
+        is_head: Whether the request's method is HEAD, so that no body is sent.
+        is_chunked_allowed: Whether the caller speaks HTTP/1.1.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        write_timeout: timedelta,
+        is_head: bool = False,
+        is_chunked_allowed: bool = True,
+    ) -> None:
+        self._connection = connection
+        self._write_timeout_s = write_timeout.total_seconds()
+        self._is_head = is_head
+        self._is_chunked_allowed = is_chunked_allowed
+        self._is_chunked = False
+        self.keep_alive = True
+        self.is_started = False
+        self.is_finished = False
+        self.body_bytes = 0
+
+    def start(self, status: int, headers: Headers, length: int | None = None) -> None:
+        """Send the status line and headers.
+
+        Args:
+            status: The HTTP status.
+            headers: Header fields, without those of the connection.
+            length: The body's length in bytes, or None if it is not known.
+
+        Raises:
+            OSError: The caller is gone or does not read.
+        """
+        self.is_started = True
+        lines = [f"HTTP/1.1 {status} {_find_phrase(status)}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        elif self._is_chunked_allowed:
+            self._is_chunked = True
+            lines.append("Transfer-Encoding: chunked")
+        else:
+            self.keep_alive = False
+        if not self.keep_alive:
+            lines.append("Connection: close")
+        self._send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        Raises:
+            OSError: The caller is gone or does not read.
+        """
+        if not data or self._is_head:
+            return
+        self.body_bytes += len(data)
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._send(data)
+
+    def finish(self) -> None:
+        """End the body."""
+        if self._is_chunked and not self._is_head:
+            self._send(b"0\r\n\r\n")
+        self.is_finished = True
+
+    def answer(
+        self, status: int, body: bytes, content_type: str, headers: Headers = ()
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, [("Content-Type", content_type), *headers], len(body))
+        self.write(body)
+        self.finish()
+
+    def answer_json(self, status: int, document: object, headers: Headers = ()) -> None:
+        """Send a whole answer in JSON."""
+        body = json.dumps(document).encode()
+        self.answer(status, body, "application/json", headers)
+
+    def answer_error(self, error: OriolepaddleError, request_id: str) -> None:
+        """Send an error as the whole answer."""
+        headers = [("X-Request-Id", request_id)]
+        if error.retry_after is not None:
+            seconds = max(1, round(error.retry_after.total_seconds()))
+            headers.append(("Retry-After", str(seconds)))
+        body = write_error_body(error, request_id)
+        self.answer(error.code.status, body, "application/json", headers)
+
+    def is_abandoned(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        poller = select.poll()
+        poller.register(self._connection, select.POLLIN | select.POLLRDHUP)
+        events = poller.poll(0)
+        if not events:
+            return False
+        if events[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+            return True
+        return False
+
+    def _send(self, data: bytes) -> None:
+        self._connection.settimeout(self._write_timeout_s)
+        self._connection.sendall(data)
+
+
+def write_error_body(error: OriolepaddleError, request_id: str) -> bytes:
+    """Return the JSON form of an error, as `docs/errors.md` describes it."""
+    document = {
+        "error": {
+            "code": error.code.code,
+            "message": error.message,
+            "outcome": error.outcome.value,
+            "request_id": request_id,
+        }
+    }
+    if error.retry_after is not None:
+        document["error"]["retry_after_s"] = error.retry_after.total_seconds()
+    return json.dumps(document).encode()
+
+
+def _find_phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
