Add the endpoint transport and the stand-ins

Cause: requests need to reach endpoints, at most once where they are not idempotent. Ruled out: curl's reuse of a connection for such requests: a test server that drops the second request of a connection saw it twice, since curl repeats a POST by itself when a reused connection breaks before the first byte. Change: pycurl on the calling thread with limits for connection, first byte, stall and deadline; a fresh connection for requests that may not be repeated. Conclusion: at-most-once has to reach down to the HTTP library.

--- /dev/null
+++ b/oriolepaddle/endpoints/exchange.py
@@ -0,0 +1,125 @@
+"""One try on one curl handle."""
+
+import pycurl
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.endpoints.request import EndpointRequest
+from oriolepaddle.endpoints.sink import AnswerSink
+from oriolepaddle.errors import (
+    AnswerTruncatedError,
+    EndpointFailedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+    OriolepaddleError,
+)
+
+__all__ = ["CurlExchange"]
+
+_NOT_CONNECTED = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+_CUT_SHORT = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
+_ABORT = -1
+
+
+class CurlExchange:
+    """Runs a prepared handle and sorts what ends it.
+
+    Args:
+        handle: The handle.
+        clock: Tells the time for limits.
+        request: The request, for its limits.
+        sink: Takes the answer.
+    """
+
+    def __init__(
+        self,
+        handle: pycurl.Curl,
+        clock: Clock,
+        request: EndpointRequest,
+        sink: AnswerSink,
+    ) -> None:
+        self._handle = handle
+        self._clock = clock
+        self._request = request
+        self._sink = sink
+        self._started_s = clock.monotonic_s()
+        self._last_byte_s = self._started_s
+        self._status = 0
+        self._headers: list[tuple[str, str]] = []
+        self._is_head_given = False
+        self._error: Exception | None = None
+
+    def perform(self) -> None:
+        """Run the try; see `EndpointTransport.run` for its errors."""
+        handle = self._handle
+        handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        handle.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            raise self._sort_error(error) from error
+        self._give_head()
+        if self._error is not None:
+            raise self._error
+
+    def _on_header(self, line: bytes) -> None:
+        self._last_byte_s = self._clock.monotonic_s()
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self._status = int(text.split()[1])
+            self._headers = []
+        elif ":" in text:
+            name, _, value = text.partition(":")
+            self._headers.append((name.strip(), value.strip()))
+
+    def _give_head(self) -> None:
+        if self._is_head_given or self._error is not None:
+            return
+        self._is_head_given = True
+        try:
+            self._sink.on_head(self._status, tuple(self._headers))
+        except (OSError, OriolepaddleError) as error:
+            self._error = error
+
+    def _on_data(self, data: bytes) -> int:
+        self._last_byte_s = self._clock.monotonic_s()
+        self._give_head()
+        if self._error is None:
+            try:
+                self._sink.on_data(data)
+            except (OSError, OriolepaddleError) as error:
+                self._error = error
+        return len(data) if self._error is None else _ABORT
+
+    def _on_progress(self, *sizes: int) -> int:
+        try:
+            self._check_limits()
+            self._sink.check()
+        except (OSError, OriolepaddleError) as error:
+            self._error = error
+        return 0 if self._error is None else _ABORT
+
+    def _check_limits(self) -> None:
+        now_s = self._clock.monotonic_s()
+        request = self._request
+        if now_s >= request.deadline_s:
+            raise EndpointTimeoutError("the deadline passed")
+        quiet_s = now_s - self._last_byte_s
+        if not self._status and quiet_s > request.first_byte_timeout_s:
+            raise EndpointTimeoutError(f"no first byte in {quiet_s:.1f} s")
+        if self._status and quiet_s > request.stall_timeout_s:
+            raise EndpointTimeoutError(f"no byte for {quiet_s:.1f} s")
+
+    def _sort_error(self, error: pycurl.error) -> Exception:
+        number, text = error.args
+        is_connected = self._handle.getinfo(pycurl.CONNECT_TIME) > 0
+        if self._error is not None and (is_connected or self._status):
+            return self._error
+        if number in _NOT_CONNECTED or not is_connected and not self._status:
+            return EndpointUnreachableError(f"no connection: {text}")
+        if number == pycurl.E_OPERATION_TIMEDOUT:
+            return EndpointTimeoutError(text)
+        if number in _CUT_SHORT and self._status:
+            return AnswerTruncatedError(text)
+        return EndpointFailedError(text)
--- /dev/null
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -0,0 +1,150 @@
+import json
+import socket
+import threading
+
+import pytest
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.endpoints import EndpointRequest, EndpointTransport
+from oriolepaddle.errors import (
+    AnswerTruncatedError,
+    EndpointError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+    Outcome,
+)
+from oriolepaddle.standins import EngineStandin
+
+
+class CollectingSink:
+    def __init__(self):
+        self.status = None
+        self.headers = ()
+        self.data = b""
+        self.error = None
+
+    def on_head(self, status, headers):
+        self.status = status
+        self.headers = headers
+
+    def on_data(self, data):
+        self.data += data
+
+    def check(self):
+        if self.error is not None:
+            raise self.error
+
+
+class DroppingServer:
+    """Answers the first request of each connection and drops the second."""
+
+    def __init__(self):
+        self.requests = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            serve = threading.Thread(target=self.serve, args=(connection,), daemon=True)
+            serve.start()
+
+    def serve(self, connection):
+        with connection:
+            for is_first in (True, False):
+                data = connection.recv(65536)
+                if not data:
+                    return
+                self.requests.append(data)
+                if is_first:
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+def make_request(clock, tokens=4, stream=True, **changes):
+    body = json.dumps({"max_tokens": tokens, "stream": stream}).encode()
+    values = {
+        "id": "request-1",
+        "method": "POST",
+        "path": "/v1/completions",
+        "headers": (("Content-Type", "application/json"),),
+        "body": body,
+        "is_idempotent": True,
+        "first_byte_timeout_s": 5.0,
+        "stall_timeout_s": 5.0,
+        "deadline_s": clock.monotonic_s() + 30,
+    }
+    return EndpointRequest(**(values | changes))
+
+
+@pytest.fixture
+def clock():
+    return SystemClock()
+
+
+@pytest.fixture
+def transport(clock):
+    return EndpointTransport(clock)
+
+
+@pytest.fixture
+def engine():
+    engine = EngineStandin("e1")
+    engine.start()
+    yield engine
+    engine.close()
+
+
+class TestEndpointTransport:
+    def test_streams_whole_answer(self, transport, engine, clock):
+        sink = CollectingSink()
+        transport.run(engine.address, make_request(clock), sink)
+        assert sink.status == 200
+        assert sink.data.endswith(b"data: [DONE]\n\n")
+        assert engine.received[0].id == "request-1"
+
+    def test_cut_answer_is_truncated(self, transport, engine, clock):
+        engine.faults.cut_after_tokens = 2
+        with pytest.raises(AnswerTruncatedError) as caught:
+            transport.run(engine.address, make_request(clock), CollectingSink())
+        assert caught.value.outcome is Outcome.UNKNOWN
+
+    def test_silent_answer_times_out(self, transport, engine, clock):
+        engine.faults.silent_after_tokens = 1
+        request = make_request(clock, stall_timeout_s=0.2)
+        with pytest.raises(EndpointTimeoutError):
+            transport.run(engine.address, request, CollectingSink())
+
+    def test_closed_endpoint_is_not_run(self, transport, engine, clock):
+        engine.close()
+        with pytest.raises(EndpointUnreachableError) as caught:
+            transport.run(engine.address, make_request(clock), CollectingSink())
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    def test_crash_before_answer_is_unknown(self, transport, engine, clock):
+        engine.faults.crash_on = "max_tokens"
+        with pytest.raises(EndpointError) as caught:
+            transport.run(engine.address, make_request(clock), CollectingSink())
+        assert caught.value.outcome is Outcome.UNKNOWN
+
+    def test_sink_cancels(self, transport, engine, clock):
+        engine.faults.silent_after_tokens = 1
+        sink = CollectingSink()
+        sink.error = ConnectionResetError("the caller left")
+        with pytest.raises(ConnectionResetError):
+            transport.run(engine.address, make_request(clock), sink)
+
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_only_idempotent_requests_are_sent_again_by_curl(
+        self, transport, clock, is_idempotent
+    ):
+        server = DroppingServer()
+        request = make_request(clock, is_idempotent=is_idempotent)
+        transport.run(server.address, request, CollectingSink())
+        transport.run(server.address, request, CollectingSink())
+        server.listener.close()
+        assert len(server.requests) == (3 if is_idempotent else 2)
--- /dev/null
+++ b/oriolepaddle/endpoints/transport.py
@@ -0,0 +1,107 @@
+"""HTTP to endpoints, by pycurl."""
+
+from datetime import timedelta
+
+import pycurl
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.endpoints.exchange import CurlExchange
+from oriolepaddle.endpoints.handles import HandlePool
+from oriolepaddle.endpoints.request import EndpointRequest
+from oriolepaddle.endpoints.sink import AnswerSink
+from oriolepaddle.errors import EndpointTimeoutError, Outcome
+
+__all__ = ["EndpointTransport"]
+
+
+class EndpointTransport:
+    """Runs one try at a time on the calling thread, reusing connections.
+
+    Args:
+        clock: Tells the time for limits.
+        connect_timeout: The longest time to make a connection.
+        max_connection_idle: The age at which an idle connection is not used
+            again, since something between the ends may have forgotten it.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        connect_timeout: timedelta = timedelta(seconds=1),
+        max_connection_idle: timedelta = timedelta(seconds=20),
+    ) -> None:
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._max_connection_idle = max_connection_idle
+        self._handles = HandlePool()
+
+    def run(self, address: str, request: EndpointRequest, sink: AnswerSink) -> None:
+        """Send a request and hand its answer to `sink`.
+
+        Args:
+            address: `host:port` of the endpoint.
+            request: The request.
+            sink: Takes the answer; its errors cancel the try and are raised.
+
+        Raises:
+            EndpointUnreachableError: No connection was made.
+            EndpointTimeoutError: A time limit was reached.
+            EndpointFailedError: The connection broke.
+            AnswerTruncatedError: The answer ended before it was whole.
+        """
+        if self._clock.monotonic_s() >= request.deadline_s:
+            raise EndpointTimeoutError(
+                "the deadline passed before the request was sent",
+                outcome=Outcome.NOT_RUN,
+            )
+        handle = self._handles.take(address)
+        exchange = CurlExchange(handle, self._clock, request, sink)
+        self._set_options(handle, address, request)
+        is_reusable = False
+        try:
+            exchange.perform()
+            is_reusable = True
+        finally:
+            if is_reusable:
+                self._handles.give_back(address, handle)
+            else:
+                handle.close()
+
+    def retain(self, addresses: set[str]) -> None:
+        """Close the idle connections to addresses that are not in use."""
+        self._handles.retain(addresses)
+
+    def _set_options(
+        self, handle: pycurl.Curl, address: str, request: EndpointRequest
+    ) -> None:
+        handle.setopt(pycurl.URL, f"http://{address}{request.path}")
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.FOLLOWLOCATION, 0)
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.TCP_KEEPALIVE, 1)
+        handle.setopt(pycurl.TCP_KEEPIDLE, 5)
+        handle.setopt(pycurl.TCP_KEEPINTVL, 5)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(self._connect_timeout))
+        handle.setopt(
+            pycurl.MAXAGE_CONN, int(self._max_connection_idle.total_seconds())
+        )
+        if not request.is_idempotent:
+            # curl sends a request again by itself when a reused connection
+            # breaks before the first byte of the answer.
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+        if request.method == "HEAD":
+            handle.setopt(pycurl.NOBODY, 1)
+        elif request.body or request.method in ("POST", "PUT", "PATCH"):
+            handle.setopt(pycurl.POST, 1)
+            handle.setopt(pycurl.POSTFIELDSIZE, len(request.body))
+            handle.setopt(pycurl.POSTFIELDS, request.body)
+            handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+        headers = [f"{name}: {value}" for name, value in request.headers]
+        headers += [f"X-Request-Id: {request.id}", "Expect:"]
+        handle.setopt(pycurl.HTTPHEADER, headers)
+
+
+def _to_ms(duration: timedelta) -> int:
+    return int(duration.total_seconds() * 1000)
--- /dev/null
+++ b/oriolepaddle/standins/__init__.py
@@ -0,0 +1,13 @@
+"""Small stand-ins for the outside systems, for tests, demo and benchmarks."""
+
+from oriolepaddle.standins.engine import EngineFaults, EngineStandin, ReceivedRequest
+from oriolepaddle.standins.platform import PlatformStandin
+from oriolepaddle.standins.service import ServiceStandin
+
+__all__ = [
+    "EngineFaults",
+    "EngineStandin",
+    "PlatformStandin",
+    "ReceivedRequest",
+    "ServiceStandin",
+]
--- /dev/null
+++ b/oriolepaddle/standins/engine.py
@@ -0,0 +1,211 @@
+"""A stand-in for a model engine."""
+
+import json
+import threading
+import time
+from collections import deque
+from typing import Any
+
+import attrs
+from werkzeug.wrappers import Request
+
+from oriolepaddle.clock import Clock, SystemClock
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.web import AnswerWriter, HttpServer, ServerLimits
+
+__all__ = ["EngineFaults", "EngineStandin", "ReceivedRequest"]
+
+KEPT_REQUESTS = 10_000
+
+
+@attrs.define
+class EngineFaults:
+    """Switches for the faults of an engine.
+
+    Attributes:
+        refuse: Refuse each request as not run.
+        cut_after_tokens: Close the connection after so many tokens, or None.
+        silent_after_tokens: Send nothing more after so many tokens, or None.
+        wrong_request_id: Answer with another request's id.
+        crash_on: Drop each connection whose request contains this text.
+    """
+
+    refuse: bool = False
+    cut_after_tokens: int | None = None
+    silent_after_tokens: int | None = None
+    wrong_request_id: bool = False
+    crash_on: str | None = None
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """What the engine saw of a request.
+
+    Attributes:
+        id: The request id of the gateway.
+        headers: All header fields.
+        path: The path with its query.
+        body: The body.
+    """
+
+    id: str
+    headers: tuple[tuple[str, str], ...]
+    path: str
+    body: bytes
+
+
+class EngineStandin:
+    """Answers completions with numbered tokens, streamed or whole.
+
+    Args:
+        name: Written into each answer.
+        port: The port, or 0 for any free one.
+        clock: The clock of its server.
+        token_interval_s: The time between two tokens.
+        prefill_s: The time before the first token.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        port: int = 0,
+        clock: Clock | None = None,
+        token_interval_s: float = 0.0,
+        prefill_s: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.faults = EngineFaults()
+        self.token_interval_s = token_interval_s
+        self.prefill_s = prefill_s
+        self.received: deque[ReceivedRequest] = deque(maxlen=KEPT_REQUESTS)
+        self.running = 0
+        self.cancelled = 0
+        self._lock = threading.Lock()
+        self._closing = threading.Event()
+        self._server = HttpServer(
+            "127.0.0.1",
+            port,
+            self,
+            clock or SystemClock(),
+            ServerLimits(max_connections=2048),
+            name=f"engine-{name}",
+        )
+        self.address = f"127.0.0.1:{self._server.port}"
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop serving and end all streams."""
+        self._closing.set()
+        self._server.close()
+
+    def handle(self, request: Request, writer: AnswerWriter) -> None:
+        """Answer one request; see `Application.handle`."""
+        if request.path == "/load":
+            writer.answer_json(200, {"running": self.running, "queued": 0})
+            return
+        if request.path == "/health":
+            writer.answer_json(200, {"name": self.name})
+            return
+        if self.faults.refuse:
+            self._refuse(writer)
+            return
+        self._record(request)
+        self._check_crash(request)
+        document = json.loads(request.get_data())
+        with self._lock:
+            self.running += 1
+        try:
+            self._complete(request, document, writer)
+        except OSError:
+            self.cancelled += 1
+            raise
+        finally:
+            with self._lock:
+                self.running -= 1
+
+    def _refuse(self, writer: AnswerWriter) -> None:
+        error = RefusedError("the engine is full", code=ErrorCode.OVERLOADED)
+        headers = [("X-Request-Outcome", "not-run")]
+        writer.answer_json(503, {"error": error.message}, headers)
+
+    def _record(self, request: Request) -> None:
+        self.received.append(
+            ReceivedRequest(
+                id=request.headers.get("X-Request-Id", ""),
+                headers=tuple(request.headers.items()),
+                path=request.full_path,
+                body=request.get_data(),
+            )
+        )
+
+    def _check_crash(self, request: Request) -> None:
+        text = self.faults.crash_on
+        if text is not None and text.encode() in request.get_data():
+            raise ConnectionResetError("the engine crashed")
+
+    def _complete(
+        self, request: Request, document: dict[str, Any], writer: AnswerWriter
+    ) -> None:
+        request_id = request.headers.get("X-Request-Id", "")
+        if self.faults.wrong_request_id:
+            request_id = "another-request"
+        count = int(document.get("max_tokens", 16))
+        self._closing.wait(self.prefill_s)
+        if document.get("stream"):
+            self._stream(request_id, count, writer)
+        else:
+            self._answer_whole(request_id, count, writer)
+
+    def _answer_whole(self, request_id: str, count: int, writer: AnswerWriter) -> None:
+        time.sleep(count * self.token_interval_s)
+        text = " ".join(str(number) for number in range(count))
+        document = {
+            "id": request_id,
+            "endpoint": self.name,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": {"completion_tokens": count},
+        }
+        cut = self.faults.cut_after_tokens
+        body = json.dumps(document).encode()
+        headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
+        writer.start(200, headers, len(body))
+        if cut is not None:
+            writer.write(body[: len(body) // 2])
+            raise ConnectionResetError("cut as told")
+        writer.write(body)
+        writer.finish()
+
+    def _stream(self, request_id: str, count: int, writer: AnswerWriter) -> None:
+        headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", request_id)]
+        writer.start(200, headers)
+        for number in range(count):
+            self._apply_stream_faults(number)
+            writer.write(_make_event(request_id, self.name, number))
+            if self._closing.wait(self.token_interval_s):
+                raise ConnectionResetError("the engine is closing")
+        writer.write(b"data: [DONE]\n\n")
+        writer.finish()
+
+    def _apply_stream_faults(self, number: int) -> None:
+        if number == self.faults.cut_after_tokens:
+            raise ConnectionResetError("cut as told")
+        if number == self.faults.silent_after_tokens:
+            self._closing.wait()
+
+
+def _make_event(request_id: str, endpoint: str, number: int) -> bytes:
+    document = {
+        "id": request_id,
+        "endpoint": endpoint,
+        "choices": [{"index": 0, "delta": {"content": f"{number} "}}],
+    }
+    return b"data: " + json.dumps(document).encode() + b"\n\n"
