Serve a request end to end by real processes

Cause: the whole path has to stand before its parts are deepened. Ruled out: WSGI for the answer, since it cannot end a stream short of its end mark. Change: parsing, keys, residency, streaming relay, signed hops, settings, the daemon, and a test that starts three daemons in two data centres. Before: 8 of 8 tests failed with route_unknown: the hook for str also served RouteKind, so routes had plain strings for kinds; a test pins it now. Conclusion: the thin path stands; routing is random and membership is the platform's list until their subpackages land.

--- a/oriolepaddle/config/codec.py
+++ b/oriolepaddle/config/codec.py
@@ -28,6 +28,7 @@
     Organisation,
     Placement,
     Route,
+    RouteKind,
 )
 from oriolepaddle.config.ticket import Ticket
 from oriolepaddle.errors import TicketError
@@ -88,6 +89,8 @@
 _converter.register_structure_hook(int, _structure_integer)
 _converter.register_structure_hook(str, _structure_text)
 _converter.register_structure_hook(bool, _structure_flag)
+# The hook for str would serve its subclasses too and leave plain strings.
+_converter.register_structure_hook(RouteKind, lambda value, kind: RouteKind(value))
 
 
 def parse_ticket(text: str | bytes) -> Ticket:
--- a/oriolepaddle/config/tests/test_ticket.py
+++ b/oriolepaddle/config/tests/test_ticket.py
@@ -3,7 +3,7 @@
 import pytest
 
 from oriolepaddle.config import ConfigState, parse_ticket, write_ticket
-from oriolepaddle.config.model import ObjectKind
+from oriolepaddle.config.model import ObjectKind, RouteKind
 from oriolepaddle.errors import TicketError
 
 
@@ -20,6 +20,10 @@
         ticket = parse_ticket(make_ticket(3, ORGANISATION))
         assert parse_ticket(write_ticket(ticket)) == ticket
 
+    def test_route_kind_is_an_enumeration(self):
+        ticket = parse_ticket(make_ticket(1, {"kind": "model"}, "route"))
+        assert ticket.entries[0].value.kind is RouteKind.MODEL
+
     @pytest.mark.parametrize(
         "text",
         [
@@ -37,6 +41,7 @@
             make_ticket(1, ORGANISATION | {"unknown": 1}),
             make_ticket(1, {"rate_tokens_per_s": float("nan"), "burst_tokens": 1}),
             make_ticket(1, {"organisation": "a", "digest": "x"}, kind="key"),
+            make_ticket(1, {"kind": "none"}, kind="route"),
         ],
     )
     def test_rejects_bad_ticket(self, text):
--- /dev/null
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -0,0 +1,182 @@
+"""Real daemon processes against stand-ins, for tests."""
+
+import hashlib
+import http.client
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import threading
+
+from oriolepaddle.config import parse_ticket
+from oriolepaddle.platform import Instance
+from oriolepaddle.standins import EngineStandin, PlatformStandin, ServiceStandin
+
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 30
+SECRET = "a secret of the test fleet"
+KEY = "key-of-norddal"
+OTHER_KEY = "key-of-sudurvik"
+_PORTS = re.compile(r"serves callers on port (\d+), peers on port (\d+)")
+
+
+class Daemon:
+    """One `oriolepaddled` process."""
+
+    def __init__(self, name, data_centre, platform_address, **settings):
+        self.name = name
+        self.data_centre = data_centre
+        values = {
+            "instance": name,
+            "data_centre": data_centre,
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "operator_address": "127.0.0.1:0",
+            "platform_address": platform_address,
+            "peer_secret": SECRET,
+            "operator_token": SECRET,
+        } | settings
+        environment = {f"ORIOLEPADDLE_{k.upper()}": str(v) for k, v in values.items()}
+        self.lines = []
+        self.ready = threading.Event()
+        self.caller_port = None
+        self.peer_port = None
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "oriolepaddle.daemon", "serve"],
+            env=os.environ | environment,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        threading.Thread(target=self.read_log, daemon=True).start()
+
+    def read_log(self):
+        for line in self.process.stderr:
+            self.lines.append(line)
+            found = _PORTS.search(line)
+            if found:
+                self.caller_port, self.peer_port = map(int, found.groups())
+                self.ready.set()
+
+    def await_ready(self):
+        assert self.ready.wait(START_TIMEOUT_S), "".join(self.lines)
+
+    def describe(self):
+        return Instance(
+            id=self.name,
+            data_centre=self.data_centre,
+            caller_address=f"127.0.0.1:{self.caller_port}",
+            peer_address=f"127.0.0.1:{self.peer_port}",
+        )
+
+    def send(self, method, path, document=None, key=KEY, headers=()):
+        connection = http.client.HTTPConnection("127.0.0.1", self.caller_port, 30)
+        fields = {"Authorization": f"Bearer {key}"} if key else {}
+        body = None if document is None else json.dumps(document)
+        connection.request(method, path, body, fields | dict(headers))
+        return connection.getresponse()
+
+    def ask(self, method, path, document=None, key=KEY, headers=()):
+        response = self.send(method, path, document, key, headers)
+        return response.status, response.read()
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait(STOP_TIMEOUT_S)
+
+
+class Fleet:
+    """Stand-ins and daemons of two data centres in two regions."""
+
+    def __init__(self):
+        self.platform = PlatformStandin()
+        self.platform.start()
+        self.engines = {
+            name: EngineStandin(name) for name in ("nordur-e1", "nordur-e2", "sudur-e1")
+        }
+        self.desk = ServiceStandin("desk")
+        for standin in (*self.engines.values(), self.desk):
+            standin.start()
+        self.number = 0
+        self.publish(self.make_objects())
+        self.daemons = {}
+
+    def make_objects(self):
+        objects = [
+            make("data_centre", "nordur-a", region="nordur"),
+            make("data_centre", "sudur-a", region="sudur"),
+            make_organisation("norddal"),
+            make_organisation("sudurvik", residency=["sudur"]),
+            make_key("k1", "norddal", KEY),
+            make_key("k2", "sudurvik", OTHER_KEY),
+            make("route", "oriole-answers", kind="model"),
+            make("route", "visit-desk", kind="service"),
+            self.make_endpoint("desk", "nordur-a", self.desk, ["visit-desk"]),
+        ]
+        for name, engine in self.engines.items():
+            data_centre = name.split("-")[0] + "-a"
+            objects.append(
+                self.make_endpoint(name, data_centre, engine, ["oriole-answers"])
+            )
+        return objects
+
+    def make_endpoint(self, name, data_centre, standin, routes):
+        return make(
+            "endpoint",
+            name,
+            data_centre=data_centre,
+            address=standin.address,
+            routes=routes,
+        )
+
+    def publish(self, objects):
+        self.number += 1
+        document = {"number": self.number, "objects": objects}
+        self.platform.publish(parse_ticket(json.dumps(document)))
+
+    def start(self, **instances):
+        for name, data_centre in instances.items():
+            daemon = Daemon(name, data_centre, self.platform.address)
+            self.daemons[name] = daemon
+        for daemon in self.daemons.values():
+            daemon.await_ready()
+        self.platform.set_instances(
+            tuple(daemon.describe() for daemon in self.daemons.values())
+        )
+        return self
+
+    def close(self):
+        for daemon in self.daemons.values():
+            if daemon.process.poll() is None:
+                daemon.kill()
+        for standin in (*self.engines.values(), self.desk, self.platform):
+            standin.close()
+
+
+def make(kind, object_id, /, **value):
+    return {"kind": kind, "id": object_id, "value": value}
+
+
+def make_organisation(object_id, /, **value):
+    limits = {"rate_tokens_per_s": 100_000, "burst_tokens": 1_000_000}
+    return make("organisation", object_id, **(limits | value))
+
+
+def make_key(object_id, organisation, key):
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return make("key", object_id, organisation=organisation, digest=digest)
+
+
+def make_chat(tokens=8, stream=False, text="When does the bus leave?"):
+    return {
+        "model": "oriole-answers",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }
--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_path.py
@@ -0,0 +1,98 @@
+import json
+import threading
+
+import pytest
+
+from oriolepaddle.daemon.tests.fleet import KEY, OTHER_KEY, Fleet, make_chat
+
+CHAT = "/v1/chat/completions"
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    fleet = Fleet().start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
+    yield fleet
+    fleet.close()
+
+
+def find_error(body):
+    return json.loads(body)["error"]
+
+
+class TestWholePath:
+    def test_request_is_served(self, fleet):
+        status, body = fleet.daemons["n1"].ask("POST", CHAT, make_chat(tokens=3))
+        assert status == 200
+        document = json.loads(body)
+        assert document["choices"][0]["message"]["content"] == "0 1 2"
+        assert document["endpoint"].startswith("nordur-")
+
+    def test_answer_is_streamed(self, fleet):
+        chat = make_chat(tokens=3, stream=True)
+        status, body = fleet.daemons["n2"].ask("POST", CHAT, chat)
+        assert status == 200
+        assert body.count(b"data: ") == 4
+        assert body.endswith(b"data: [DONE]\n\n")
+
+    def test_request_without_key_is_refused(self, fleet):
+        status, body = fleet.daemons["n1"].ask("POST", CHAT, make_chat(), key=None)
+        assert status == 401
+        assert find_error(body)["code"] == "key_missing"
+        assert find_error(body)["outcome"] == "not run"
+
+    def test_request_stays_in_region_of_residency(self, fleet):
+        for _ in range(5):
+            status, body = fleet.daemons["n1"].ask(
+                "POST", CHAT, make_chat(), key=OTHER_KEY
+            )
+            assert status == 200
+            assert json.loads(body)["endpoint"] == "sudur-e1"
+
+    def test_endpoint_sees_no_key(self, fleet):
+        chat = make_chat() | {"api_key": KEY}
+        status, _ = fleet.daemons["n1"].ask(
+            "POST", CHAT + f"?api_key={KEY}", chat, headers={"Cookie": f"key={KEY}"}
+        )
+        assert status == 200
+        for engine in fleet.engines.values():
+            for request in engine.received:
+                assert KEY not in repr(request)
+
+    def test_order_runs_once(self, fleet):
+        fleet.desk.cut_before_answer = True
+        order = {"stay": "family-7"}
+        status, body = fleet.daemons["n1"].ask("POST", "/services/visit-desk/b", order)
+        fleet.desk.cut_before_answer = False
+        assert status == 502
+        assert find_error(body)["outcome"] == "unknown"
+        assert fleet.desk.runs[json.dumps(order).encode()] == 1
+
+    def test_cut_stream_is_marked(self, fleet):
+        for engine in fleet.engines.values():
+            engine.faults.cut_after_tokens = 2
+        response = fleet.daemons["n1"].send("POST", CHAT, make_chat(stream=True))
+        with pytest.raises(Exception, match="IncompleteRead"):
+            response.read()
+        for engine in fleet.engines.values():
+            engine.faults.cut_after_tokens = None
+
+    def test_graceful_shutdown_cuts_no_request(self, fleet):
+        fleet.desk.hold.clear()
+        daemon = fleet.daemons["n2"]
+        answers = []
+        before = len(fleet.desk.paths)
+        caller = threading.Thread(
+            target=lambda: answers.append(daemon.ask("POST", "/services/visit-desk/x"))
+        )
+        caller.start()
+        while len(fleet.desk.paths) == before:
+            threading.Event().wait(0.01)
+        stopped = threading.Thread(target=daemon.stop)
+        stopped.start()
+        while not any("draining" in line for line in daemon.lines):
+            threading.Event().wait(0.01)
+        fleet.desk.hold.set()
+        caller.join(30)
+        stopped.join(30)
+        assert answers[0][0] == 200
+        assert daemon.process.returncode == 0
--- /dev/null
+++ b/oriolepaddle/gateway/__init__.py
@@ -0,0 +1,7 @@
+"""The callers' side: one exchange from request to answer."""
+
+from oriolepaddle.gateway.application import CallerApplication
+from oriolepaddle.gateway.authenticator import Authenticator
+from oriolepaddle.gateway.exchange import Exchanger
+
+__all__ = ["Authenticator", "CallerApplication", "Exchanger"]
--- /dev/null
+++ b/oriolepaddle/gateway/application.py
@@ -0,0 +1,72 @@
+"""What callers may ask."""
+
+from loguru import logger
+from werkzeug.wrappers import Request
+
+from oriolepaddle.errors import OriolepaddleError
+from oriolepaddle.gateway.exchange import Exchanger
+from oriolepaddle.gateway.forwarder import InstanceFinder
+from oriolepaddle.gateway.parser import RequestParser
+from oriolepaddle.web import AnswerWriter
+
+__all__ = ["CallerApplication"]
+
+SUGGESTED_INSTANCES = 3
+SUGGESTION_VALIDITY_S = 30
+
+
+class CallerApplication:
+    """The callers' interface; an `Application`.
+
+    Args:
+        parser: Parses requests.
+        exchanger: Serves them.
+        finder: Tells which instances callers may use.
+        data_centre: The data centre of this instance.
+    """
+
+    def __init__(
+        self,
+        parser: RequestParser,
+        exchanger: Exchanger,
+        finder: InstanceFinder,
+        data_centre: str,
+    ) -> None:
+        self._parser = parser
+        self._exchanger = exchanger
+        self._finder = finder
+        self._data_centre = data_centre
+
+    def handle(self, request: Request, writer: AnswerWriter) -> None:
+        """Answer one request; see `Application.handle`."""
+        if request.path == "/v1/instances":
+            self._answer_instances(request, writer)
+            return
+        request_id = request.environ["oriolepaddle.request_id"]
+        try:
+            parsed = self._parser.parse(request)
+            with logger.contextualize(
+                request_id=request_id, organisation=parsed.organisation_id
+            ):
+                self._exchanger.serve(parsed, writer)
+        except OriolepaddleError as error:
+            logger.bind(request_id=request_id, reason=error.code.code).info(
+                "request ended with {}", error.message
+            )
+            raise
+
+    def _answer_instances(self, request: Request, writer: AnswerWriter) -> None:
+        data_centre = request.args.get("data_centre", self._data_centre)
+        found = self._finder.suggest_instances(data_centre, SUGGESTED_INSTANCES)
+        document = {
+            "instances": [
+                {
+                    "id": instance.id,
+                    "data_centre": instance.data_centre,
+                    "address": instance.caller_address,
+                }
+                for instance in found
+            ],
+            "valid_for_s": SUGGESTION_VALIDITY_S,
+        }
+        writer.answer_json(200, document)
--- /dev/null
+++ b/oriolepaddle/gateway/parser.py
@@ -0,0 +1,231 @@
+"""From an HTTP request to a `CallerRequest`."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from werkzeug.wrappers import Request
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.config import ConfigState
+from oriolepaddle.config.model import Route, RouteKind
+from oriolepaddle.errors import ErrorCode, MalformedRequestError, RefusedError
+from oriolepaddle.gateway.authenticator import Authenticator, Caller
+from oriolepaddle.gateway.caller_request import CallerRequest
+from oriolepaddle.gateway.forwarding import ForwardedRequest, ForwardingSigner
+from oriolepaddle.gateway.keys import find_presented_key, scrub_body, scrub_query
+
+__all__ = ["COMPLETION_PATHS", "SERVICE_PREFIX", "RequestParser"]
+
+COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+SERVICE_PREFIX = "/services/"
+CHARACTERS_PER_TOKEN = 4
+MAX_OUTPUT_TOKENS = 100_000
+MAX_PRIORITY = 9
+PASSED_HEADERS = (
+    "Accept",
+    "Accept-Language",
+    "Content-Type",
+    "If-Match",
+    "If-None-Match",
+    "Range",
+    "User-Agent",
+)
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_OPEN_ROUTE_EXCLUDED = ("connection", "content-length", "host", "transfer-encoding")
+
+
+class RequestParser:
+    """Parses and authenticates requests.
+
+    Args:
+        config: The merged configuration.
+        authenticator: Checks the keys.
+        clock: Sets the deadlines.
+        signer: Checks requests that other instances passed on.
+    """
+
+    def __init__(
+        self,
+        config: ConfigState,
+        authenticator: Authenticator,
+        clock: Clock,
+        signer: ForwardingSigner,
+    ) -> None:
+        self._config = config
+        self._authenticator = authenticator
+        self._clock = clock
+        self._signer = signer
+
+    def parse(self, request: Request) -> CallerRequest:
+        """Return the request that a caller or another instance sent.
+
+        Raises:
+            MalformedRequestError: The request cannot be parsed.
+            AuthenticationError: It shows no valid key where one is needed.
+            RefusedError: No route serves it.
+        """
+        body = request.get_data()
+        forwarded = self._signer.check(request, body)
+        document = None
+        if request.path in COMPLETION_PATHS:
+            document = _parse_document(request, body)
+            route = self._find_route(document["model"], RouteKind.MODEL)
+        else:
+            route = self._find_route(_find_service(request.path), RouteKind.SERVICE)
+        presented = find_presented_key(request)
+        caller = self._authenticate(route, presented, forwarded)
+        if not route.open:
+            body = scrub_body(body, presented)
+        return self._build(request, body, document, route, caller, presented, forwarded)
+
+    def _authenticate(
+        self, route: Route, presented: str | None, forwarded: ForwardedRequest | None
+    ) -> Caller | None:
+        if forwarded is None or route.open:
+            return self._authenticator.authenticate(route, presented)
+        return self._authenticator.find_caller(forwarded.key_digest)
+
+    def _find_route(self, name: str, kind: RouteKind) -> Route:
+        route = self._config.route(name)
+        if route is None or route.kind is not kind:
+            raise RefusedError(
+                f"no route serves {name!r}", code=ErrorCode.ROUTE_UNKNOWN
+            )
+        return route
+
+    def _build(
+        self,
+        request: Request,
+        body: bytes,
+        document: dict[str, Any] | None,
+        route: Route,
+        caller: Caller | None,
+        presented: str | None,
+        forwarded: ForwardedRequest | None,
+    ) -> CallerRequest:
+        prompt = _read_prompt(document) if document is not None else ""
+        query = (request, route, presented)
+        is_safe = request.method in _SAFE_METHODS
+        deadline_s = route.deadline_s
+        if forwarded is not None:
+            deadline_s = min(deadline_s, forwarded.deadline_left_s)
+        return CallerRequest(
+            id=request.environ["oriolepaddle.request_id"],
+            method=request.method,
+            path=_make_path(_strip_service(request.path, route), *query),
+            caller_path=_make_path(request.path, *query),
+            headers=_choose_headers(request, route),
+            body=body,
+            route=route,
+            organisation=caller.organisation if caller else None,
+            key=caller.key if caller else None,
+            is_idempotent=document is not None or route.idempotent or is_safe,
+            is_stream=bool(document and document.get("stream")),
+            prompt_text=prompt,
+            prompt_tokens=_estimate_tokens(prompt),
+            output_tokens=_read_output_tokens(document, route),
+            priority=_read_priority(document),
+            deadline_s=self._clock.monotonic_s() + deadline_s,
+            order_number=request.headers.get("Idempotency-Key"),
+            hops=forwarded.hops if forwarded else (),
+        )
+
+
+def _parse_document(request: Request, body: bytes) -> dict[str, Any]:
+    if request.method != "POST":
+        raise MalformedRequestError(f"{request.path} takes POST")
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise MalformedRequestError(f"the body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise MalformedRequestError("the body must be a JSON object")
+    if not isinstance(document.get("model"), str):
+        raise MalformedRequestError("model must be a string")
+    if not isinstance(document.get("stream", False), bool):
+        raise MalformedRequestError("stream must be true or false")
+    return document
+
+
+def _read_prompt(document: dict[str, Any]) -> str:
+    if "messages" not in document:
+        prompt = document.get("prompt")
+        if not isinstance(prompt, str):
+            raise MalformedRequestError("prompt must be a string")
+        return prompt
+    messages = document["messages"]
+    if not isinstance(messages, list) or not messages:
+        raise MalformedRequestError("messages must be a list and not empty")
+    return "\n".join(_read_message(message) for message in messages)
+
+
+def _read_message(message: Any) -> str:
+    if not isinstance(message, dict):
+        raise MalformedRequestError("a message must be an object")
+    role = message.get("role")
+    content = message.get("content")
+    if not isinstance(role, str) or not isinstance(content, str):
+        raise MalformedRequestError("a message needs the strings role and content")
+    return f"{role}: {content}"
+
+
+def _read_integer(document: dict[str, Any], name: str, default: int, most: int) -> int:
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise MalformedRequestError(f"{name} must be an integer")
+    if not 0 <= value <= most:
+        raise MalformedRequestError(f"{name} must be from 0 to {most}")
+    return value
+
+
+def _read_output_tokens(document: dict[str, Any] | None, route: Route) -> int:
+    if document is None:
+        return 0
+    return _read_integer(
+        document, "max_tokens", route.max_output_tokens, MAX_OUTPUT_TOKENS
+    )
+
+
+def _read_priority(document: dict[str, Any] | None) -> int:
+    if document is None:
+        return 0
+    return _read_integer(document, "priority", 0, MAX_PRIORITY)
+
+
+def _estimate_tokens(text: str) -> int:
+    return -(-len(text) // CHARACTERS_PER_TOKEN)
+
+
+def _find_service(path: str) -> str:
+    if not path.startswith(SERVICE_PREFIX):
+        raise RefusedError(f"no route serves {path}", code=ErrorCode.ROUTE_UNKNOWN)
+    return path[len(SERVICE_PREFIX) :].partition("/")[0]
+
+
+def _strip_service(path: str, route: Route) -> str:
+    if route.kind is RouteKind.MODEL:
+        return path
+    return "/" + path[len(SERVICE_PREFIX) :].partition("/")[2]
+
+
+def _make_path(path: str, request: Request, route: Route, presented: str | None) -> str:
+    if presented and presented in path and not route.open:
+        raise MalformedRequestError("the path contains the key")
+    query = request.query_string.decode("latin-1")
+    if not route.open:
+        query = scrub_query(query, presented)
+    path = quote(path, safe="/:@!$&'()*+,;=-._~")
+    return f"{path}?{query}" if query else path
+
+
+def _choose_headers(request: Request, route: Route) -> tuple[tuple[str, str], ...]:
+    if route.open:
+        return tuple(
+            (name, value)
+            for name, value in request.headers.items()
+            if name.lower() not in _OPEN_ROUTE_EXCLUDED
+            and not name.lower().startswith(("x-oriolepaddle-", "x-request-id"))
+        )
+    headers = request.headers
+    return tuple((name, headers[name]) for name in PASSED_HEADERS if name in headers)
--- /dev/null
+++ b/oriolepaddle/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings, written in flags and environment variables."""
+
+from oriolepaddle.settings.check import check_settings, find_problems
+from oriolepaddle.settings.options import add_options
+from oriolepaddle.settings.settings import Settings
+
+__all__ = ["Settings", "add_options", "check_settings", "find_problems"]
--- /dev/null
+++ b/oriolepaddle/settings/check.py
@@ -0,0 +1,66 @@
+"""Checking settings, all of them at once."""
+
+import ipaddress
+from typing import Any
+
+import attrs
+
+from oriolepaddle.errors import SettingsError
+from oriolepaddle.settings.field import Rule, find_rule
+from oriolepaddle.settings.settings import Settings
+
+__all__ = ["check_settings", "find_problems"]
+
+
+def check_settings(settings: Settings) -> None:
+    """Check every setting.
+
+    Raises:
+        SettingsError: One or more are missing or out of range; the message
+            names each of them.
+    """
+    problems = find_problems(settings)
+    if problems:
+        raise SettingsError("\n".join(problems))
+
+
+def find_problems(settings: Settings) -> list[str]:
+    """Return a line for each setting that is missing or out of range."""
+    problems = []
+    for field in attrs.fields(Settings):
+        problem = _find_problem(find_rule(field), getattr(settings, field.name))
+        if problem is not None:
+            flag = field.name.replace("_", "-")
+            problems.append(f"--{flag} {problem}")
+    return problems
+
+
+def _find_problem(rule: Rule, value: Any) -> str | None:
+    if isinstance(value, str):
+        return _find_text_problem(rule, value)
+    if rule.low is not None and value < rule.low:
+        return f"must be at least {rule.low}, not {value}"
+    if rule.high is not None and not value <= rule.high:
+        return f"must be at most {rule.high}, not {value}"
+    return None
+
+
+def _find_text_problem(rule: Rule, value: str) -> str | None:
+    if not value:
+        return "is missing"
+    if len(value) < rule.min_length:
+        return f"must have at least {rule.min_length} characters"
+    if rule.choices and value not in rule.choices:
+        return f"must be one of {', '.join(rule.choices)}, not {value!r}"
+    if rule.is_address and not _is_address(value):
+        return f"must be IP:port, not {value!r}"
+    return None
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 <= int(port) <= 65535
+    except ValueError:
+        return False
--- /dev/null
+++ b/oriolepaddle/settings/options.py
@@ -0,0 +1,43 @@
+"""Settings as flags and environment variables of a typer command."""
+
+import inspect
+from collections.abc import Callable
+from typing import Annotated
+
+import attrs
+import typer
+
+from oriolepaddle.settings.field import find_rule
+from oriolepaddle.settings.settings import Settings
+
+__all__ = ["ENVIRONMENT_PREFIX", "add_options"]
+
+ENVIRONMENT_PREFIX = "ORIOLEPADDLE_"
+
+
+def add_options(function: Callable[[Settings], None]) -> Callable[..., None]:
+    """Return a command that takes each setting and calls `function`."""
+
+    def command(**values: object) -> None:
+        function(Settings(**values))
+
+    parameters = [_make_parameter(field) for field in attrs.fields(Settings)]
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {item.name: item.annotation for item in parameters}
+    command.__doc__ = function.__doc__
+    command.__name__ = function.__name__
+    return command
+
+
+def _make_parameter(field: attrs.Attribute) -> inspect.Parameter:
+    option = typer.Option(
+        "--" + field.name.replace("_", "-"),
+        envvar=ENVIRONMENT_PREFIX + field.name.upper(),
+        help=find_rule(field).help,
+    )
+    return inspect.Parameter(
+        field.name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=field.default,
+        annotation=Annotated[field.type, option],
+    )
--- /dev/null
+++ b/oriolepaddle/settings/settings.py
@@ -0,0 +1,65 @@
+"""Every setting of the daemon, with its unit and range."""
+
+import attrs
+
+from oriolepaddle.settings.field import setting
+
+__all__ = ["Settings"]
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """The daemon's settings.
+
+    Each attribute is the flag of the same name with dashes, and the
+    environment variable of the same name in capitals after `ORIOLEPADDLE_`.
+    """
+
+    instance: str = setting("", "Id of this instance, unique over the fleet.")
+    data_centre: str = setting("", "Id of the data centre that it stands in.")
+    caller_address: str = setting(
+        "127.0.0.1:8080", "IP:port to listen on for callers.", is_address=True
+    )
+    peer_address: str = setting(
+        "127.0.0.1:8081", "IP:port to listen on for other instances.", is_address=True
+    )
+    operator_address: str = setting(
+        "127.0.0.1:8082", "IP:port to listen on for operators.", is_address=True
+    )
+    platform_address: str = setting(
+        "", "IP:port of the platform's services.", is_address=True
+    )
+    peer_secret: str = setting(
+        "", "Secret that all instances share, at least 16 characters.", min_length=16
+    )
+    operator_token: str = setting(
+        "", "Token for the administration API, at least 16 characters.", min_length=16
+    )
+    drain_limit_s: float = setting(
+        60.0, "Seconds that a graceful shutdown waits for requests.", low=0, high=3600
+    )
+    max_connections: int = setting(
+        1024, "Callers' connections served side by side.", low=1, high=16384
+    )
+    max_body_bytes: int = setting(
+        4_000_000, "Largest body of a request in bytes.", low=1000, high=64_000_000
+    )
+    header_timeout_s: float = setting(
+        5.0, "Seconds in which a request's header must arrive.", low=0.1, high=60
+    )
+    body_timeout_s: float = setting(
+        20.0, "Seconds in which a request's body must arrive.", low=0.1, high=600
+    )
+    idle_timeout_s: float = setting(
+        30.0, "Seconds that an idle connection is kept.", low=1, high=600
+    )
+    stall_timeout_s: float = setting(
+        15.0, "Seconds without a byte after which an answer fails.", low=0.1, high=600
+    )
+    connect_timeout_s: float = setting(
+        1.0, "Seconds to make a connection to an endpoint.", low=0.05, high=30
+    )
+    log_level: str = setting(
+        "INFO", "Least level that is logged.", choices=("DEBUG", "INFO", "WARNING")
+    )
+    log_format: str = setting("text", "Form of log lines.", choices=("text", "json"))
