Add the command-line tool and the overhead benchmark

Cause: operators need a tool, and the cost of one instance has to be known. Ruled out: a thread for each stream in the load client, which would measure itself; it is one selector on one thread. Change: oriolectl, stand-ins as processes, python -m experiments.overhead.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments and benchmarks."""
--- /dev/null
+++ b/experiments/overhead/client.py
@@ -0,0 +1,149 @@
+"""A load client for many streams on one thread."""
+
+import selectors
+import socket
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from experiments.overhead.stream import ClientStream, make_request
+from oriolepaddle.clock import Clock
+
+__all__ = ["LoadClient", "LoadResult"]
+
+HISTOGRAM_MAX_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+POLL_INTERVAL_S = 0.002
+DRAIN_LIMIT_S = 60.0
+READ_BYTES = 65_536
+
+
+def _make_histogram() -> HdrHistogram:
+    return HdrHistogram(1, HISTOGRAM_MAX_US, SIGNIFICANT_DIGITS)
+
+
+@attrs.define
+class LoadResult:
+    """What the client saw after the warm-up.
+
+    Attributes:
+        first_byte_us: Time to the first token in microseconds.
+        token_delay_us: From the engine's send of a token to its arrival, in
+            microseconds.
+        sent: Requests sent.
+        refused: Requests whose status was not 200.
+        cut: Requests whose answer had no end mark.
+        tokens: Tokens received.
+        most_open: The most streams open at once.
+        measured_s: The measured time in seconds.
+    """
+
+    first_byte_us: HdrHistogram = attrs.field(factory=_make_histogram)
+    token_delay_us: HdrHistogram = attrs.field(factory=_make_histogram)
+    sent: int = 0
+    refused: int = 0
+    cut: int = 0
+    tokens: int = 0
+    most_open: int = 0
+    measured_s: float = 0.0
+
+
+class LoadClient:
+    """Sends requests at a fixed rate, whatever the answers do.
+
+    Args:
+        clock: Tells the time.
+        address: `host:port` to call.
+        key: The caller's key.
+        tokens: Tokens of each answer.
+    """
+
+    def __init__(self, clock: Clock, address: str, key: str, tokens: int) -> None:
+        self._clock = clock
+        host, _, port = address.rpartition(":")
+        self._target = (host, int(port))
+        self._request = make_request(address, key, tokens)
+        self._selector = selectors.DefaultSelector()
+        self._open: set[ClientStream] = set()
+        self._result = LoadResult()
+        self._measure_from_s = 0.0
+
+    def run(self, rate_per_s: float, warm_up_s: float, measure_s: float) -> LoadResult:
+        """Send for the warm-up and the measurement, then let answers end.
+
+        Args:
+            rate_per_s: Requests a second.
+            warm_up_s: Seconds before what is seen counts.
+            measure_s: Seconds that count.
+        """
+        start_s = self._clock.monotonic_s()
+        self._measure_from_s = start_s + warm_up_s
+        end_s = self._measure_from_s + measure_s
+        count = int(rate_per_s * (warm_up_s + measure_s))
+        for number in range(count):
+            self._receive_until(start_s + number / rate_per_s)
+            self._send()
+        self._result.measured_s = measure_s
+        self._receive_until(end_s)
+        self._drain(end_s)
+        return self._result
+
+    def _drain(self, end_s: float) -> None:
+        self._measure_from_s = float("inf")
+        while self._open and self._clock.monotonic_s() < end_s + DRAIN_LIMIT_S:
+            self._receive_until(self._clock.monotonic_s() + POLL_INTERVAL_S)
+        for stream in list(self._open):
+            self._finish(stream)
+
+    def _receive_until(self, until_s: float) -> None:
+        while True:
+            left_s = until_s - self._clock.monotonic_s()
+            if left_s <= 0:
+                return
+            for key, _ in self._selector.select(min(left_s, 1.0)):
+                self._receive(key.data)
+
+    def _send(self) -> None:
+        connection = socket.create_connection(self._target)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        now_s = self._clock.monotonic_s()
+        connection.sendall(self._request)
+        stream = ClientStream(connection, now_s)
+        self._open.add(stream)
+        self._selector.register(connection, selectors.EVENT_READ, stream)
+        self._result.sent += 1
+        self._result.most_open = max(self._result.most_open, len(self._open))
+
+    def _receive(self, stream: ClientStream) -> None:
+        try:
+            data = stream.connection.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        if not data:
+            self._finish(stream)
+            return
+        had_first = stream.first_byte_s is not None
+        now_s = self._clock.monotonic_s()
+        delays = stream.take(data, now_s)
+        if now_s >= self._measure_from_s:
+            self._count(stream, delays, had_first)
+
+    def _count(
+        self, stream: ClientStream, delays: list[float], had_first: bool
+    ) -> None:
+        result = self._result
+        result.tokens += len(delays)
+        for delay_s in delays:
+            result.token_delay_us.record_value(max(1, int(delay_s * 1e6)))
+        if stream.first_byte_s is not None and not had_first:
+            elapsed_s = stream.first_byte_s - stream.started_s
+            result.first_byte_us.record_value(max(1, int(elapsed_s * 1e6)))
+
+    def _finish(self, stream: ClientStream) -> None:
+        self._selector.unregister(stream.connection)
+        stream.connection.close()
+        self._open.discard(stream)
+        if stream.status != 200:
+            self._result.refused += 1
+        elif not stream.is_done:
+            self._result.cut += 1
--- /dev/null
+++ b/experiments/overhead/processes.py
@@ -0,0 +1,173 @@
+"""The processes of the measurement."""
+
+import contextlib
+import hashlib
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+
+import attrs
+
+from oriolepaddle.config import parse_ticket
+from oriolepaddle.errors import EndpointUnreachableError
+from oriolepaddle.standins import PlatformStandin
+
+__all__ = ["Gateway", "Usage", "run_engines", "run_gateway"]
+
+KEY = "key-of-the-load-client"
+SECRET = "a secret of the benchmark"
+STOP_TIMEOUT_S = 10
+_ENGINE_LINE = re.compile(r"listening on (\S+)")
+_GATEWAY_LINE = re.compile(r"serves callers on port (\d+)")
+
+
+@attrs.frozen
+class Usage:
+    """What a process has used.
+
+    Attributes:
+        cpu_s: Seconds of processor time, user and system.
+        memory_bytes: Resident memory.
+    """
+
+    cpu_s: float
+    memory_bytes: int
+
+
+@attrs.frozen
+class Gateway:
+    """A running daemon.
+
+    Attributes:
+        address: `host:port` for callers.
+        key: A caller's key.
+        process_id: The process.
+    """
+
+    address: str
+    key: str
+    process_id: int
+
+    def read_usage(self) -> Usage:
+        """Return what the daemon has used so far."""
+        with open(f"/proc/{self.process_id}/stat") as file:
+            fields = file.read().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(fields[21])
+        return Usage(
+            cpu_s=ticks / os.sysconf("SC_CLK_TCK"),
+            memory_bytes=pages * os.sysconf("SC_PAGE_SIZE"),
+        )
+
+
+@contextlib.contextmanager
+def run_engines(count: int, token_interval_s: float) -> Iterator[tuple[str, ...]]:
+    """Run engine stand-ins, each a process, and yield their addresses."""
+    processes = []
+    addresses = []
+    try:
+        for number in range(count):
+            words = ["engine", f"e{number}"]
+            words += ["--token-interval-ms", str(token_interval_s * 1000)]
+            process = _start("oriolepaddle.standins", words, {}, subprocess.PIPE)
+            processes.append(process)
+            addresses.append(_await(process.stdout, _ENGINE_LINE))
+        yield tuple(addresses)
+    finally:
+        for process in processes:
+            _stop(process)
+
+
+@contextlib.contextmanager
+def run_gateway(engines: tuple[str, ...]) -> Iterator[Gateway]:
+    """Run a platform stand-in and one daemon before the engines."""
+    platform = PlatformStandin()
+    platform.start()
+    platform.publish(parse_ticket(json.dumps(_make_ticket(engines))))
+    settings = {
+        "INSTANCE": "n1",
+        "DATA_CENTRE": "nordur-a",
+        "CALLER_ADDRESS": "127.0.0.1:0",
+        "PEER_ADDRESS": "127.0.0.1:0",
+        "OPERATOR_ADDRESS": "127.0.0.1:0",
+        "PLATFORM_ADDRESS": platform.address,
+        "PEER_SECRET": SECRET,
+        "OPERATOR_TOKEN": SECRET,
+        "MAX_CONNECTIONS": "2048",
+    }
+    environment = {f"ORIOLEPADDLE_{name}": value for name, value in settings.items()}
+    process = _start("oriolepaddle.daemon", ["serve"], environment, None)
+    try:
+        port = _await(process.stderr, _GATEWAY_LINE)
+        _drain_in_background(process)
+        yield Gateway(f"127.0.0.1:{port}", KEY, process.pid)
+    finally:
+        _stop(process)
+        platform.close()
+
+
+def _make_ticket(engines: tuple[str, ...]) -> dict:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    organisation = {"rate_tokens_per_s": 1e6, "burst_tokens": 1e8}
+    objects = [
+        _make("data_centre", "nordur-a", region="nordur"),
+        _make("organisation", "norddal", **organisation),
+        _make("key", "k1", organisation="norddal", digest=digest),
+        _make("route", "oriole-answers", kind="model"),
+    ]
+    for number, address in enumerate(engines):
+        endpoint = {
+            "data_centre": "nordur-a",
+            "address": address,
+            "routes": ["oriole-answers"],
+            "slots": 512,
+            "decode_tokens_per_s": 1000,
+        }
+        objects.append(_make("endpoint", f"e{number}", **endpoint))
+    return {"number": 1, "objects": objects}
+
+
+def _make(object_kind: str, object_id: str, /, **value: object) -> dict:
+    return {"kind": object_kind, "id": object_id, "value": value}
+
+
+def _start(
+    module: str, words: list[str], environment: dict[str, str], output: int | None
+) -> subprocess.Popen:
+    return subprocess.Popen(
+        [sys.executable, "-m", module, *words],
+        env=os.environ | environment,
+        stdout=output,
+        stderr=None if output else subprocess.PIPE,
+        text=True,
+    )
+
+
+def _await(lines: Iterator[str], pattern: re.Pattern) -> str:
+    for line in lines:
+        found = pattern.search(line)
+        if found:
+            return found.group(1)
+    raise EndpointUnreachableError("a process ended before it listened")
+
+
+def _drain_in_background(process: subprocess.Popen) -> None:
+    def drain() -> None:
+        for _ in process.stderr:
+            pass
+
+    threading.Thread(target=drain, daemon=True).start()
+
+
+def _stop(process: subprocess.Popen) -> None:
+    process.send_signal(signal.SIGTERM)
+    try:
+        process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/oriolepaddle/ctl/client.py
@@ -0,0 +1,80 @@
+"""Calls of the administration API."""
+
+import json
+from datetime import timedelta
+from io import BytesIO
+from typing import Any
+
+import pycurl
+
+from oriolepaddle.ctl.failure import CallFailedError
+from oriolepaddle.errors import PeerUnavailableError
+
+__all__ = ["OperatorClient"]
+
+TIMEOUT = timedelta(seconds=10)
+
+
+class OperatorClient:
+    """Calls one instance's administration API.
+
+    Args:
+        address: `host:port` of the instance's operators' listener.
+        token: The operator's token.
+    """
+
+    def __init__(self, address: str, token: str) -> None:
+        self._address = address
+        self._token = token
+
+    def call(self, method: str, path: str, body: bytes | None = None) -> Any:
+        """Return the JSON of one call.
+
+        Raises:
+            PeerUnavailableError: The instance could not be reached.
+            CallFailedError: It answered with an error.
+        """
+        status, data = self._send(method, path, body)
+        try:
+            document = json.loads(data)
+        except ValueError as error:
+            raise CallFailedError(f"status {status} without JSON") from error
+        if status >= 400 and "error" in document:
+            detail = document["error"]
+            raise CallFailedError(f"{detail['code']}: {detail['message']}")
+        return document
+
+    def fetch(self, path: str) -> bytes:
+        """Return the body of a call that answers no JSON.
+
+        Raises:
+            PeerUnavailableError: The instance could not be reached.
+            CallFailedError: It answered with an error.
+        """
+        status, data = self._send("GET", path, None)
+        if status != 200:
+            raise CallFailedError(f"status {status}")
+        return data
+
+    def _send(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
+        buffer = BytesIO()
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, f"http://{self._address}{path}")
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.TIMEOUT_MS, int(TIMEOUT.total_seconds() * 1000))
+        if body is not None:
+            curl.setopt(pycurl.POSTFIELDS, body)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        headers = [f"Authorization: Bearer {self._token}", "Expect:"]
+        curl.setopt(pycurl.HTTPHEADER, headers)
+        curl.setopt(pycurl.WRITEDATA, buffer)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            raise PeerUnavailableError(
+                f"{self._address} cannot be reached: {error.args[1]}"
+            ) from error
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        curl.close()
+        return status, buffer.getvalue()
--- /dev/null
+++ b/oriolepaddle/ctl/failure.py
@@ -0,0 +1,11 @@
+"""The error of a call that the instance refused."""
+
+from oriolepaddle.errors import ErrorCode, OriolepaddleError
+
+__all__ = ["CallFailedError"]
+
+
+class CallFailedError(OriolepaddleError):
+    """The instance answered a call with an error."""
+
+    default_code = ErrorCode.INTERNAL
--- /dev/null
+++ b/oriolepaddle/ctl/output.py
@@ -0,0 +1,54 @@
+"""What the command-line tool prints."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["make_table", "print_document", "print_rows"]
+
+
+def print_document(document: dict[str, Any], is_json: bool) -> None:
+    """Print one object, as JSON or a line for each member."""
+    if is_json:
+        print(json.dumps(document))
+        return
+    table = Table(show_header=False, box=None)
+    for name, value in document.items():
+        table.add_row(name.replace("_", " "), _write_value(value))
+    Console().print(table)
+
+
+def print_rows(rows: Sequence[dict[str, Any]], is_json: bool) -> None:
+    """Print a list of objects, as JSON or a table."""
+    if is_json:
+        print(json.dumps(list(rows)))
+        return
+    if not rows:
+        print("none")
+        return
+    Console().print(make_table(rows))
+
+
+def make_table(rows: Sequence[dict[str, Any]], title: str | None = None) -> Table:
+    """Return a table with a column for each member of the first row."""
+    table = Table(title=title)
+    for name in rows[0]:
+        table.add_column(name.replace("_", " "))
+    for row in rows:
+        table.add_row(*(_write_value(value) for value in row.values()))
+    return table
+
+
+def _write_value(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    if isinstance(value, list):
+        return ", ".join(_write_value(item) for item in value)
+    return str(value)
--- a/oriolepaddle/standins/engine.py
+++ b/oriolepaddle/standins/engine.py
@@ -80,13 +80,14 @@
         self.received: deque[ReceivedRequest] = deque(maxlen=KEPT_REQUESTS)
         self.running = 0
         self.cancelled = 0
+        self._clock = clock or SystemClock()
         self._lock = threading.Lock()
         self._closing = threading.Event()
         self._server = HttpServer(
             "127.0.0.1",
             port,
             self,
-            clock or SystemClock(),
+            self._clock,
             ServerLimits(max_connections=2048),
             name=f"engine-{name}",
         )
@@ -189,7 +190,7 @@
         writer.start(200, headers)
         for number in range(count):
             self._apply_stream_faults(number)
-            writer.write(_make_event(request_id, self.name, number))
+            writer.write(self._make_event(request_id, number))
             if self._closing.wait(self.token_interval_s):
                 raise ConnectionResetError("the engine is closing")
         writer.write(b"data: [DONE]\n\n")
@@ -201,11 +202,11 @@
         if number == self.faults.silent_after_tokens:
             self._closing.wait()
 
-
-def _make_event(request_id: str, endpoint: str, number: int) -> bytes:
-    document = {
-        "id": request_id,
-        "endpoint": endpoint,
-        "choices": [{"index": 0, "delta": {"content": f"{number} "}}],
-    }
-    return b"data: " + json.dumps(document).encode() + b"\n\n"
+    def _make_event(self, request_id: str, number: int) -> bytes:
+        document = {
+            "id": request_id,
+            "endpoint": self.name,
+            "sent_s": self._clock.monotonic_s(),
+            "choices": [{"index": 0, "delta": {"content": f"{number} "}}],
+        }
+        return b"data: " + json.dumps(document).encode() + b"\n\n"
