Watch exchanges from one thread instead of a callback for each chunk

Cause: at 2.5 times a node's share the gateway fell behind. A sampling of its threads showed them waiting to get the interpreter back after callbacks and writes. Ruled out: the load client (0.2 cores) and the engines (11976 chunks/s directly). Change: a watchdog thread checks limits, callers and keys and ends a try by its socket; a write is one system call.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -1,8 +1,11 @@
 """One try on one curl handle."""
 
+import threading
+
 import pycurl
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.endpoints.handles import PooledHandle
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.errors import (
@@ -32,12 +35,14 @@
 
     def __init__(
         self,
-        handle: pycurl.Curl,
+        handle: PooledHandle,
         clock: Clock,
         request: EndpointRequest,
         sink: AnswerSink,
     ) -> None:
         self._handle = handle
+        self._lock = threading.Lock()
+        self._is_running = True
         self._clock = clock
         self._request = request
         self._sink = sink
@@ -50,19 +55,37 @@
 
     def perform(self) -> None:
         """Run the try; see `EndpointTransport.run` for its errors."""
-        handle = self._handle
-        handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
-        handle.setopt(pycurl.WRITEFUNCTION, self._on_data)
-        handle.setopt(pycurl.NOPROGRESS, 0)
-        handle.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+        curl = self._handle.curl
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
         try:
-            handle.perform()
+            curl.perform()
         except pycurl.error as error:
             raise self._sort_error(error) from error
+        finally:
+            with self._lock:
+                self._is_running = False
         self._give_head()
         if self._error is not None:
             raise self._error
 
+    def inspect(self) -> None:
+        """End the try if a limit is reached or the answer is not wanted."""
+        try:
+            self._check_limits()
+            self._sink.check()
+        except (OSError, OriolepaddleError) as error:
+            self._abort(error)
+
+    def _abort(self, error: Exception) -> None:
+        # The lock keeps a try that ends meanwhile from handing its connection
+        # to the next one before it is interrupted.
+        with self._lock:
+            if not self._is_running:
+                return
+            self._error = self._error or error
+            self._handle.interrupt()
+
     def _on_header(self, line: bytes) -> None:
         self._last_byte_s = self._clock.monotonic_s()
         text = line.decode("latin-1").strip()
@@ -92,14 +115,6 @@
                 self._error = error
         return len(data) if self._error is None else _ABORT
 
-    def _on_progress(self, *sizes: int) -> int:
-        try:
-            self._check_limits()
-            self._sink.check()
-        except (OSError, OriolepaddleError) as error:
-            self._error = error
-        return 0 if self._error is None else _ABORT
-
     def _check_limits(self) -> None:
         now_s = self._clock.monotonic_s()
         request = self._request
@@ -113,7 +128,7 @@
 
     def _sort_error(self, error: pycurl.error) -> Exception:
         number, text = error.args
-        is_connected = self._handle.getinfo(pycurl.CONNECT_TIME) > 0
+        is_connected = self._handle.curl.getinfo(pycurl.CONNECT_TIME) > 0
         if self._error is not None and (is_connected or self._status):
             return self._error
         if number in _NOT_CONNECTED or not is_connected and not self._status:
--- a/oriolepaddle/endpoints/sink.py
+++ b/oriolepaddle/endpoints/sink.py
@@ -26,7 +26,7 @@
         ...
 
     def check(self) -> None:
-        """Say whether to go on; called at least once a second.
+        """Say whether to go on; called several times a second, from any thread.
 
         Raises:
             OSError: The caller is gone; the try is cancelled.
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -9,6 +9,7 @@
 from oriolepaddle.endpoints.handles import HandlePool
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
+from oriolepaddle.endpoints.watchdog import ExchangeWatchdog
 from oriolepaddle.errors import EndpointTimeoutError, Outcome
 
 __all__ = ["EndpointTransport"]
@@ -32,8 +33,8 @@
     ) -> None:
         self._clock = clock
         self._connect_timeout = connect_timeout
-        self._max_connection_idle = max_connection_idle
-        self._handles = HandlePool()
+        self._handles = HandlePool(clock, max_connection_idle)
+        self._watchdog = ExchangeWatchdog(clock)
 
     def run(self, address: str, request: EndpointRequest, sink: AnswerSink) -> None:
         """Send a request and hand its answer to `sink`.
@@ -49,24 +50,33 @@
             EndpointFailedError: The connection broke.
             AnswerTruncatedError: The answer ended before it was whole.
         """
-        if self._clock.monotonic_s() >= request.deadline_s:
+        left_s = request.deadline_s - self._clock.monotonic_s()
+        if left_s <= 0:
             raise EndpointTimeoutError(
                 "the deadline passed before the request was sent",
                 outcome=Outcome.NOT_RUN,
             )
         handle = self._handles.take(address)
         exchange = CurlExchange(handle, self._clock, request, sink)
-        self._set_options(handle, address, request)
+        self._set_options(handle.curl, address, request)
+        handle.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(left_s * 1000)))
         is_reusable = False
+        self._watchdog.add(exchange)
         try:
             exchange.perform()
             is_reusable = True
         finally:
+            self._watchdog.remove(exchange)
             if is_reusable:
                 self._handles.give_back(address, handle)
             else:
                 handle.close()
 
+    def close(self) -> None:
+        """Stop watching exchanges and close the idle connections."""
+        self._watchdog.close()
+        self._handles.retain(set())
+
     def retain(self, addresses: set[str]) -> None:
         """Close the idle connections to addresses that are not in use."""
         self._handles.retain(addresses)
@@ -83,9 +93,6 @@
         handle.setopt(pycurl.TCP_KEEPIDLE, 5)
         handle.setopt(pycurl.TCP_KEEPINTVL, 5)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(self._connect_timeout))
-        handle.setopt(
-            pycurl.MAXAGE_CONN, int(self._max_connection_idle.total_seconds())
-        )
         if not request.is_idempotent:
             # curl sends a request again by itself when a reused connection
             # breaks before the first byte of the answer.
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -3,6 +3,7 @@
 import json
 import select
 import socket
+import struct
 from collections.abc import Iterable
 from datetime import timedelta
 from http import HTTPStatus
@@ -53,6 +54,7 @@
             OSError: The caller is gone or does not read.
         """
         self.is_started = True
+        _set_send_timeout(self._connection, self._write_timeout_s)
         lines = [f"HTTP/1.1 {status} {_find_phrase(status)}"]
         lines += [f"{name}: {value}" for name, value in headers]
         if length is not None:
@@ -119,10 +121,18 @@
         return False
 
     def _send(self, data: bytes) -> None:
-        self._connection.settimeout(self._write_timeout_s)
         self._connection.sendall(data)
 
 
+def _set_send_timeout(connection: socket.socket, timeout_s: float) -> None:
+    # A timeout of Python's own would cost two system calls for each write.
+    seconds = int(timeout_s)
+    microseconds = int((timeout_s - seconds) * 1_000_000)
+    value = struct.pack("@ll", seconds, microseconds)
+    connection.settimeout(None)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
+
+
 def write_error_body(error: OriolepaddleError, request_id: str) -> bytes:
     """Return the JSON form of an error, as `docs/errors.md` describes it."""
     document = {
