--- a/oriolepaddle/config/codec.py
+++ b/oriolepaddle/config/codec.py
@@ -33,6 +33,7 @@
 from oriolepaddle.errors import TicketError
 
 __all__ = [
+    "MAX_OBJECT_BYTES",
     "MAX_TICKET_BYTES",
     "parse_entry",
     "parse_ticket",
@@ -41,6 +42,7 @@
 ]
 
 MAX_TICKET_BYTES = 1_000_000
+MAX_OBJECT_BYTES = 200_000
 MAX_TICKET_NUMBER = 2**53 - 1
 MAX_ID_LENGTH = 200
 
@@ -134,13 +136,10 @@
     if document["value"] is None:
         return Entry(kind=kind, id=object_id, number=number, value=None)
     value = _parse_value(kind, object_id, document["value"])
-    return Entry(
-        kind=kind,
-        id=object_id,
-        number=number,
-        value=value,
-        document=write_object(value),
-    )
+    written = write_object(value)
+    if len(written) > MAX_OBJECT_BYTES:
+        raise TicketError(f"an object is larger than {MAX_OBJECT_BYTES} bytes")
+    return Entry(kind, object_id, number, value, written)
 
 
 def write_object(value: ConfigObject) -> str:
