Keep the fleet's membership by heartbeats

Cause: the platform's list lags, may be stale or down, and says nothing of who can be reached or in which life an instance is. Change: Membership heartbeats a full mesh inside the data centre and a few links along rings of data centres, over the fleet and inside each region, that walk past silent data centres. Heartbeats carry incarnation, leaving, the configuration's digest, unlisted or changed members and load summaries, each bounded. Reachability is checked against the clock at the call. Ruled out: random peers, whose graph may fall apart inside an isolated region; trust in the list's word over an instance's own later life.

--- a/oriolepaddle/membership/__init__.py
+++ b/oriolepaddle/membership/__init__.py
@@ -1,5 +1,19 @@
 """Membership: who is in the fleet, and who can be reached."""
 
+from oriolepaddle.membership.handler import MembershipHandler
+from oriolepaddle.membership.load import LoadSummary
+from oriolepaddle.membership.member import MemberStatus
+from oriolepaddle.membership.membership import Membership
+from oriolepaddle.membership.suggestion import Suggestion
 from oriolepaddle.membership.view import MembershipView
+from oriolepaddle.membership.wire import MEMBERSHIP_SERVICE
 
-__all__ = ["MembershipView"]
+__all__ = [
+    "MEMBERSHIP_SERVICE",
+    "LoadSummary",
+    "MemberStatus",
+    "Membership",
+    "MembershipHandler",
+    "MembershipView",
+    "Suggestion",
+]
--- /dev/null
+++ b/oriolepaddle/membership/_exchange.py
@@ -0,0 +1,143 @@
+"""Composes heartbeats and takes in what they carry."""
+
+from collections.abc import Callable
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.membership.load import LoadBoard
+from oriolepaddle.membership.member import Member
+from oriolepaddle.membership.peer import Peer, SentRecord
+from oriolepaddle.membership.table import RECORD_LIFE_S, MemberTable
+from oriolepaddle.membership.wire import (
+    read_load,
+    read_member,
+    write_load,
+    write_member,
+)
+from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.peers.gen_py.membership.ttypes import Heartbeat
+
+__all__ = ["HeartbeatExchange"]
+
+MAX_MEMBERS = 8
+MAX_LOADS = 4
+MEMBER_REFRESH_S = 60.0
+
+
+class HeartbeatExchange:
+    """What one instance says in its heartbeats and learns from others'.
+
+    Not thread-safe; `Membership` holds its lock.
+
+    Args:
+        clock: The time.
+        identity: This instance in its present life.
+        table: What is known of the fleet.
+        loads: The load summaries.
+        config_digest: Returns digest and highest number of the configuration.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        identity: PeerIdentity,
+        table: MemberTable,
+        loads: LoadBoard,
+        config_digest: Callable[[], tuple[int, int]],
+    ) -> None:
+        self._clock = clock
+        self._identity = identity
+        self._table = table
+        self._loads = loads
+        self._config_digest = config_digest
+        self.is_ready = False
+
+    def compose(self, peer: Peer, mesh: frozenset[str]) -> Heartbeat:
+        """Compose a heartbeat, or the answer to one, for a peer.
+
+        Args:
+            peer: The peer.
+            mesh: The peers of the own data centre, which have each other's
+                load summaries from themselves.
+        """
+        digest, highest = self._config_digest()
+        skipped = mesh if peer.name in mesh else frozenset()
+        loads = self._loads.choose(peer.name, skipped, MAX_LOADS)
+        return Heartbeat(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            is_leaving=self._table.own.is_leaving,
+            config_digest=_to_signed(digest),
+            highest_ticket=highest,
+            members=self._choose_members(peer) or None,
+            loads=[write_load(load) for load in loads] or None,
+            is_ready=self.is_ready,
+        )
+
+    def absorb(self, peer: Peer, message: Heartbeat) -> bool:
+        """Take in a heartbeat or its answer; tell whether an instance left."""
+        now_s = self._clock.monotonic_s()
+        if peer.incarnation != message.incarnation:
+            peer.incarnation = message.incarnation
+            peer.sent.clear()
+            self._loads.forget(peer.name)
+        peer.is_ready = message.is_ready
+        peer.config_digest = message.config_digest % 2**64
+        peer.highest_ticket = message.highest_ticket
+        is_news = False
+        for record in message.members or ():
+            is_news |= self._absorb_member(read_member(record, now_s), now_s)
+        is_changed = self._table.touch(
+            peer.name, message.incarnation, message.is_leaving, now_s
+        )
+        is_news |= is_changed and message.is_leaving
+        for record in message.loads or ():
+            self._loads.put(read_load(record), peer.name)
+        return is_news
+
+    def _absorb_member(self, member: Member, now_s: float) -> bool:
+        if now_s - member.heard_at_s > RECORD_LIFE_S:
+            return False
+        return self._table.merge(member) and member.is_leaving
+
+    def _choose_members(self, peer: Peer) -> list:
+        now_s = self._clock.monotonic_s()
+        chosen = []
+        for member in self._table.heard():
+            name = member.instance.id
+            if self._is_known_to(peer, member) or not self._table.is_news(member):
+                continue
+            held = peer.sent.get(name)
+            if held is not None and not self._is_due(held, member, now_s):
+                continue
+            chosen.append(write_member(self._refresh_own(member, now_s), now_s))
+            peer.sent[name] = SentRecord(member.incarnation, member.is_leaving, now_s)
+            if len(chosen) == MAX_MEMBERS:
+                break
+        return chosen
+
+    def _is_due(self, held: SentRecord, member: Member, now_s: float) -> bool:
+        if held.incarnation != member.incarnation:
+            return True
+        if held.is_leaving != member.is_leaving:
+            return True
+        # Repeated because an answer may be lost, and so that an instance that
+        # is not listed stays known while it is heard.
+        is_old = now_s - held.sent_at_s >= MEMBER_REFRESH_S
+        return is_old and not self._is_settled(member)
+
+    def _is_known_to(self, peer: Peer, member: Member) -> bool:
+        """Return whether it is the peer itself, in the life that it knows of."""
+        is_peer = member.instance.id == peer.name
+        return is_peer and member.incarnation <= (peer.incarnation or 0)
+
+    def _is_settled(self, member: Member) -> bool:
+        return self._table.is_listed(member.instance.id) and not member.is_leaving
+
+    def _refresh_own(self, member: Member, now_s: float) -> Member:
+        if member is not self._table.own:
+            return member
+        return Member(member.instance, member.incarnation, now_s)
+
+
+def _to_signed(number: int) -> int:
+    return number - 2**64 if number >= 2**63 else number
--- /dev/null
+++ b/oriolepaddle/peers/idl/membership.thrift
@@ -0,0 +1,40 @@
+namespace py oriolepaddle.peers.gen_py.membership
+
+/** What is known of an instance in one of its lives. */
+struct MemberRecord {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required string data_centre,
+  4: required string caller_address,
+  5: required string peer_address,
+  6: required i32 size_thousandths,
+  7: required bool is_leaving,
+  /** Milliseconds since the instance itself was heard. */
+  8: required i64 age_ms,
+}
+
+/** The load of one route in one data centre. */
+struct LoadRecord {
+  1: required string data_centre,
+  2: required string route,
+  3: required i32 queueing_ms,
+  4: required i32 free_slots,
+  /** Milliseconds since it was measured. */
+  5: required i32 age_ms,
+}
+
+struct Heartbeat {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required bool is_leaving,
+  4: required i64 config_digest,
+  5: required i64 highest_ticket,
+  6: optional list<MemberRecord> members,
+  7: optional list<LoadRecord> loads,
+  /** Whether callers may be sent to the instance. */
+  8: required bool is_ready,
+}
+
+service Membership {
+  Heartbeat exchange(1: Heartbeat request),
+}
