Spread the configuration between instances and read it from the platform

Cause: with the platform down or stale nothing carried a ticket on, and a starting instance could not tell whether its copy was old. A transfer larger than a message is merged with its last part, so that a ticket is in force whole. CatchUp decides when an instance may be advertised. Ruled out: pulling alone, which cannot help an instance that calls nobody; pushing to instances that are not caught up, which would send each of them the whole state from every neighbour.

--- a/oriolepaddle/config/digest.py
+++ b/oriolepaddle/config/digest.py
@@ -47,9 +47,19 @@
         self._group_digests = [0] * GROUP_COUNT
         self.digest = 0
 
+    def copy(self) -> "EntryIndex":
+        """Return a copy that later changes leave alone."""
+        copied = EntryIndex()
+        for bucket, entries in self._buckets.items():
+            copied._buckets[bucket] = dict(entries)
+        copied._bucket_digests = list(self._bucket_digests)
+        copied._group_digests = list(self._group_digests)
+        copied.digest = self.digest
+        return copied
+
     def get(self, name: Name) -> Entry | None:
         """Return the entry of an object, or None."""
-        return self._buckets[_bucket(name)].get(name)
+        return self._buckets.get(_bucket(name), {}).get(name)
 
     def put(self, entry: Entry) -> None:
         """Put an entry in the place of the one that its object had."""
@@ -74,7 +84,7 @@
 
     def bucket_entries(self, bucket: int) -> tuple[Entry, ...]:
         """Return the entries of one bucket."""
-        return tuple(self._buckets[bucket].values())
+        return tuple(self._buckets.get(bucket, {}).values())
 
     def group_digests(self) -> tuple[int, ...]:
         """Return the digest of each group of buckets."""
--- a/oriolepaddle/config/state.py
+++ b/oriolepaddle/config/state.py
@@ -130,20 +130,10 @@
         with self._lock:
             return self._index.get((kind, object_id))
 
-    def group_digests(self) -> tuple[int, ...]:
-        """Return the digest of each group of buckets of entries."""
+    def copy_index(self) -> tuple[Floor, EntryIndex]:
+        """Return the floor and a copy of the entries with their digests."""
         with self._lock:
-            return self._index.group_digests()
-
-    def bucket_digests(self, group: int) -> tuple[int, ...]:
-        """Return the digest of each bucket of a group."""
-        with self._lock:
-            return self._index.bucket_digests(group)
-
-    def bucket_entries(self, bucket: int) -> tuple[Entry, ...]:
-        """Return the entries of one bucket."""
-        with self._lock:
-            return self._index.bucket_entries(bucket)
+            return self._floor, self._index.copy()
 
     def organisation(self, object_id: str) -> Organisation | None:
         """Return a live organisation, or None."""
--- /dev/null
+++ b/oriolepaddle/config/tests/test_sync.py
@@ -0,0 +1,329 @@
+import random
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.config.tests.fleet import (
+    NAMES,
+    Fleet,
+    Platform,
+    make_shard,
+    make_ticket,
+)
+from oriolepaddle.peers.gen_py.configuration.ttypes import EntryRecord, PushRequest
+
+IN_FORCE_S = 8
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    fleet.platform.publish("tickets/1", make_ticket(1, ("x", 1), ("y", 1)))
+    fleet.run(10)
+    assert fleet.rates() == [{"x": 1, "y": 1}]
+    return fleet
+
+
+class TestSpread:
+    def test_published_ticket_is_in_force_everywhere(self, fleet):
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"y": 1}]
+
+    def test_ticket_of_one_instance_spreads_with_platform_down(self, fleet):
+        fleet.platform.is_down = True
+        fleet.inject("b1-1", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"y": 1}]
+
+    @pytest.mark.parametrize("place", range(len(NAMES)))
+    def test_one_instance_that_reads_tells_all(self, fleet, place):
+        stale = Platform()
+        for number, node in enumerate(fleet.nodes.values()):
+            if number != place:
+                for reader in node.reader._readers:
+                    reader._service = stale
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", 5)))
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"x": 5, "y": 1}]
+
+    @pytest.mark.parametrize("fault", ["request", "reply", "double"])
+    def test_faulty_messages_are_repaired(self, fleet, fault):
+        fleet.platform.is_down = True
+        generator = random.Random(3)
+        fleet.network.lose = lambda *call: fault if generator.random() < 0.4 else None
+        for number in range(2, 8):
+            name = NAMES[number % len(NAMES)]
+            fleet.inject(name, make_ticket(number, ("x", number), (f"o{number}", 1)))
+            fleet.run(1)
+        fleet.network.lose = lambda *call: None
+        fleet.run(3 * IN_FORCE_S)
+        (rates,) = fleet.rates()
+        assert rates["x"] == 7
+        assert len(rates) == 8
+
+    def test_all_pushes_lost_is_repaired_by_comparison(self, fleet):
+        fleet.platform.is_down = True
+        fleet.network.lose = lambda a, b, method: (
+            "request" if method == "push" else None
+        )
+        fleet.inject("a1-0", make_ticket(2, ("x", 2)))
+        fleet.run(30)
+        assert fleet.rates() == [{"x": 2, "y": 1}]
+
+    @pytest.mark.parametrize("direction", [0, 1])
+    def test_one_way_cut(self, fleet, direction):
+        fleet.platform.is_down = True
+        others = NAMES[:5]
+        for other in others:
+            pair = ("b1-1", other) if direction else (other, "b1-1")
+            fleet.network.cut.add(pair)
+        fleet.inject("b1-1", make_ticket(2, ("x", 2)))
+        fleet.inject("a1-0", make_ticket(3, ("y", None)))
+        fleet.run(4 * IN_FORCE_S)
+        assert fleet.rates() == [{"x": 2}]
+
+    def test_peer_that_is_reachable_only_through_another(self, fleet):
+        fleet.platform.is_down = True
+        fleet.network.split(["b1-1"], [name for name in NAMES if name[:2] != "a2"])
+        fleet.run(10)
+        fleet.inject("a1-0", make_ticket(2, ("x", None)))
+        fleet.run(3 * IN_FORCE_S)
+        assert fleet.rates() == [{"y": 1}]
+
+    def test_partition_heals(self, fleet):
+        fleet.platform.is_down = True
+        fleet.network.split(NAMES[:2], NAMES[2:])
+        fleet.inject("a1-0", make_ticket(2, ("x", 2)))
+        fleet.inject("b1-0", make_ticket(3, ("x", 3), ("z", 1)))
+        fleet.run(60)
+        assert len(fleet.rates()) == 2
+        fleet.network.cut.clear()
+        fleet.run(30)
+        assert fleet.rates() == [{"x": 3, "y": 1, "z": 1}]
+
+    def test_pause_and_wake(self, fleet):
+        node = fleet.nodes.pop("a1-1")
+        fleet.network.down.add("a1-1")
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(120)
+        fleet.network.down.discard("a1-1")
+        fleet.nodes["a1-1"] = node
+        fleet.platform.is_down = True
+        fleet.run(3 * IN_FORCE_S)
+        assert fleet.rates() == [{"y": 1}]
+
+    def test_ticket_larger_than_a_message_is_in_force_whole(self, fleet):
+        fleet.platform.is_down = True
+        seen = []
+        fleet.nodes["a2-0"].state.add_listener(lambda changed: seen.append(changed))
+        count = 3_000
+        changes = [(f"o{number:0150d}", 1) for number in range(count)]
+        fleet.inject("a1-0", make_ticket(2, *changes))
+        fleet.run(2 * IN_FORCE_S)
+        assert [len(changed) for changed in seen] == [count]
+
+    def test_invalid_entry_takes_its_ticket_with_it(self, fleet):
+        request = PushBuilder("a1-0").build(("good", 5, VALUE), ("bad", 5, "{}"))
+        fleet.nodes["a1-1"].sync.handler.push(request)
+        node = fleet.nodes["a1-1"]
+        assert "good" not in node.rates()
+        assert node.rejections.counts() == {"entry_invalid": 1}
+
+    def test_lost_part_drops_the_transfer(self, fleet):
+        handler = fleet.nodes["a1-1"].sync.handler
+        builder = PushBuilder("a1-0")
+        first = builder.build(("p", 5, VALUE), is_last=False)
+        last = builder.build(("q", 5, VALUE), part=2)
+        assert handler.push(first).is_accepted
+        assert not handler.push(last).is_accepted
+        assert fleet.nodes["a1-1"].rates() == {"x": 1, "y": 1}
+
+
+VALUE = '{"rate_tokens_per_s":1,"burst_tokens":1}'
+
+
+class PushBuilder:
+    def __init__(self, sender):
+        self.sender = sender
+
+    def build(self, *entries, part=0, is_last=True):
+        records = [
+            EntryRecord("organisation", name, number, document)
+            for name, number, document in entries
+        ]
+        return PushRequest(self.sender, 1, part, is_last, records)
+
+
+class TestPlatformReader:
+    def test_bad_ticket_is_rejected_whole_and_kept(self, fleet):
+        text = make_ticket(2, ("x", 9), ("z", -1))
+        fleet.platform.publish("tickets/2", text)
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"x": 1, "y": 1}]
+        rejections = fleet.nodes["a1-0"].rejections
+        assert rejections.counts() == {"ticket_invalid": 1}
+        assert rejections.recent()[0].source == "tickets/2"
+
+    def test_reads_page_by_page(self):
+        fleet = Fleet(["a1-0"])
+        fleet.platform.page = 2
+        for number in range(1, 8):
+            fleet.platform.publish(
+                f"tickets/{number}", make_ticket(number, (f"o{number}", 1))
+            )
+        fleet.run(5)
+        assert len(fleet.rates()[0]) == 7
+
+    def test_restored_backup_with_lower_revisions_is_read(self, fleet):
+        fleet.platform.values = fleet.platform.values[:1]
+        for number in range(2, 6):
+            fleet.platform.publish(f"tickets/{number}", make_ticket(number, ("x", 2)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.values = []
+        fleet.platform.publish("tickets/9", make_ticket(9, ("x", 9)))
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"x": 9, "y": 1}]
+
+    def test_one_number_twice_is_settled_alike_and_shown(self, fleet):
+        fleet.platform.publish("tickets/2a", make_ticket(2, ("x", 5)))
+        fleet.run(2)
+        fleet.platform.publish("tickets/2b", make_ticket(2, ("x", 7)))
+        fleet.run(IN_FORCE_S)
+        assert fleet.rates() == [{"x": 7, "y": 1}]
+        for node in fleet.nodes.values():
+            assert node.state.conflict_count > 0
+
+    def test_returns_after_an_outage_spread_over_time(self):
+        fleet = Fleet()
+        fleet.platform.is_down = True
+        fleet.run(300)
+        fleet.platform.is_down = False
+        due = {
+            reader.due_at_s
+            for node in fleet.nodes.values()
+            for reader in node.reader._readers
+        }
+        assert max(due) - min(due) > 5
+        before = fleet.platform.calls
+        fleet.run(1)
+        assert fleet.platform.calls - before <= len(NAMES)
+
+
+class TestCatchUp:
+    def test_stale_platform_reverts_nothing(self, fleet):
+        stale = Platform()
+        stale.publish("tickets/1", make_ticket(1, ("x", 1), ("y", 1)))
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        node = fleet.add("a1-9", service=stale)
+        caught_up_with = None
+        for _ in range(40):
+            fleet.run(0.25)
+            if node.sync.is_caught_up() and caught_up_with is None:
+                caught_up_with = node.rates()
+        assert caught_up_with == {"y": 1}
+        assert fleet.rates() == [{"y": 1}]
+
+    def test_platform_down_catches_up_from_peers(self, fleet):
+        fleet.platform.is_down = True
+        node = fleet.add("a1-9", is_listed=False)
+        assert not node.sync.is_caught_up()
+        fleet.run(IN_FORCE_S)
+        assert node.sync.is_caught_up()
+        assert node.rates() == {"x": 1, "y": 1}
+
+    def test_nobody_reachable_stays_not_ready(self, fleet):
+        fleet.platform.is_down = True
+        fleet.network.split(["a1-9"], NAMES)
+        node = fleet.add("a1-9", is_listed=False)
+        fleet.run(120)
+        assert not node.sync.is_caught_up()
+
+    def test_setting_serves_without_catch_up(self, fleet):
+        fleet.platform.is_down = True
+        fleet.network.split(["a1-9"], NAMES)
+        node = fleet.add("a1-9", is_listed=False, serve_without_catch_up=True)
+        assert not node.sync.is_caught_up()
+        fleet.run(60)
+        assert node.sync.is_caught_up()
+
+    def test_empty_instances_do_not_vouch_for_each_other(self):
+        fleet = Fleet([])
+        fleet.platform.is_down = True
+        for name in NAMES:
+            fleet.add(name)
+        fleet.run(60)
+        assert not any(node.sync.is_caught_up() for node in fleet.nodes.values())
+        fleet.platform.is_down = False
+        fleet.run(60)
+        assert all(node.sync.is_caught_up() for node in fleet.nodes.values())
+
+    def test_replacement_of_every_instance_with_platform_down(self, fleet):
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None), ("z", 3)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.is_down = True
+        for number, name in enumerate(NAMES):
+            node = fleet.add(f"{name[:2]}-{number + 10}", is_listed=False)
+            fleet.run(IN_FORCE_S)
+            assert node.sync.is_caught_up()
+            fleet.remove(name)
+            fleet.run(2)
+        assert fleet.rates() == [{"y": 1, "z": 3}]
+
+
+class TestFloor:
+    def test_snapshot_drops_tombstones_everywhere(self, fleet):
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.publish("snapshots/0", make_shard(2, y=(1, 1)))
+        fleet.run(IN_FORCE_S)
+        for node in fleet.nodes.values():
+            assert [entry.id for entry in node.state.entries()] == ["y"]
+            assert node.state.floor.number == 2
+
+    def test_instance_of_before_the_floor_reverts_nothing(self, fleet):
+        node = fleet.nodes.pop("a1-1")
+        fleet.network.down.add("a1-1")
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.publish("snapshots/0", make_shard(2, y=(1, 1)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.is_down = True
+        fleet.network.down.discard("a1-1")
+        fleet.nodes["a1-1"] = node
+        fleet.run(60)
+        assert fleet.rates() == [{"y": 1}]
+        assert node.state.floor.number == 2
+
+    def test_old_instance_that_cannot_call_out_learns_the_withdrawal(self, fleet):
+        node = fleet.nodes.pop("a1-1")
+        fleet.network.down.add("a1-1")
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.publish("snapshots/0", make_shard(2, y=(1, 1)))
+        fleet.run(IN_FORCE_S)
+        fleet.platform.is_down = True
+        fleet.network.down.discard("a1-1")
+        fleet.network.cut |= {("a1-1", other) for other in NAMES}
+        fleet.nodes["a1-1"] = node
+        fleet.run(90)
+        assert node.rates() == {"y": 1}
+
+
+class TestStaleness:
+    def test_cut_off_instance_refuses_and_recovers(self, fleet):
+        node = fleet.nodes["a1-0"]
+        fleet.platform.is_down = True
+        fleet.run(90)
+        assert not node.staleness.is_too_stale()
+        fleet.network.split(["a1-0"], NAMES[1:])
+        fleet.run(90)
+        assert node.staleness.is_too_stale()
+        fleet.network.cut.clear()
+        fleet.run(30)
+        assert not node.staleness.is_too_stale()
+
+    def test_pause_counts(self, fleet):
+        fleet.clock.advance(timedelta(minutes=5))
+        assert fleet.nodes["a1-0"].staleness.is_too_stale()
--- a/oriolepaddle/membership/membership.py
+++ b/oriolepaddle/membership/membership.py
@@ -168,8 +168,17 @@
     def links(self) -> LinkChoice:
         """Return the peers that this instance heartbeats."""
         with self._lock:
+            now_s = self._clock.monotonic_s()
+            if now_s >= self._links_due_at_s:
+                self._refresh_links(now_s)
             return self._links
 
+    def last_answer_s(self) -> float | None:
+        """Return when the last answered heartbeat was sent, or None."""
+        with self._lock:
+            answers = [peer.asked_at_s for peer in self._peers.values()]
+            return max((at_s for at_s in answers if at_s is not None), default=None)
+
     def neighbours(self) -> tuple[str, ...]:
         """Return the peers to spread news to: links, and those who link here."""
         with self._lock:
@@ -180,7 +189,7 @@
                 for name, peer in self._peers.items()
                 if peer.heard_at_s is not None and peer.heard_at_s >= oldest_s
             ]
-            return tuple(dict.fromkeys((*self._links.all, *inbound)))
+            return tuple(dict.fromkeys((*self.links().all, *inbound)))
 
     def config_digest(self, instance: str) -> tuple[int, int] | None:
         """Return digest and highest ticket number that a peer last told."""
@@ -262,11 +271,9 @@
     def _due_peers(self) -> tuple[str, ...]:
         with self._lock:
             now_s = self._clock.monotonic_s()
-            if now_s >= self._links_due_at_s:
-                self._refresh_links(now_s)
             return tuple(
                 name
-                for name in self._links.all
+                for name in self.links().all
                 if self._peers[name].due_at_s <= now_s and not self._peers[name].is_busy
             )
 
