Wait for reachable peers before a starting instance counts as caught up

Cause: an instance with a stale platform copy counted as caught up after two failed calls to a peer that could be reached. Seen to fail: test_stale_platform_and_first_calls_lost, which loses the first call of each kind; the starting instance served a withdrawn object. Change: a peer that answers heartbeats is asked up to eight times; one that says it is behind, or does not answer heartbeats either, settles sooner. PeerTable is taken out of Membership, which had grown past one job.

--- a/oriolepaddle/config/catch_up.py
+++ b/oriolepaddle/config/catch_up.py
@@ -8,6 +8,9 @@
 
 __all__ = ["CatchUp", "PlatformProgress"]
 
+MIN_TRIES = 2
+MAX_TRIES = 8
+
 
 class PlatformProgress(Protocol):
     """How far the platform was read; a `PlatformReader` is one."""
@@ -65,11 +68,26 @@
 
     def _are_peers_tried(self, peers: Mapping[str, PeerSync]) -> bool:
         links = self._neighbours.links()
-        return all(_is_settled(group, peers) for group in (links.mesh, links.outer))
+        reachable = self._neighbours.reachable()
+        groups = (links.mesh, links.outer)
+        return all(_is_settled(group, peers, reachable) for group in groups)
 
 
-def _is_settled(names: Iterable[str], peers: Mapping[str, PeerSync]) -> bool:
+def _is_settled(
+    names: Iterable[str], peers: Mapping[str, PeerSync], reachable: frozenset[str]
+) -> bool:
     found = [peers.get(name) for name in names]
     if any(peer is not None and peer.is_compared for peer in found):
         return True
-    return all(peer is not None and peer.is_tried for peer in found)
+    return all(
+        peer is not None and _is_in_vain(peer, peer.name in reachable) for peer in found
+    )
+
+
+def _is_in_vain(peer: PeerSync, is_reachable: bool) -> bool:
+    """Return whether no more is to be expected of a peer.
+
+    One that answers heartbeats is waited for longer: its answer was lost.
+    """
+    tries = MAX_TRIES if is_reachable else MIN_TRIES
+    return peer.is_behind or peer.tries >= tries
--- a/oriolepaddle/config/neighbours.py
+++ b/oriolepaddle/config/neighbours.py
@@ -19,6 +19,10 @@
         """Return the links and the peers that heartbeat this instance."""
         ...
 
+    def reachable(self) -> frozenset[str]:
+        """Return the ids of the peers that answered a heartbeat lately."""
+        ...
+
     def config_digest(self, instance: str) -> tuple[int, int] | None:
         """Return digest and highest ticket number that a peer last told."""
         ...
--- a/oriolepaddle/config/outbox.py
+++ b/oriolepaddle/config/outbox.py
@@ -70,8 +70,9 @@
         name: The peer's id.
         outbox: Changes to push.
         is_busy: Whether an exchange is under way.
-        is_tried: Whether a comparison was tried since the start.
+        tries: Comparisons tried since the start, failed ones included.
         is_compared: Whether a comparison with it, caught up, was whole.
+        is_behind: Whether it said that it had not caught up itself.
         compare_at_s: Monotonic seconds before which it is not compared again.
         needs_comparison: Whether something was not pushed.
         differs_since_s: Since when its digest was not one of this instance's,
@@ -83,8 +84,9 @@
     name: str
     outbox: Outbox = attrs.field(factory=Outbox)
     is_busy: bool = False
-    is_tried: bool = False
+    tries: int = 0
     is_compared: bool = False
+    is_behind: bool = False
     compare_at_s: float = 0.0
     needs_comparison: bool = False
     differs_since_s: float | None = None
--- a/oriolepaddle/config/sync.py
+++ b/oriolepaddle/config/sync.py
@@ -177,7 +177,7 @@
         now_s = self._clock.monotonic_s()
         if now_s < peer.compare_at_s or self._reconciling.locked():
             return False
-        if not peer.is_tried or peer.needs_comparison:
+        if not peer.tries or peer.needs_comparison:
             return True
         if not peer.is_compared and not self.is_caught_up():
             return True
@@ -234,7 +234,7 @@
         try:
             self._run_reconciliation(peer)
         finally:
-            peer.is_tried = True
+            peer.tries += 1
             self._reconciling.release()
 
     def _run_reconciliation(self, peer: PeerSync) -> None:
@@ -251,6 +251,7 @@
         pause_s = FLOOR_INTERVAL_S if result.has_other_floor else COMPARE_INTERVAL_S
         pause_s *= self._generator.uniform(1, 1.5)
         peer.compare_at_s = self._clock.monotonic_s() + pause_s
+        peer.is_behind = not result.is_caught_up
         if result.is_whole:
             peer.is_compared = True
             peer.needs_comparison = False
--- a/oriolepaddle/config/tests/test_sync.py
+++ b/oriolepaddle/config/tests/test_sync.py
@@ -59,6 +59,7 @@
         fleet.network.lose = lambda *call: None
         fleet.run(3 * IN_FORCE_S)
         (rates,) = fleet.rates()
+        assert len({node.state.digest for node in fleet.nodes.values()}) == 1
         assert rates["x"] == 7
         assert len(rates) == 8
 
@@ -225,6 +226,25 @@
         assert caught_up_with == {"y": 1}
         assert fleet.rates() == [{"y": 1}]
 
+    def test_stale_platform_and_first_calls_lost(self, fleet):
+        stale = Platform()
+        stale.publish("tickets/1", make_ticket(1, ("x", 1), ("y", 1)))
+        fleet.platform.publish("tickets/2", make_ticket(2, ("x", None)))
+        fleet.run(IN_FORCE_S)
+        lost = set()
+
+        def lose_first(*call):
+            if call in lost:
+                return None
+            lost.add(call)
+            return "request"
+
+        fleet.network.lose = lose_first
+        node = fleet.add("a1-9", service=stale)
+        while not node.sync.is_caught_up():
+            fleet.run(0.25)
+        assert node.rates() == {"y": 1}
+
     def test_platform_down_catches_up_from_peers(self, fleet):
         fleet.platform.is_down = True
         node = fleet.add("a1-9", is_listed=False)
@@ -295,6 +315,7 @@
         fleet.run(60)
         assert fleet.rates() == [{"y": 1}]
         assert node.state.floor.number == 2
+        assert len({node.state.digest for node in fleet.nodes.values()}) == 1
 
     def test_old_instance_that_cannot_call_out_learns_the_withdrawal(self, fleet):
         node = fleet.nodes.pop("a1-1")
--- a/oriolepaddle/membership/membership.py
+++ b/oriolepaddle/membership/membership.py
@@ -10,10 +10,11 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PeerError
 from oriolepaddle.membership._exchange import HeartbeatExchange
-from oriolepaddle.membership.links import LinkChoice, choose_links
+from oriolepaddle.membership.links import LinkChoice
 from oriolepaddle.membership.load import LoadBoard, LoadSummary
 from oriolepaddle.membership.member import Member, MemberStatus
 from oriolepaddle.membership.peer import Peer
+from oriolepaddle.membership.peer_table import PeerTable
 from oriolepaddle.membership.runner import PeerRunner
 from oriolepaddle.membership.suggestion import Suggestion, order_by_size
 from oriolepaddle.membership.table import MemberTable
@@ -24,12 +25,7 @@
 
 __all__ = ["ConfigDigest", "Membership"]
 
-HEARTBEATS_PER_S = 6.0
-MIN_INTERVAL_S = 1.0
-MAX_INTERVAL_S = 5.0
-INTERVALS_TO_TIMEOUT = 3
 CALL_TIMEOUT = timedelta(seconds=1)
-LINK_REFRESH_S = 1.0
 LOOK_INTERVAL = timedelta(milliseconds=100)
 
 ConfigDigest = Callable[[], tuple[int, int]]
@@ -75,9 +71,7 @@
         self._exchange = HeartbeatExchange(
             clock, identity, self._table, self._loads, config_digest
         )
-        self._peers: dict[str, Peer] = {}
-        self._links = LinkChoice((), ())
-        self._links_due_at_s = 0.0
+        self._peers = PeerTable(identity, self._table, self._loads, region_of)
         self._runner = PeerRunner(
             "membership", clock, self._due_peers, self._heartbeat, LOOK_INTERVAL
         )
@@ -103,6 +97,11 @@
         """This instance in its present life."""
         return self._identity
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a later life of this instance was heard of."""
+        return self._table.is_superseded
+
     def apply_list(self, instances: InstanceList) -> bool:
         """Take over a published list unless a later revision is held.
 
@@ -112,7 +111,7 @@
         with self._lock:
             is_applied = self._table.apply_list(instances)
             if is_applied:
-                self._links_due_at_s = 0.0
+                self._peers.expire_links()
         return is_applied
 
     def begin_leaving(self) -> None:
@@ -147,13 +146,7 @@
     def reachable(self) -> frozenset[str]:
         """Return the ids of the peers that answered a heartbeat lately."""
         with self._lock:
-            now_s = self._clock.monotonic_s()
-            timeout_s = self._timeout_s()
-            return frozenset(
-                name
-                for name, peer in self._peers.items()
-                if peer.is_reachable(now_s, timeout_s)
-            )
+            return self._peers.reachable(self._clock.monotonic_s())
 
     def incarnation(self, instance: str) -> int | None:
         """Return the incarnation last heard of an instance, or None."""
@@ -168,28 +161,19 @@
     def links(self) -> LinkChoice:
         """Return the peers that this instance heartbeats."""
         with self._lock:
-            now_s = self._clock.monotonic_s()
-            if now_s >= self._links_due_at_s:
-                self._refresh_links(now_s)
-            return self._links
+            return self._peers.links(self._clock.monotonic_s())
 
     def last_answer_s(self) -> float | None:
         """Return when the last answered heartbeat was sent, or None."""
         with self._lock:
-            answers = [peer.asked_at_s for peer in self._peers.values()]
-            return max((at_s for at_s in answers if at_s is not None), default=None)
+            return self._peers.last_answer_s()
 
     def neighbours(self) -> tuple[str, ...]:
         """Return the peers to spread news to: links, and those who link here."""
         with self._lock:
             now_s = self._clock.monotonic_s()
-            oldest_s = now_s - INTERVALS_TO_TIMEOUT * MAX_INTERVAL_S
-            inbound = [
-                name
-                for name, peer in self._peers.items()
-                if peer.heard_at_s is not None and peer.heard_at_s >= oldest_s
-            ]
-            return tuple(dict.fromkeys((*self.links().all, *inbound)))
+            links = self._peers.links(now_s).all
+            return tuple(dict.fromkeys((*links, *self._peers.inbound(now_s))))
 
     def config_digest(self, instance: str) -> tuple[int, int] | None:
         """Return digest and highest ticket number that a peer last told."""
@@ -208,7 +192,7 @@
                 return MemberStatus.LEAVING
             if instance == self._identity.instance:
                 return MemberStatus.REACHABLE
-            return self._status_of_peer(self._peers.get(instance))
+            return self._peers.status(instance, self._clock.monotonic_s())
 
     def publish_load(self, summary: LoadSummary) -> None:
         """Spread a summary that this instance measured."""
@@ -239,7 +223,7 @@
             if not self._is_current(request):
                 return self._refuse(request)
             now_s = self._clock.monotonic_s()
-            peer = self._peer(request.instance)
+            peer = self._peers.add(request.instance, now_s)
             peer.heard_at_s = now_s
             # It can be reached again if it could not before: ask at once.
             if peer.failures:
@@ -248,11 +232,6 @@
                 self._hasten()
             return self._exchange.compose(peer, self._mesh())
 
-    @property
-    def is_superseded(self) -> bool:
-        """Whether a later life of this instance was heard of."""
-        return self._table.is_superseded
-
     def _is_current(self, message: Heartbeat) -> bool:
         """Return whether a heartbeat is of another instance's latest life."""
         if message.instance == self._identity.instance:
@@ -270,17 +249,12 @@
 
     def _due_peers(self) -> tuple[str, ...]:
         with self._lock:
-            now_s = self._clock.monotonic_s()
-            return tuple(
-                name
-                for name in self.links().all
-                if self._peers[name].due_at_s <= now_s and not self._peers[name].is_busy
-            )
+            return tuple(self._peers.due(self._clock.monotonic_s()))
 
     def _heartbeat(self, name: str) -> None:
         with self._lock:
-            peer = self._peer(name)
             asked_at_s = self._clock.monotonic_s()
+            peer = self._peers.add(name, asked_at_s)
             peer.note_sent(asked_at_s)
             request = self._exchange.compose(peer, self._mesh())
         try:
@@ -299,79 +273,18 @@
         is_answer = reply is not None and reply.instance == peer.name
         if not is_answer or not self._is_current(reply):
             peer.sent.clear()
-            peer.note_failure(now_s, self._interval_s())
+            peer.note_failure(now_s, self._peers.interval_s())
             return
-        peer.note_answer(asked_at_s, asked_at_s + self._interval_s())
+        peer.note_answer(asked_at_s, asked_at_s + self._peers.interval_s())
         if self._exchange.absorb(peer, reply):
             self._hasten()
 
-    def _refresh_links(self, now_s: float) -> None:
-        self._links_due_at_s = now_s + LINK_REFRESH_S
-        self._table.expire(now_s)
-        members: dict[str, list[str]] = {}
-        for name in self._table.names():
-            instance = self._table.instance(name)
-            is_own = instance.data_centre == self._identity.data_centre
-            # Inside the data centre a leaving instance still needs the news.
-            if is_own or not self._table.is_leaving(name):
-                members.setdefault(instance.data_centre, []).append(name)
-        self._links = choose_links(
-            self._identity.instance,
-            self._identity.data_centre,
-            members,
-            self._region_of,
-            lambda name: self._is_suspect(name, now_s),
-        )
-        for name in self._links.all:
-            self._peer(name)
-        self._forget_peers(now_s)
-
-    def _forget_peers(self, now_s: float) -> None:
-        kept = set(self._links.all)
-        oldest_s = now_s - INTERVALS_TO_TIMEOUT * MAX_INTERVAL_S
-        for name, peer in list(self._peers.items()):
-            is_inbound = peer.heard_at_s is not None and peer.heard_at_s >= oldest_s
-            if name not in kept and not is_inbound and not peer.is_busy:
-                del self._peers[name]
-                self._loads.forget(name)
-
-    def _peer(self, name: str) -> Peer:
-        peer = self._peers.get(name)
-        if peer is None:
-            peer = Peer(name=name, due_at_s=self._clock.monotonic_s())
-            self._peers[name] = peer
-        return peer
-
     def _hasten(self) -> None:
-        """Make the next heartbeat to each peer that answers due at once."""
-        now_s = self._clock.monotonic_s()
-        for peer in self._peers.values():
-            if peer.failures == 0:
-                peer.due_at_s = now_s
+        self._peers.hasten(self._clock.monotonic_s())
         self._runner.wake()
 
     def _mesh(self) -> frozenset[str]:
-        return frozenset(self._links.mesh)
-
-    def _interval_s(self) -> float:
-        interval_s = len(self._links.all) / HEARTBEATS_PER_S
-        return min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, interval_s))
-
-    def _timeout_s(self) -> float:
-        return INTERVALS_TO_TIMEOUT * self._interval_s()
-
-    def _is_suspect(self, name: str, now_s: float) -> bool:
-        peer = self._peers.get(name)
-        return peer is not None and peer.is_suspect(now_s, self._timeout_s())
-
-    def _status_of_peer(self, peer: Peer | None) -> MemberStatus:
-        now_s = self._clock.monotonic_s()
-        if peer is None or peer.name not in self._links.all:
-            return MemberStatus.LISTED
-        if peer.is_reachable(now_s, self._timeout_s()):
-            return MemberStatus.REACHABLE
-        is_untried = peer.asked_at_s is None and peer.failures < 2
-        return MemberStatus.LISTED if is_untried else MemberStatus.VANISHED
+        return frozenset(self.links().mesh)
 
     def _is_in(self, instance: Instance, place: str | None) -> bool:
         data_centre = instance.data_centre
--- a/oriolepaddle/membership/tests/test_membership.py
+++ b/oriolepaddle/membership/tests/test_membership.py
@@ -11,6 +11,8 @@
     MembershipHandler,
     MemberStatus,
 )
+from oriolepaddle.membership.member import Member
+from oriolepaddle.membership.table import MemberTable
 from oriolepaddle.membership.tests.network import Network
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.platform import Instance, InstanceList, InstanceState
@@ -186,6 +188,14 @@
         assert old.is_superseded
         assert not fleet.members["a1-1"].is_superseded
 
+    def test_hearsay_of_a_lower_incarnation_is_ignored(self):
+        table = MemberTable(Member(make_instance("a1-0"), 1, 0.0))
+        table.merge(Member(make_instance("a1-1"), 5, 0.0))
+        leaving = make_instance("a1-1", InstanceState.LEAVING)
+        assert not table.merge(Member(leaving, 4, 9.0))
+        assert table.incarnation("a1-1") == 5
+        assert not table.is_leaving("a1-1")
+
 
 class TestPlatformDown:
     def test_replacement_of_every_instance_without_the_list(self, fleet):
