--- /dev/null
+++ b/oriolepaddle/membership/membership.py
@@ -0,0 +1,300 @@
+"""The fleet as one instance sees it, kept by heartbeats."""
+
+import random
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import PeerError
+from oriolepaddle.membership._exchange import HeartbeatExchange
+from oriolepaddle.membership.links import LinkChoice
+from oriolepaddle.membership.load import LoadBoard, LoadSummary
+from oriolepaddle.membership.member import Member, MemberStatus
+from oriolepaddle.membership.peer import Peer
+from oriolepaddle.membership.peer_table import PeerTable
+from oriolepaddle.membership.runner import PeerRunner
+from oriolepaddle.membership.suggestion import Suggestion, order_by_size
+from oriolepaddle.membership.table import MemberTable
+from oriolepaddle.membership.wire import MEMBERSHIP_SERVICE
+from oriolepaddle.peers import PeerCaller, PeerIdentity
+from oriolepaddle.peers.gen_py.membership.ttypes import Heartbeat
+from oriolepaddle.platform import Instance, InstanceList, InstanceState
+
+__all__ = ["ConfigDigest", "Membership"]
+
+CALL_TIMEOUT = timedelta(seconds=1)
+LOOK_INTERVAL = timedelta(milliseconds=100)
+
+ConfigDigest = Callable[[], tuple[int, int]]
+
+
+class Membership:
+    """Implements `MembershipView`. Thread-safe.
+
+    Args:
+        clock: The time.
+        identity: This instance in its present life.
+        instance: This instance's own addresses and size.
+        caller: Calls peers; None until `connect`, because a `PeerPool` needs
+            this object's addresses first.
+        config_digest: Returns the digest of the configuration and the highest
+            ticket number, which heartbeats carry.
+        region_of: Maps a data centre to its region, or None if unknown.
+        generator: Draws the order of suggestions.
+        seeds: Instances known from the settings, for a start without the
+            platform.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        identity: PeerIdentity,
+        instance: Instance,
+        caller: PeerCaller | None,
+        config_digest: ConfigDigest,
+        region_of: Callable[[str], str | None],
+        generator: random.Random,
+        seeds: tuple[Instance, ...] = (),
+    ) -> None:
+        self._clock = clock
+        self._identity = identity
+        self._caller = caller
+        self._region_of = region_of
+        self._generator = generator
+        self._lock = threading.RLock()
+        own = Member(instance, identity.incarnation, 0.0)
+        self._table = MemberTable(own, seeds)
+        self._loads = LoadBoard(clock)
+        self._exchange = HeartbeatExchange(
+            clock, identity, self._table, self._loads, config_digest
+        )
+        self._peers = PeerTable(identity, self._table, self._loads, region_of)
+        self._runner = PeerRunner(
+            "membership", clock, self._due_peers, self._heartbeat, LOOK_INTERVAL
+        )
+
+    def connect(self, caller: PeerCaller) -> None:
+        """Set the caller through which heartbeats go out."""
+        self._caller = caller
+
+    def start(self) -> None:
+        """Heartbeat in the background until `stop`."""
+        self._runner.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self._runner.stop()
+
+    def tick(self) -> None:
+        """Run the heartbeats that are due, on the calling thread."""
+        self._runner.run_due()
+
+    @property
+    def identity(self) -> PeerIdentity:
+        """This instance in its present life."""
+        return self._identity
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a later life of this instance was heard of."""
+        return self._table.is_superseded
+
+    def apply_list(self, instances: InstanceList) -> bool:
+        """Take over a published list unless a later revision is held.
+
+        Returns:
+            Whether the list was taken over.
+        """
+        with self._lock:
+            is_applied = self._table.apply_list(instances)
+            if is_applied:
+                self._peers.expire_links()
+        return is_applied
+
+    def begin_leaving(self) -> None:
+        """Tell the peers at once that this instance is leaving."""
+        with self._lock:
+            own = self._table.own
+            instance = attrs.evolve(own.instance, state=InstanceState.LEAVING)
+            self._table.own = attrs.evolve(own, instance=instance)
+            self._hasten()
+        self._runner.wake()
+
+    def set_ready(self, is_ready: bool) -> None:
+        """Set whether callers may be sent to this instance."""
+        with self._lock:
+            self._exchange.is_ready = is_ready
+
+    def published(self) -> InstanceList | None:
+        """Return the last list read from the platform, or None before that."""
+        return self._table.published
+
+    def instance(self, instance: str) -> Instance | None:
+        """Return an instance that is listed or known through peers, or None."""
+        with self._lock:
+            return self._table.instance(instance)
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return all known instances, this one included."""
+        with self._lock:
+            known = [self._table.instance(name) for name in self._table.names()]
+        return tuple(sorted(filter(None, known), key=lambda instance: instance.id))
+
+    def reachable(self) -> frozenset[str]:
+        """Return the ids of the peers that answered a heartbeat lately."""
+        with self._lock:
+            return self._peers.reachable(self._clock.monotonic_s())
+
+    def incarnation(self, instance: str) -> int | None:
+        """Return the incarnation last heard of an instance, or None."""
+        with self._lock:
+            return self._table.incarnation(instance)
+
+    def peer_address(self, instance: str) -> str | None:
+        """Return `host:port` of an instance's peer listener, or None."""
+        known = self.instance(instance)
+        return None if known is None else known.peer_address
+
+    def links(self) -> LinkChoice:
+        """Return the peers that this instance heartbeats."""
+        with self._lock:
+            return self._peers.links(self._clock.monotonic_s())
+
+    def last_answer_s(self) -> float | None:
+        """Return when the last answered heartbeat was sent, or None."""
+        with self._lock:
+            return self._peers.last_answer_s()
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the peers to spread news to: links, and those who link here."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            links = self._peers.links(now_s).all
+            return tuple(dict.fromkeys((*links, *self._peers.inbound(now_s))))
+
+    def config_digest(self, instance: str) -> tuple[int, int] | None:
+        """Return digest and highest ticket number that a peer last told."""
+        with self._lock:
+            peer = self._peers.get(instance)
+            if peer is None or peer.config_digest is None:
+                return None
+            return peer.config_digest, peer.highest_ticket
+
+    def status(self, instance: str) -> MemberStatus | None:
+        """Return how an instance stands, or None if it is unknown."""
+        with self._lock:
+            if self._table.instance(instance) is None:
+                return None
+            if self._table.is_leaving(instance):
+                return MemberStatus.LEAVING
+            if instance == self._identity.instance:
+                return MemberStatus.REACHABLE
+            return self._peers.status(instance, self._clock.monotonic_s())
+
+    def publish_load(self, summary: LoadSummary) -> None:
+        """Spread a summary that this instance measured."""
+        self._loads.put(summary, None)
+
+    def load_summaries(self) -> tuple[LoadSummary, ...]:
+        """Return the freshest summary of each data centre and route."""
+        return self._loads.summaries()
+
+    def suggest_instances(self, place: str | None, count: int) -> Suggestion:
+        """Return entry instances for a caller, none leaving or unreachable.
+
+        Args:
+            place: A data centre or region, or None for anywhere.
+            count: The most instances to return.
+        """
+        with self._lock:
+            usable = [
+                instance
+                for instance in self.instances()
+                if self._is_in(instance, place) and self._is_usable(instance)
+            ]
+            return Suggestion(order_by_size(usable, count, self._generator))
+
+    def receive(self, request: Heartbeat) -> Heartbeat:
+        """Answer a peer's heartbeat; calls no peer itself."""
+        with self._lock:
+            if not self._is_current(request):
+                return self._refuse(request)
+            now_s = self._clock.monotonic_s()
+            peer = self._peers.add(request.instance, now_s)
+            peer.heard_at_s = now_s
+            # It can be reached again if it could not before: ask at once.
+            if peer.failures:
+                peer.due_at_s = now_s
+            if self._exchange.absorb(peer, request):
+                self._hasten()
+            return self._exchange.compose(peer, self._mesh())
+
+    def _is_current(self, message: Heartbeat) -> bool:
+        """Return whether a heartbeat is of another instance's latest life."""
+        if message.instance == self._identity.instance:
+            return False
+        return message.incarnation >= (self._table.incarnation(message.instance) or 0)
+
+    def _refuse(self, request: Heartbeat) -> Heartbeat:
+        """Answer an earlier life, so that it learns of the later one."""
+        if request.instance == self._identity.instance:
+            self._table.is_superseded |= (
+                request.incarnation > self._identity.incarnation
+            )
+        peer = Peer(request.instance, 0.0, incarnation=request.incarnation)
+        return self._exchange.compose(peer, frozenset())
+
+    def _due_peers(self) -> tuple[str, ...]:
+        with self._lock:
+            return tuple(self._peers.due(self._clock.monotonic_s()))
+
+    def _heartbeat(self, name: str) -> None:
+        with self._lock:
+            asked_at_s = self._clock.monotonic_s()
+            peer = self._peers.add(name, asked_at_s)
+            peer.note_sent(asked_at_s)
+            request = self._exchange.compose(peer, self._mesh())
+        try:
+            reply = self._caller.call(
+                name, MEMBERSHIP_SERVICE, "exchange", request, CALL_TIMEOUT
+            )
+        except PeerError:
+            reply = None
+        with self._lock:
+            self._note_reply(peer, asked_at_s, reply)
+
+    def _note_reply(
+        self, peer: Peer, asked_at_s: float, reply: Heartbeat | None
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        is_answer = reply is not None and reply.instance == peer.name
+        if not is_answer or not self._is_current(reply):
+            peer.sent.clear()
+            peer.note_failure(now_s, self._peers.interval_s())
+            return
+        peer.note_answer(asked_at_s, asked_at_s + self._peers.interval_s())
+        if self._exchange.absorb(peer, reply):
+            self._hasten()
+
+    def _hasten(self) -> None:
+        self._peers.hasten(self._clock.monotonic_s())
+        self._runner.wake()
+
+    def _mesh(self) -> frozenset[str]:
+        return frozenset(self.links().mesh)
+
+    def _is_in(self, instance: Instance, place: str | None) -> bool:
+        data_centre = instance.data_centre
+        return place is None or place in (data_centre, self._region_of(data_centre))
+
+    def _is_usable(self, instance: Instance) -> bool:
+        if instance.id == self._identity.instance:
+            return self._exchange.is_ready and not self._table.own.is_leaving
+        peer = self._peers.get(instance.id)
+        if peer is not None and not peer.is_ready:
+            return False
+        status = self.status(instance.id)
+        return status in (MemberStatus.REACHABLE, MemberStatus.LISTED)
