Decide retries under three success-fed budgets

Cause: a failed try needs one place that says whether it may be repeated. Ruled out: budgets fed by time (they let a quiet instance exceed its share in a fault) and by requests alone (they go on filling when all fail). Change: RetryPolicy.decide, with token buckets for the instance, each organisation and each endpoint. The organisation's and endpoint's buckets also get a share of all deposits, so that quiet ones regain retries. Seen to fail: without the instance's budget three budget tests fail, without the endpoint's one, without the deadline check two.

--- /dev/null
+++ b/oriolepaddle/retries/decision.py
@@ -0,0 +1,25 @@
+"""The answer of the retry policy."""
+
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.retries.action import RetryAction
+from oriolepaddle.retries.reason import RetryReason
+
+__all__ = ["RetryDecision"]
+
+
+@attrs.frozen
+class RetryDecision:
+    """What to do after a failed try.
+
+    Attributes:
+        action: What to do.
+        reason: Why; a label of the retry counters.
+        delay: How long to wait before the next try.
+    """
+
+    action: RetryAction
+    reason: RetryReason
+    delay: timedelta = timedelta(0)
--- /dev/null
+++ b/oriolepaddle/retries/policy.py
@@ -0,0 +1,137 @@
+"""When a failed try may be repeated."""
+
+import random
+import threading
+from datetime import timedelta
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import ErrorCode, Outcome
+from oriolepaddle.retries.action import RetryAction
+from oriolepaddle.retries.budget import RetryBudget
+from oriolepaddle.retries.decision import RetryDecision
+from oriolepaddle.retries.failure import Failure
+from oriolepaddle.retries.reason import RetryReason
+from oriolepaddle.retries.settings import RetrySettings
+
+__all__ = ["RETRYABLE_CODES", "RetryPolicy"]
+
+RETRYABLE_CODES = frozenset(
+    {
+        ErrorCode.ANSWER_MISMATCHED,
+        ErrorCode.ANSWER_TRUNCATED,
+        ErrorCode.DRAINING,
+        ErrorCode.ENDPOINT_FAILED,
+        ErrorCode.ENDPOINT_REFUSED,
+        ErrorCode.ENDPOINT_TIMEOUT,
+        ErrorCode.ENDPOINT_UNREACHABLE,
+        ErrorCode.NOT_READY,
+        ErrorCode.OVERLOADED,
+        ErrorCode.PEER_REJECTED,
+        ErrorCode.PEER_TIMEOUT,
+        ErrorCode.PEER_UNAVAILABLE,
+    }
+)
+"""Codes of tries that may go better at another endpoint or instance."""
+
+INSTANCE = "instance"
+
+
+class RetryPolicy:
+    """Decides after each failed try; one for each instance.
+
+    Retries draw on three budgets: the instance's, which bounds the retries
+    that any fault adds; the organisation's and the failing endpoint's, which
+    keep one of them from using up the instance's.
+
+    Args:
+        clock: The source of time.
+        settings: The limits.
+        rng: The source of the random delays.
+    """
+
+    def __init__(
+        self, clock: Clock, settings: RetrySettings, rng: random.Random
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._instance = RetryBudget(settings.budget_cap, 0.0, 1)
+        self._organisations = RetryBudget(
+            settings.organisation_cap,
+            settings.organisation_share,
+            settings.max_organisations,
+        )
+        self._endpoints = RetryBudget(
+            settings.endpoint_cap, settings.endpoint_share, settings.max_endpoints
+        )
+
+    def succeeded(self, organisation: str, endpoint: str) -> None:
+        """Count a request whose whole answer was sent; it feeds the budgets."""
+        ratio = self._settings.budget_ratio
+        with self._lock:
+            self._instance.deposit(INSTANCE, ratio)
+            self._organisations.deposit(organisation, ratio)
+            self._endpoints.deposit(endpoint, ratio)
+
+    def decide(self, failure: Failure) -> RetryDecision:
+        """Return what to do after `failure`, by the time of this call."""
+        refusal = self._find_refusal(failure)
+        if refusal is not None:
+            return RetryDecision(RetryAction.GIVE_UP, refusal)
+        delay = self._draw_delay(failure.attempt)
+        if not self._has_time(failure, delay):
+            return RetryDecision(RetryAction.GIVE_UP, RetryReason.DEADLINE)
+        exhausted = self._withdraw(failure)
+        if exhausted is not None:
+            return RetryDecision(RetryAction.GIVE_UP, exhausted)
+        if failure.bytes_sent_to_caller > 0:
+            return RetryDecision(RetryAction.RESUME, RetryReason.RESUMABLE, delay)
+        if failure.error.outcome is Outcome.NOT_RUN:
+            return RetryDecision(RetryAction.RETRY, RetryReason.NOT_RUN, delay)
+        return RetryDecision(RetryAction.RETRY, RetryReason.IDEMPOTENT, delay)
+
+    def _find_refusal(self, failure: Failure) -> RetryReason | None:
+        is_not_run = failure.error.outcome is Outcome.NOT_RUN
+        if not failure.is_idempotent:
+            # Bytes of an answer contradict "not run", so neither is believed.
+            if not is_not_run or failure.bytes_sent_to_caller > 0:
+                return RetryReason.OUTCOME_UNKNOWN
+        if failure.error.code not in RETRYABLE_CODES:
+            return RetryReason.NOT_RETRYABLE
+        if failure.bytes_sent_to_caller > 0 and not failure.is_resumable:
+            return RetryReason.BYTES_SENT
+        if failure.attempt >= self._settings.max_attempts:
+            return RetryReason.ATTEMPTS_EXHAUSTED
+        return None
+
+    def _has_time(self, failure: Failure, delay: timedelta) -> bool:
+        needed = delay + self._settings.min_remaining
+        left_s = failure.deadline_s - self._clock.monotonic_s()
+        return left_s > needed.total_seconds()
+
+    def _draw_delay(self, attempt: int) -> timedelta:
+        """Return a delay of exponential backoff with full jitter."""
+        settings = self._settings
+        doublings = min(attempt - 1, 16)
+        ceiling = min(settings.max_delay, settings.first_delay * 2**doublings)
+        return ceiling * self._rng.random()
+
+    def _withdraw(self, failure: Failure) -> RetryReason | None:
+        """Take a token from each budget, or none and return what is empty."""
+        draws = (
+            (
+                self._organisations,
+                failure.organisation,
+                RetryReason.ORGANISATION_BUDGET,
+            ),
+            (self._endpoints, failure.endpoint, RetryReason.ENDPOINT_BUDGET),
+            (self._instance, INSTANCE, RetryReason.INSTANCE_BUDGET),
+        )
+        with self._lock:
+            for budget, name, reason in draws:
+                if not budget.can_withdraw(name):
+                    return reason
+            for budget, name, _ in draws:
+                budget.withdraw(name)
+        return None
