Quarantine requests that crash endpoints

Cause: a request that crashes each endpoint that runs it is sent again by its caller, at any instance. Ruled out: counting reports instead of crashes (two instances that see one crash would condemn an innocent); one owner by hash (a cut takes it away). Change: crashes are named by the endpoint's life and merged as sets with a generation that an operator's clear raises. A suspect's run is claimed two spread times ahead. Spread by push and digest over its own thrift service.

--- /dev/null
+++ b/oriolepaddle/quarantine/handler.py
@@ -0,0 +1,37 @@
+"""What peers may ask of the quarantine."""
+
+from oriolepaddle.peers import PeerService
+from oriolepaddle.peers.gen_py.quarantine import Quarantine as QuarantineModule
+from oriolepaddle.peers.gen_py.quarantine.ttypes import (
+    CompareReply,
+    CompareRequest,
+    Report,
+    ReportReply,
+)
+from oriolepaddle.quarantine.quarantine import Quarantine
+
+__all__ = ["QUARANTINE_SERVICE", "QuarantineHandler"]
+
+QUARANTINE_SERVICE = PeerService(name="quarantine", module=QuarantineModule)
+
+
+class QuarantineHandler:
+    """Handles the calls of peers; it calls none itself.
+
+    Args:
+        quarantine: This instance's quarantine.
+    """
+
+    def __init__(self, quarantine: Quarantine) -> None:
+        self._quarantine = quarantine
+
+    def report(self, request: Report) -> ReportReply:
+        """Take in a report and return the digest after it."""
+        self._quarantine.merge(request)
+        return ReportReply(digest=self._quarantine.digest())
+
+    def compare(self, request: CompareRequest) -> CompareReply:
+        """Return the whole state if the caller's digest differs."""
+        if request.digest == self._quarantine.digest():
+            return CompareReply(is_equal=True, report=Report(entries=[], claims=[]))
+        return CompareReply(is_equal=False, report=self._quarantine.export())
--- /dev/null
+++ b/oriolepaddle/quarantine/tests/fleet.py
@@ -0,0 +1,106 @@
+"""A few quarantines that reach each other through calls a test can cut."""
+
+import random
+from concurrent.futures import Executor, Future
+from datetime import timedelta
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.errors import PeerTimeoutError, PeerUnavailableError
+from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.quarantine import (
+    ConnectionEnd,
+    CrashEvidence,
+    HealthAnswer,
+    Quarantine,
+    QuarantineHandler,
+    QuarantineSettings,
+    QuarantineSpreader,
+    StartAction,
+)
+
+SETTINGS = QuarantineSettings()
+
+
+def make_evidence(incarnation="1"):
+    return CrashEvidence(
+        ConnectionEnd.RESET, HealthAnswer.REFUSED, incarnation_before=incarnation
+    )
+
+
+def start_run(quarantine, clock, fingerprint, endpoint, **options):
+    """Wait as the quarantine advises, and start the run."""
+    while True:
+        advice = quarantine.may_start(fingerprint, endpoint, **options)
+        if advice.action in (StartAction.GO, StartAction.AVOID):
+            return quarantine.started(fingerprint, endpoint)
+        assert advice.action is StartAction.WAIT
+        clock.advance(advice.delay)
+
+
+class InlineExecutor(Executor):
+    def submit(self, function, *args):
+        future = Future()
+        future.set_result(function(*args))
+        return future
+
+
+class Node:
+    """One instance: a quarantine, its spreader and its view of the fleet."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.identity = PeerIdentity(name, 1, "lombardia-lodi")
+        self.restart()
+
+    def restart(self):
+        fleet = self.fleet
+        self.quarantine = Quarantine(fleet.clock, SETTINGS, self.identity)
+        self.handler = QuarantineHandler(self.quarantine)
+        self.spreader = QuarantineSpreader(
+            fleet.clock,
+            SETTINGS,
+            self.quarantine,
+            self,
+            self,
+            InlineExecutor(),
+            random.Random(1),
+        )
+
+    def reachable(self):
+        return frozenset(self.fleet.nodes) - {self.identity.instance}
+
+    def incarnation(self, instance):
+        return self.fleet.nodes[instance].identity.incarnation
+
+    def call(self, instance, service, method, request, timeout):
+        link = frozenset({instance, self.identity.instance})
+        if link in self.fleet.cut:
+            raise PeerUnavailableError("cut")
+        reply = getattr(self.fleet.nodes[instance].handler, method)(request)
+        if link in self.fleet.mute:
+            raise PeerTimeoutError("no reply")
+        return reply
+
+
+class Fleet:
+    def __init__(self, names="abc"):
+        self.clock = ManualClock()
+        self.cut = set()
+        self.mute = set()
+        self.nodes = {name: Node(self, name) for name in names}
+
+    def __getitem__(self, name):
+        return self.nodes[name].quarantine
+
+    def tick(self, times=3):
+        for _ in range(times):
+            for node in self.nodes.values():
+                node.spreader.tick()
+
+    def crash(self, name, fingerprint, endpoint, incarnation="1"):
+        run = start_run(self[name], self.clock, fingerprint, endpoint)
+        self.tick()
+        run.crashed(make_evidence(incarnation))
+
+    def advance(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
--- /dev/null
+++ b/oriolepaddle/quarantine/tests/test_quarantine.py
@@ -0,0 +1,183 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.quarantine import (
+    ConnectionEnd,
+    CrashEvidence,
+    EntryState,
+    HealthAnswer,
+    Quarantine,
+    QuarantineSettings,
+    StartAction,
+)
+from oriolepaddle.quarantine.tests.fleet import SETTINGS, make_evidence, start_run
+
+CRASHER = b"c" * 16
+INNOCENT = b"i" * 16
+LINK_FAULT = CrashEvidence(ConnectionEnd.RESET, HealthAnswer.ANSWERED, "1", "1")
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def quarantine(clock):
+    return Quarantine(clock, SETTINGS, PeerIdentity("a", 1, "lombardia-lodi"))
+
+
+def crash(quarantine, clock, fingerprint, endpoint, evidence=None):
+    run = start_run(quarantine, clock, fingerprint, endpoint)
+    run.crashed(evidence or make_evidence())
+
+
+def is_refused(quarantine, fingerprint):
+    try:
+        quarantine.check(fingerprint)
+    except RefusedError as error:
+        assert error.code is ErrorCode.QUARANTINED
+        assert error.outcome is Outcome.NOT_RUN
+        return True
+    return False
+
+
+class TestQuarantine:
+    def test_second_crash_quarantines(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        assert not is_refused(quarantine, CRASHER)
+        crash(quarantine, clock, CRASHER, "e2")
+        assert is_refused(quarantine, CRASHER)
+        with pytest.raises(RefusedError):
+            quarantine.may_start(CRASHER, "e3")
+        with pytest.raises(RefusedError):
+            quarantine.started(CRASHER, "e3")
+
+    def test_finished_run_clears_a_suspect(self, quarantine, clock):
+        crash(quarantine, clock, INNOCENT, "e1")
+        start_run(quarantine, clock, INNOCENT, "e2").finished()
+        assert not quarantine.is_suspect(INNOCENT)
+        crash(quarantine, clock, INNOCENT, "e3")
+        assert not is_refused(quarantine, INNOCENT)
+
+    def test_runs_at_one_crash_count_it_once(self, quarantine):
+        for incarnation in ("1", None):
+            fingerprint = (incarnation or "none").encode()
+            runs = [quarantine.started(fingerprint, "e1") for _ in range(3)]
+            for run in runs:
+                run.crashed(make_evidence(incarnation))
+                run.crashed(make_evidence(incarnation))
+            assert quarantine.is_suspect(fingerprint)
+            assert not is_refused(quarantine, fingerprint)
+
+    def test_condemned_request_clears_those_beside_it(self, quarantine, clock):
+        runs = [quarantine.started(each, "e1") for each in (CRASHER, INNOCENT)]
+        for run in runs:
+            run.crashed(make_evidence())
+        assert quarantine.is_suspect(INNOCENT)
+        crash(quarantine, clock, CRASHER, "e2")
+        assert is_refused(quarantine, CRASHER)
+        assert not quarantine.is_suspect(INNOCENT)
+
+    def test_link_fault_and_cancel_condemn_nobody(self, quarantine):
+        run = quarantine.started(INNOCENT, "e1")
+        run.crashed(LINK_FAULT)
+        quarantine.started(INNOCENT, "e1").abandoned()
+        assert quarantine.list() == ()
+
+    def test_late_health_answer_refutes_a_crash(self, quarantine, clock):
+        unexplained = CrashEvidence(ConnectionEnd.RESET, incarnation_before="1")
+        crash(quarantine, clock, INNOCENT, "e1", unexplained)
+        quarantine.endpoint_answered("e1", "1", clock.monotonic_s())
+        assert quarantine.is_suspect(INNOCENT)
+        clock.advance(timedelta(seconds=1))
+        quarantine.endpoint_answered("e1", "1", clock.monotonic_s())
+        assert not quarantine.is_suspect(INNOCENT)
+
+    def test_crash_counts_after_one_of_its_life_was_refuted(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        clock.advance(timedelta(seconds=1))
+        quarantine.endpoint_answered("e1", "1", clock.monotonic_s())
+        crash(quarantine, clock, CRASHER, "e1")
+        assert quarantine.is_suspect(CRASHER)
+
+    def test_entries_expire_over_a_pause(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        crash(quarantine, clock, CRASHER, "e2")
+        clock.advance(SETTINGS.life)
+        assert not is_refused(quarantine, CRASHER)
+        assert quarantine.list() == ()
+
+    def test_crashes_expire_one_by_one(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        clock.advance(SETTINGS.life / 2)
+        crash(quarantine, clock, CRASHER, "e2")
+        clock.advance(SETTINGS.life / 2)
+        (entry,) = quarantine.list()
+        assert [each.endpoint for each in entry.crashes] == ["e2"]
+
+    def test_operator_clears(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        crash(quarantine, clock, CRASHER, "e2")
+        assert quarantine.list()[0].state is EntryState.QUARANTINED
+        quarantine.clear(CRASHER)
+        assert quarantine.list()[0].state is EntryState.CLEARED
+        assert not is_refused(quarantine, CRASHER)
+
+    def test_entries_are_bounded_and_keep_the_condemned(self, clock):
+        settings = QuarantineSettings(max_entries=10)
+        identity = PeerIdentity("a", 1, "lombardia-lodi")
+        quarantine = Quarantine(clock, settings, identity)
+        crash(quarantine, clock, CRASHER, "e1")
+        crash(quarantine, clock, CRASHER, "e2")
+        for number in range(100):
+            crash(quarantine, clock, number.to_bytes(16, "big"), "e3")
+        assert len(quarantine.list()) == 10
+        assert is_refused(quarantine, CRASHER)
+
+
+class TestTrials:
+    def test_suspect_keeps_off_where_it_crashed(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        advice = quarantine.may_start(CRASHER, "e1")
+        assert advice.action is StartAction.OTHER_ENDPOINT
+        only = quarantine.may_start(CRASHER, "e1", is_only=True)
+        assert only.action is StartAction.WAIT
+
+    def test_suspects_run_apart(self, quarantine, clock):
+        for run in [quarantine.started(each, "e1") for each in (CRASHER, INNOCENT)]:
+            run.crashed(make_evidence())
+        run = start_run(quarantine, clock, CRASHER, "e2")
+        advice = quarantine.may_start(INNOCENT, "e2")
+        assert advice.action is StartAction.OTHER_ENDPOINT
+        assert quarantine.may_start(b"new", "e2").action is StartAction.AVOID
+        run.abandoned()
+        start_run(quarantine, clock, INNOCENT, "e2").finished()
+
+    def test_suspect_runs_once_at_a_time(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        run = start_run(quarantine, clock, CRASHER, "e2")
+        assert quarantine.may_start(CRASHER, "e3").action is StartAction.WAIT
+        run.finished()
+        assert quarantine.may_start(CRASHER, "e3").action is StartAction.GO
+
+    def test_start_without_a_standing_claim_is_not_run(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        quarantine.may_start(CRASHER, "e2")
+        with pytest.raises(RefusedError) as refusal:
+            quarantine.started(CRASHER, "e2")
+        assert refusal.value.outcome is Outcome.NOT_RUN
+
+    def test_claim_is_void_after_a_pause(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        quarantine.may_start(CRASHER, "e2")
+        clock.advance(SETTINGS.claim_wait)
+        assert quarantine.may_start(CRASHER, "e2").action is StartAction.GO
+        clock.advance(timedelta(minutes=5))
+        with pytest.raises(RefusedError):
+            quarantine.started(CRASHER, "e2")
+        assert quarantine.may_start(CRASHER, "e2").action is StartAction.WAIT
