Pin the quarantine's merge and claim rules by stricter tests

Cause: six of ten deliberate faults in the code left the tests green. Change: tests for a late answer after condemnation, acquittal on a merge, lives under doubled and slow reports, a restarted peer told by push alone, and claims that arrive a whole spread time late. Seen to fail: each with its fault put back; one fault left (holding a crash twice renews its life at the instance that saw it) does no harm.

--- a/oriolepaddle/quarantine/tests/test_quarantine.py
+++ b/oriolepaddle/quarantine/tests/test_quarantine.py
@@ -64,6 +64,16 @@
         crash(quarantine, clock, INNOCENT, "e3")
         assert not is_refused(quarantine, INNOCENT)
 
+    def test_late_answer_does_not_release_the_condemned(self, quarantine, clock):
+        late = quarantine.started(CRASHER, "e1")
+        quarantine.started(CRASHER, "e2").crashed(make_evidence())
+        # Another instance's report of a second crash comes while one run is on.
+        other = Quarantine(clock, SETTINGS, PeerIdentity("b", 1, "lombardia-lodi"))
+        other.started(CRASHER, "e3").crashed(make_evidence())
+        quarantine.merge(other.export())
+        late.finished()
+        assert is_refused(quarantine, CRASHER)
+
     def test_runs_at_one_crash_count_it_once(self, quarantine):
         for incarnation in ("1", None):
             fingerprint = (incarnation or "none").encode()
@@ -161,7 +171,9 @@
     def test_suspect_runs_once_at_a_time(self, quarantine, clock):
         crash(quarantine, clock, CRASHER, "e1")
         run = start_run(quarantine, clock, CRASHER, "e2")
-        assert quarantine.may_start(CRASHER, "e3").action is StartAction.WAIT
+        for _ in range(3):
+            assert quarantine.may_start(CRASHER, "e3").action is StartAction.WAIT
+            clock.advance(SETTINGS.claim_wait)
         run.finished()
         assert quarantine.may_start(CRASHER, "e3").action is StartAction.GO
 
--- a/oriolepaddle/quarantine/tests/test_spread.py
+++ b/oriolepaddle/quarantine/tests/test_spread.py
@@ -83,7 +83,7 @@
         fleet.tick()
         fleet.nodes["b"].identity = PeerIdentity("b", 2, "lombardia-lodi")
         fleet.nodes["b"].restart()
-        fleet.tick()
+        fleet.nodes["a"].spreader.tick()
         assert fleet["b"].is_suspect(CRASHER)
 
     def test_digest_repairs_what_was_lost(self):
@@ -111,6 +111,35 @@
         fleet.tick()
         assert find_state(fleet["b"], CRASHER) is EntryState.SUSPECT
 
+    def test_report_clears_those_beside_the_condemned(self):
+        fleet = Fleet("ab")
+        fleet.cut = {frozenset("ab")}
+        fleet["b"].started(INNOCENT, "e1").crashed(make_evidence())
+        fleet["a"].started(CRASHER, "e1").crashed(make_evidence())
+        fleet.crash("a", CRASHER, "e2")
+        fleet["b"].merge(fleet["a"].export())
+        assert find_state(fleet["b"], INNOCENT) is EntryState.CLEARED
+
+    def test_doubled_report_does_not_lengthen_a_life(self):
+        fleet = Fleet("ab")
+        fleet["a"].started(CRASHER, "e1").crashed(make_evidence())
+        report = copy.deepcopy(fleet["a"].export())
+        fleet["b"].merge(report)
+        fleet.advance(1800)
+        fleet["b"].merge(report)
+        fleet.advance(1800)
+        assert fleet["b"].list() == ()
+
+    def test_slow_reports_do_not_renew_each_other(self):
+        fleet = Fleet("ab")
+        fleet["a"].started(CRASHER, "e1").crashed(make_evidence())
+        fleet.advance(SETTINGS.life.total_seconds() - 0.5)
+        for giver, taker in ["ab", "ba"] * 10:
+            report = copy.deepcopy(fleet[giver].export())
+            fleet.advance(1)
+            fleet[taker].merge(report)
+        assert fleet["a"].list() == fleet["b"].list() == ()
+
     def test_expired_entry_does_not_come_back(self):
         fleet = Fleet("ab")
         fleet.crash("a", CRASHER, "e1")
@@ -122,22 +151,43 @@
 
 
 class TestClaims:
+    @pytest.mark.parametrize("first", ["a", "b"])
     @pytest.mark.parametrize("gap_s", [0.0, 0.1, 0.39])
-    def test_claims_within_a_spread_time_start_one_run(self, gap_s):
-        fleet = Fleet()
+    def test_claims_within_a_spread_time_start_one_run(self, gap_s, first):
+        """Each claim arrives a whole spread time after it was made."""
+        fleet = Fleet("abc")
         fleet.crash("c", CRASHER, "e1")
         fleet.tick()
-        assert fleet["b"].may_start(CRASHER, "e2").action is StartAction.WAIT
-        fleet.advance(gap_s)
-        assert fleet["a"].may_start(CRASHER, "e3").action is StartAction.WAIT
-        fleet.advance(0.4)
-        fleet.tick()
-        fleet.advance(0.4)
-        actions = [
-            fleet["a"].may_start(CRASHER, "e3").action,
-            fleet["b"].may_start(CRASHER, "e2").action,
+        second = "b" if first == "a" else "a"
+        wait_s = SETTINGS.claim_wait.total_seconds()
+        steps = [
+            (0.0, 0, lambda: ask(first)),
+            (gap_s, 0, lambda: ask(second)),
+            (0.4, 1, lambda: tell(first, second)),
+            (gap_s + 0.4, 1, lambda: tell(second, first)),
+            (wait_s, 2, lambda: ask(first)),
+            (gap_s + wait_s, 2, lambda: ask(second)),
         ]
-        assert actions.count(StartAction.GO) == 1
+        reports = {}
+        started = []
+
+        def ask(name):
+            endpoint = {"a": "e2", "b": "e3"}[name]
+            advice = fleet[name].may_start(CRASHER, endpoint)
+            reports.setdefault(name, copy.deepcopy(fleet[name].export()))
+            if advice.action is StartAction.GO:
+                started.append(fleet[name].started(CRASHER, endpoint))
+
+        def tell(giver, taker):
+            fleet[taker].merge(reports[giver])
+
+        now_s = 0.0
+        for at_s, _, step in sorted(steps, key=lambda each: each[:2]):
+            # A tick of a microsecond more keeps a wait from being short by rounding.
+            fleet.advance(at_s - now_s + 1e-6)
+            now_s = at_s
+            step()
+        assert len(started) == 1
 
     def test_repeat_at_another_instance_waits_for_the_run(self):
         fleet = Fleet()
