Run each order at most once at its issuer

Cause: a caller that sends a non-idempotent request again must not make it run twice, and no instance has shared state or a disk. Ruled out: caller-chosen keys (two instances with split views both own the key's hash, and a new owner cannot know what the old one ran); a record per issued number (memory before use). Change: order numbers bound to one process by an HMAC under the peer secret; the issuer keeps a record per used number and a floor per organisation, so that a forgotten number is refused, never run again. Seen to fail with the floor left out: test_flood_shortens_only_its_own_organisation; with the lifetime left out: test_expired_number_never_runs.

--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -10,10 +10,12 @@
     EndpointUnreachableError,
 )
 from oriolepaddle.errors.gateway import (
+    AnswerMalformedError,
     AnswerMismatchedError,
     AnswerTruncatedError,
     AuthenticationError,
     MalformedRequestError,
+    OrderError,
     RefusedError,
 )
 from oriolepaddle.errors.operator import (
@@ -31,6 +33,7 @@
 )
 
 __all__ = [
+    "AnswerMalformedError",
     "AnswerMismatchedError",
     "AnswerTruncatedError",
     "AuthenticationError",
@@ -41,6 +44,7 @@
     "EndpointUnreachableError",
     "ErrorCode",
     "MalformedRequestError",
+    "OrderError",
     "OriolepaddleError",
     "Outcome",
     "PeerError",
--- a/oriolepaddle/errors/code.py
+++ b/oriolepaddle/errors/code.py
@@ -158,6 +158,12 @@
         Outcome.UNKNOWN,
         "The answer ended before it was whole.",
     )
+    ANSWER_MALFORMED = (
+        "answer_malformed",
+        502,
+        Outcome.UNKNOWN,
+        "The answer breaks its own format or a bound on it.",
+    )
     ORDER_NUMBER_INVALID = (
         "order_number_invalid",
         400,
@@ -182,6 +188,12 @@
         Outcome.UNKNOWN,
         "The order may have run; its issuer cannot tell or cannot be reached.",
     )
+    ORDER_ANSWER_GONE = (
+        "order_answer_gone",
+        410,
+        Outcome.RUN,
+        "The order has run and its answer is no longer kept.",
+    )
     TICKET_INVALID = (
         "ticket_invalid",
         400,
--- a/oriolepaddle/errors/gateway.py
+++ b/oriolepaddle/errors/gateway.py
@@ -4,10 +4,12 @@
 from oriolepaddle.errors.code import ErrorCode
 
 __all__ = [
+    "AnswerMalformedError",
     "AnswerMismatchedError",
     "AnswerTruncatedError",
     "AuthenticationError",
     "MalformedRequestError",
+    "OrderError",
     "RefusedError",
 ]
 
@@ -40,3 +42,15 @@
     """An answer that ended before it was whole."""
 
     default_code = ErrorCode.ANSWER_TRUNCATED
+
+
+class AnswerMalformedError(OriolepaddleError):
+    """An answer that breaks its format or is larger than a bound."""
+
+    default_code = ErrorCode.ANSWER_MALFORMED
+
+
+class OrderError(OriolepaddleError):
+    """A non-idempotent request whose answer cannot be given."""
+
+    default_code = ErrorCode.ORDER_OUTCOME_UNKNOWN
--- /dev/null
+++ b/oriolepaddle/orders/codec.py
@@ -0,0 +1,116 @@
+"""Order numbers as text, authenticated with the peer secret."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+from collections.abc import Sequence
+
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.orders.number import OrderNumber
+from oriolepaddle.peers import PeerIdentity
+
+__all__ = ["OrderNumberCodec"]
+
+PREFIX = "order-1"
+MAC_BYTES = 16
+TAG_BYTES = 8
+MAX_NUMBER_LENGTH = 1_000
+
+
+class OrderNumberCodec:
+    """Writes and reads order numbers.
+
+    Args:
+        secrets: The peer secret, then earlier ones. Numbers are written under
+            the first and recognised under all, so that a number from before a
+            change of the secret is not mistaken for one that was never issued.
+    """
+
+    def __init__(self, secrets: Sequence[bytes]) -> None:
+        self._secrets = tuple(secrets)
+
+    def write(self, number: OrderNumber, organisation: str) -> str:
+        """Return the text of a number that is issued to an organisation."""
+        secret = self._secrets[0]
+        issuer = number.issuer
+        fields = [
+            issuer.instance,
+            str(issuer.incarnation),
+            issuer.data_centre,
+            f"{number.life:x}",
+            str(number.sequence),
+            _tag(secret, organisation),
+        ]
+        payload = _encode("\n".join(fields).encode())
+        return f"{PREFIX}.{payload}.{_encode(_mac(secret, payload))}"
+
+    def issuer(self, number: str) -> PeerIdentity:
+        """Return who issued a number, whichever organisation it is for.
+
+        Raises:
+            RefusedError: The system did not issue the number; nothing was run.
+        """
+        return self._read(number)[0].issuer
+
+    def parse(self, number: str, organisation: str) -> OrderNumber:
+        """Take a number apart.
+
+        Raises:
+            RefusedError: The system did not issue the number to this
+                organisation; nothing was run.
+        """
+        parsed, tag, secret = self._read(number)
+        if not hmac.compare_digest(tag, _tag(secret, organisation)):
+            raise _invalid("it was issued to another organisation")
+        return parsed
+
+    def _read(self, number: str) -> tuple[OrderNumber, str, bytes]:
+        prefix, _, rest = number.partition(".")
+        payload, _, mac = rest.partition(".")
+        if prefix != PREFIX or len(number) > MAX_NUMBER_LENGTH:
+            raise _invalid("it is not an order number")
+        received = _decode(mac)
+        for secret in self._secrets:
+            if hmac.compare_digest(_mac(secret, payload), received):
+                parsed, tag = _split(_decode(payload))
+                return parsed, tag, secret
+        raise _invalid("it was altered, or issued by another system")
+
+
+def _split(payload: bytes) -> tuple[OrderNumber, str]:
+    instance, incarnation, data_centre, life, sequence, tag = payload.decode().split(
+        "\n"
+    )
+    issuer = PeerIdentity(instance, int(incarnation), data_centre)
+    return OrderNumber(issuer, int(life, 16), int(sequence)), tag
+
+
+def _tag(secret: bytes, organisation: str) -> str:
+    # Keyed, so that a number does not reveal which organisation it is for.
+    message = b"organisation|" + organisation.encode()
+    return hmac.digest(secret, message, hashlib.sha256)[:TAG_BYTES].hex()
+
+
+def _mac(secret: bytes, payload: str) -> bytes:
+    message = b"order|" + payload.encode()
+    return hmac.digest(secret, message, hashlib.sha256)[:MAC_BYTES]
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    padding = "=" * (-len(text) % 4)
+    try:
+        return base64.b64decode(text + padding, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise _invalid("it is not base64") from error
+
+
+def _invalid(reason: str) -> RefusedError:
+    return RefusedError(
+        f"the idempotency key is refused: {reason}; ask for an order number first",
+        code=ErrorCode.ORDER_NUMBER_INVALID,
+    )
--- /dev/null
+++ b/oriolepaddle/orders/registry.py
@@ -0,0 +1,297 @@
+"""The issuer's guard that runs each order at most once."""
+
+import secrets
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import OriolepaddleError, Outcome
+from oriolepaddle.orders._failures import answer_gone, draining, not_sent, unknown
+from oriolepaddle.orders._record import OrderRecord, OrderRun, OrderState
+from oriolepaddle.orders._sequences import SequenceSource
+from oriolepaddle.orders._store import OrderStore
+from oriolepaddle.orders._waiters import RunWaiters
+from oriolepaddle.orders.answer import OrderAnswer
+from oriolepaddle.orders.codec import OrderNumberCodec
+from oriolepaddle.orders.kept import KeptOrder
+from oriolepaddle.orders.limits import OrderLimits
+from oriolepaddle.orders.number import OrderNumber
+from oriolepaddle.peers import PeerIdentity
+
+__all__ = ["OrderRegistry"]
+
+LIFE_BITS = 63
+
+
+class OrderRegistry:
+    """Issues order numbers and runs each of its own at most once.
+
+    Nothing is kept for a number until it is used: its age is in the number.
+    A number without a record is unused only while it is younger than the
+    lifetime and above its organisation's floor; any other is refused as
+    "outcome unknown". Thread-safe.
+
+    Args:
+        identity: This instance in its present life.
+        codec: Writes and reads order numbers.
+        clock: The source of time.
+        limits: Bounds on what is kept.
+        life: A number that no other process has; drawn if None.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        codec: OrderNumberCodec,
+        clock: Clock,
+        limits: OrderLimits | None = None,
+        life: int | None = None,
+    ) -> None:
+        self._identity = identity
+        self._codec = codec
+        self._clock = clock
+        self._limits = limits or OrderLimits()
+        self._life = secrets.randbits(LIFE_BITS) if life is None else life
+        self._lock = threading.Lock()
+        self._store = OrderStore(self._limits.max_bytes)
+        self._sequences = SequenceSource(clock, self._limits.lifetime)
+        self._swept_s = clock.monotonic_s()
+        self._in_flight = 0
+        self._waiters = RunWaiters(
+            clock, self._limits.max_waiters, self._limits.max_wait
+        )
+        self._is_draining = False
+        self._is_sealed = False
+        self._idle = threading.Event()
+        self._idle.set()
+
+    @property
+    def life(self) -> int:
+        """The number that tells this process apart from others of its id."""
+        return self._life
+
+    @property
+    def in_flight(self) -> int:
+        """Orders that are being run."""
+        return self._in_flight
+
+    @property
+    def size_bytes(self) -> int:
+        """What the kept records and answers count for, in bytes."""
+        return self._store.size_bytes
+
+    @property
+    def kept(self) -> int:
+        """The number of used orders that are remembered."""
+        with self._lock:
+            return len(self._store)
+
+    def issue(self, organisation: str) -> str:
+        """Return a new order number for an organisation.
+
+        Raises:
+            RefusedError: The instance is draining.
+        """
+        with self._lock:
+            if self._is_draining:
+                raise draining()
+            sequence = self._sequences.draw()
+        number = OrderNumber(self._identity, self._life, sequence)
+        return self._codec.write(number, organisation)
+
+    def parse(self, number: str, organisation: str) -> OrderNumber:
+        """Take a number apart; see `OrderNumberCodec.parse`."""
+        return self._codec.parse(number, organisation)
+
+    def issuer(self, number: str) -> PeerIdentity:
+        """Return who issued a number; see `OrderNumberCodec.issuer`."""
+        return self._codec.issuer(number)
+
+    def is_own(self, number: OrderNumber) -> bool:
+        """Return whether this very process issued a number."""
+        return number.issuer == self._identity and number.life == self._life
+
+    def run(
+        self,
+        number: str,
+        organisation: str,
+        request_digest: bytes,
+        runner: Callable[[], OrderAnswer],
+        recheck: Callable[[], None] | None = None,
+        wait: timedelta | None = None,
+    ) -> OrderAnswer:
+        """Run an order, or return what its first run answered.
+
+        Args:
+            number: The order number.
+            organisation: The organisation whose key came with the request.
+            request_digest: The digest of what must be the same in a repeat.
+            runner: Sends the request to an endpoint. An error of outcome
+                `NOT_RUN` leaves the number free; any other uses it up.
+            recheck: Called just before `runner`; an `OriolepaddleError` of it
+                leaves the number free, for the order was not sent.
+            wait: How long a repeat waits for the first run, within the limit.
+
+        Raises:
+            RefusedError: Not run: the number is invalid, belongs to another
+                request, or the instance is draining.
+            OrderError: The outcome is unknown, or the answer is gone.
+            OriolepaddleError: What `recheck` or `runner` raised.
+        """
+        record, run, is_first = self._claim(number, organisation, request_digest)
+        if is_first:
+            return self._run_first(organisation, record, runner, recheck)
+        return self._repeat(record, run, wait)
+
+    def find(
+        self,
+        number: str,
+        organisation: str,
+        request_digest: bytes,
+        wait: timedelta | None = None,
+    ) -> OrderAnswer | None:
+        """Return the answer of an order that was run before, or None if unused.
+
+        Raises:
+            RefusedError: Not run: the number is invalid or belongs to another
+                request.
+            OrderError: The outcome is unknown, or the answer is gone.
+        """
+        parsed = self._parse_own(number, organisation)
+        with self._lock:
+            record = self._lookup(parsed, organisation, request_digest)
+            run = record.run if record else None
+        return self._repeat(record, run, wait) if record else None
+
+    def begin_drain(self) -> None:
+        """Refuse new orders from now on; repeats are still answered."""
+        with self._lock:
+            self._is_draining = True
+
+    def drain(self, timeout: timedelta) -> int:
+        """Refuse new orders and wait for those in flight.
+
+        Afterwards an order that was accepted and not yet sent is refused too.
+
+        Args:
+            timeout: The longest wait.
+
+        Returns:
+            The number of orders still in flight.
+        """
+        self.begin_drain()
+        self._clock.wait(self._idle, timeout)
+        with self._lock:
+            self._is_sealed = True
+            return self._in_flight
+
+    def answered(self) -> tuple[KeptOrder, ...]:
+        """Return the answered orders, for a successor that answers repeats."""
+        with self._lock:
+            return tuple(
+                KeptOrder(record.sequence, organisation, record.digest, record.answer)
+                for organisation, record in self._store
+                if record.state is OrderState.ANSWERED
+            )
+
+    def _parse_own(self, number: str, organisation: str) -> OrderNumber:
+        parsed = self._codec.parse(number, organisation)
+        if not self.is_own(parsed):
+            raise unknown("its issuer is gone")
+        return parsed
+
+    def _claim(
+        self, number: str, organisation: str, digest: bytes
+    ) -> tuple[OrderRecord, OrderRun | None, bool]:
+        parsed = self._parse_own(number, organisation)
+        with self._lock:
+            self._sweep()
+            record = self._lookup(parsed, organisation, digest)
+            if record is not None:
+                return record, record.run, False
+            if self._is_draining:
+                raise draining()
+            record = OrderRecord(parsed.sequence, digest, run=OrderRun())
+            self._store.add(organisation, record)
+            self._in_flight += 1
+            self._idle.clear()
+            return record, record.run, True
+
+    def _lookup(
+        self, parsed: OrderNumber, organisation: str, digest: bytes
+    ) -> OrderRecord | None:
+        horizon = self._sequences.horizon()
+        return self._store.lookup(organisation, parsed.sequence, digest, horizon)
+
+    def _sweep(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s - self._swept_s >= self._limits.sweep_interval.total_seconds():
+            self._swept_s = now_s
+            self._store.expire(self._sequences.horizon())
+
+    def _run_first(
+        self,
+        organisation: str,
+        record: OrderRecord,
+        runner: Callable[[], OrderAnswer],
+        recheck: Callable[[], None] | None,
+    ) -> OrderAnswer:
+        failure: OriolepaddleError = unknown("its run ended without an answer")
+        answer = None
+        try:
+            try:
+                self._recheck(recheck)
+            except OriolepaddleError as error:
+                failure = not_sent(error)
+                raise failure from error
+            answer = runner()
+        except OriolepaddleError as error:
+            failure = error
+            raise
+        finally:
+            self._finish(organisation, record, answer, failure)
+        return answer
+
+    def _recheck(self, recheck: Callable[[], None] | None) -> None:
+        # The process may have slept since the order was accepted.
+        if self._is_sealed:
+            raise draining()
+        if recheck is not None:
+            recheck()
+
+    def _finish(
+        self,
+        organisation: str,
+        record: OrderRecord,
+        answer: OrderAnswer | None,
+        failure: OriolepaddleError,
+    ) -> None:
+        run = record.run
+        with self._lock:
+            if answer is not None:
+                run.answer = answer
+                keeps = answer.size_bytes <= self._limits.max_answer_bytes
+                self._store.finish(organisation, record, keeps)
+            elif failure.outcome is Outcome.NOT_RUN:
+                run.error = failure
+                self._store.release(organisation, record)
+            else:
+                run.error = failure
+                self._store.finish(organisation, record, keeps=False)
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+        run.finished.set()
+
+    def _repeat(
+        self, record: OrderRecord, run: OrderRun | None, wait: timedelta | None
+    ) -> OrderAnswer:
+        if run is not None:
+            return self._waiters.wait(run, wait)
+        answer = record.answer
+        if answer is not None:
+            return answer
+        if record.state is OrderState.ANSWERED:
+            raise answer_gone()
+        raise unknown("its run failed without an answer")
--- /dev/null
+++ b/oriolepaddle/orders/tests/test_registry.py
@@ -0,0 +1,259 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.errors import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    ErrorCode,
+    OriolepaddleError,
+    Outcome,
+    RefusedError,
+)
+from oriolepaddle.orders import (
+    OrderAnswer,
+    OrderLimits,
+    OrderNumberCodec,
+    OrderRegistry,
+)
+from oriolepaddle.peers import PeerIdentity
+
+IDENTITY = PeerIdentity("a", 7, "lombardia-lodi")
+ANSWER = OrderAnswer(201, (("content-type", "text/plain"),), b"booked", "r1")
+HOUR = timedelta(hours=1)
+
+
+class Runner:
+    """Counts its runs and does what each was told to do."""
+
+    def __init__(self, *ends):
+        self.ends = list(ends)
+        self.runs = 0
+
+    def __call__(self):
+        self.runs += 1
+        end = self.ends.pop(0) if self.ends else ANSWER
+        if isinstance(end, BaseException):
+            raise end
+        return end
+
+
+def make_registry(clock=None, **changes):
+    codec = OrderNumberCodec((b"secret",))
+    clock = clock or ManualClock()
+    return OrderRegistry(IDENTITY, codec, clock, OrderLimits(**changes))
+
+
+def code_of(call, *args, **kwargs):
+    with pytest.raises(OriolepaddleError) as caught:
+        call(*args, **kwargs)
+    return caught.value.code, caught.value.outcome
+
+
+UNKNOWN = (ErrorCode.ORDER_OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+GONE = (ErrorCode.ORDER_ANSWER_GONE, Outcome.RUN)
+CONFLICT = (ErrorCode.ORDER_CONFLICT, Outcome.NOT_RUN)
+DRAINING = (ErrorCode.DRAINING, Outcome.NOT_RUN)
+IN_PROGRESS = (ErrorCode.ORDER_IN_PROGRESS, Outcome.UNKNOWN)
+INVALID = (ErrorCode.ORDER_NUMBER_INVALID, Outcome.NOT_RUN)
+
+
+class TestOrderNumberCodec:
+    def test_numbers_name_their_issuer(self):
+        registry = make_registry()
+        number = registry.issue("office")
+        assert registry.issuer(number) == IDENTITY
+        assert registry.is_own(registry.parse(number, "office"))
+
+    @pytest.mark.parametrize(
+        "spoil",
+        [
+            lambda number: "booking-1",
+            lambda number: "",
+            lambda number: number[:-2],
+            lambda number: number + "é",
+            lambda number: number.replace("order-1.", "order-1.A"),
+            lambda number: number.rpartition(".")[0] + ".AAAA",
+            lambda number: "order-1.." + number,
+            lambda number: "order-1." + "A" * 2000,
+        ],
+    )
+    def test_numbers_not_issued_are_refused(self, spoil):
+        registry = make_registry()
+        runner = Runner()
+        number = spoil(registry.issue("office"))
+        assert code_of(registry.run, number, "office", b"d", runner) == INVALID
+        assert runner.runs == 0
+
+    def test_every_altered_character_is_refused(self):
+        registry = make_registry()
+        number = registry.issue("office")
+        for place in range(len(number) - 1):
+            letter = "B" if number[place] != "B" else "C"
+            altered = number[:place] + letter + number[place + 1 :]
+            assert code_of(registry.parse, altered, "office") == INVALID
+
+    def test_numbers_of_other_organisations_are_refused(self):
+        registry = make_registry()
+        number = registry.issue("office")
+        assert code_of(registry.run, number, "other", b"d", Runner()) == INVALID
+
+    def test_earlier_secret_is_recognised(self):
+        number = make_registry().issue("office")
+        rotated = OrderNumberCodec((b"new", b"secret"))
+        assert rotated.parse(number, "office").issuer == IDENTITY
+        with pytest.raises(RefusedError):
+            OrderNumberCodec((b"new",)).parse(number, "office")
+
+
+class TestOrderRegistry:
+    def test_repeat_gets_the_kept_answer(self):
+        registry, runner = make_registry(), Runner()
+        number = registry.issue("office")
+        answers = [registry.run(number, "office", b"d", runner) for _ in range(3)]
+        assert answers == [ANSWER] * 3
+        assert runner.runs == 1
+
+    def test_other_request_conflicts(self):
+        registry, runner = make_registry(), Runner()
+        number = registry.issue("office")
+        registry.run(number, "office", b"d", runner)
+        assert code_of(registry.run, number, "office", b"e", runner) == CONFLICT
+        assert runner.runs == 1
+
+    def test_not_run_leaves_the_number_free(self):
+        registry = make_registry()
+        runner = Runner(EndpointRefusedError("busy"), ANSWER)
+        number = registry.issue("office")
+        refused = code_of(registry.run, number, "office", b"d", runner)
+        assert refused == (ErrorCode.ENDPOINT_REFUSED, Outcome.NOT_RUN)
+        assert registry.run(number, "office", b"d", runner) == ANSWER
+        assert runner.runs == 2
+
+    @pytest.mark.parametrize(
+        "error", [EndpointFailedError("broke"), KeyError("bug"), SystemExit()]
+    )
+    def test_other_failures_use_the_number_up(self, error):
+        registry, runner = make_registry(), Runner(error)
+        number = registry.issue("office")
+        with pytest.raises(type(error)):
+            registry.run(number, "office", b"d", runner)
+        for _ in range(2):
+            assert code_of(registry.run, number, "office", b"d", runner) == UNKNOWN
+        assert runner.runs == 1
+        assert registry.in_flight == 0
+
+    def test_failed_recheck_leaves_the_number_free(self):
+        registry, runner = make_registry(), Runner()
+        number = registry.issue("office")
+        withdrawn = Runner(RefusedError("gone", code=ErrorCode.KEY_WITHDRAWN))
+        refused = code_of(registry.run, number, "office", b"d", runner, withdrawn)
+        assert refused == (ErrorCode.KEY_WITHDRAWN, Outcome.NOT_RUN)
+        assert runner.runs == 0
+        assert registry.run(number, "office", b"d", runner) == ANSWER
+
+    def test_other_life_of_the_same_incarnation_is_unknown(self):
+        runner = Runner()
+        number = make_registry().issue("office")
+        assert code_of(make_registry().run, number, "office", b"d", runner) == UNKNOWN
+        assert runner.runs == 0
+
+    def test_expired_number_never_runs(self):
+        clock = ManualClock()
+        registry, runner = make_registry(clock, lifetime=HOUR), Runner()
+        unused, used = registry.issue("office"), registry.issue("office")
+        registry.run(used, "office", b"d", runner)
+        clock.advance(HOUR + timedelta(seconds=61))
+        for number in (unused, used, unused):
+            registry.run(registry.issue("office"), "office", b"d", Runner())
+            assert code_of(registry.run, number, "office", b"d", runner) == UNKNOWN
+        assert runner.runs == 1
+        assert registry.kept == 3
+
+    def test_flood_shortens_only_its_own_organisation(self):
+        registry, runner = make_registry(max_bytes=10_000), Runner()
+        quiet = registry.issue("quiet")
+        registry.run(quiet, "quiet", b"d", runner)
+        flood = [registry.issue("loud") for _ in range(100)]
+        for number in flood:
+            registry.run(number, "loud", b"d", runner)
+            assert registry.size_bytes <= 10_000
+        assert registry.run(quiet, "quiet", b"d", runner) == ANSWER
+        assert code_of(registry.run, flood[0], "loud", b"d", runner) == UNKNOWN
+        assert runner.runs == 101
+
+    def test_dropped_answer_is_told_as_run(self):
+        registry, runner = make_registry(max_answer_bytes=3), Runner()
+        number = registry.issue("office")
+        assert registry.run(number, "office", b"d", runner) == ANSWER
+        assert code_of(registry.run, number, "office", b"d", runner) == GONE
+        assert runner.runs == 1
+
+    def test_drain_refuses_first_runs_and_answers_repeats(self):
+        registry, runner = make_registry(), Runner()
+        used, unused = registry.issue("office"), registry.issue("office")
+        registry.run(used, "office", b"d", runner)
+        assert registry.drain(timedelta(seconds=1)) == 0
+        assert registry.run(used, "office", b"d", runner) == ANSWER
+        assert code_of(registry.run, unused, "office", b"d", runner) == DRAINING
+        assert code_of(registry.issue, "office") == DRAINING
+        assert [kept.answer for kept in registry.answered()] == [ANSWER]
+
+    def test_order_that_slept_through_the_drain_is_not_sent(self):
+        clock = ManualClock()
+        registry, runner = make_registry(clock), Runner()
+        number = registry.issue("office")
+
+        def sleep():
+            clock.advance(timedelta(seconds=5))
+            left = registry.drain(timedelta(0))
+            assert left == 1
+            raise RefusedError("late", code=ErrorCode.DEADLINE_UNREACHABLE)
+
+        code, outcome = code_of(registry.run, number, "office", b"d", runner, sleep)
+        assert (code, outcome) == (ErrorCode.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
+        assert runner.runs == 0
+        assert registry.drain(timedelta(0)) == 0
+
+
+class TestConcurrentRepeats:
+    def test_one_run_serves_all(self):
+        registry = make_registry()
+        number = registry.issue("office")
+        entered, release = threading.Event(), threading.Event()
+
+        def wait():
+            entered.set()
+            assert release.wait(30)
+            return ANSWER
+
+        runner = Runner()
+        with ThreadPoolExecutor(5) as pool:
+            first = pool.submit(registry.run, number, "office", b"d", wait)
+            assert entered.wait(30)
+            no_wait = timedelta(0)
+            repeat = registry.run
+            told = code_of(repeat, number, "office", b"d", runner, wait=no_wait)
+            others = [
+                pool.submit(registry.run, number, "office", b"d", runner)
+                for _ in range(4)
+            ]
+            release.set()
+            answers = [each.result(30) for each in [first, *others]]
+        assert told == IN_PROGRESS
+        assert answers == [ANSWER] * 5
+        assert runner.runs == 0
+
+    def test_waiters_are_bounded(self):
+        registry = make_registry(max_waiters=0)
+        number = registry.issue("office")
+
+        def repeat():
+            call = registry.run
+            assert code_of(call, number, "office", b"d", Runner()) == IN_PROGRESS
+            return ANSWER
+
+        assert registry.run(number, "office", b"d", repeat) == ANSWER
