Pass orders on to their issuer, and answers on to successors

Cause: a caller may repeat an order through any instance, while only the issuer can tell whether it ran. Ruled out: one long call for the whole run (a link carries one call at a time, and a reply lost leaves the outcome open); remembering used sendings for a time (a late copy would run after it). Change: each sending is numbered; the issuer works on a sending at most once, by a window per sender, and collecting a sending that had not arrived refuses it for good, so that 'not run' stays true. A leaver hands its answers to two instances of its data centre, which only answer.

--- a/oriolepaddle/orders/__init__.py
+++ b/oriolepaddle/orders/__init__.py
@@ -1,20 +1,32 @@
 """Orders: non-idempotent requests, each run at most once."""
 
+from oriolepaddle.orders._wire import ORDERS_SERVICE
 from oriolepaddle.orders.answer import OrderAnswer
+from oriolepaddle.orders.archive import OrderArchive
 from oriolepaddle.orders.codec import OrderNumberCodec
+from oriolepaddle.orders.forwarder import OrderForwarder
+from oriolepaddle.orders.handler import OrderHandler
+from oriolepaddle.orders.handover import OrderHandover
 from oriolepaddle.orders.kept import KeptOrder
 from oriolepaddle.orders.limits import OrderLimits
 from oriolepaddle.orders.number import OrderNumber
 from oriolepaddle.orders.registry import OrderRegistry
 from oriolepaddle.orders.request import MAX_BODY_BYTES, OrderRequest
+from oriolepaddle.orders.runner import OrderRunner
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "ORDERS_SERVICE",
     "KeptOrder",
     "OrderAnswer",
+    "OrderArchive",
+    "OrderForwarder",
+    "OrderHandler",
+    "OrderHandover",
     "OrderLimits",
     "OrderNumber",
     "OrderNumberCodec",
     "OrderRegistry",
     "OrderRequest",
+    "OrderRunner",
 ]
--- /dev/null
+++ b/oriolepaddle/orders/archive.py
@@ -0,0 +1,114 @@
+"""What a successor keeps of instances that left."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Iterable
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.orders._failures import answer_gone, conflict, unknown
+from oriolepaddle.orders.answer import OrderAnswer
+from oriolepaddle.orders.kept import KeptOrder
+from oriolepaddle.orders.limits import RECORD_BYTES
+from oriolepaddle.orders.number import OrderNumber
+
+__all__ = ["OrderArchive"]
+
+LifeKey = tuple[str, int, int]
+
+
+@attrs.define(eq=False)
+class _Life:
+    expires_s: float
+    orders: dict[tuple[str, int], KeptOrder] = attrs.field(factory=dict)
+    size_bytes: int = 0
+
+
+class OrderArchive:
+    """Answers repeats of orders whose issuer left; never runs one. Thread-safe.
+
+    Args:
+        clock: The source of time.
+        max_bytes: The bound on all that is kept; the oldest goes first.
+    """
+
+    def __init__(self, clock: Clock, max_bytes: int = 16_000_000) -> None:
+        self._clock = clock
+        self._max_bytes = max_bytes
+        self._lock = threading.Lock()
+        self._lives: OrderedDict[LifeKey, _Life] = OrderedDict()
+        self._size_bytes = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """What all that is kept counts for, in bytes."""
+        return self._size_bytes
+
+    def keep(
+        self,
+        instance: str,
+        incarnation: int,
+        life: int,
+        remaining: timedelta,
+        orders: Iterable[KeptOrder],
+    ) -> int:
+        """Keep answered orders of a leaving issuer and return how many.
+
+        Args:
+            instance: The issuer.
+            incarnation: Its incarnation.
+            life: Its `OrderNumber.life`.
+            remaining: How long they are worth keeping.
+            orders: The orders.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._expire(now_s)
+            key = (instance, incarnation, life)
+            held = self._lives.setdefault(key, _Life(now_s))
+            held.expires_s = max(held.expires_s, now_s + remaining.total_seconds())
+            kept = sum(self._put(held, order) for order in orders)
+            while self._size_bytes > self._max_bytes:
+                self._drop(next(iter(self._lives)))
+            return kept
+
+    def find(
+        self, number: OrderNumber, organisation: str, digest: bytes
+    ) -> OrderAnswer:
+        """Return the answer of an order.
+
+        Raises:
+            RefusedError: The number was used for another request.
+            OrderError: The order is not known here, or its answer is gone.
+        """
+        issuer = number.issuer
+        with self._lock:
+            self._expire(self._clock.monotonic_s())
+            life = self._lives.get((issuer.instance, issuer.incarnation, number.life))
+            order = life and life.orders.get((organisation, number.sequence))
+        if not order:
+            raise unknown("its issuer is gone")
+        if order.digest != digest:
+            raise conflict()
+        if order.answer is None:
+            raise answer_gone()
+        return order.answer
+
+    def _put(self, life: _Life, order: KeptOrder) -> bool:
+        key = (order.organisation, order.sequence)
+        if key in life.orders:
+            return False
+        life.orders[key] = order
+        size_bytes = RECORD_BYTES + (order.answer.size_bytes if order.answer else 0)
+        life.size_bytes += size_bytes
+        self._size_bytes += size_bytes
+        return True
+
+    def _expire(self, now_s: float) -> None:
+        for key in [k for k, life in self._lives.items() if life.expires_s <= now_s]:
+            self._drop(key)
+
+    def _drop(self, key: LifeKey) -> None:
+        self._size_bytes -= self._lives.pop(key).size_bytes
--- /dev/null
+++ b/oriolepaddle/orders/tests/fleet.py
@@ -0,0 +1,226 @@
+"""A fleet of real registries, handlers and forwarders over a faulty network."""
+
+import itertools
+from collections import Counter
+from datetime import timedelta
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.TSerialization import deserialize, serialize
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.errors import (
+    EndpointFailedError,
+    EndpointRefusedError,
+    ErrorCode,
+    OriolepaddleError,
+    Outcome,
+    PeerTimeoutError,
+    PeerUnavailableError,
+    RefusedError,
+)
+from oriolepaddle.orders import (
+    OrderAnswer,
+    OrderArchive,
+    OrderForwarder,
+    OrderHandler,
+    OrderHandover,
+    OrderLimits,
+    OrderNumberCodec,
+    OrderRegistry,
+    OrderRequest,
+)
+from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.platform import Instance, InstanceList
+
+LIFETIME = timedelta(minutes=10)
+PATIENCE_S = 30.0
+NODES = ("a", "b", "c")
+
+
+class SteppingClock(ManualClock):
+    """A clock whose waits move it on, so that nothing waits for real."""
+
+    def wait(self, event, timeout):
+        if not event.is_set():
+            self.advance(timeout)
+        return event.is_set()
+
+
+def copy_struct(struct):
+    """Send a struct over the wire."""
+    data = serialize(struct, TCompactProtocolFactory())
+    return deserialize(type(struct)(), data, TCompactProtocolFactory())
+
+
+class PausableExecutor:
+    """Works at once, or keeps the work while its process is paused."""
+
+    def __init__(self):
+        self.is_paused = False
+        self.waiting = []
+
+    def submit(self, work, *args):
+        self.waiting.append((work, args))
+        if not self.is_paused:
+            self.resume()
+
+    def resume(self):
+        self.is_paused = False
+        while self.waiting:
+            work, args = self.waiting.pop(0)
+            try:
+                work(*args)
+            except OriolepaddleError:
+                continue
+
+
+class Endpoint:
+    """Runs orders and counts what it saw; `ends` tell how runs go."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.ends = []
+        self.runs = Counter()
+        self.seen = set()
+
+    def run(self, node, number, request, recheck):
+        end = self.ends.pop(0) if self.ends else "answer"
+        if end == "sleep":
+            self.fleet.clock.advance(timedelta(seconds=PATIENCE_S + 1))
+        recheck()
+        if end == "refuse":
+            raise EndpointRefusedError("busy")
+        if end == "crash before":
+            raise EndpointFailedError("broke")
+        self.runs[number] += 1
+        self.seen.add(request.request_id)
+        if end == "crash after":
+            raise EndpointFailedError("broke")
+        if end == "issuer crash":
+            self.fleet.restart(node.identity.instance)
+        return OrderAnswer(201, (), number.encode(), request.request_id)
+
+
+class Node:
+    """One process; its view is that of the whole fleet."""
+
+    def __init__(self, fleet, instance, incarnation):
+        self.fleet = fleet
+        self.identity = PeerIdentity(instance, incarnation, "lombardia-lodi")
+        self.revoked = False
+        codec = OrderNumberCodec((b"secret",))
+        clock = fleet.clock
+        limits = OrderLimits(lifetime=LIFETIME)
+        self.executor = PausableExecutor()
+        self.registry = OrderRegistry(
+            self.identity, codec, clock, limits, life=incarnation
+        )
+        self.archive = OrderArchive(clock)
+        self.handler = OrderHandler(
+            self.registry, self.archive, self, self.executor, clock
+        )
+        self.forwarder = OrderForwarder(
+            self, codec, self, self.archive, clock, lambda request, place: True
+        )
+        self.handover = OrderHandover(self.registry, self, self, LIFETIME)
+
+    def published(self):
+        places = [Instance(name, "lombardia-lodi", "", "") for name in NODES]
+        return InstanceList(tuple(places), 1, 0.0)
+
+    def call(self, instance, service, method, request, timeout):
+        sender = self.identity.instance
+        return self.fleet.deliver(sender, instance, method, request, timeout)
+
+    def check(self, request):
+        if self.fleet.is_key_withdrawn:
+            raise RefusedError("withdrawn", code=ErrorCode.KEY_UNKNOWN)
+
+    def run(self, request, recheck):
+        number = dict(request.headers)["order"]
+        return self.fleet.endpoint.run(self, number, request, recheck)
+
+    def send(self, number, body, request_id):
+        request = OrderRequest(
+            request_id=request_id,
+            organisation="office",
+            key_digest="d",
+            method="POST",
+            path="/services/desk/stays",
+            headers=(("order", number),),
+            body=body,
+            deadline_s=self.fleet.clock.monotonic_s() + PATIENCE_S,
+        )
+        if not self.registry.is_own(self.registry.parse(number, "office")):
+            return self.forwarder.forward(number, request)
+
+        def runner():
+            return self.run(request, lambda: self.check(request))
+
+        return self.registry.run(number, "office", request.digest(), runner)
+
+
+class Fleet:
+    """The nodes, the endpoint and the faults of the network between them."""
+
+    def __init__(self):
+        self.clock = SteppingClock()
+        self.endpoint = Endpoint(self)
+        self.incarnations = itertools.count(1)
+        self.request_ids = itertools.count(1)
+        self.nodes = {}
+        self.processes = []
+        self.faults = []
+        self.cut = set()
+        self.delayed = []
+        self.not_run = set()
+        self.is_key_withdrawn = False
+        for name in NODES:
+            self.restart(name)
+
+    def restart(self, name):
+        """Replace a process; the old one may live on, paused and unreachable."""
+        self.nodes[name] = Node(self, name, next(self.incarnations))
+        self.processes.append(self.nodes[name])
+
+    def deliver(self, sender, instance, method, request, timeout):
+        node = self.nodes[instance]
+        fault = self.faults.pop(0) if self.faults else "none"
+        if fault == "cut" or frozenset((sender, instance)) in self.cut:
+            raise PeerUnavailableError("cut")
+        copy = copy_struct(request)
+        if fault in ("delay", "double"):
+            self.delayed.append((instance, method, copy))
+        if fault in ("lose request", "delay"):
+            self.clock.advance(timeout)
+            raise PeerTimeoutError("lost")
+        reply = copy_struct(getattr(node.handler, method)(copy))
+        if fault == "lose reply" or self.nodes[instance] is not node:
+            self.clock.advance(timeout)
+            raise PeerTimeoutError("lost")
+        return reply
+
+    def deliver_delayed(self):
+        while self.delayed:
+            instance, method, request = self.delayed.pop(0)
+            getattr(self.nodes[instance].handler, method)(request)
+
+    def send(self, via, number, body=b"one", faults=(), ends=()):
+        """Send as a caller does; return the answer's body or error's outcome."""
+        self.faults, self.endpoint.ends = list(faults), list(ends)
+        request_id = f"r{next(self.request_ids)}"
+        try:
+            answer = self.nodes[via].send(number, body, request_id)
+        except OriolepaddleError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self.not_run.add(request_id)
+            return error.outcome
+        finally:
+            self.faults, self.endpoint.ends = [], []
+        assert answer.body == number.encode()
+        return "answer"
+
+    def check(self):
+        """Check what must always hold."""
+        assert all(runs == 1 for runs in self.endpoint.runs.values())
+        assert not self.not_run & self.endpoint.seen
--- /dev/null
+++ b/oriolepaddle/orders/tests/test_fleet.py
@@ -0,0 +1,176 @@
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.orders.tests.fleet import LIFETIME, NODES, Fleet
+
+FAULTS = ("none", "cut", "lose request", "lose reply", "delay", "double")
+ENDS = ("answer", "refuse", "crash before", "crash after", "issuer crash", "sleep")
+NOT_RUN, UNKNOWN, RUN = Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RUN
+
+
+class TestPassedOnOrders:
+    """Each fault at each message, then a repeat through another instance."""
+
+    @pytest.mark.parametrize(
+        ("faults", "ends", "first", "repeat"),
+        [
+            ([], [], "answer", "answer"),
+            (["cut"], [], "answer", "answer"),
+            (["cut"] * 3, [], UNKNOWN, "answer"),
+            (["lose request"], [], "answer", "answer"),
+            (["lose reply"], [], "answer", "answer"),
+            (["delay"], [], "answer", "answer"),
+            (["double"], [], "answer", "answer"),
+            (["lose reply"] * 6, [], UNKNOWN, "answer"),
+            (["lose request"] * 6, [], UNKNOWN, "answer"),
+            (["delay"] * 6, [], UNKNOWN, "answer"),
+            (["delay", "lose reply"], [], "answer", "answer"),
+            ([], ["refuse"], NOT_RUN, "answer"),
+            (["double"], ["refuse"], NOT_RUN, "answer"),
+            (["lose reply"], ["refuse"], NOT_RUN, "answer"),
+            ([], ["crash before"], UNKNOWN, UNKNOWN),
+            ([], ["crash after"], UNKNOWN, UNKNOWN),
+            (["lose reply"], ["crash after"], UNKNOWN, UNKNOWN),
+            ([], ["issuer crash"], UNKNOWN, UNKNOWN),
+            ([], ["sleep"], NOT_RUN, "answer"),
+        ],
+    )
+    def test_faults(self, faults, ends, first, repeat):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        assert fleet.send("b", number, faults=faults, ends=ends) == first
+        fleet.deliver_delayed()
+        fleet.check()
+        assert fleet.send("c", number) == repeat
+        assert fleet.send("a", number) == repeat
+        fleet.deliver_delayed()
+        fleet.check()
+
+    def test_restarted_issuer_is_unknown(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.restart("a")
+        assert {fleet.send(via, number) for via in NODES} == {UNKNOWN}
+        assert not fleet.endpoint.runs
+
+    def test_paused_issuer_does_not_send_late(self):
+        fleet = Fleet()
+        issuer = fleet.nodes["a"]
+        number = issuer.registry.issue("office")
+        issuer.executor.is_paused = True
+        assert fleet.send("b", number) == UNKNOWN
+        issuer.executor.resume()
+        assert not fleet.endpoint.runs
+        assert fleet.send("b", number) == "answer"
+
+    def test_withdrawn_key_is_seen_at_the_issuer(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.is_key_withdrawn = True
+        assert fleet.send("b", number) == NOT_RUN
+        assert not fleet.endpoint.runs
+
+    def test_other_request_conflicts_everywhere(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.send("b", number)
+        assert {fleet.send(via, number, b"two") for via in NODES} == {NOT_RUN}
+        fleet.check()
+
+    def test_handed_over_answers_outlive_the_issuer(self):
+        fleet = Fleet()
+        registry = fleet.nodes["a"].registry
+        used, unused = registry.issue("office"), registry.issue("office")
+        fleet.send("b", used)
+        assert set(fleet.nodes["a"].handover.leave(timedelta(0))) == {"b", "c"}
+        assert fleet.send("a", used) == "answer"
+        fleet.restart("a")
+        assert [fleet.send(via, used) for via in NODES] == ["answer"] * 3
+        assert [fleet.send(via, unused) for via in NODES] == [UNKNOWN] * 3
+        assert fleet.send("c", used, b"two") == NOT_RUN
+        fleet.clock.advance(LIFETIME)
+        assert [fleet.send(via, used) for via in NODES] == [UNKNOWN] * 3
+        fleet.check()
+
+    def test_unreachable_successor_is_passed_over(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.send("a", number)
+        fleet.cut.add(frozenset("ab"))
+        assert fleet.nodes["a"].handover.leave(timedelta(0)) == ("c",)
+        fleet.restart("a")
+        assert fleet.send("b", number) == "answer"
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Any order of sendings, repeats, crashes, pauses, cuts and late messages."""
+
+    nodes = st.sampled_from(NODES)
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+        self.numbers = [
+            self.fleet.nodes[node].registry.issue("office") for node in NODES
+        ]
+
+    @rule(node=nodes)
+    def issue(self, node):
+        try:
+            self.numbers.append(self.fleet.nodes[node].registry.issue("office"))
+        except RefusedError as error:
+            assert error.code is ErrorCode.DRAINING
+
+    @rule(
+        via=nodes,
+        data=st.data(),
+        body=st.sampled_from([b"one", b"one", b"one", b"two"]),
+        faults=st.lists(st.sampled_from(FAULTS), min_size=1, max_size=7),
+        ends=st.lists(st.sampled_from(ENDS), min_size=1, max_size=2),
+    )
+    def send(self, via, data, body, faults, ends):
+        number = data.draw(st.sampled_from(self.numbers))
+        self.fleet.send(via, number, body, faults, ends)
+
+    @rule()
+    def deliver_delayed(self):
+        self.fleet.deliver_delayed()
+
+    @rule(node=nodes)
+    def pause(self, node):
+        self.fleet.nodes[node].executor.is_paused = True
+
+    @rule()
+    def wake(self):
+        for process in self.fleet.processes:
+            process.executor.resume()
+
+    @rule(node=nodes)
+    def restart(self, node):
+        self.fleet.restart(node)
+
+    @rule(node=nodes)
+    def leave(self, node):
+        self.fleet.nodes[node].handover.leave(timedelta(0))
+
+    @rule(pair=st.sampled_from(["ab", "bc", "ac"]))
+    def toggle_link(self, pair):
+        self.fleet.cut ^= {frozenset(pair)}
+
+    @rule(minutes=st.integers(1, 4))
+    def wait(self, minutes):
+        self.fleet.clock.advance(timedelta(minutes=minutes))
+
+    @invariant()
+    def holds(self):
+        self.fleet.check()
+
+
+OrderMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=30, derandomize=True, deadline=None
+)
+TestOrderMachine = OrderMachine.TestCase
--- a/oriolepaddle/peers/gen_py/orders/ttypes.py
+++ b/oriolepaddle/peers/gen_py/orders/ttypes.py
@@ -805,17 +805,15 @@
      - organisation
      - digest
      - answer
-     - has_run
 
     """
 
 
-    def __init__(self, sequence=None, organisation=None, digest=None, answer=None, has_run=None,):
+    def __init__(self, sequence=None, organisation=None, digest=None, answer=None,):
         self.sequence = sequence
         self.organisation = organisation
         self.digest = digest
         self.answer = answer
-        self.has_run = has_run
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -847,11 +845,6 @@
                     self.answer.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.has_run = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -878,10 +871,6 @@
             oprot.writeFieldBegin('answer', TType.STRUCT, 4)
             self.answer.write(oprot)
             oprot.writeFieldEnd()
-        if self.has_run is not None:
-            oprot.writeFieldBegin('has_run', TType.BOOL, 5)
-            oprot.writeBool(self.has_run)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -892,8 +881,6 @@
             raise TProtocolException(message='Required field organisation is unset!')
         if self.digest is None:
             raise TProtocolException(message='Required field digest is unset!')
-        if self.has_run is None:
-            raise TProtocolException(message='Required field has_run is unset!')
         return
 
     def __repr__(self):
@@ -1155,7 +1142,6 @@
     (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'digest', 'BINARY', None, ),  # 3
     (4, TType.STRUCT, 'answer', [Answer, None], None, ),  # 4
-    (5, TType.BOOL, 'has_run', None, None, ),  # 5
 )
 all_structs.append(HandoverCall)
 HandoverCall.thrift_spec = (
--- a/oriolepaddle/peers/idl/orders.thrift
+++ b/oriolepaddle/peers/idl/orders.thrift
@@ -63,7 +63,6 @@
   2: required string organisation,
   3: required binary digest,
   4: optional Answer answer,
-  5: required bool has_run,
 }
 
 /** What a leaving issuer knows of its orders. */
