Bring engines to their published placements

Cause: engines lose what they loaded, commands are lost, late or doubled, and no instance is set aside for control. Ruled out: one elected issuer (nothing to elect with when a data centre is cut); sending each change once (a lost command is never mended). Change: every instance of a data centre reconciles level-triggered; the fencing number is the ticket's; an engine that ignores fencing is commanded only on fresh knowledge, checked again at the send, and read again after it; a hash of the endpoints chooses who may load, so that issuers choose alike. Seen to fail with each check left out: the tests of TestStaleIssuer and TestLoads.

--- /dev/null
+++ b/oriolepaddle/commands/__init__.py
@@ -0,0 +1,20 @@
+"""Engine commands: what placements publish, brought to the engines."""
+
+from oriolepaddle.commands.command import EngineCommand
+from oriolepaddle.commands.control import EngineControl
+from oriolepaddle.commands.freshness import Freshness
+from oriolepaddle.commands.issuer import CommandIssuer
+from oriolepaddle.commands.limits import CommandLimits
+from oriolepaddle.commands.outcome import CommandOutcome, CommandResult
+from oriolepaddle.commands.state import EngineState
+
+__all__ = [
+    "CommandIssuer",
+    "CommandLimits",
+    "CommandOutcome",
+    "CommandResult",
+    "EngineCommand",
+    "EngineControl",
+    "EngineState",
+    "Freshness",
+]
--- /dev/null
+++ b/oriolepaddle/commands/issuer.py
@@ -0,0 +1,200 @@
+"""The reconciliation of engines with the published placements."""
+
+import random
+import threading
+from collections import Counter
+from concurrent.futures import Executor
+from datetime import timedelta
+
+from loguru import logger
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.commands._backoff import CommandBackoff
+from oriolepaddle.commands._loads import grant_loads
+from oriolepaddle.commands._plan import Plan, current_plan, make_plans
+from oriolepaddle.commands.control import EngineControl
+from oriolepaddle.commands.freshness import Freshness
+from oriolepaddle.commands.limits import CommandLimits
+from oriolepaddle.commands.outcome import CommandOutcome, CommandResult
+from oriolepaddle.commands.state import EngineState
+from oriolepaddle.config import ConfigState
+from oriolepaddle.errors import (
+    CommandWithheldError,
+    EndpointError,
+    EndpointRefusedError,
+)
+from oriolepaddle.membership import MembershipView
+from oriolepaddle.membership.rendezvous import rank_instances
+from oriolepaddle.platform import InstanceState
+
+__all__ = ["CommandIssuer"]
+
+JITTER = 0.2
+"""Fraction of a pause by which it varies, so that instances spread out."""
+
+
+class CommandIssuer:
+    """Brings the engines of one data centre to what placements publish.
+
+    Level-triggered: each pass reads every engine and commands those that
+    differ, so a command that was lost, late or doubled is mended by the next
+    pass. All instances of the data centre may run it at once: the commands
+    follow from the placements alone and carry the ticket's number as fencing
+    number. Ranks only save work; safety does not depend on them.
+
+    Args:
+        config: The merged configuration.
+        view: The fleet as this instance sees it.
+        control: Reads and commands engines.
+        freshness: Tells how old this instance's knowledge may be.
+        clock: The source of time.
+        generator: The source of jitter.
+        executor: Reads engines side by side.
+        limits: Bounds on reads, commands and loads.
+    """
+
+    def __init__(
+        self,
+        config: ConfigState,
+        view: MembershipView,
+        control: EngineControl,
+        freshness: Freshness,
+        clock: Clock,
+        generator: random.Random,
+        executor: Executor,
+        limits: CommandLimits | None = None,
+    ) -> None:
+        self._config = config
+        self._view = view
+        self._control = control
+        self._freshness = freshness
+        self._clock = clock
+        self._generator = generator
+        self._executor = executor
+        self._limits = limits or CommandLimits()
+        self._backoff = CommandBackoff(
+            clock, generator, self._limits.min_backoff, self._limits.max_backoff
+        )
+        self.counts: Counter[CommandOutcome] = Counter()
+
+    def run(self, stop: threading.Event) -> None:
+        """Reconcile again and again until `stop` is set."""
+        while not self._clock.wait(stop, self.next_pause()):
+            self.reconcile()
+
+    def next_pause(self) -> timedelta:
+        """Return the pause before the next pass; it grows with the rank."""
+        factor = 1 + self._limits.takeover * self.rank()
+        jitter = self._generator.uniform(1 - JITTER, 1 + JITTER)
+        return self._limits.interval * factor * jitter
+
+    def rank(self) -> int:
+        """Return this instance's place among those that reconcile, from 0."""
+        identity = self._view.identity
+        published = self._view.published()
+        reachable = self._view.reachable()
+        others = {
+            instance.id
+            for instance in (published.instances if published else ())
+            if instance.data_centre == identity.data_centre
+            and instance.state is InstanceState.LIVE
+            and instance.id in reachable
+        }
+        ranked = rank_instances(others | {identity.instance}, identity.data_centre)
+        return ranked.index(identity.instance)
+
+    def reconcile(self) -> tuple[CommandResult, ...]:
+        """Make one pass over the engines of this data centre."""
+        plans = make_plans(self._config, self._view.identity.data_centre)
+        self._backoff.retain({plan.endpoint.id for plan in plans})
+        states = self._executor.map(self._read, plans)
+        for plan, state in zip(plans, states, strict=True):
+            plan.state = state
+        grant_loads(plans, self._limits.max_loads, self._is_sent, self._is_waiting)
+        results = tuple(self._reconcile_one(plan) for plan in plans)
+        self.counts.update(result.outcome for result in results)
+        return results
+
+    def _read(self, plan: Plan) -> EngineState | None:
+        try:
+            return self._control.state(plan.endpoint)
+        except EndpointError as error:
+            logger.debug("engine of {} not read: {}", plan.endpoint.id, error)
+            return None
+
+    def _is_sent(self, plan: Plan) -> bool:
+        grace = self._limits.load_grace
+        return self._backoff.is_recent(plan.endpoint.id, plan.command.ticket, grace)
+
+    def _is_waiting(self, plan: Plan) -> bool:
+        return self._backoff.is_waiting(plan.endpoint.id, plan.command.ticket)
+
+    def _reconcile_one(self, plan: Plan) -> CommandResult:
+        outcome = self._settle(plan)
+        if outcome is None:
+            outcome = self._command(plan)
+        return CommandResult(plan.endpoint.id, plan.command.ticket, outcome)
+
+    def _settle(self, plan: Plan) -> CommandOutcome | None:
+        """Return the outcome if no command is to be sent now, else None."""
+        state, command = plan.state, plan.command
+        if state is None:
+            return CommandOutcome.UNREADABLE
+        if state.is_ahead_of(command):
+            return CommandOutcome.STALE_TICKET
+        if state.matches(command):
+            if state.is_loading:
+                return CommandOutcome.LOADING
+            self._backoff.reset(command.endpoint)
+            return CommandOutcome.IN_PLACE
+        if self._is_waiting(plan):
+            return CommandOutcome.BACKING_OFF
+        if state.needs_load(command) and not (plan.may_load or state.is_loading):
+            return CommandOutcome.WAITING_FOR_LOADS
+        return None
+
+    def _command(self, plan: Plan) -> CommandOutcome:
+        """Send the command, and again while an older one came last."""
+        for attempt in range(1 + self._limits.max_corrections):
+            failure = self._send(plan)
+            if failure is not None:
+                return failure
+            plan.state = self._read(plan)
+            if plan.state is None:
+                return CommandOutcome.UNREADABLE
+            if plan.state.is_ahead_of(plan.command):
+                return CommandOutcome.STALE_TICKET
+            if plan.state.matches(plan.command):
+                return CommandOutcome.CORRECTED if attempt else CommandOutcome.APPLIED
+        return CommandOutcome.OVERTAKEN
+
+    def _send(self, plan: Plan) -> CommandOutcome | None:
+        """Send the command once; return why it failed, or None."""
+        endpoint, command = plan.endpoint, plan.command
+        try:
+            self._recheck(plan)
+            self._backoff.note_sent(command.endpoint, command.ticket)
+            self._control.apply(endpoint, command, lambda: self._recheck(plan))
+        except CommandWithheldError as error:
+            return CommandOutcome(error.reason)
+        except EndpointRefusedError:
+            return CommandOutcome.REFUSED
+        except EndpointError as error:
+            logger.info("command to {} failed: {}", endpoint.id, error)
+            return CommandOutcome.FAILED
+        return None
+
+    def _recheck(self, plan: Plan) -> None:
+        # The process may have slept since the engine was read.
+        current = current_plan(self._config, plan.endpoint.id)
+        if current is None or current.command != plan.command:
+            raise CommandWithheldError(
+                "the placement has changed", CommandOutcome.SUPERSEDED
+            )
+        if current.endpoint.is_fenced:
+            return
+        if self._freshness.age_s() > self._limits.max_age.total_seconds():
+            raise CommandWithheldError(
+                f"{plan.endpoint.id} ignores fencing and this instance may be stale",
+                CommandOutcome.STALE_KNOWLEDGE,
+            )
--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -3,6 +3,7 @@
 from oriolepaddle.errors.base import OriolepaddleError
 from oriolepaddle.errors.code import ErrorCode
 from oriolepaddle.errors.endpoint import (
+    CommandWithheldError,
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
@@ -37,6 +38,7 @@
     "AnswerMismatchedError",
     "AnswerTruncatedError",
     "AuthenticationError",
+    "CommandWithheldError",
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
--- a/oriolepaddle/errors/code.py
+++ b/oriolepaddle/errors/code.py
@@ -194,6 +194,12 @@
         Outcome.RUN,
         "The order has run and its answer is no longer kept.",
     )
+    COMMAND_WITHHELD = (
+        "command_withheld",
+        409,
+        Outcome.NOT_RUN,
+        "The engine command was not sent, for the instance may be out of date.",
+    )
     TICKET_INVALID = (
         "ticket_invalid",
         400,
--- a/oriolepaddle/errors/endpoint.py
+++ b/oriolepaddle/errors/endpoint.py
@@ -4,6 +4,7 @@
 from oriolepaddle.errors.code import ErrorCode
 
 __all__ = [
+    "CommandWithheldError",
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
@@ -40,3 +41,17 @@
     """The connection broke after the request was sent."""
 
     default_code = ErrorCode.ENDPOINT_FAILED
+
+
+class CommandWithheldError(EndpointError):
+    """An engine command that was not sent.
+
+    Attributes:
+        reason: Why, as a value of `commands.CommandOutcome`.
+    """
+
+    default_code = ErrorCode.COMMAND_WITHHELD
+
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message)
+        self.reason = reason
