--- /dev/null
+++ b/experiments/commands/choice.py
@@ -0,0 +1,51 @@
+"""Which engines issuers choose that read before any of them has sent."""
+
+import random
+
+import attrs
+
+from oriolepaddle.commands import EngineCommand, EngineState
+from oriolepaddle.commands.loads import grant_loads
+from oriolepaddle.commands.plan import Plan
+from oriolepaddle.config.model import Endpoint
+
+__all__ = ["Choice", "compare_choices"]
+
+
+@attrs.frozen
+class Choice:
+    """Loads that were started side by side by issuers which read alike.
+
+    Attributes:
+        shared: With the order that all share.
+        independent: With an order of each issuer's own.
+    """
+
+    shared: int
+    independent: int
+
+
+def compare_choices(engines: int, issuers: int, max_loads: int, seed: int) -> Choice:
+    """Count the engines chosen by at least one of several issuers."""
+    generator = random.Random(seed)
+    shared: set[str] = set()
+    independent: set[str] = set()
+    for _ in range(issuers):
+        plans = _make_plans(engines)
+        grant_loads(plans, max_loads, lambda plan: False, lambda plan: False)
+        shared |= {plan.endpoint.id for plan in plans if plan.may_load}
+        chosen = generator.sample(plans, max_loads)
+        independent |= {plan.endpoint.id for plan in chosen}
+    return Choice(len(shared), len(independent))
+
+
+def _make_plans(engines: int) -> list[Plan]:
+    return [
+        Plan(
+            f"p{i}",
+            Endpoint(f"engine-{i}", "dc-1", "127.0.0.1:1", ()),
+            EngineCommand(f"engine-{i}", 2, "model", "2"),
+            EngineState(),
+        )
+        for i in range(engines)
+    ]
--- /dev/null
+++ b/experiments/streams/__init__.py
@@ -0,0 +1,1 @@
+"""What the checks on an answer's stream cost."""
--- /dev/null
+++ b/experiments/streams/measurement.py
@@ -0,0 +1,101 @@
+"""Measurements of the stream classes."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.streams import (
+    AnswerCheck,
+    ResumableStream,
+    SseParser,
+    StreamHead,
+    StreamPosition,
+)
+
+__all__ = ["Cost", "measure_costs"]
+
+REQUEST_ID = "r"
+MAX_EVENT_BYTES = 262_144
+
+
+@attrs.frozen
+class Cost:
+    """The mean time of one event.
+
+    Attributes:
+        step: What was done.
+        microseconds: Mean wall time of one event.
+    """
+
+    step: str
+    microseconds: float
+
+
+class _Answer:
+    """A source with one connection that carries one event a chunk."""
+
+    head = StreamHead(request_id=REQUEST_ID, is_event_stream=True)
+
+    def __init__(self, events: list[bytes]) -> None:
+        self._events = events
+
+    def open(self, position: StreamPosition) -> "_Answer":
+        return self
+
+    def chunks(self) -> Iterator[bytes]:
+        yield from self._events
+
+    def close(self) -> None:
+        return
+
+
+def measure_costs(events: int) -> list[Cost]:
+    """Return the mean time of an event at each step."""
+    first = _make_events(events, '{"id":"answer-1","text":"%s"}')
+    last = _make_events(events, '{"text":"%s","id":"answer-1"}')
+    return [
+        _time("parse", lambda: _parse(first), events),
+        _time("parse, check, count (id first)", lambda: _stream(first), events),
+        _time("parse, check, count (id last)", lambda: _stream(last), events),
+        _time("id check alone (id first)", _make_check(first), events),
+        _time("id check alone (id last)", _make_check(last), events),
+    ]
+
+
+def _make_events(count: int, form: str) -> list[bytes]:
+    data = [form % f"token {i} of an answer" for i in range(count - 1)] + ["[DONE]"]
+    return [f"data: {each}\n\n".encode() for each in data]
+
+
+def _parse(events: list[bytes]) -> None:
+    parser = SseParser(MAX_EVENT_BYTES)
+    for chunk in events:
+        for _ in parser.feed(chunk):
+            continue
+
+
+def _stream(events: list[bytes]) -> None:
+    stream = ResumableStream(REQUEST_ID, _Answer(events))
+    stream.open()
+    for _ in stream.chunks():
+        continue
+
+
+def _make_check(events: list[bytes]) -> Callable[[], None]:
+    check = AnswerCheck(REQUEST_ID, needs_request_id=True)
+    parser = SseParser(MAX_EVENT_BYTES)
+    parsed = [event for chunk in events for event in parser.feed(chunk)]
+
+    def work() -> None:
+        for event in parsed:
+            check.check_event(event)
+
+    return work
+
+
+def _time(step: str, work: Callable[[], None], events: int) -> Cost:
+    clock = SystemClock()
+    started_s = clock.monotonic_s()
+    work()
+    return Cost(step, (clock.monotonic_s() - started_s) / events * 1e6)
--- a/oriolepaddle/commands/issuer.py
+++ b/oriolepaddle/commands/issuer.py
@@ -10,12 +10,12 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.commands._backoff import CommandBackoff
-from oriolepaddle.commands._loads import grant_loads
-from oriolepaddle.commands._plan import Plan, current_plan, make_plans
 from oriolepaddle.commands.control import EngineControl
 from oriolepaddle.commands.freshness import Freshness
 from oriolepaddle.commands.limits import CommandLimits
+from oriolepaddle.commands.loads import grant_loads
 from oriolepaddle.commands.outcome import CommandOutcome, CommandResult
+from oriolepaddle.commands.plan import Plan, current_plan, make_plans
 from oriolepaddle.commands.state import EngineState
 from oriolepaddle.config import ConfigState
 from oriolepaddle.errors import (
--- a/oriolepaddle/commands/_loads.py
+++ b/oriolepaddle/commands/loads.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from oriolepaddle.commands._plan import Plan
+from oriolepaddle.commands.plan import Plan
 from oriolepaddle.membership.rendezvous import rank_instances
 
 __all__ = ["grant_loads"]
