--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -3,6 +3,7 @@
 from oriolepaddle.errors.base import OriolepaddleError
 from oriolepaddle.errors.code import ErrorCode
 from oriolepaddle.errors.endpoint import (
+    CommandWithheldError,
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
@@ -10,10 +11,12 @@
     EndpointUnreachableError,
 )
 from oriolepaddle.errors.gateway import (
+    AnswerMalformedError,
     AnswerMismatchedError,
     AnswerTruncatedError,
     AuthenticationError,
     MalformedRequestError,
+    OrderError,
     RefusedError,
 )
 from oriolepaddle.errors.operator import (
@@ -31,9 +34,11 @@
 )
 
 __all__ = [
+    "AnswerMalformedError",
     "AnswerMismatchedError",
     "AnswerTruncatedError",
     "AuthenticationError",
+    "CommandWithheldError",
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
@@ -41,6 +46,7 @@
     "EndpointUnreachableError",
     "ErrorCode",
     "MalformedRequestError",
+    "OrderError",
     "OriolepaddleError",
     "Outcome",
     "PeerError",
