Choose endpoints by expected time, within residency and one hop

Cause: requests need an endpoint, or another data centre, that may run them and answers soonest. Ruled out: a score from published speeds alone; they are only a first guess. Change: the routing subpackage with its router, its views of load, cache, health and other data centres, and tests of each decision under its failures. Before: nothing. After: 45 tests of routing pass. Conclusion: the choices hold under the failures tested; their worth is not measured yet.

--- /dev/null
+++ b/oriolepaddle/routing/endpoint_policy.py
@@ -0,0 +1,21 @@
+"""What varies in the choice among endpoints."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from oriolepaddle.routing.candidate import Candidate
+from oriolepaddle.routing.score import Score
+
+__all__ = ["EndpointPolicy"]
+
+
+class EndpointPolicy(Protocol):
+    """Orders the endpoints that may run a request."""
+
+    def rank(self, candidates: Sequence[Candidate]) -> tuple[Score, ...]:
+        """Return a score of each candidate, best first.
+
+        Args:
+            candidates: Usable endpoints, at least one.
+        """
+        ...
--- /dev/null
+++ b/oriolepaddle/routing/endpoint_tracker.py
@@ -0,0 +1,95 @@
+"""All that this instance knows of one endpoint's performance."""
+
+import math
+
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.routing.average import MeasuredAverage
+from oriolepaddle.routing.cache_view import CacheView
+from oriolepaddle.routing.endpoint_health import EndpointHealth
+from oriolepaddle.routing.endpoint_load import EndpointLoad
+
+__all__ = ["EndpointTracker"]
+
+SPEED_WEIGHT = 0.1
+TYPICAL_OUTPUT_TOKENS = 150
+MIN_PREFILL_SAMPLE_TOKENS = 500
+"""Smaller prefills say more of the network than of the endpoint."""
+BIAS_WEIGHT = 0.2
+BIAS_MEMORY_S = 5.0
+MAX_BIAS_S = 5.0
+
+
+class EndpointTracker:
+    """Health, load, cache and measured speeds of one endpoint.
+
+    Args:
+        endpoint: The endpoint as configured; its speeds are the first guess.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.health = EndpointHealth()
+        self.load = EndpointLoad()
+        self.cache = CacheView(endpoint.cache_tokens)
+        self.prefill_tokens_per_s = MeasuredAverage(
+            endpoint.prefill_tokens_per_s, SPEED_WEIGHT
+        )
+        self.decode_tokens_per_s = MeasuredAverage(
+            endpoint.decode_tokens_per_s, SPEED_WEIGHT
+        )
+        self.service_s = MeasuredAverage(
+            TYPICAL_OUTPUT_TOKENS / endpoint.decode_tokens_per_s, SPEED_WEIGHT
+        )
+        self.prefilling_tokens = 0.0
+        self._bias_s = 0.0
+        self._bias_changed_s = 0.0
+
+    def queueing_s(self, slots: int, now_s: float, instances: int) -> float:
+        """Return the seconds that a request sent now would wait there."""
+        in_flight = self.load.estimate(now_s, instances)
+        excess = max(0.0, in_flight + 1 - slots)
+        slot_s = excess * self.service_s.value / slots
+        prefill_s = self.prefilling_tokens / self.prefill_tokens_per_s.value
+        return max(0.0, slot_s + prefill_s + self.bias_s(now_s))
+
+    def bias_s(self, now_s: float) -> float:
+        """Return how much later than expected first tokens came lately."""
+        faded = math.exp(-(now_s - self._bias_changed_s) / BIAS_MEMORY_S)
+        return self._bias_s * faded
+
+    def add_first_token(
+        self, elapsed_s: float, expected_s: float, missing_tokens: float, now_s: float
+    ) -> None:
+        """Learn from a first token.
+
+        Args:
+            elapsed_s: Seconds from sending to the first token.
+            expected_s: What was expected, without the bias.
+            missing_tokens: Prompt tokens that were not expected in the cache.
+            now_s: The present monotonic time.
+        """
+        prefill_s = missing_tokens / self.prefill_tokens_per_s.value
+        is_unqueued = expected_s <= prefill_s * 1.01
+        if missing_tokens >= MIN_PREFILL_SAMPLE_TOKENS and is_unqueued:
+            self.prefill_tokens_per_s.add(missing_tokens / max(elapsed_s, 1e-3))
+        bias_s = self.bias_s(now_s)
+        error_s = min(max(elapsed_s - expected_s, -MAX_BIAS_S), MAX_BIAS_S)
+        self._bias_s = bias_s + BIAS_WEIGHT * (error_s - bias_s)
+        self._bias_changed_s = now_s
+
+    def add_answer(self, output_tokens: int, decode_s: float, service_s: float) -> None:
+        """Learn from a whole answer.
+
+        Args:
+            output_tokens: Tokens of the answer.
+            decode_s: Seconds from its first token to its last.
+            service_s: Seconds that it held a slot.
+        """
+        if output_tokens > 1 and decode_s > 0:
+            self.decode_tokens_per_s.add((output_tokens - 1) / decode_s)
+        self.service_s.add(max(service_s, 1e-3))
+
+    def fail(self, now_s: float) -> None:
+        """Note a failure: what the endpoint held and ran is gone."""
+        self.health.fail(now_s)
+        self.cache.clear()
+        self.load.forget()
--- /dev/null
+++ b/oriolepaddle/routing/router.py
@@ -0,0 +1,198 @@
+"""The choice of the endpoint or data centre that runs a request."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.config import ConfigState
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.routing.cache_events import CacheEvents
+from oriolepaddle.routing.candidate import Candidate
+from oriolepaddle.routing.decision import Decision
+from oriolepaddle.routing.endpoint_policy import EndpointPolicy
+from oriolepaddle.routing.load_report import LoadReport
+from oriolepaddle.routing.load_summary import LoadSummary
+from oriolepaddle.routing.local_fleet import LocalFleet
+from oriolepaddle.routing.remote_loads import RemoteLoads
+from oriolepaddle.routing.request_handle import RequestHandle
+from oriolepaddle.routing.residency import AllowedRegions
+from oriolepaddle.routing.routing_request import RoutingRequest
+from oriolepaddle.routing.score import Score
+
+__all__ = ["Router"]
+
+SEND_AWAY_GAIN_S = 0.25
+"""Time to be gained before a request is worth the link between regions."""
+
+
+class Router:
+    """Chooses where requests run; safe for use by many threads.
+
+    Args:
+        clock: The clock.
+        config: The configuration.
+        data_centre: The data centre in which this instance stands.
+        policy: The order among endpoints.
+        count_instances: Returns the live instances of this data centre, this
+            one included; they share its endpoints.
+        delay_s: Returns the one-way delay to a data centre, in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        config: ConfigState,
+        data_centre: str,
+        policy: EndpointPolicy,
+        count_instances: Callable[[], int],
+        delay_s: Callable[[str], float],
+    ) -> None:
+        self._clock = clock
+        self._config = config
+        self._data_centre = data_centre
+        self._policy = policy
+        self._lock = threading.RLock()
+        self._fleet = LocalFleet(config, data_centre, count_instances)
+        self._remotes = RemoteLoads(delay_s)
+
+    def choose(self, request: RoutingRequest) -> Decision:
+        """Choose the endpoint, or the data centre to send a request away to.
+
+        Raises:
+            RefusedError: Nothing may run it now; it was not run. The code is
+                `RESIDENCY_UNSERVABLE`, `NO_ENDPOINT` or `HOP_LIMIT`.
+        """
+        regions = AllowedRegions(request, self._config)
+        with self._lock:
+            local = self._rank_local(request, regions)
+            remote = self._rank_remote(request, regions)
+            if local and not self._gains(remote, local):
+                endpoint = self._config.endpoint(local[0].target)
+                if self.is_allowed(local[0].target, request):
+                    return Decision(endpoint, None, local + remote)
+            if remote:
+                target = remote[0].target
+                self._remotes.count_sent(request.route.id, target)
+                return Decision(None, target, remote + local)
+        raise self._refuse(request, regions)
+
+    def is_allowed(self, endpoint_id: str, request: RoutingRequest) -> bool:
+        """Return whether an endpoint may run a request by the present tickets.
+
+        Ask again just before sending: a ticket may have come in between.
+        """
+        endpoint = self._config.endpoint(endpoint_id)
+        if endpoint is None or not self._fleet.may_run(endpoint, request):
+            return False
+        return AllowedRegions(request, self._config).contains(self._data_centre)
+
+    def started(self, request: RoutingRequest, endpoint: Endpoint) -> RequestHandle:
+        """Note that a request is now sent to an endpoint."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            tracker = self._fleet.tracker(endpoint)
+            candidate = self._fleet.candidate(endpoint, request, now_s)
+            expected_s = (
+                candidate.queueing_s - tracker.bias_s(now_s) + candidate.prefill_s
+            )
+            tracker.cache.record(request.prefix_hashes, now_s)
+            return RequestHandle(
+                self._clock, self._lock, tracker, expected_s, candidate.missing_tokens
+            )
+
+    def endpoint_failed(self, endpoint_id: str) -> None:
+        """Note that an endpoint refused connections, broke one or crashed."""
+        with self._lock:
+            endpoint = self._config.endpoint(endpoint_id)
+            if endpoint is not None:
+                self._fleet.tracker(endpoint).fail(self._clock.monotonic_s())
+
+    def load_reported(self, report: LoadReport) -> None:
+        """Take in an endpoint's late report of its load."""
+        with self._lock:
+            endpoint = self._config.endpoint(report.endpoint)
+            if endpoint is not None:
+                tracker = self._fleet.tracker(endpoint)
+                tracker.load.report(report, self._clock.monotonic_s())
+
+    def cache_events(self, events: CacheEvents) -> None:
+        """Take in a batch of an endpoint's late cache events."""
+        with self._lock:
+            endpoint = self._config.endpoint(events.endpoint)
+            if endpoint is not None:
+                tracker = self._fleet.tracker(endpoint)
+                tracker.cache.apply(events, self._clock.monotonic_s())
+
+    def summary(self) -> tuple[LoadSummary, ...]:
+        """Return this data centre's load, one entry for each route."""
+        with self._lock:
+            return self._fleet.summarize(self._clock.monotonic_s())
+
+    def apply_summaries(self, summaries: Iterable[LoadSummary]) -> None:
+        """Take in other data centres' summaries; own ones are ignored."""
+        foreign = [item for item in summaries if item.data_centre != self._data_centre]
+        with self._lock:
+            self._remotes.apply(foreign, self._clock.monotonic_s())
+
+    def concurrency_limit(self, route_id: str) -> int:
+        """Return how many requests of a route this instance may have running."""
+        with self._lock:
+            return self._fleet.concurrency_limit(route_id, self._clock.monotonic_s())
+
+    def _rank_local(
+        self, request: RoutingRequest, regions: AllowedRegions
+    ) -> tuple[Score, ...]:
+        if not regions.contains(self._data_centre):
+            return ()
+        now_s = self._clock.monotonic_s()
+        candidates = self._list_candidates(request, now_s)
+        return self._policy.rank(candidates) if candidates else ()
+
+    def _list_candidates(
+        self, request: RoutingRequest, now_s: float
+    ) -> list[Candidate]:
+        candidates = [
+            self._fleet.candidate(endpoint, request, now_s)
+            for endpoint in self._fleet.endpoints(request.route.id)
+            if self._fleet.may_run(endpoint, request)
+            and endpoint.id not in request.excluded
+        ]
+        usable = [candidate for candidate in candidates if candidate.is_usable]
+        # Rather a queue before an endpoint that is coming back than a refusal.
+        return usable or [candidate for candidate in candidates if candidate.is_up]
+
+    def _rank_remote(
+        self, request: RoutingRequest, regions: AllowedRegions
+    ) -> tuple[Score, ...]:
+        if request.hops:
+            return ()
+        now_s = self._clock.monotonic_s()
+        route = request.route.id
+        senders = self._fleet.count_instances()
+        scores = [
+            self._remotes.score(data_centre, request, senders)
+            for data_centre in self._remotes.data_centres(route, now_s)
+            if regions.contains(data_centre)
+        ]
+        found = [score for score in scores if score is not None]
+        return tuple(sorted(found, key=lambda score: score.total_s))
+
+    @staticmethod
+    def _gains(remote: tuple[Score, ...], local: tuple[Score, ...]) -> bool:
+        if not remote:
+            return False
+        gain_s = local[0].first_token_s - remote[0].first_token_s
+        return gain_s > SEND_AWAY_GAIN_S
+
+    def _refuse(self, request: RoutingRequest, regions: AllowedRegions) -> RefusedError:
+        route = request.route.id
+        if request.hops:
+            code = ErrorCode.HOP_LIMIT
+        elif regions.is_bound:
+            code = ErrorCode.RESIDENCY_UNSERVABLE
+        else:
+            code = ErrorCode.NO_ENDPOINT
+        return RefusedError(
+            f"no endpoint of route {route} can run the request now", code=code
+        )
--- /dev/null
+++ b/oriolepaddle/routing/routing_request.py
@@ -0,0 +1,34 @@
+"""What a request asks of the router."""
+
+import attrs
+
+from oriolepaddle.config.model import Organisation, Route
+
+__all__ = ["RoutingRequest"]
+
+
+@attrs.frozen
+class RoutingRequest:
+    """A request for which an endpoint or another data centre is to be chosen.
+
+    Attributes:
+        id: The request's id.
+        route: The route that it asks for.
+        organisation: Its organisation, or None on a route open to all.
+        prompt_tokens: Estimated tokens of the prompt.
+        output_tokens: Tokens that the answer may have.
+        prefix_hashes: Rolling hashes of the prompt's blocks, first block first.
+        deadline_s: Monotonic time by which the whole answer must be sent.
+        hops: Instances that passed the request on, this one not included.
+        excluded: Ids of endpoints that were already tried.
+    """
+
+    id: str
+    route: Route
+    organisation: Organisation | None
+    prompt_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[int, ...]
+    deadline_s: float
+    hops: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
--- /dev/null
+++ b/oriolepaddle/routing/shortest_time.py
@@ -0,0 +1,86 @@
+"""The default choice: the shortest expected time."""
+
+import math
+import random
+from collections.abc import Sequence
+
+import attrs
+import xxhash
+
+from oriolepaddle.routing.candidate import Candidate
+from oriolepaddle.routing.score import Score
+
+__all__ = ["ShortestTimePolicy"]
+
+AFFINITY_BLOCKS = 4
+"""Blocks of a prompt that name its document; what comes before is shared."""
+MAX_HASH = 2**64
+
+
+@attrs.frozen
+class ShortestTimePolicy:
+    """Prefers the endpoint where the request costs the least time.
+
+    The total is queueing, plus the weighted prefill of the part that is not
+    cached (which delays others too), plus a part of the decode time. A long
+    prompt that no cache is known to hold goes rather to its home, an endpoint
+    on which all instances agree by weighted rendezvous hashing, so that its
+    next request finds it cached whichever instance it comes through.
+
+    Attributes:
+        random: The source of randomness for ties.
+        prefill_weight: How much a second of prefill counts.
+        decode_weight: How much a second of decode counts.
+        home_discount: The part of the prefill that is waived at the home.
+        tie_s: Totals this close to the best one are chosen from at random.
+    """
+
+    random: random.Random
+    prefill_weight: float = 2.0
+    decode_weight: float = 0.05
+    home_discount: float = 0.3
+    tie_s: float = 0.02
+
+    def rank(self, candidates: Sequence[Candidate]) -> tuple[Score, ...]:
+        """Return a score of each candidate, best first."""
+        home = self._find_home(candidates)
+        scores = [self._score(item, item is home) for item in candidates]
+        scores.sort(key=lambda score: score.total_s)
+        best_s = scores[0].total_s
+        ties = sum(score.total_s <= best_s + self.tie_s for score in scores)
+        chosen = self.random.randrange(ties) if ties > 1 else 0
+        scores[0], scores[chosen] = scores[chosen], scores[0]
+        return tuple(scores)
+
+    def _score(self, candidate: Candidate, is_home: bool) -> Score:
+        prefill_s = candidate.prefill_s
+        weight = self.prefill_weight * (1.0 - self.home_discount * is_home)
+        speed = candidate.tracker.decode_tokens_per_s.value
+        decode_s = candidate.request.output_tokens / speed
+        return Score(
+            target=candidate.endpoint.id,
+            queueing_s=candidate.queueing_s,
+            prefill_s=prefill_s,
+            cached_tokens=candidate.cached_tokens,
+            delay_s=0.0,
+            total_s=(
+                candidate.queueing_s
+                + weight * prefill_s
+                + self.decode_weight * decode_s
+            ),
+        )
+
+    def _find_home(self, candidates: Sequence[Candidate]) -> Candidate | None:
+        hashes = candidates[0].request.prefix_hashes
+        if len(hashes) < AFFINITY_BLOCKS:
+            return None
+        document = hashes[AFFINITY_BLOCKS - 1]
+        return max(candidates, key=lambda item: _weigh(document, item))
+
+
+def _weigh(document: int, candidate: Candidate) -> tuple[float, str]:
+    # Published speeds weigh here, not measured ones: all instances must agree.
+    endpoint = candidate.endpoint
+    digest = xxhash.xxh3_64_intdigest(endpoint.id.encode(), seed=document)
+    draw = (digest + 1) / (MAX_HASH + 1)
+    return endpoint.prefill_tokens_per_s / -math.log(draw), endpoint.id
--- /dev/null
+++ b/oriolepaddle/routing/tests/test_endpoint_failure.py
@@ -0,0 +1,161 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.routing import CacheEvents, LoadReport
+from oriolepaddle.routing.endpoint_health import EndpointHealth
+from oriolepaddle.routing.prefix import BLOCK_TOKENS
+from oriolepaddle.routing.tests.conftest import make_endpoint, make_request
+
+DOSSIER = tuple(range(1, 21))
+
+
+class TestFailedEndpoint:
+    def test_all_failed_refuses(self, bench):
+        bench.put(make_endpoint("e1"))
+        bench.put(make_endpoint("e2"))
+        router = bench.make_router()
+        router.endpoint_failed("e1")
+        router.endpoint_failed("e2")
+        with pytest.raises(RefusedError) as caught:
+            router.choose(make_request())
+        assert caught.value.code is ErrorCode.NO_ENDPOINT
+
+    def test_gets_a_single_probe_after_the_backoff(self, bench):
+        endpoint = make_endpoint("e1")
+        bench.put(endpoint)
+        router = bench.make_router()
+        router.endpoint_failed("e1")
+        bench.clock.advance(timedelta(seconds=1.1))
+        assert router.choose(make_request()).endpoint == endpoint
+        handle = router.started(make_request(), endpoint)
+        with pytest.raises(RefusedError):
+            router.choose(make_request())
+        handle.first_token()
+        assert router.choose(make_request()).endpoint == endpoint
+
+    def test_returns_with_a_cold_cache(self, bench):
+        endpoint = make_endpoint("e1")
+        bench.put(endpoint)
+        router = bench.make_router()
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        router.started(request, endpoint).finished(10, failed=False)
+        assert router.choose(request).scores[0].cached_tokens > 5000
+        router.endpoint_failed("e1")
+        bench.clock.advance(timedelta(seconds=1.1))
+        assert router.choose(request).scores[0].cached_tokens == 0
+
+    def test_ramps_up_after_its_return(self):
+        health = EndpointHealth()
+        health.fail(now_s=0.0)
+        assert health.limit(8, now_s=0.5) == 0
+        assert health.limit(8, now_s=1.5) == 1
+        health.succeed(started_s=1.5, now_s=2.0)
+        limits = [health.limit(8, now_s) for now_s in (2.0, 9.6, 20.0)]
+        assert limits == [1, 4, 8]
+
+    def test_answer_from_before_the_failure_does_not_reopen(self):
+        health = EndpointHealth()
+        health.fail(now_s=5.0)
+        health.succeed(started_s=4.0, now_s=5.1)
+        assert health.limit(8, now_s=5.2) == 0
+
+    def test_failures_of_one_crash_count_once(self):
+        health = EndpointHealth()
+        for _ in range(8):
+            health.fail(now_s=0.0)
+        assert health.limit(8, now_s=1.0) == 1
+
+
+class TestHandle:
+    def test_finishes_once(self, bench):
+        endpoint = make_endpoint(slots=1)
+        bench.put(endpoint)
+        router = bench.make_router()
+        first = router.started(make_request(), endpoint)
+        router.started(make_request(), endpoint)
+        first.finished(10, failed=False)
+        first.finished(10, failed=False)
+        assert router.choose(make_request()).scores[0].queueing_s > 0
+
+    def test_pause_does_not_pass_for_a_slow_endpoint(self, bench):
+        endpoint = make_endpoint()
+        bench.put(endpoint)
+        router = bench.make_router()
+        before = router.choose(make_request()).scores[0]
+        handle = router.started(make_request(), endpoint)
+        bench.clock.advance(timedelta(hours=1))
+        handle.first_token()
+        handle.finished(100, failed=False)
+        after = router.choose(make_request()).scores[0]
+        assert after.prefill_s <= 1.5 * before.prefill_s
+        bench.clock.advance(timedelta(seconds=30))
+        assert router.choose(make_request()).scores[0].queueing_s < 0.1
+
+
+class TestLateReports:
+    def test_older_report_does_not_replace_newer(self, bench):
+        bench.put(make_endpoint(slots=1))
+        router = bench.make_router()
+        router.load_reported(LoadReport("e1", running=1, queued=5, age_s=1.0))
+        loaded_s = router.choose(make_request()).scores[0].queueing_s
+        router.load_reported(LoadReport("e1", running=0, queued=0, age_s=2.0))
+        assert router.choose(make_request()).scores[0].queueing_s == loaded_s
+
+    def test_own_requests_are_not_counted_twice(self, bench):
+        endpoint = make_endpoint(slots=8)
+        bench.put(endpoint)
+        router = bench.make_router(instances=3)
+        for _ in range(4):
+            router.started(make_request(prompt_tokens=1), endpoint)
+        bench.clock.advance(timedelta(seconds=1))
+        router.load_reported(LoadReport("e1", running=4, queued=0, age_s=0.5))
+        assert router.concurrency_limit("oriole-answers") == 4 + 4 // 3
+
+
+class TestCacheEvents:
+    @pytest.mark.parametrize(("sequence", "blocks"), [(2, 20.0), (3, 10.0), (1, 20.0)])
+    def test_gap_lowers_trust(self, bench, sequence, blocks):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        router.cache_events(CacheEvents("e1", epoch=1, sequence=1, stored=DOSSIER))
+        router.cache_events(CacheEvents("e1", epoch=1, sequence=sequence))
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        cached = router.choose(request).scores[0].cached_tokens
+        assert cached == blocks * BLOCK_TOKENS
+
+    def test_restarted_engine_is_cold(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        router.cache_events(CacheEvents("e1", epoch=1, sequence=9, stored=DOSSIER))
+        router.cache_events(CacheEvents("e1", epoch=2, sequence=1))
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        assert router.choose(request).scores[0].cached_tokens == 0
+
+    def test_late_eviction_spares_what_was_sent_since(self, bench):
+        endpoint = make_endpoint()
+        bench.put(endpoint)
+        router = bench.make_router()
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        bench.clock.advance(timedelta(seconds=10))
+        router.started(request, endpoint).finished(1, failed=False)
+        events = CacheEvents("e1", 1, 1, evicted=DOSSIER, age_s=3.0)
+        router.cache_events(events)
+        assert router.choose(request).scores[0].cached_tokens > 0
+
+    def test_prefix_goes_where_it_is_cached(self, bench):
+        for name in ("e1", "e2", "e3"):
+            bench.put(make_endpoint(name))
+        router = bench.make_router()
+        events = CacheEvents("e2", epoch=1, sequence=1, stored=DOSSIER)
+        router.cache_events(events)
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        assert router.choose(request).endpoint.id == "e2"
+
+    def test_instances_agree_on_the_home_of_a_cold_prefix(self, bench):
+        for name in ("e1", "e2", "e3"):
+            bench.put(make_endpoint(name))
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        chosen = {bench.make_router().choose(request).endpoint.id for _ in range(6)}
+        assert len(chosen) == 1
--- /dev/null
+++ b/oriolepaddle/routing/tests/test_router.py
@@ -0,0 +1,223 @@
+from datetime import timedelta
+
+import attrs
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from oriolepaddle.config.model import DataCentre, ObjectKind, Organisation
+from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.routing import LoadReport, LoadSummary
+from oriolepaddle.routing.tests.conftest import (
+    ROUTE,
+    Bench,
+    make_endpoint,
+    make_request,
+)
+
+
+def refusal(router, request):
+    with pytest.raises(RefusedError) as caught:
+        router.choose(request)
+    assert caught.value.outcome is Outcome.NOT_RUN
+    return caught.value.code
+
+
+def summary(data_centre="sudur-a", **values):
+    fields = {"queueing_s": 0.0, "free_slots": 100.0}
+    return LoadSummary(data_centre=data_centre, route=ROUTE.id, **fields | values)
+
+
+class TestResidency:
+    @pytest.mark.parametrize(
+        ("organisation", "route", "served"),
+        [
+            ((), (), True),
+            (("nordur",), (), True),
+            (("sudur", "nordur"), ("nordur",), True),
+            (("sudur",), (), False),
+            ((), ("sudur",), False),
+            (("nordur",), ("sudur",), False),
+        ],
+    )
+    def test_intersects_both(self, bench, organisation, route, served):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        bound_route = attrs.evolve(ROUTE, residency=route)
+        request = make_request(residency=organisation, route=bound_route)
+        assert router.is_allowed("e1", request) is served
+        if served:
+            assert router.choose(request).endpoint.id == "e1"
+        else:
+            assert refusal(router, request) is ErrorCode.RESIDENCY_UNSERVABLE
+
+    def test_bound_request_is_refused_when_region_is_lost(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        router.apply_summaries([summary()])
+        router.endpoint_failed("e1")
+        request = make_request(residency=("nordur",))
+        assert refusal(router, request) is ErrorCode.RESIDENCY_UNSERVABLE
+        assert router.choose(make_request()).data_centre == "sudur-a"
+
+    def test_ticket_in_flight_narrows_residency(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        request = make_request()
+        assert router.is_allowed("e1", request)
+        bench.put(Organisation("norddal", 1.0, 1.0, residency=("sudur",)))
+        assert not router.is_allowed("e1", request)
+
+    def test_unknown_data_centre_is_outside_every_region(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        bench.delete(ObjectKind.DATA_CENTRE, "nordur-a")
+        assert not router.is_allowed("e1", make_request(residency=("nordur",)))
+        assert router.is_allowed("e1", make_request())
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        bounds=st.sets(st.sampled_from(["nordur", "sudur", "austur"])),
+        route_bounds=st.sets(st.sampled_from(["nordur", "sudur", "austur"])),
+        failed=st.sets(st.sampled_from(["e1", "e2"])),
+        summaries=st.lists(st.sampled_from(["sudur-a", "austur-a"])),
+        hops=st.sampled_from([(), ("i1",)]),
+    )
+    def test_never_outside_the_allowed_regions(
+        self, bounds, route_bounds, failed, summaries, hops
+    ):
+        bench = Bench()
+        bench.put(DataCentre(id="austur-a", region="austur"))
+        bench.put(make_endpoint("e1"))
+        bench.put(make_endpoint("e2"))
+        bench.put(make_endpoint("e3", data_centre="sudur-a"))
+        router = bench.make_router()
+        router.apply_summaries([summary(name) for name in summaries])
+        for endpoint in failed:
+            router.endpoint_failed(endpoint)
+        route = attrs.evolve(ROUTE, residency=tuple(route_bounds))
+        request = make_request(residency=tuple(bounds), route=route, hops=hops)
+        try:
+            decision = router.choose(request)
+        except RefusedError:
+            return
+        assert (decision.endpoint is None) != (decision.data_centre is None)
+        if decision.endpoint is not None:
+            assert decision.endpoint.data_centre == "nordur-a"
+            region = "nordur"
+        else:
+            assert not hops
+            region = decision.data_centre.removesuffix("-a")
+        assert not bounds or region in bounds
+        assert not route_bounds or region in route_bounds
+
+
+class TestLeavingEndpoint:
+    def test_gets_no_new_request(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        chosen = router.choose(make_request()).endpoint
+        bench.put(make_endpoint(leaving=True))
+        assert not router.is_allowed(chosen.id, make_request())
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+
+    def test_deleted_one_gets_no_new_request(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        handle = router.started(make_request(), make_endpoint())
+        bench.delete(ObjectKind.ENDPOINT, "e1")
+        assert not router.is_allowed("e1", make_request())
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+        handle.finished(10, failed=False)
+
+    def test_moved_one_is_not_local(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        bench.put(make_endpoint(data_centre="sudur-a"))
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+
+
+class TestHops:
+    def test_views_that_disagree_do_not_loop(self, bench):
+        # Each data centre believes that only the other one is free.
+        north = bench.make_router("nordur-a")
+        south = bench.make_router("sudur-a")
+        north.apply_summaries([summary("sudur-a")])
+        south.apply_summaries([summary("nordur-a")])
+        assert north.choose(make_request()).data_centre == "sudur-a"
+        passed_on = make_request(hops=("north-1",))
+        assert refusal(south, passed_on) is ErrorCode.HOP_LIMIT
+
+    def test_passed_on_request_stays_although_others_are_faster(self, bench):
+        bench.put(make_endpoint(slots=1))
+        router = bench.make_router()
+        router.apply_summaries([summary()])
+        router.load_reported(LoadReport("e1", running=1, queued=50))
+        assert router.choose(make_request()).data_centre == "sudur-a"
+        passed_on = make_request(hops=("south-1",))
+        assert router.choose(passed_on).endpoint.id == "e1"
+
+    def test_excluded_endpoint_is_not_chosen_again(self, bench):
+        bench.put(make_endpoint("e1"))
+        bench.put(make_endpoint("e2"))
+        router = bench.make_router()
+        tried = make_request(excluded=frozenset(["e1"]))
+        assert router.choose(tried).endpoint.id == "e2"
+
+
+class TestSummaries:
+    def test_stale_summary_is_not_used(self, bench):
+        router = bench.make_router()
+        router.apply_summaries([summary(age_s=4.0)])
+        assert router.choose(make_request()).data_centre == "sudur-a"
+        bench.clock.advance(timedelta(seconds=7))
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+
+    def test_older_summary_does_not_replace_newer(self, bench):
+        router = bench.make_router()
+        router.apply_summaries([summary(free_slots=0.0)])
+        router.apply_summaries([summary(age_s=3.0)])
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+
+    def test_free_slots_of_one_summary_are_not_spent_twice(self, bench):
+        router = bench.make_router()
+        router.apply_summaries([summary(free_slots=2.0)])
+        router.choose(make_request())
+        router.choose(make_request())
+        assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
+
+    def test_delay_must_be_gained(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router(delay_s=5.0)
+        router.apply_summaries([summary()])
+        router.load_reported(LoadReport("e1", running=8, queued=4))
+        assert router.choose(make_request()).endpoint.id == "e1"
+
+    def test_lost_data_centre_tells_no_free_slots(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        assert router.summary()[0].free_slots > 0
+        router.endpoint_failed("e1")
+        assert router.summary()[0].free_slots == 0
+
+
+class TestConcurrencyLimit:
+    def test_is_an_even_share_when_the_endpoints_are_full(self, bench):
+        bench.put(make_endpoint(slots=12))
+        router = bench.make_router(instances=3)
+        router.load_reported(LoadReport("e1", running=12, queued=6))
+        assert router.concurrency_limit(ROUTE.id) == 4
+
+    def test_grows_when_the_other_instances_are_idle(self, bench):
+        bench.put(make_endpoint(slots=12))
+        router = bench.make_router(instances=3)
+        for _ in range(4):
+            router.started(make_request(), make_endpoint(slots=12))
+        bench.clock.advance(timedelta(seconds=1))
+        router.load_reported(LoadReport("e1", running=4, queued=0))
+        assert router.concurrency_limit(ROUTE.id) == 6
+
+    def test_failed_endpoint_has_no_slots(self, bench):
+        bench.put(make_endpoint(slots=12))
+        router = bench.make_router()
+        router.endpoint_failed("e1")
+        assert router.concurrency_limit(ROUTE.id) == 0
