Compare routing policies in a simulated fleet (trial)

Cause: the choices need a measure. Change: an event loop, engine model and workload over the real router; send away by estimated queueing beyond the free slots, with prefill counted twice. Ruled out: sending away only to free slots (one region held 700 waiting requests while others had none), and counting prefill once (45% sent away at 80% load).

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments over the decision classes, on a simulated clock."""
--- /dev/null
+++ b/experiments/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The router against the usual baselines, calm and under faults."""
--- /dev/null
+++ b/experiments/routing/publisher.py
@@ -0,0 +1,86 @@
+"""What engines and data centres publish, late and with gaps."""
+
+import random
+
+from experiments.routing.scenario import Scenario
+from experiments.simulation import Engine, EventLoop
+from oriolepaddle.routing import CacheEvents, LoadReport, LoadSummary, Router
+
+__all__ = ["Publisher"]
+
+INTERVAL_S = 1.0
+
+
+class Publisher:
+    """Carries load reports, cache events and summaries to the routers.
+
+    Args:
+        loop: The event loop.
+        source: The source of randomness.
+        engines: The engines by endpoint.
+        routers: The routers by data centre.
+        scenario: Lags and losses.
+        delay_s: The one-way delay between regions, in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        source: random.Random,
+        engines: dict[str, Engine],
+        routers: dict[str, list[Router]],
+        scenario: Scenario,
+        delay_s: float,
+    ) -> None:
+        self._loop = loop
+        self._random = source
+        self._engines = engines
+        self._routers = routers
+        self._scenario = scenario
+        self._delay_s = delay_s
+        self._sequences: dict[str, int] = {}
+
+    def begin(self) -> None:
+        """Schedule the first reports of each endpoint and data centre."""
+        for engine in self._engines.values():
+            self._loop.schedule(self._random.random(), self._publish, engine)
+        for data_centre in self._routers:
+            self._loop.schedule(self._random.random(), self._summarize, data_centre)
+
+    def _publish(self, engine: Engine) -> None:
+        self._loop.schedule(INTERVAL_S, self._publish, engine)
+        if not engine.is_up:
+            return
+        name = engine.endpoint.id
+        report = LoadReport(
+            name, engine.running, engine.queued, age_s=self._scenario.report_lag_s
+        )
+        self._loop.schedule(self._scenario.report_lag_s, self._report, engine, report)
+        sequence = self._sequences[name] = self._sequences.get(name, 0) + 1
+        stored, evicted = engine.take_changes()
+        if self._random.random() < self._scenario.event_loss:
+            return
+        lag_s = self._scenario.event_lag_s
+        events = CacheEvents(name, engine.epoch, sequence, stored, evicted, lag_s)
+        self._loop.schedule(lag_s, self._tell, engine, events)
+
+    def _report(self, engine: Engine, report: LoadReport) -> None:
+        for router in self._routers[engine.endpoint.data_centre]:
+            router.load_reported(report)
+
+    def _tell(self, engine: Engine, events: CacheEvents) -> None:
+        for router in self._routers[engine.endpoint.data_centre]:
+            router.cache_events(events)
+
+    def _summarize(self, data_centre: str) -> None:
+        self._loop.schedule(INTERVAL_S, self._summarize, data_centre)
+        router = self._random.choice(self._routers[data_centre])
+        summaries = router.summary()
+        self._loop.schedule(self._delay_s, self._apply, data_centre, summaries)
+
+    def _apply(self, data_centre: str, summaries: tuple[LoadSummary, ...]) -> None:
+        for other, routers in self._routers.items():
+            if other == data_centre:
+                continue
+            for router in routers:
+                router.apply_summaries(summaries)
--- /dev/null
+++ b/experiments/routing/scenario.py
@@ -0,0 +1,47 @@
+"""The columns of the table: load and faults."""
+
+import attrs
+
+__all__ = ["SCENARIOS", "Scenario"]
+
+
+@attrs.frozen
+class Scenario:
+    """The load and faults of one run.
+
+    Attributes:
+        name: The column's name.
+        load: Mean load, as a part of the capacity of all slots.
+        report_lag_s: Age of load reports when they come in.
+        event_lag_s: Age of cache events when they come in.
+        event_loss: Part of the batches of cache events that are lost.
+        lost_region: A region whose endpoints are all down for a while.
+        warm_up_s: Time before requests are measured.
+        measured_s: Time in which they are.
+        crashes: Endpoints of each data centre that crash, one after another.
+    """
+
+    name: str
+    load: float
+    report_lag_s: float = 1.0
+    event_lag_s: float = 2.0
+    event_loss: float = 0.05
+    lost_region: str | None = None
+    crashes: int = 0
+    warm_up_s: float = 40.0
+    measured_s: float = 120.0
+
+    @property
+    def duration_s(self) -> float:
+        """The whole length of the run."""
+        return self.warm_up_s + self.measured_s
+
+
+SCENARIOS = (
+    Scenario("light", load=0.1, warm_up_s=300.0, measured_s=300.0),
+    Scenario("calm", load=0.5),
+    Scenario("busy", load=0.8),
+    Scenario("region lost", load=0.5, lost_region="sudur"),
+    Scenario("crashes", load=0.5, crashes=3),
+    Scenario("stale", load=0.5, report_lag_s=10.0, event_lag_s=10.0, event_loss=0.3),
+)
--- /dev/null
+++ b/experiments/routing/workload.py
@@ -0,0 +1,153 @@
+"""The workload: long shared prompts against short chats."""
+
+import math
+
+import numpy as np
+
+from experiments.routing.arrival import Arrival
+from oriolepaddle.config.model import Organisation
+from oriolepaddle.routing import hash_prompt
+from oriolepaddle.routing.prefix import CHARACTERS_PER_TOKEN
+
+__all__ = [
+    "CHAT_PROMPT_TOKENS",
+    "MEAN_OUTPUT_TOKENS",
+    "ORGANISATIONS",
+    "REGIONS",
+    "make_arrivals",
+]
+
+REGIONS = ("nordur", "sudur", "austur")
+UNBOUND_SHARES = {"vik": 0.36, "dalur": 0.22, "holt": 0.14, "nes": 0.09}
+BOUND_SHARE = 0.19
+GREEDY = "nes"
+GREEDY_FACTOR = 4.0
+GREEDY_WINDOW = (0.4, 0.6)
+PEAK_SWING = 0.2
+BURST_FACTOR = 2.0
+BURST_S = 4.0
+BURST_EVERY_S = 30.0
+DOSSIERS_PER_REGION = 40
+DOSSIER_PART = 0.2
+DOSSIER_TOKENS = (3000, 7000)
+CHAT_PROMPT_TOKENS = 150
+CHAT_OUTPUT_TOKENS = 120
+DOSSIER_OUTPUT_TOKENS = 250
+OUTPUT_SPREAD = 0.5
+MEAN_OUTPUT_TOKENS = (
+    DOSSIER_PART * DOSSIER_OUTPUT_TOKENS + (1 - DOSSIER_PART) * CHAT_OUTPUT_TOKENS
+)
+MEAN_TOKENS = MEAN_OUTPUT_TOKENS + CHAT_PROMPT_TOKENS + DOSSIER_PART * 5000
+RATE_HEADROOM = 1.6
+BURST_TOKENS_S = 10.0
+SYSTEM_PROMPT = "You answer from the file below. " * 40
+
+
+def _make_organisations() -> dict[str, tuple[Organisation, float]]:
+    found = {}
+    for name, share in UNBOUND_SHARES.items():
+        found[name] = (Organisation(name, 0.0, 0.0), share)
+    for region in REGIONS:
+        name = f"{region}-heima"
+        organisation = Organisation(name, 0.0, 0.0, residency=(region,))
+        found[name] = (organisation, BOUND_SHARE / len(REGIONS))
+    return found
+
+
+ORGANISATIONS = _make_organisations()
+"""Each organisation with its share of the requests."""
+
+
+def make_arrivals(
+    rng: np.random.Generator, requests_per_s: float, duration_s: float
+) -> list[Arrival]:
+    """Return the requests of one run that are inside their rates, in order.
+
+    Args:
+        rng: The source of randomness.
+        requests_per_s: The mean rate over all regions.
+        duration_s: The length of the run.
+    """
+    dossiers = {region: _make_dossiers(rng, region) for region in REGIONS}
+    arrivals: list[Arrival] = []
+    for name, (organisation, share) in ORGANISATIONS.items():
+        regions = organisation.residency or REGIONS
+        rate = requests_per_s * share / len(regions)
+        for region in regions:
+            times = _draw_times(rng, rate, region, name, duration_s)
+            arrivals += [
+                _make_arrival(rng, float(t), region, organisation, dossiers[region])
+                for t in times
+            ]
+    arrivals.sort(key=lambda arrival: arrival.time_s)
+    return _limit(arrivals, requests_per_s)
+
+
+def _make_dossiers(
+    rng: np.random.Generator, region: str
+) -> list[tuple[int, tuple[int, ...]]]:
+    dossiers = []
+    for index in range(DOSSIERS_PER_REGION):
+        tokens = int(rng.integers(*DOSSIER_TOKENS))
+        line = f"{region} file {index}, an entry of the exchange. "
+        text = SYSTEM_PROMPT + line * (tokens * CHARACTERS_PER_TOKEN // len(line))
+        dossiers.append((len(text) // CHARACTERS_PER_TOKEN, hash_prompt(text)))
+    return dossiers
+
+
+def _draw_times(
+    rng: np.random.Generator, rate: float, region: str, name: str, duration_s: float
+) -> np.ndarray:
+    seconds = np.arange(duration_s)
+    phase = REGIONS.index(region) / len(REGIONS)
+    swing = np.sin(2 * math.pi * (seconds / duration_s + phase))
+    burst_part = BURST_S / BURST_EVERY_S
+    calm_rate = rate / (1 + (BURST_FACTOR - 1) * burst_part)
+    rates = calm_rate * (1 + PEAK_SWING * swing)
+    for start_s in rng.uniform(0, duration_s, int(duration_s / BURST_EVERY_S)):
+        is_burst = (seconds >= start_s) & (seconds < start_s + BURST_S)
+        rates = np.where(is_burst, rates * BURST_FACTOR, rates)
+    if name == GREEDY:
+        begin_s, end_s = (part * duration_s for part in GREEDY_WINDOW)
+        is_greedy = (seconds >= begin_s) & (seconds < end_s)
+        rates = np.where(is_greedy, rates * GREEDY_FACTOR, rates)
+    counts = rng.poisson(rates)
+    return np.repeat(seconds, counts) + rng.uniform(0, 1, int(counts.sum()))
+
+
+def _make_arrival(
+    rng: np.random.Generator,
+    time_s: float,
+    region: str,
+    organisation: Organisation,
+    dossiers: list[tuple[int, tuple[int, ...]]],
+) -> Arrival:
+    prompt = int(rng.lognormal(math.log(CHAT_PROMPT_TOKENS), OUTPUT_SPREAD)) + 1
+    mean, limit, hashes = CHAT_OUTPUT_TOKENS, 256, ()
+    if rng.random() < DOSSIER_PART:
+        # Popularity falls off as in Zipf's law.
+        place = int(len(dossiers) ** rng.random()) - 1
+        tokens, hashes = dossiers[place]
+        prompt += tokens
+        mean, limit = DOSSIER_OUTPUT_TOKENS, 768
+    centre = math.log(mean) - OUTPUT_SPREAD**2 / 2
+    output = min(limit, int(rng.lognormal(centre, OUTPUT_SPREAD)) + 1)
+    return Arrival(time_s, region, organisation, prompt, output, limit, hashes)
+
+
+def _limit(arrivals: list[Arrival], requests_per_s: float) -> list[Arrival]:
+    # An exact bucket over the whole fleet stands for the limits subpackage.
+    kept = []
+    level: dict[str, tuple[float, float]] = {}
+    for arrival in arrivals:
+        name = arrival.organisation.id
+        rate = requests_per_s * ORGANISATIONS[name][1] * MEAN_TOKENS * RATE_HEADROOM
+        burst = rate * BURST_TOKENS_S
+        tokens, then_s = level.get(name, (burst, 0.0))
+        tokens = min(burst, tokens + rate * (arrival.time_s - then_s))
+        used = arrival.prompt_tokens + arrival.output_tokens
+        if used <= tokens:
+            tokens -= used
+            kept.append(arrival)
+        level[name] = (tokens, arrival.time_s)
+    return kept
--- /dev/null
+++ b/experiments/simulation/engine.py
@@ -0,0 +1,131 @@
+"""A small model of a model engine."""
+
+from collections import OrderedDict, deque
+
+from experiments.simulation.event_loop import EventLoop
+from experiments.simulation.job import Job
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.routing.prefix import BLOCK_TOKENS
+
+__all__ = ["Engine"]
+
+
+class Engine:
+    """A batch of slots behind a first-in-first-out queue.
+
+    Prompts are computed one after another, less what the prefix cache holds
+    (least recently used blocks are dropped); answers are decoded side by side.
+
+    Args:
+        loop: The event loop.
+        endpoint: The endpoint with its true speeds.
+    """
+
+    def __init__(self, loop: EventLoop, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.is_up = True
+        self.epoch = 1
+        self.busy_s = 0.0
+        self.computed_tokens = 0.0
+        self.decoded_tokens = 0.0
+        self.stored: list[int] = []
+        self.evicted: list[int] = []
+        self._loop = loop
+        self._queue: deque[Job] = deque()
+        self._running: dict[int, Job] = {}
+        self._prefill_free_s = 0.0
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._capacity = endpoint.cache_tokens // BLOCK_TOKENS
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._queue)
+
+    def submit(self, job: Job) -> bool:
+        """Take a job; return False, as a refused connection, when down."""
+        if not self.is_up:
+            return False
+        self._queue.append(job)
+        self._start_next()
+        return True
+
+    def crash(self) -> None:
+        """Fail all jobs and lose the cache."""
+        self.is_up = False
+        self.epoch += 1
+        failed = [*self._running.values(), *self._queue]
+        self._running.clear()
+        self._queue.clear()
+        self._blocks.clear()
+        self.stored.clear()
+        self.evicted.clear()
+        for job in failed:
+            job.on_failed()
+
+    def recover(self) -> None:
+        """Come back with a cold cache."""
+        self.is_up = True
+        self._prefill_free_s = self._loop.monotonic_s()
+
+    def take_changes(self) -> tuple[tuple[int, ...], tuple[int, ...]]:
+        """Return the blocks stored and evicted since the last call."""
+        changes = tuple(self.stored), tuple(self.evicted)
+        self.stored.clear()
+        self.evicted.clear()
+        return changes
+
+    def _start_next(self) -> None:
+        while self._queue and len(self._running) < self.endpoint.slots:
+            self._start(self._queue.popleft())
+
+    def _start(self, job: Job) -> None:
+        now_s = self._loop.monotonic_s()
+        cached = min(job.prompt_tokens, self._use_cache(job.prefix_hashes))
+        missing = job.prompt_tokens - cached
+        prefill_s = missing / self.endpoint.prefill_tokens_per_s
+        self._prefill_free_s = max(now_s, self._prefill_free_s) + prefill_s
+        self.computed_tokens += missing
+        self.busy_s += prefill_s
+        token = 1.0 / self.endpoint.decode_tokens_per_s
+        self._running[id(job)] = job
+        first_s = self._prefill_free_s + token - now_s
+        self._loop.schedule(first_s, self._finish_prefill, job, self.epoch)
+
+    def _finish_prefill(self, job: Job, epoch: int) -> None:
+        if epoch != self.epoch:
+            return
+        decode_s = (job.output_tokens - 1) / self.endpoint.decode_tokens_per_s
+        self._loop.schedule(decode_s, self._finish, job, epoch)
+        job.on_first_token()
+
+    def _finish(self, job: Job, epoch: int) -> None:
+        if epoch != self.epoch:
+            return
+        del self._running[id(job)]
+        self.decoded_tokens += job.output_tokens
+        share_s = job.output_tokens / self.endpoint.decode_tokens_per_s
+        self.busy_s += share_s / self.endpoint.slots
+        job.on_done()
+        self._start_next()
+
+    def _use_cache(self, hashes: tuple[int, ...]) -> int:
+        cached = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            cached += 1
+        for block in reversed(hashes):
+            if block not in self._blocks:
+                self.stored.append(block)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            block, _ = self._blocks.popitem(last=False)
+            self.evicted.append(block)
+        return cached * BLOCK_TOKENS
--- a/oriolepaddle/routing/load_summary.py
+++ b/oriolepaddle/routing/load_summary.py
@@ -15,7 +15,8 @@
         queueing_s: Seconds that a request waits there before it runs.
         free_slots: Slots of its endpoints that are free.
         age_s: Seconds since the summary was made.
-        prefill_tokens_per_s: Speed of prefill at its endpoints with free slots.
+        requests_per_s: Requests that its endpoints finish when all are busy.
+        prefill_tokens_per_s: Mean speed of prefill of its endpoints.
     """
 
     data_centre: str
@@ -23,4 +24,5 @@
     queueing_s: float
     free_slots: float
     age_s: float = 0.0
+    requests_per_s: float = 1.0
     prefill_tokens_per_s: float = 4000.0
--- a/oriolepaddle/routing/local_fleet.py
+++ b/oriolepaddle/routing/local_fleet.py
@@ -1,5 +1,6 @@
 """The endpoints of the own data centre."""
 
+import math
 from collections.abc import Callable
 
 from oriolepaddle.config import ConfigState, Entry
@@ -106,24 +107,25 @@
 
     def _summarize(self, route_id: str, now_s: float) -> LoadSummary:
         instances = self.count_instances()
-        shortest_s = float("inf")
-        free = speed = 0.0
+        free = rate = prefill = queueing = 0.0
         for endpoint in self.endpoints(route_id):
             tracker = self.tracker(endpoint)
             usable = tracker.health.limit(endpoint.slots, now_s)
             if endpoint.leaving or tracker.health.is_failed or usable == 0:
                 continue
-            left = max(0.0, usable - tracker.load.estimate(now_s, instances))
             queueing_s = tracker.queueing_s(usable, now_s, instances)
-            shortest_s = min(shortest_s, queueing_s)
-            free += left
-            speed += left * tracker.prefill_tokens_per_s.value
+            free += max(0.0, usable - tracker.load.estimate(now_s, instances))
+            requests_per_s = usable / tracker.service_s.value
+            rate += requests_per_s
+            queueing += requests_per_s * queueing_s
+            prefill += requests_per_s * tracker.prefill_tokens_per_s.value
         return LoadSummary(
             data_centre=self._data_centre,
             route=route_id,
-            queueing_s=shortest_s,
+            queueing_s=queueing / rate if rate else math.inf,
             free_slots=free,
-            prefill_tokens_per_s=speed / free if free else 1.0,
+            requests_per_s=rate,
+            prefill_tokens_per_s=prefill / rate if rate else 0.0,
         )
 
     def _index(self) -> dict[str, tuple[Endpoint, ...]]:
--- a/oriolepaddle/routing/remote_loads.py
+++ b/oriolepaddle/routing/remote_loads.py
@@ -53,7 +53,7 @@
     def score(
         self, data_centre: str, request: RoutingRequest, senders: int
     ) -> Score | None:
-        """Return the score of a data centre, or None if it has no free slot.
+        """Return the score of a data centre, or None if none can run it.
 
         Args:
             data_centre: One of `data_centres`.
@@ -61,19 +61,21 @@
             senders: Instances that are expected to send there alike.
         """
         held = self._remotes[(request.route.id, data_centre)]
-        if held.summary.free_slots - held.sent * senders < 1:
+        summary = held.summary
+        if summary.requests_per_s <= 0 or not math.isfinite(summary.queueing_s):
             return None
+        excess = max(0.0, held.sent * senders + 1 - summary.free_slots)
+        queueing_s = summary.queueing_s + excess / summary.requests_per_s
         # Nothing is known of a remote prefix cache, so none is counted on.
-        prefill_s = request.prompt_tokens / held.summary.prefill_tokens_per_s
+        prefill_s = request.prompt_tokens / summary.prefill_tokens_per_s
         delay_s = 2 * self._delay_s(data_centre)
-        total_s = held.summary.queueing_s + prefill_s + delay_s
         return Score(
             target=data_centre,
-            queueing_s=held.summary.queueing_s,
+            queueing_s=queueing_s,
             prefill_s=prefill_s,
             cached_tokens=0.0,
             delay_s=delay_s,
-            total_s=total_s if math.isfinite(total_s) else math.inf,
+            total_s=queueing_s + prefill_s + delay_s,
         )
 
     def count_sent(self, route: str, data_centre: str) -> None:
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -182,8 +182,7 @@
     def _gains(remote: tuple[Score, ...], local: tuple[Score, ...]) -> bool:
         if not remote:
             return False
-        gain_s = local[0].first_token_s - remote[0].first_token_s
-        return gain_s > SEND_AWAY_GAIN_S
+        return _cost_s(local[0]) - _cost_s(remote[0]) > SEND_AWAY_GAIN_S
 
     def _refuse(self, request: RoutingRequest, regions: AllowedRegions) -> RefusedError:
         route = request.route.id
@@ -196,3 +195,8 @@
         return RefusedError(
             f"no endpoint of route {route} can run the request now", code=code
         )
+
+
+def _cost_s(score: Score) -> float:
+    # Prefill counts twice, as it delays other requests as much as this one.
+    return score.first_token_s + score.prefill_s
