--- a/oriolepaddle/routing/cache_view.py
+++ b/oriolepaddle/routing/cache_view.py
@@ -9,13 +9,13 @@
 
 __all__ = ["CacheView"]
 
-GAP_CONFIDENCE = 0.5
-"""Belief in a block that was last confirmed before a gap in the events."""
+GAP_CONFIDENCE = 0.95
+"""Factor on the belief in a block for each batch lost since it was confirmed."""
 
 
 @attrs.frozen
 class _Block:
-    generation: int
+    lost: int
     seen_s: float
 
 
@@ -29,7 +29,7 @@
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity = max(1, capacity_tokens // BLOCK_TOKENS)
         self._blocks: OrderedDict[int, _Block] = OrderedDict()
-        self._generation = 0
+        self._lost = 0
         self._epoch: int | None = None
         self._sequence = 0
 
@@ -40,8 +40,7 @@
             held = self._blocks.get(block)
             if held is None:
                 break
-            is_current = held.generation == self._generation
-            expected += 1.0 if is_current else GAP_CONFIDENCE
+            expected += GAP_CONFIDENCE ** (self._lost - held.lost)
         return expected * BLOCK_TOKENS
 
     def record(self, hashes: tuple[int, ...], now_s: float) -> None:
@@ -58,7 +57,7 @@
         elif events.sequence <= self._sequence:
             return
         elif events.sequence > self._sequence + 1:
-            self._generation += 1
+            self._lost += events.sequence - self._sequence - 1
         self._sequence = events.sequence
         made_s = now_s - events.age_s
         for block in events.stored:
@@ -82,7 +81,7 @@
         held = self._blocks.get(block)
         if held is not None:
             seen_s = max(seen_s, held.seen_s)
-        self._blocks[block] = _Block(self._generation, seen_s)
+        self._blocks[block] = _Block(self._lost, seen_s)
         self._blocks.move_to_end(block)
 
     def _trim(self) -> None:
--- a/oriolepaddle/routing/candidate.py
+++ b/oriolepaddle/routing/candidate.py
@@ -4,6 +4,7 @@
 
 from oriolepaddle.config.model import Endpoint
 from oriolepaddle.routing.endpoint_tracker import EndpointTracker
+from oriolepaddle.routing.prefix import BLOCK_TOKENS
 from oriolepaddle.routing.routing_request import RoutingRequest
 
 __all__ = ["Candidate"]
@@ -41,3 +42,15 @@
     def prefill_s(self) -> float:
         """Seconds of prefill for the missing tokens."""
         return self.missing_tokens / self.tracker.prefill_tokens_per_s.value
+
+    @property
+    def missing_blocks_s(self) -> float:
+        """Seconds of prefill for whole blocks that a cache could hold."""
+        blocks = len(self.request.prefix_hashes) * BLOCK_TOKENS
+        missing = max(0.0, blocks - self.cached_tokens)
+        return missing / self.tracker.prefill_tokens_per_s.value
+
+    @property
+    def whole_prefill_s(self) -> float:
+        """Seconds of prefill if nothing were cached."""
+        return self.request.prompt_tokens / self.tracker.prefill_tokens_per_s.value
--- a/oriolepaddle/routing/endpoint_load.py
+++ b/oriolepaddle/routing/endpoint_load.py
@@ -7,8 +7,11 @@
 
 __all__ = ["EndpointLoad"]
 
-REPORT_MEMORY_S = 4.0
-"""Time constant with which a report fades into the average of reports."""
+REPORT_MEMORY = 0.5
+"""Time constant with which a report fades into the average of reports, as a
+part of a request's time at the endpoint."""
+UNSEEN_PART = 0.35
+"""How far the other instances' unseen starts are taken to be like own ones."""
 AVERAGE_WEIGHT = 0.2
 MAX_HISTORY = 512
 
@@ -54,23 +57,24 @@
         self._others = 0.0
         self._others_average = 0.0
 
-    def estimate(self, now_s: float, instances: int) -> float:
+    def estimate(self, now_s: float, instances: int, service_s: float) -> float:
         """Return the estimated requests in flight from all instances.
 
         Args:
             now_s: The present monotonic time.
             instances: Instances that share the endpoint, this one included.
+            service_s: Seconds that a request takes there.
         """
         if self._sampled_s is None:
             return float(self.own * instances)
         age_s = max(0.0, now_s - self._sampled_s)
-        trust = math.exp(-age_s / REPORT_MEMORY_S)
+        trust = math.exp(-age_s / (REPORT_MEMORY * service_s))
         fading = trust * (self._others - self._others_average)
-        others = self._others_average + fading
-        # The other instances see the same reports and choose alike, so each
-        # has probably started as many requests since the sample as this one.
-        unseen = len(self._starts) * (instances - 1)
-        return self.own + max(0.0, others) + unseen * trust
+        others = max(0.0, self._others_average + fading)
+        # The other instances see the same reports and choose alike: what this
+        # one has started since the sample, they have in part started too.
+        unseen = min(len(self._starts), self.own) * (instances - 1)
+        return self.own + others + UNSEEN_PART * unseen
 
     def _own_at(self, sampled_s: float) -> int:
         count = self.own
--- a/oriolepaddle/routing/endpoint_tracker.py
+++ b/oriolepaddle/routing/endpoint_tracker.py
@@ -43,10 +43,13 @@
         self._bias_s = 0.0
         self._bias_changed_s = 0.0
 
+    def in_flight(self, now_s: float, instances: int) -> float:
+        """Return the estimated requests in flight from all instances."""
+        return self.load.estimate(now_s, instances, self.service_s.value)
+
     def queueing_s(self, slots: int, now_s: float, instances: int) -> float:
         """Return the seconds that a request sent now would wait there."""
-        in_flight = self.load.estimate(now_s, instances)
-        excess = max(0.0, in_flight + 1 - slots)
+        excess = max(0.0, self.in_flight(now_s, instances) + 1 - slots)
         slot_s = excess * self.service_s.value / slots
         prefill_s = self.prefilling_tokens / self.prefill_tokens_per_s.value
         return max(0.0, slot_s + prefill_s + self.bias_s(now_s))
--- a/oriolepaddle/routing/local_fleet.py
+++ b/oriolepaddle/routing/local_fleet.py
@@ -98,7 +98,7 @@
                 continue
             slots += usable
             own += tracker.load.own
-            free += usable - tracker.load.estimate(now_s, instances)
+            free += usable - tracker.in_flight(now_s, instances)
         return max(-(-slots // instances), int(own + free / instances))
 
     def summarize(self, now_s: float) -> tuple[LoadSummary, ...]:
@@ -107,22 +107,23 @@
 
     def _summarize(self, route_id: str, now_s: float) -> LoadSummary:
         instances = self.count_instances()
-        free = rate = prefill = queueing = 0.0
+        waits: list[tuple[float, float]] = []
+        free = prefill = 0.0
         for endpoint in self.endpoints(route_id):
             tracker = self.tracker(endpoint)
             usable = tracker.health.limit(endpoint.slots, now_s)
             if endpoint.leaving or tracker.health.is_failed or usable == 0:
                 continue
             queueing_s = tracker.queueing_s(usable, now_s, instances)
-            free += max(0.0, usable - tracker.load.estimate(now_s, instances))
             requests_per_s = usable / tracker.service_s.value
-            rate += requests_per_s
-            queueing += requests_per_s * queueing_s
+            waits.append((queueing_s, requests_per_s))
+            free += max(0.0, usable - tracker.in_flight(now_s, instances))
             prefill += requests_per_s * tracker.prefill_tokens_per_s.value
+        rate = sum(requests_per_s for _, requests_per_s in waits)
         return LoadSummary(
             data_centre=self._data_centre,
             route=route_id,
-            queueing_s=queueing / rate if rate else math.inf,
+            queueing_s=_average_better_half(waits),
             free_slots=free,
             requests_per_s=rate,
             prefill_tokens_per_s=prefill / rate if rate else 0.0,
@@ -152,3 +153,17 @@
                 self._trackers.pop(entry.id, None)
         if endpoints:
             self._changes += 1
+
+
+def _average_better_half(waits: list[tuple[float, float]]) -> float:
+    # The shortest wait alone is mostly that of a slow endpoint, which few
+    # requests choose; the mean of all counts endpoints that none would choose.
+    half = left = sum(requests_per_s for _, requests_per_s in waits) / 2
+    if half == 0:
+        return math.inf
+    total_s = 0.0
+    for queueing_s, requests_per_s in sorted(waits):
+        used = min(left, requests_per_s)
+        total_s += used * queueing_s
+        left -= used
+    return total_s / half
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -24,6 +24,10 @@
 
 SEND_AWAY_GAIN_S = 0.25
 """Time to be gained before a request is worth the link between regions."""
+MAX_LOCAL_FAILURES = 2
+"""Endpoints that failed one request before the whole data centre is doubted."""
+PREFILL_WEIGHT = 4.0
+"""How much prefill counts when a request's cost here and elsewhere is compared."""
 
 
 class Router:
@@ -67,7 +71,7 @@
         with self._lock:
             local = self._rank_local(request, regions)
             remote = self._rank_remote(request, regions)
-            if local and not self._gains(remote, local):
+            if local and not self._prefers_remote(request, remote, local):
                 endpoint = self._config.endpoint(local[0].target)
                 if self.is_allowed(local[0].target, request):
                     return Decision(endpoint, None, local + remote)
@@ -179,9 +183,13 @@
         return tuple(sorted(found, key=lambda score: score.total_s))
 
     @staticmethod
-    def _gains(remote: tuple[Score, ...], local: tuple[Score, ...]) -> bool:
+    def _prefers_remote(
+        request: RoutingRequest, remote: tuple[Score, ...], local: tuple[Score, ...]
+    ) -> bool:
         if not remote:
             return False
+        if len(request.excluded) >= MAX_LOCAL_FAILURES:
+            return True
         return _cost_s(local[0]) - _cost_s(remote[0]) > SEND_AWAY_GAIN_S
 
     def _refuse(self, request: RoutingRequest, regions: AllowedRegions) -> RefusedError:
@@ -198,5 +206,5 @@
 
 
 def _cost_s(score: Score) -> float:
-    # Prefill counts twice, as it delays other requests as much as this one.
-    return score.first_token_s + score.prefill_s
+    # Prefill delays other requests too, and elsewhere the cache is cold.
+    return score.first_token_s + (PREFILL_WEIGHT - 1.0) * score.prefill_s
--- a/oriolepaddle/routing/shortest_time.py
+++ b/oriolepaddle/routing/shortest_time.py
@@ -14,6 +14,8 @@
 
 AFFINITY_BLOCKS = 4
 """Blocks of a prompt that name its document; what comes before is shared."""
+HOME_PREFILL_S = float(__import__("os").environ.get("HP", "1.5"))
+"""The longest prefill of a whole prompt for which an endpoint can be its home."""
 MAX_HASH = 2**64
 
 
@@ -21,24 +23,27 @@
 class ShortestTimePolicy:
     """Prefers the endpoint where the request costs the least time.
 
-    The total is queueing, plus the weighted prefill of the part that is not
-    cached (which delays others too), plus a part of the decode time. A long
-    prompt that no cache is known to hold goes rather to its home, an endpoint
-    on which all instances agree by weighted rendezvous hashing, so that its
-    next request finds it cached whichever instance it comes through.
+    The total is queueing, prefill, and a part of the decode time. Prefill that
+    a cache could have saved counts several times: it delays others and drops
+    their prefixes from the cache. A long prompt that is not known to be cached
+    goes rather to its home, an endpoint on which all instances agree by
+    weighted rendezvous hashing, so that its next request finds it cached
+    whichever instance it comes through.
 
     Attributes:
         random: The source of randomness for ties.
-        prefill_weight: How much a second of prefill counts.
+        prefill_weight: How much a second of prefill counts that a cache could
+            have saved.
+        home_prefill_weight: The same at the home; below 1, as it is an
+            investment, and above 0, so that a cached copy elsewhere is used.
         decode_weight: How much a second of decode counts.
-        home_discount: The part of the prefill that is waived at the home.
         tie_s: Totals this close to the best one are chosen from at random.
     """
 
     random: random.Random
-    prefill_weight: float = 2.0
-    decode_weight: float = 0.05
-    home_discount: float = 0.3
+    prefill_weight: float = 9.0
+    home_prefill_weight: float = 0.5
+    decode_weight: float = 0.02
     tie_s: float = 0.02
 
     def rank(self, candidates: Sequence[Candidate]) -> tuple[Score, ...]:
@@ -53,19 +58,19 @@
         return tuple(scores)
 
     def _score(self, candidate: Candidate, is_home: bool) -> Score:
-        prefill_s = candidate.prefill_s
-        weight = self.prefill_weight * (1.0 - self.home_discount * is_home)
+        weight = self.home_prefill_weight if is_home else self.prefill_weight
         speed = candidate.tracker.decode_tokens_per_s.value
         decode_s = candidate.request.output_tokens / speed
         return Score(
             target=candidate.endpoint.id,
             queueing_s=candidate.queueing_s,
-            prefill_s=prefill_s,
+            prefill_s=candidate.prefill_s,
             cached_tokens=candidate.cached_tokens,
             delay_s=0.0,
             total_s=(
                 candidate.queueing_s
-                + weight * prefill_s
+                + candidate.prefill_s
+                + (weight - 1.0) * candidate.missing_blocks_s
                 + self.decode_weight * decode_s
             ),
         )
@@ -75,7 +80,9 @@
         if len(hashes) < AFFINITY_BLOCKS:
             return None
         document = hashes[AFFINITY_BLOCKS - 1]
-        return max(candidates, key=lambda item: _weigh(document, item))
+        # The first request of a document must not wait long for its prefill.
+        fast = [item for item in candidates if item.whole_prefill_s <= HOME_PREFILL_S]
+        return max(fast, key=lambda item: _weigh(document, item), default=None)
 
 
 def _weigh(document: int, candidate: Candidate) -> tuple[float, str]:
@@ -83,4 +90,5 @@
     endpoint = candidate.endpoint
     digest = xxhash.xxh3_64_intdigest(endpoint.id.encode(), seed=document)
     draw = (digest + 1) / (MAX_HASH + 1)
-    return endpoint.prefill_tokens_per_s / -math.log(draw), endpoint.id
+    weight = endpoint.cache_tokens * math.sqrt(endpoint.prefill_tokens_per_s)
+    return weight / -math.log(draw), endpoint.id
