--- a/experiments/__init__.py
+++ b/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Seeded experiments and benchmarks."""
+"""Seeded experiments over the decision classes, on a simulated clock."""
