Share each organisation's tokens over the fleet

Cause: an organisation's rate and burst hold over all instances together, with no coordinator, shared state or disk.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments over the real decision classes."""
--- /dev/null
+++ b/experiments/limits/__init__.py
@@ -0,0 +1,1 @@
+"""How well organisations are held to their rates, against fixed splits."""
--- /dev/null
+++ b/oriolepaddle/limits/__init__.py
@@ -0,0 +1,16 @@
+"""Rate and burst of each organisation, counted over the whole fleet."""
+
+from oriolepaddle.limits.limiter import Reservation, TokenLimiter
+from oriolepaddle.limits.link import LIMITS_SERVICE
+from oriolepaddle.limits.settings import LimitSettings
+from oriolepaddle.limits.shared import SharedTokenLimiter
+from oriolepaddle.limits.snapshot import LimitSnapshot
+
+__all__ = [
+    "LIMITS_SERVICE",
+    "LimitSettings",
+    "LimitSnapshot",
+    "Reservation",
+    "SharedTokenLimiter",
+    "TokenLimiter",
+]
--- /dev/null
+++ b/oriolepaddle/limits/pooling.py
@@ -0,0 +1,171 @@
+"""Borrows share for the organisations whose home this instance is."""
+
+import attrs
+
+from oriolepaddle.limits.account import Account
+from oriolepaddle.limits.ledger import Ledger
+from oriolepaddle.limits.link import LimitsLink
+from oriolepaddle.limits.loan import Loan
+from oriolepaddle.peers.gen_py.limits.ttypes import (
+    BorrowReply,
+    BorrowRequest,
+    LoanRequest,
+)
+
+__all__ = ["SharePool"]
+
+REMOTE_LENDERS = 4
+SHORT_S = 5.0
+
+
+@attrs.define
+class _Batch:
+    """What one lender is asked for in a round."""
+
+    wanted: list[LoanRequest] = attrs.Factory(list)
+    renewed: list[int] = attrs.Factory(list)
+    lender_incarnation: int = 0
+
+
+class SharePool:
+    """Gathers unused share at an organisation's home and renews its loans.
+
+    Args:
+        ledger: This instance's accounts and claims.
+        link: Calls the peers.
+    """
+
+    def __init__(self, ledger: Ledger, link: LimitsLink) -> None:
+        self._ledger = ledger
+        self._link = link
+        self._round = 0
+
+    def run(self) -> None:
+        """Do one round of borrowing: one call at most to each lender."""
+        ledger = self._ledger
+        with ledger.lock:
+            now_s = ledger.refresh()
+            batches = self._plan(now_s)
+        for lender, batch in batches.items():
+            self._borrow(lender, batch)
+
+    def _plan(self, now_s: float) -> dict[str, _Batch]:
+        self._round += 1
+        batches: dict[str, _Batch] = {}
+        near = sorted(self._ledger.view.reachable() & self._ledger.book.members.keys())
+        period_s = self._ledger.settings.active_for.total_seconds()
+        for account in list(self._ledger.accounts.values()):
+            account.advance(now_s)
+            is_active = account.demand.is_active(now_s, period_s)
+            if not is_active and not account.is_asked(now_s, period_s):
+                continue
+            self._plan_renewals(account, batches, now_s)
+            name = account.organisation.id
+            for lender in self._lenders(account, near, now_s):
+                batch = batches.setdefault(lender, _Batch())
+                batch.wanted.append(LoanRequest(organisation=name, share=1.0))
+        return batches
+
+    def _plan_renewals(
+        self, account: Account, batches: dict[str, _Batch], now_s: float
+    ) -> None:
+        threshold_s = self._ledger.settings.lent_s / 2
+        for loan in account.borrowed.values():
+            if loan.end_s - now_s > threshold_s:
+                continue
+            batch = batches.setdefault(loan.peer, _Batch())
+            if loan.incarnation >= batch.lender_incarnation:
+                batch.lender_incarnation = loan.incarnation
+                batch.renewed.append(loan.number)
+
+    def _lenders(self, account: Account, near: list[str], now_s: float) -> list[str]:
+        ledger = self._ledger
+        name = account.organisation.id
+        if ledger.home(name) != ledger.identity.instance:
+            return []
+        is_short = account.demand.is_short(now_s, SHORT_S)
+        held = {loan.peer for loan in account.borrowed.values()}
+        lenders = [peer for peer in near if is_short or peer not in held]
+        if is_short:
+            lenders += self._remote_lenders(name)
+        return lenders
+
+    def _remote_lenders(self, organisation_id: str) -> list[str]:
+        """Return some other data centres' homes, others in each round."""
+        ledger = self._ledger
+        centres = sorted(
+            centre.id
+            for centre in ledger.config.data_centres()
+            if centre.id != ledger.identity.data_centre
+        )
+        if not centres:
+            return []
+        first = self._round * REMOTE_LENDERS % len(centres)
+        turned = centres[first:] + centres[:first]
+        homes = [
+            ledger.homes(organisation_id, centre) for centre in turned[:REMOTE_LENDERS]
+        ]
+        return [ranked[0] for ranked in homes if ranked]
+
+    def _borrow(self, lender: str, batch: _Batch) -> None:
+        ledger = self._ledger
+        request = BorrowRequest(
+            instance=ledger.identity.instance,
+            wanted=batch.wanted,
+            renewed=batch.renewed,
+            lender_incarnation=batch.lender_incarnation,
+        )
+        with ledger.lock:
+            ledger.borrowing += 1
+            asked_s = ledger.clock.monotonic_s()
+        reply = self._link.call(lender, "borrow", request)
+        with ledger.lock:
+            ledger.borrowing -= 1
+            if reply is None:
+                return
+            now_s = ledger.refresh()
+            self._take_renewals(lender, batch, reply, asked_s, now_s)
+            self._take_loans(lender, reply, asked_s, now_s)
+
+    def _end_s(self, asked_s: float, duration_s: float) -> float:
+        drift = self._ledger.settings.max_clock_drift
+        return asked_s + duration_s * (1 - 3 * drift)
+
+    def _take_renewals(
+        self,
+        lender: str,
+        batch: _Batch,
+        reply: BorrowReply,
+        asked_s: float,
+        now_s: float,
+    ) -> None:
+        ends_s = {
+            renewal.number: self._end_s(asked_s, renewal.duration_s)
+            for renewal in reply.renewed
+        }
+        for account in self._ledger.accounts.values():
+            for key, loan in account.borrowed.items():
+                if loan.peer != lender or loan.number not in ends_s:
+                    continue
+                if loan.incarnation != batch.lender_incarnation:
+                    continue
+                # A loan that has ended in the meantime must not come back.
+                if key in account.borrowed and loan.end_s > now_s:
+                    loan.end_s = max(loan.end_s, ends_s[loan.number])
+
+    def _take_loans(
+        self, lender: str, reply: BorrowReply, asked_s: float, now_s: float
+    ) -> None:
+        for message in reply.loans:
+            end_s = self._end_s(asked_s, message.duration_s)
+            account = self._ledger.known_account(message.organisation, now_s)
+            if account is None or end_s <= now_s:
+                continue
+            loan = Loan(
+                peer=lender,
+                number=message.number,
+                incarnation=reply.incarnation,
+                share=message.share,
+                end_s=end_s,
+            )
+            account.borrow(loan, message.tokens)
