Join instances by heartbeats and spread their configuration

Cause: instances knew each other only from the platform's list and nothing spread with the platform down. Ruled out: keeping the thin reader beside the new one. Change: the daemon runs membership, peer links and configuration sync; an instance serves callers once it has caught up. Before: peers had no handlers. Conclusion: the thin path stands on the real membership.

--- /dev/null
+++ b/oriolepaddle/daemon/fleet.py
@@ -0,0 +1,113 @@
+"""The parts by which an instance knows the fleet and its configuration."""
+
+import random
+from datetime import timedelta
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.config import ConfigState
+from oriolepaddle.config.platform_reader import PlatformReader
+from oriolepaddle.config.rejections import Rejections
+from oriolepaddle.config.staleness import StalenessGuard
+from oriolepaddle.config.sync import ConfigSync
+from oriolepaddle.config.wire import CONFIGURATION_SERVICE
+from oriolepaddle.daemon.instance_list import InstanceListReader
+from oriolepaddle.daemon.listeners import Listeners
+from oriolepaddle.membership.handler import MembershipHandler
+from oriolepaddle.membership.membership import Membership
+from oriolepaddle.membership.wire import MEMBERSHIP_SERVICE
+from oriolepaddle.peers import PeerIdentity, PeerPool
+from oriolepaddle.platform.http import (
+    HttpConfigurationService,
+    HttpInstanceListService,
+)
+from oriolepaddle.settings import Settings
+from oriolepaddle.settings.seeds import parse_seeds
+
+__all__ = ["Fleet"]
+
+
+class Fleet:
+    """Membership, peer links and the configuration with its readers.
+
+    Args:
+        settings: Checked settings.
+        clock: The time.
+        identity: This instance in its present life.
+        listeners: Their addresses are advertised.
+        generator: Draws jitter and orders.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        identity: PeerIdentity,
+        listeners: Listeners,
+        generator: random.Random,
+    ) -> None:
+        self.config = ConfigState()
+        self.rejections = Rejections(clock)
+        bound = settings.max_staleness_s
+        self.staleness = StalenessGuard(
+            clock, timedelta(seconds=bound) if bound else None
+        )
+        self.membership = Membership(
+            clock,
+            identity,
+            listeners.describe(),
+            None,
+            lambda: (self.config.digest, self.config.highest_number),
+            self._find_region,
+            generator,
+            parse_seeds(settings.seeds),
+        )
+        secret = settings.peer_secret.encode()
+        self.pool = PeerPool(identity, secret, self.membership)
+        self.membership.connect(self.pool)
+        self.sync = ConfigSync(
+            clock,
+            identity.instance,
+            self.config,
+            self.pool,
+            self.membership,
+            self.rejections,
+            self.staleness,
+            generator,
+            settings.serve_without_catch_up,
+        )
+        self._reader = PlatformReader(
+            clock,
+            HttpConfigurationService(settings.platform_address),
+            self.sync.published,
+            self.rejections,
+            self.staleness,
+            generator,
+        )
+        self.sync.follow(self._reader)
+        self._list_reader = InstanceListReader(
+            clock,
+            HttpInstanceListService(settings.platform_address, clock),
+            self.membership.apply_list,
+            generator,
+        )
+        listeners.peers.register(MEMBERSHIP_SERVICE, MembershipHandler(self.membership))
+        listeners.peers.register(CONFIGURATION_SERVICE, self.sync.handler)
+
+    def start(self) -> None:
+        """Begin to read the platform and to speak with peers."""
+        self._list_reader.start()
+        self._reader.start()
+        self.membership.start()
+        self.sync.start()
+
+    def stop(self) -> None:
+        """Stop reading and speaking."""
+        self._list_reader.stop()
+        self._reader.stop()
+        self.sync.stop()
+        self.membership.stop()
+        self.pool.close()
+
+    def _find_region(self, data_centre: str) -> str | None:
+        known = self.config.data_centre(data_centre)
+        return known.region if known else None
--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -1,14 +1,15 @@
 """One entry instance, put together from its parts."""
 
 import random
-import time
+import secrets
+import threading
 from datetime import timedelta
 
 from loguru import logger
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.config import ConfigState
-from oriolepaddle.daemon.platform_reader import PlatformReader
+from oriolepaddle.daemon.fleet import Fleet
+from oriolepaddle.daemon.listeners import Listeners
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.gateway import Authenticator, CallerApplication, Exchanger
 from oriolepaddle.gateway._interim import RandomRouter
@@ -16,16 +17,14 @@
 from oriolepaddle.gateway.forwarder import Forwarder
 from oriolepaddle.gateway.forwarding import ForwardingSigner
 from oriolepaddle.gateway.parser import RequestParser
-from oriolepaddle.peers import PeerIdentity, PeerServer
-from oriolepaddle.platform.http import (
-    HttpConfigurationService,
-    HttpInstanceListService,
-)
+from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.settings import Settings
-from oriolepaddle.web import HttpServer, ServerLimits
 
 __all__ = ["GatewayInstance"]
 
+READY_POLL = timedelta(milliseconds=20)
+MICROSECONDS_PER_S = 1_000_000
+
 
 class GatewayInstance:
     """An entry instance with its listeners.
@@ -38,92 +37,75 @@
     def __init__(self, settings: Settings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        secret = settings.peer_secret.encode()
-        self.config = ConfigState()
+        self._stopping = threading.Event()
         self.identity = PeerIdentity(
-            settings.instance, time.time_ns(), settings.data_centre
-        )
-        self.reader = PlatformReader(
-            clock,
-            self.config,
-            HttpConfigurationService(settings.platform_address),
-            HttpInstanceListService(settings.platform_address, clock),
+            settings.instance, _make_incarnation(clock), settings.data_centre
         )
+        self.listeners = Listeners(settings, clock, self.identity)
+        generator = random.Random(secrets.randbits(64))
+        self.fleet = Fleet(settings, clock, self.identity, self.listeners, generator)
         self.activity = Activity(clock)
-        self.transport = EndpointTransport(
+        self._transport = EndpointTransport(
             clock, timedelta(seconds=settings.connect_timeout_s)
         )
-        self._signer = ForwardingSigner(secret, settings.instance)
-        self._authenticator = Authenticator(self.config)
-        self._callers = self._make_caller_server()
-        host, port = _split(settings.peer_address)
-        self._peers = PeerServer(host, port, self.identity, secret, {})
-
-    @property
-    def caller_port(self) -> int:
-        """The port of the callers' listener."""
-        return self._callers.port
-
-    @property
-    def peer_port(self) -> int:
-        """The port of the peers' listener."""
-        return self._peers.port
+        self.listeners.callers.application = self._make_application(generator)
 
     def start(self) -> None:
-        """Read the configuration, then listen."""
-        self._peers.start()
-        self.reader.start()
-        self.reader.caught_up.wait()
-        self._callers.start()
+        """Catch up with the configuration, then serve callers."""
+        self.listeners.peers.start()
+        self.fleet.start()
+        while not self.fleet.sync.is_caught_up():
+            if self._clock.wait(self._stopping, READY_POLL):
+                return
+        self.listeners.callers.start()
+        self.fleet.membership.set_ready(True)
         logger.info(
             "instance {} serves callers on port {}, peers on port {}",
             self.identity.instance,
-            self.caller_port,
-            self.peer_port,
+            self.listeners.callers.port,
+            self.listeners.peers.port,
         )
 
     def stop(self) -> None:
         """Stop gracefully: answer what has begun, then close."""
-        self._callers.is_draining = True
+        self._stopping.set()
+        self.fleet.membership.begin_leaving()
+        self.listeners.callers.is_draining = True
         self.activity.drain()
         limit = timedelta(seconds=self._settings.drain_limit_s)
         if not self.activity.wait(limit):
             logger.warning("drain limit reached with {} left", self.activity.count)
-        self.reader.stop()
-        self._callers.close()
-        self._peers.close()
+        self.listeners.callers.close()
+        self.fleet.stop()
+        self.listeners.peers.close()
+        self._transport.close()
 
-    def _make_caller_server(self) -> HttpServer:
+    def _make_application(self, generator: random.Random) -> CallerApplication:
         settings = self._settings
-        parser = RequestParser(
-            self.config, self._authenticator, self._clock, self._signer
-        )
+        config = self.fleet.config
+        authenticator = Authenticator(config)
+        signer = ForwardingSigner(settings.peer_secret.encode(), settings.instance)
+        parser = RequestParser(config, authenticator, self._clock, signer)
         forwarder = Forwarder(
-            settings.instance, self._clock, self.reader, self.transport, self._signer
+            settings.instance,
+            self._clock,
+            self.fleet.membership,
+            self._transport,
+            signer,
         )
-        router = RandomRouter(self.config, settings.data_centre, random.Random())
         exchanger = Exchanger(
             self._clock,
-            router,
-            self.transport,
+            RandomRouter(config, settings.data_centre, generator),
+            self._transport,
             forwarder,
-            self._authenticator,
+            authenticator,
             self.activity,
         )
-        application = CallerApplication(
-            parser, exchanger, self.reader, settings.data_centre
-        )
-        host, port = _split(settings.caller_address)
-        limits = ServerLimits(
-            max_connections=settings.max_connections,
-            max_body_bytes=settings.max_body_bytes,
-            header_timeout=timedelta(seconds=settings.header_timeout_s),
-            body_timeout=timedelta(seconds=settings.body_timeout_s),
-            idle_timeout=timedelta(seconds=settings.idle_timeout_s),
+        return CallerApplication(
+            parser, exchanger, self.fleet.membership, settings.data_centre
         )
-        return HttpServer(host, port, application, self._clock, limits, name="caller")
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+def _make_incarnation(clock: Clock) -> int:
+    # Microseconds of the wall clock grow over restarts without any disk.
+    return int(clock.now().timestamp() * MICROSECONDS_PER_S)
--- /dev/null
+++ b/oriolepaddle/daemon/listeners.py
@@ -0,0 +1,96 @@
+"""The three listeners of an instance."""
+
+import ssl
+from datetime import timedelta
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.peers import PeerIdentity, PeerServer
+from oriolepaddle.platform import Instance
+from oriolepaddle.settings import Settings
+from oriolepaddle.web import HttpServer, ServerLimits
+from oriolepaddle.web.unready import UnreadyApplication
+
+__all__ = ["Listeners"]
+
+OPERATOR_CONNECTIONS = 16
+
+
+class Listeners:
+    """Bound at once, so that their ports are known; they serve when started.
+
+    The three have pools of threads of their own: callers cannot take those of
+    peers and operators.
+
+    Args:
+        settings: Addresses, limits and TLS files.
+        clock: The clock of the limits.
+        identity: This instance in its present life.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Clock, identity: PeerIdentity
+    ) -> None:
+        self._settings = settings
+        limits = make_server_limits(settings)
+        host, port = _split(settings.caller_address)
+        self.callers = HttpServer(
+            host,
+            port,
+            UnreadyApplication(),
+            clock,
+            limits,
+            _make_tls(settings.caller_tls_certificate, settings.caller_tls_key),
+            name="caller",
+        )
+        host, port = _split(settings.operator_address)
+        self.operators = HttpServer(
+            host,
+            port,
+            UnreadyApplication(),
+            clock,
+            ServerLimits(max_connections=OPERATOR_CONNECTIONS),
+            _make_tls(settings.operator_tls_certificate, settings.operator_tls_key),
+            name="operator",
+        )
+        host, port = _split(settings.peer_address)
+        secret = settings.peer_secret.encode()
+        self.peers = PeerServer(host, port, identity, secret)
+
+    def describe(self) -> Instance:
+        """Return this instance with the addresses that others reach it at."""
+        settings = self._settings
+        return Instance(
+            id=settings.instance,
+            data_centre=settings.data_centre,
+            caller_address=self._advertise(settings.caller_address, self.callers.port),
+            peer_address=self._advertise(settings.peer_address, self.peers.port),
+            size=settings.size,
+        )
+
+    def _advertise(self, address: str, port: int) -> str:
+        host = self._settings.advertised_host or address.rpartition(":")[0]
+        return f"{host}:{port}"
+
+
+def make_server_limits(settings: Settings) -> ServerLimits:
+    """Return the limits of the callers' listener."""
+    return ServerLimits(
+        max_connections=settings.max_connections,
+        max_body_bytes=settings.max_body_bytes,
+        header_timeout=timedelta(seconds=settings.header_timeout_s),
+        body_timeout=timedelta(seconds=settings.body_timeout_s),
+        idle_timeout=timedelta(seconds=settings.idle_timeout_s),
+    )
+
+
+def _make_tls(certificate: str, key: str) -> ssl.SSLContext | None:
+    if not certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, key)
+    return context
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/oriolepaddle/gateway/application.py
+++ b/oriolepaddle/gateway/application.py
@@ -12,7 +12,6 @@
 __all__ = ["CallerApplication"]
 
 SUGGESTED_INSTANCES = 3
-SUGGESTION_VALIDITY_S = 30
 
 
 class CallerApplication:
@@ -65,8 +64,8 @@
                     "data_centre": instance.data_centre,
                     "address": instance.caller_address,
                 }
-                for instance in found
+                for instance in found.instances
             ],
-            "valid_for_s": SUGGESTION_VALIDITY_S,
+            "valid_for_s": found.valid_for.total_seconds(),
         }
         writer.answer_json(200, document)
--- a/oriolepaddle/gateway/forwarder.py
+++ b/oriolepaddle/gateway/forwarder.py
@@ -8,7 +8,7 @@
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.forwarding import ForwardedRequest, ForwardingSigner
 from oriolepaddle.gateway.relay import AnswerRelay
-from oriolepaddle.platform import Instance
+from oriolepaddle.membership import Suggestion
 
 __all__ = ["Forwarder", "InstanceFinder"]
 
@@ -18,8 +18,13 @@
 class InstanceFinder(Protocol):
     """Tells which instances serve a data centre."""
 
-    def suggest_instances(self, data_centre: str, count: int) -> tuple[Instance, ...]:
-        """Return up to `count` instances, the best first."""
+    def suggest_instances(self, place: str | None, count: int) -> Suggestion:
+        """Return up to `count` instances, the best first.
+
+        Args:
+            place: A data centre or a region; None for anywhere.
+            count: The most instances.
+        """
         ...
 
 
@@ -61,7 +66,7 @@
             raise RefusedError(
                 "the request was passed on before", code=ErrorCode.HOP_LIMIT
             )
-        found = self._finder.suggest_instances(data_centre, 1)
+        found = self._finder.suggest_instances(data_centre, 1).instances
         if not found:
             raise RefusedError(
                 f"no instance of {data_centre} is known", code=ErrorCode.NO_ENDPOINT
--- a/oriolepaddle/peers/server.py
+++ b/oriolepaddle/peers/server.py
@@ -33,7 +33,7 @@
         port: The port, or 0 for any free one.
         identity: This instance's identity.
         secret: The peer secret.
-        handlers: The handler of each service.
+        handlers: The handler of each service; more by `register`.
         max_connections: The most connections served side by side.
     """
 
@@ -43,12 +43,12 @@
         port: int,
         identity: PeerIdentity,
         secret: bytes,
-        handlers: Mapping[PeerService, object],
+        handlers: Mapping[PeerService, object] | None = None,
         max_connections: int = 64,
     ) -> None:
         self._identity = identity
         self._secret = secret
-        self._handlers = dict(handlers)
+        self._handlers = dict(handlers or {})
         self._listener = socket.create_server((host, port), backlog=128)
         self.port = self._listener.getsockname()[1]
         self._executor = ThreadPoolExecutor(max_connections, "peer")
@@ -60,6 +60,10 @@
             target=self._accept, name="peer-accept", daemon=True
         )
 
+    def register(self, service: PeerService, handler: object) -> None:
+        """Serve a service to connections that are made from now on."""
+        self._handlers[service] = handler
+
     def start(self) -> None:
         """Begin to accept connections."""
         self._acceptor.start()
--- a/oriolepaddle/settings/check.py
+++ b/oriolepaddle/settings/check.py
@@ -1,12 +1,14 @@
 """Checking settings, all of them at once."""
 
 import ipaddress
+import os
 from typing import Any
 
 import attrs
 
 from oriolepaddle.errors import SettingsError
 from oriolepaddle.settings.field import Rule, find_rule
+from oriolepaddle.settings.seeds import parse_seeds
 from oriolepaddle.settings.settings import Settings
 
 __all__ = ["check_settings", "find_problems"]
@@ -32,6 +34,31 @@
         if problem is not None:
             flag = field.name.replace("_", "-")
             problems.append(f"--{flag} {problem}")
+    problems += _find_seed_problems(settings)
+    problems += _find_tls_problems(settings)
+    return problems
+
+
+def _find_seed_problems(settings: Settings) -> list[str]:
+    try:
+        parse_seeds(settings.seeds)
+    except SettingsError as error:
+        return [error.message]
+    return []
+
+
+def _find_tls_problems(settings: Settings) -> list[str]:
+    problems = []
+    for side in ("caller", "operator"):
+        certificate = getattr(settings, f"{side}_tls_certificate")
+        key = getattr(settings, f"{side}_tls_key")
+        if bool(certificate) != bool(key):
+            problems.append(f"--{side}-tls-certificate and its key go together")
+        problems += [
+            f"{path}: no such file"
+            for path in (certificate, key)
+            if path and not os.path.isfile(path)
+        ]
     return problems
 
 
@@ -47,7 +74,7 @@
 
 def _find_text_problem(rule: Rule, value: str) -> str | None:
     if not value:
-        return "is missing"
+        return None if rule.is_optional else "is missing"
     if len(value) < rule.min_length:
         return f"must have at least {rule.min_length} characters"
     if rule.choices and value not in rule.choices:
--- a/oriolepaddle/settings/field.py
+++ b/oriolepaddle/settings/field.py
@@ -20,6 +20,7 @@
         choices: The allowed values, empty for any.
         min_length: The fewest characters of a text.
         is_address: Whether it must be `IP:port`.
+        is_optional: Whether it may be empty.
     """
 
     help: str
@@ -28,6 +29,7 @@
     choices: tuple[str, ...] = ()
     min_length: int = 1
     is_address: bool = False
+    is_optional: bool = False
 
 
 def setting(default: Any, help_text: str, **rule: Any) -> Any:
--- /dev/null
+++ b/oriolepaddle/settings/seeds.py
@@ -0,0 +1,30 @@
+"""Peers that the settings name."""
+
+import re
+
+from oriolepaddle.errors import SettingsError
+from oriolepaddle.platform import Instance
+
+__all__ = ["parse_seeds"]
+
+_SEED = re.compile(r"([^@=\s]+)@([^@=\s]+)=(\S+:\d+)")
+
+
+def parse_seeds(text: str) -> tuple[Instance, ...]:
+    """Return the instances of `id@data_centre=IP:port` separated by commas.
+
+    Raises:
+        SettingsError: A part has another form.
+    """
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    return tuple(_parse_seed(part) for part in parts)
+
+
+def _parse_seed(part: str) -> Instance:
+    found = _SEED.fullmatch(part)
+    if found is None:
+        raise SettingsError(f"--seeds must be id@data_centre=IP:port, not {part!r}")
+    name, data_centre, address = found.groups()
+    return Instance(
+        id=name, data_centre=data_centre, caller_address="", peer_address=address
+    )
--- a/oriolepaddle/settings/settings.py
+++ b/oriolepaddle/settings/settings.py
@@ -17,6 +17,9 @@
 
     instance: str = setting("", "Id of this instance, unique over the fleet.")
     data_centre: str = setting("", "Id of the data centre that it stands in.")
+    size: float = setting(
+        1.0, "Capacity relative to other instances.", low=0.01, high=100
+    )
     caller_address: str = setting(
         "127.0.0.1:8080", "IP:port to listen on for callers.", is_address=True
     )
@@ -26,15 +29,50 @@
     operator_address: str = setting(
         "127.0.0.1:8082", "IP:port to listen on for operators.", is_address=True
     )
+    advertised_host: str = setting(
+        "", "IP to advertise, if not the one listened on.", is_optional=True
+    )
     platform_address: str = setting(
         "", "IP:port of the platform's services.", is_address=True
     )
+    seeds: str = setting(
+        "",
+        "Peers for a start without the platform: id@data_centre=IP:port, ...",
+        is_optional=True,
+    )
     peer_secret: str = setting(
         "", "Secret that all instances share, at least 16 characters.", min_length=16
     )
     operator_token: str = setting(
         "", "Token for the administration API, at least 16 characters.", min_length=16
     )
+    caller_tls_certificate: str = setting(
+        "", "File of the callers' TLS certificate chain.", is_optional=True
+    )
+    caller_tls_key: str = setting(
+        "", "File of the key of that certificate.", is_optional=True
+    )
+    operator_tls_certificate: str = setting(
+        "", "File of the operators' TLS certificate chain.", is_optional=True
+    )
+    operator_tls_key: str = setting(
+        "", "File of the key of that certificate.", is_optional=True
+    )
+    aim: str = setting(
+        "worst_served",
+        "What matters most under overload.",
+        choices=("worst_served", "tail_latency"),
+    )
+    max_staleness_s: float = setting(
+        0.0,
+        "Seconds without platform and peers after which keyed requests are "
+        "refused; 0 for no bound.",
+        low=0,
+        high=86_400,
+    )
+    serve_without_catch_up: bool = setting(
+        False, "Serve at a start at which nobody can be asked for configuration."
+    )
     drain_limit_s: float = setting(
         60.0, "Seconds that a graceful shutdown waits for requests.", low=0, high=3600
     )
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -19,7 +19,8 @@
 __all__ = ["HttpServer"]
 
 BACKLOG = 512
-REFUSAL_TIMEOUT = timedelta(milliseconds=100)
+REFUSAL_TIMEOUT = timedelta(milliseconds=50)
+REFUSAL_TRIES = 4
 
 
 class HttpServer:
@@ -112,9 +113,12 @@
     def _reserve_thread(self) -> bool:
         if self._free.acquire(blocking=False):
             return True
-        if not self._close_idle(count=1):
-            return False
-        return self._free.acquire(timeout=REFUSAL_TIMEOUT.total_seconds())
+        # A connection whose answer was just read becomes idle a moment later.
+        for _ in range(REFUSAL_TRIES):
+            self._close_idle(count=1)
+            if self._free.acquire(timeout=REFUSAL_TIMEOUT.total_seconds()):
+                return True
+        return False
 
     def _close_idle(self, count: int) -> int:
         with self._lock:
--- a/oriolepaddle/web/tests/test_server.py
+++ b/oriolepaddle/web/tests/test_server.py
@@ -58,6 +58,12 @@
     return status, stream.read(length)
 
 
+def await_idle(server):
+    (connection,) = server._connections
+    while not connection.is_idle:
+        threading.Event().wait(0.001)
+
+
 def send(server, data):
     with connect(server) as connection:
         connection.sendall(data)
@@ -126,6 +132,7 @@
         with connect(server) as idle:
             idle.sendall(b"GET / HTTP/1.1\r\n\r\n")
             assert read_answer(idle)[0] == 200
+            await_idle(server)
             assert send(server, b"GET / HTTP/1.1\r\n\r\n")[0] == 200
         server.close()
 
