Let kept answers outlive a rolling restart, and count lost messages

Change: a leaver hands on what it keeps, to the next of each issuer's ranking; a check that fails inside the runner leaves the number free, whatever its code's default outcome; lost sendings, replies and collections are counted. Seen to fail with each left out: test_answers_outlive_a_rolling_restart, test_key_withdrawn_while_connecting_leaves_the_number_free.

--- a/oriolepaddle/orders/_wire.py
+++ b/oriolepaddle/orders/_wire.py
@@ -11,18 +11,18 @@
     RefusedError,
 )
 from oriolepaddle.orders.answer import OrderAnswer
-from oriolepaddle.orders.kept import KeptOrder
+from oriolepaddle.orders.kept import KeptOrder, KeptOrders
 from oriolepaddle.orders.request import OrderRequest
-from oriolepaddle.peers import PeerService
+from oriolepaddle.peers import PeerIdentity, PeerService
 from oriolepaddle.peers.gen_py.orders import Orders, ttypes
 
 __all__ = [
     "ORDERS_SERVICE",
     "make_reply",
     "open_reply",
-    "read_kept",
+    "read_handover",
     "read_request",
-    "write_kept",
+    "write_handover",
     "write_request",
 ]
 
@@ -89,8 +89,30 @@
     return None if reply.answer is None else _read_answer(reply.answer)
 
 
-def write_kept(kept: KeptOrder) -> ttypes.KeptOrder:
-    """Return the struct of an answered order."""
+def write_handover(orders: KeptOrders) -> ttypes.HandoverCall:
+    """Return the struct that hands answered orders over."""
+    issuer = orders.issuer
+    return ttypes.HandoverCall(
+        instance=issuer.instance,
+        incarnation=issuer.incarnation,
+        data_centre=issuer.data_centre,
+        life=orders.life,
+        remaining_ms=orders.remaining // _MILLISECOND,
+        orders=[_write_kept(order) for order in orders.orders],
+    )
+
+
+def read_handover(call: ttypes.HandoverCall) -> KeptOrders:
+    """Return the answered orders of a struct."""
+    return KeptOrders(
+        issuer=PeerIdentity(call.instance, call.incarnation, call.data_centre),
+        life=call.life,
+        remaining=call.remaining_ms * _MILLISECOND,
+        orders=tuple(_read_kept(order) for order in call.orders),
+    )
+
+
+def _write_kept(kept: KeptOrder) -> ttypes.KeptOrder:
     answer = kept.answer
     return ttypes.KeptOrder(
         sequence=kept.sequence,
@@ -100,8 +122,7 @@
     )
 
 
-def read_kept(kept: ttypes.KeptOrder) -> KeptOrder:
-    """Return the answered order of a struct."""
+def _read_kept(kept: ttypes.KeptOrder) -> KeptOrder:
     answer = kept.answer
     return KeptOrder(
         sequence=kept.sequence,
--- a/oriolepaddle/orders/archive.py
+++ b/oriolepaddle/orders/archive.py
@@ -2,7 +2,6 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Iterable
 from datetime import timedelta
 
 import attrs
@@ -10,9 +9,10 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.orders._failures import answer_gone, conflict, unknown
 from oriolepaddle.orders.answer import OrderAnswer
-from oriolepaddle.orders.kept import KeptOrder
+from oriolepaddle.orders.kept import KeptOrder, KeptOrders
 from oriolepaddle.orders.limits import RECORD_BYTES
 from oriolepaddle.orders.number import OrderNumber
+from oriolepaddle.peers import PeerIdentity
 
 __all__ = ["OrderArchive"]
 
@@ -21,6 +21,7 @@
 
 @attrs.define(eq=False)
 class _Life:
+    issuer: PeerIdentity
     expires_s: float
     orders: dict[tuple[str, int], KeptOrder] = attrs.field(factory=dict)
     size_bytes: int = 0
@@ -46,34 +47,36 @@
         """What all that is kept counts for, in bytes."""
         return self._size_bytes
 
-    def keep(
-        self,
-        instance: str,
-        incarnation: int,
-        life: int,
-        remaining: timedelta,
-        orders: Iterable[KeptOrder],
-    ) -> int:
-        """Keep answered orders of a leaving issuer and return how many.
-
-        Args:
-            instance: The issuer.
-            incarnation: Its incarnation.
-            life: Its `OrderNumber.life`.
-            remaining: How long they are worth keeping.
-            orders: The orders.
-        """
+    def keep(self, orders: KeptOrders) -> int:
+        """Keep answered orders of a leaving issuer; return how many are new."""
         now_s = self._clock.monotonic_s()
+        issuer = orders.issuer
         with self._lock:
             self._expire(now_s)
-            key = (instance, incarnation, life)
-            held = self._lives.setdefault(key, _Life(now_s))
-            held.expires_s = max(held.expires_s, now_s + remaining.total_seconds())
-            kept = sum(self._put(held, order) for order in orders)
+            key = (issuer.instance, issuer.incarnation, orders.life)
+            held = self._lives.setdefault(key, _Life(issuer, now_s))
+            expires_s = now_s + orders.remaining.total_seconds()
+            held.expires_s = max(held.expires_s, expires_s)
+            kept = sum(self._put(held, order) for order in orders.orders)
             while self._size_bytes > self._max_bytes:
                 self._drop(next(iter(self._lives)))
             return kept
 
+    def contents(self) -> tuple[KeptOrders, ...]:
+        """Return all that is kept, for a successor when this instance leaves."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._expire(now_s)
+            return tuple(
+                KeptOrders(
+                    issuer=held.issuer,
+                    life=life,
+                    remaining=timedelta(seconds=held.expires_s - now_s),
+                    orders=tuple(held.orders.values()),
+                )
+                for (_, _, life), held in self._lives.items()
+            )
+
     def find(
         self, number: OrderNumber, organisation: str, digest: bytes
     ) -> OrderAnswer:
--- a/oriolepaddle/orders/forwarder.py
+++ b/oriolepaddle/orders/forwarder.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -23,6 +24,7 @@
 from oriolepaddle.orders.answer import OrderAnswer
 from oriolepaddle.orders.archive import OrderArchive
 from oriolepaddle.orders.codec import OrderNumberCodec
+from oriolepaddle.orders.forward_event import ForwardEvent
 from oriolepaddle.orders.number import OrderNumber
 from oriolepaddle.orders.request import MAX_BODY_BYTES, OrderRequest
 from oriolepaddle.orders.successors import rank_successors
@@ -80,6 +82,13 @@
         self._clock = clock
         self._may_enter = may_enter
         self._sequences = itertools.count(1)
+        self._lock = threading.Lock()
+        self._counts: Counter[ForwardEvent] = Counter()
+
+    def counts(self) -> Counter[ForwardEvent]:
+        """Return how often each event has occurred."""
+        with self._lock:
+            return Counter(self._counts)
 
     def forward(self, number: str, request: OrderRequest) -> OrderAnswer:
         """Return the issuer's answer, or the one that its successor keeps.
@@ -97,10 +106,13 @@
                 raise
             lost = error
         try:
-            return self._ask_successors(number, parsed, request)
+            answer = self._ask_successors(number, parsed, request)
+            self._count(ForwardEvent.ANSWERED_BY_SUCCESSOR)
+            return answer
         except OriolepaddleError as error:
             if error.code is not ErrorCode.ORDER_OUTCOME_UNKNOWN:
                 raise
+            self._count(ForwardEvent.OUTCOME_UNKNOWN)
             raise unknown(lost.message) from lost
 
     def _check(self, parsed: OrderNumber, request: OrderRequest) -> None:
@@ -134,6 +146,7 @@
             except RefusedError as error:
                 if error.code is not ErrorCode.PEER_UNAVAILABLE:
                     raise
+            self._count(ForwardEvent.SENDING_LOST)
             self._pause()
             self._check_deadline(request)
         raise _IssuerLostError("the order may have run: its issuer cannot be reached")
@@ -147,6 +160,7 @@
         try:
             answer = open_reply(self._call(issuer, "run", call))
         except PeerTimeoutError:
+            self._count(ForwardEvent.REPLY_LOST)
             self._pause()
         except PeerError as error:
             raise RefusedError(
@@ -174,6 +188,7 @@
                 answer = open_reply(self._call(issuer, "collect", collect))
             except PeerError:
                 lost += 1
+                self._count(ForwardEvent.COLLECT_LOST)
                 self._pause()
                 continue
             if answer is not None:
@@ -207,6 +222,10 @@
     def _call(self, instance: str, method: str, call: object) -> ttypes.OrderReply:
         return self._peers.call(instance, ORDERS_SERVICE, method, call, CALL_TIMEOUT)
 
+    def _count(self, event: ForwardEvent) -> None:
+        with self._lock:
+            self._counts[event] += 1
+
     def _check_deadline(self, request: OrderRequest) -> None:
         if self._clock.monotonic_s() >= request.deadline_s:
             raise _IssuerLostError("the order may have run: its deadline has passed")
--- a/oriolepaddle/orders/handler.py
+++ b/oriolepaddle/orders/handler.py
@@ -5,9 +5,9 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, OriolepaddleError, RefusedError
-from oriolepaddle.orders._failures import draining, unknown
+from oriolepaddle.orders._failures import draining, not_sent, unknown
 from oriolepaddle.orders._sendings import Sending, SendingId, SendingTable
-from oriolepaddle.orders._wire import make_reply, read_kept, read_request
+from oriolepaddle.orders._wire import make_reply, read_handover, read_request
 from oriolepaddle.orders.answer import OrderAnswer
 from oriolepaddle.orders.archive import OrderArchive
 from oriolepaddle.orders.registry import OrderRegistry
@@ -70,13 +70,7 @@
 
     def keep(self, call: ttypes.HandoverCall) -> ttypes.HandoverReply:
         """Keep the answered orders of a leaving issuer."""
-        kept = self._archive.keep(
-            call.instance,
-            call.incarnation,
-            call.life,
-            timedelta(milliseconds=call.remaining_ms),
-            [read_kept(order) for order in call.orders],
-        )
+        kept = self._archive.keep(read_handover(call))
         return ttypes.HandoverReply(kept=kept)
 
     def _run(self, call: ttypes.OrderCall) -> OrderAnswer | None:
@@ -121,8 +115,11 @@
 
     def _run_order(self, number: str, request: OrderRequest) -> None:
         def recheck() -> None:
-            self._check_deadline(request)
-            self._runner.check(request)
+            try:
+                self._check_deadline(request)
+                self._runner.check(request)
+            except OriolepaddleError as error:
+                raise not_sent(error) from error
 
         remaining_s = max(0.0, request.deadline_s - self._clock.monotonic_s())
         self._registry.run(
--- a/oriolepaddle/orders/handover.py
+++ b/oriolepaddle/orders/handover.py
@@ -3,95 +3,123 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+import attrs
 from loguru import logger
 
+from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PeerError
 from oriolepaddle.membership import MembershipView
-from oriolepaddle.orders._wire import ORDERS_SERVICE, write_kept
-from oriolepaddle.orders.kept import KeptOrder
+from oriolepaddle.orders._wire import ORDERS_SERVICE, write_handover
+from oriolepaddle.orders.archive import OrderArchive
+from oriolepaddle.orders.kept import KeptOrder, KeptOrders
 from oriolepaddle.orders.limits import RECORD_BYTES
 from oriolepaddle.orders.registry import OrderRegistry
 from oriolepaddle.orders.successors import rank_successors
 from oriolepaddle.peers import PeerCaller
-from oriolepaddle.peers.gen_py.orders import ttypes
 
 __all__ = ["OrderHandover"]
 
 SUCCESSORS = 2
 MAX_BATCH_BYTES = 1_000_000
 CALL_TIMEOUT = timedelta(seconds=5)
-MILLISECOND = timedelta(milliseconds=1)
 
 
 class OrderHandover:
-    """Hands the answered orders of a draining registry to its successors.
+    """Hands answered orders to successors when this instance leaves.
+
+    They are this issuer's own and those that it keeps for issuers which left
+    before, so that answers outlive a rolling restart.
 
     Args:
         registry: The registry that leaves.
+        archive: What this instance keeps of instances that left.
         peers: Calls other instances.
         view: The fleet as this instance sees it.
+        clock: The source of time.
         lifetime: How long the successors are to keep the answers.
     """
 
     def __init__(
         self,
         registry: OrderRegistry,
+        archive: OrderArchive,
         peers: PeerCaller,
         view: MembershipView,
+        clock: Clock,
         lifetime: timedelta,
     ) -> None:
         self._registry = registry
+        self._archive = archive
         self._peers = peers
         self._view = view
+        self._clock = clock
         self._lifetime = lifetime
 
-    def leave(self, timeout: timedelta) -> tuple[str, ...]:
-        """Drain, then hand over; return the successors that kept everything.
+    def leave(
+        self, drain_timeout: timedelta, handover_timeout: timedelta
+    ) -> tuple[str, ...]:
+        """Drain, then hand over; return who now keeps all of this issuer's.
 
         Args:
-            timeout: The longest wait for orders in flight.
+            drain_timeout: The longest wait for orders in flight.
+            handover_timeout: The longest time for handing over; the newest
+                answers go first.
         """
-        left = self._registry.drain(timeout)
+        left = self._registry.drain(drain_timeout)
         if left:
             logger.warning("leaving with {} orders in flight", left)
-        orders = self._registry.answered()
-        successors = []
-        for instance in rank_successors(self._view, self._view.identity):
+        deadline_s = self._clock.monotonic_s() + handover_timeout.total_seconds()
+        own = KeptOrders(
+            issuer=self._view.identity,
+            life=self._registry.life,
+            remaining=self._lifetime,
+            orders=self._registry.answered(),
+        )
+        successors = self._hand_to_successors(own, deadline_s)
+        for kept in self._archive.contents():
+            self._hand_to_successors(kept, deadline_s)
+        return successors
+
+    def _hand_to_successors(
+        self, kept: KeptOrders, deadline_s: float
+    ) -> tuple[str, ...]:
+        successors: list[str] = []
+        for instance in rank_successors(self._view, kept.issuer):
             if len(successors) == SUCCESSORS:
                 break
-            if self._hand(instance, orders):
+            if instance == self._view.identity.instance:
+                continue
+            if self._hand(instance, kept, deadline_s):
                 successors.append(instance)
         return tuple(successors)
 
-    def _hand(self, instance: str, orders: tuple[KeptOrder, ...]) -> bool:
+    def _hand(self, instance: str, kept: KeptOrders, deadline_s: float) -> bool:
         try:
-            for batch in _batches(orders):
-                call = self._make_call(batch)
+            for batch in _batches(kept):
+                if self._clock.monotonic_s() >= deadline_s:
+                    logger.warning("no time left to hand orders to {}", instance)
+                    return False
+                call = write_handover(batch)
                 self._peers.call(instance, ORDERS_SERVICE, "keep", call, CALL_TIMEOUT)
         except PeerError as error:
             logger.warning("orders not handed to {}: {}", instance, error)
             return False
         return True
 
-    def _make_call(self, batch: list[KeptOrder]) -> ttypes.HandoverCall:
-        identity = self._view.identity
-        return ttypes.HandoverCall(
-            instance=identity.instance,
-            incarnation=identity.incarnation,
-            life=self._registry.life,
-            remaining_ms=self._lifetime // MILLISECOND,
-            orders=[write_kept(order) for order in batch],
-        )
-
 
-def _batches(orders: tuple[KeptOrder, ...]) -> Iterator[list[KeptOrder]]:
+def _batches(kept: KeptOrders) -> Iterator[KeptOrders]:
     batch: list[KeptOrder] = []
     size_bytes = 0
-    for order in orders:
-        size_bytes += RECORD_BYTES + (order.answer.size_bytes if order.answer else 0)
+    newest_first = sorted(kept.orders, key=lambda order: order.sequence, reverse=True)
+    for order in newest_first:
+        size_bytes += _size_bytes(order)
         if batch and size_bytes > MAX_BATCH_BYTES:
-            yield batch
-            batch, size_bytes = [], 0
+            yield attrs.evolve(kept, orders=tuple(batch))
+            batch, size_bytes = [], _size_bytes(order)
         batch.append(order)
     if batch:
-        yield batch
+        yield attrs.evolve(kept, orders=tuple(batch))
+
+
+def _size_bytes(order: KeptOrder) -> int:
+    return RECORD_BYTES + (order.answer.size_bytes if order.answer else 0)
--- a/oriolepaddle/orders/kept.py
+++ b/oriolepaddle/orders/kept.py
@@ -1,10 +1,13 @@
-"""What is handed to a successor of an order."""
+"""What is handed to a successor of answered orders."""
+
+from datetime import timedelta
 
 import attrs
 
 from oriolepaddle.orders.answer import OrderAnswer
+from oriolepaddle.peers import PeerIdentity
 
-__all__ = ["KeptOrder"]
+__all__ = ["KeptOrder", "KeptOrders"]
 
 
 @attrs.frozen
@@ -22,3 +25,20 @@
     organisation: str
     digest: bytes
     answer: OrderAnswer | None
+
+
+@attrs.frozen
+class KeptOrders:
+    """The answered orders of one issuer.
+
+    Attributes:
+        issuer: The issuer.
+        life: The issuer's `OrderNumber.life`.
+        remaining: How long they are worth keeping.
+        orders: The orders.
+    """
+
+    issuer: PeerIdentity
+    life: int
+    remaining: timedelta
+    orders: tuple[KeptOrder, ...]
--- a/oriolepaddle/orders/tests/fleet.py
+++ b/oriolepaddle/orders/tests/fleet.py
@@ -122,7 +122,12 @@
         self.forwarder = OrderForwarder(
             self, codec, self, self.archive, clock, lambda request, place: True
         )
-        self.handover = OrderHandover(self.registry, self, self, LIFETIME)
+        self.handover = OrderHandover(
+            self.registry, self.archive, self, self, clock, LIFETIME
+        )
+
+    def leave(self):
+        return self.handover.leave(timedelta(0), timedelta(minutes=1))
 
     def published(self):
         places = [Instance(name, "lombardia-lodi", "", "") for name in NODES]
@@ -134,10 +139,11 @@
 
     def check(self, request):
         if self.fleet.is_key_withdrawn:
-            raise RefusedError("withdrawn", code=ErrorCode.KEY_UNKNOWN)
+            raise RefusedError("withdrawn", code=ErrorCode.KEY_WITHDRAWN)
 
     def run(self, request, recheck):
         number = dict(request.headers)["order"]
+        self.fleet.is_key_withdrawn |= self.fleet.withdraw_at_run
         return self.fleet.endpoint.run(self, number, request, recheck)
 
     def send(self, number, body, request_id):
@@ -175,6 +181,7 @@
         self.delayed = []
         self.not_run = set()
         self.is_key_withdrawn = False
+        self.withdraw_at_run = False
         for name in NODES:
             self.restart(name)
 
--- a/oriolepaddle/orders/tests/test_fleet.py
+++ b/oriolepaddle/orders/tests/test_fleet.py
@@ -5,6 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.orders import ForwardEvent
 from oriolepaddle.orders.tests.fleet import LIFETIME, NODES, Fleet
 
 FAULTS = ("none", "cut", "lose request", "lose reply", "delay", "double")
@@ -50,6 +51,19 @@
         fleet.deliver_delayed()
         fleet.check()
 
+    def test_reasons_are_counted(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.send("b", number, faults=["cut", "lose reply", "lose reply"])
+        fleet.restart("a")
+        fleet.send("b", number)
+        assert fleet.nodes["b"].forwarder.counts() == {
+            ForwardEvent.SENDING_LOST: 1,
+            ForwardEvent.REPLY_LOST: 1,
+            ForwardEvent.COLLECT_LOST: 1,
+            ForwardEvent.OUTCOME_UNKNOWN: 1,
+        }
+
     def test_restarted_issuer_is_unknown(self):
         fleet = Fleet()
         number = fleet.nodes["a"].registry.issue("office")
@@ -86,7 +100,7 @@
         registry = fleet.nodes["a"].registry
         used, unused = registry.issue("office"), registry.issue("office")
         fleet.send("b", used)
-        assert set(fleet.nodes["a"].handover.leave(timedelta(0))) == {"b", "c"}
+        assert set(fleet.nodes["a"].leave()) == {"b", "c"}
         assert fleet.send("a", used) == "answer"
         fleet.restart("a")
         assert [fleet.send(via, used) for via in NODES] == ["answer"] * 3
@@ -96,12 +110,31 @@
         assert [fleet.send(via, used) for via in NODES] == [UNKNOWN] * 3
         fleet.check()
 
+    def test_answers_outlive_a_rolling_restart(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.send("b", number)
+        for name in NODES * 2:
+            fleet.nodes[name].leave()
+            fleet.restart(name)
+        assert [fleet.send(via, number) for via in NODES] == ["answer"] * 3
+        fleet.clock.advance(LIFETIME)
+        assert [fleet.send(via, number) for via in NODES] == [UNKNOWN] * 3
+
+    def test_key_withdrawn_while_connecting_leaves_the_number_free(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.withdraw_at_run = True
+        assert fleet.send("b", number) == NOT_RUN
+        fleet.withdraw_at_run = fleet.is_key_withdrawn = False
+        assert fleet.send("b", number) == "answer"
+
     def test_unreachable_successor_is_passed_over(self):
         fleet = Fleet()
         number = fleet.nodes["a"].registry.issue("office")
         fleet.send("a", number)
         fleet.cut.add(frozenset("ab"))
-        assert fleet.nodes["a"].handover.leave(timedelta(0)) == ("c",)
+        assert fleet.nodes["a"].leave() == ("c",)
         fleet.restart("a")
         assert fleet.send("b", number) == "answer"
 
@@ -155,7 +188,7 @@
 
     @rule(node=nodes)
     def leave(self, node):
-        self.fleet.nodes[node].handover.leave(timedelta(0))
+        self.fleet.nodes[node].leave()
 
     @rule(pair=st.sampled_from(["ab", "bc", "ac"]))
     def toggle_link(self, pair):
--- a/oriolepaddle/peers/gen_py/orders/ttypes.py
+++ b/oriolepaddle/peers/gen_py/orders/ttypes.py
@@ -902,6 +902,7 @@
     Attributes:
      - instance
      - incarnation
+     - data_centre
      - life
      - remaining_ms
      - orders
@@ -909,9 +910,10 @@
     """
 
 
-    def __init__(self, instance=None, incarnation=None, life=None, remaining_ms=None, orders=None,):
+    def __init__(self, instance=None, incarnation=None, data_centre=None, life=None, remaining_ms=None, orders=None,):
         self.instance = instance
         self.incarnation = incarnation
+        self.data_centre = data_centre
         self.life = life
         self.remaining_ms = remaining_ms
         self.orders = orders
@@ -936,16 +938,21 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.life = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.I64:
                     self.remaining_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 6:
                 if ftype == TType.LIST:
                     self.orders = []
                     (_etype24, _size21) = iprot.readListBegin()
@@ -974,16 +981,20 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 3)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
         if self.life is not None:
-            oprot.writeFieldBegin('life', TType.I64, 3)
+            oprot.writeFieldBegin('life', TType.I64, 4)
             oprot.writeI64(self.life)
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
-            oprot.writeFieldBegin('remaining_ms', TType.I64, 4)
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 5)
             oprot.writeI64(self.remaining_ms)
             oprot.writeFieldEnd()
         if self.orders is not None:
-            oprot.writeFieldBegin('orders', TType.LIST, 5)
+            oprot.writeFieldBegin('orders', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
             for iter27 in self.orders:
                 iter27.write(oprot)
@@ -997,6 +1008,8 @@
             raise TProtocolException(message='Required field instance is unset!')
         if self.incarnation is None:
             raise TProtocolException(message='Required field incarnation is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
         if self.life is None:
             raise TProtocolException(message='Required field life is unset!')
         if self.remaining_ms is None:
@@ -1148,9 +1161,10 @@
     None,  # 0
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I64, 'life', None, None, ),  # 3
-    (4, TType.I64, 'remaining_ms', None, None, ),  # 4
-    (5, TType.LIST, 'orders', (TType.STRUCT, [KeptOrder, None], False), None, ),  # 5
+    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'life', None, None, ),  # 4
+    (5, TType.I64, 'remaining_ms', None, None, ),  # 5
+    (6, TType.LIST, 'orders', (TType.STRUCT, [KeptOrder, None], False), None, ),  # 6
 )
 all_structs.append(HandoverReply)
 HandoverReply.thrift_spec = (
--- a/oriolepaddle/peers/idl/orders.thrift
+++ b/oriolepaddle/peers/idl/orders.thrift
@@ -69,9 +69,10 @@
 struct HandoverCall {
   1: required string instance,
   2: required i64 incarnation,
-  3: required i64 life,
-  4: required i64 remaining_ms,
-  5: required list<KeptOrder> orders,
+  3: required string data_centre,
+  4: required i64 life,
+  5: required i64 remaining_ms,
+  6: required list<KeptOrder> orders,
 }
 
 struct HandoverReply {
