Simulate retries and quarantine under faults; never advise a wait of zero

Cause: the first run of the simulation did not end: a claim short of its time by less than a microsecond was told to wait for zero seconds, and a gateway that obeys would ask without end. Change: the wait is rounded up by the resolution of a timedelta.

--- /dev/null
+++ b/experiments/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry policies and the quarantine under faults, by seeded simulation."""
--- /dev/null
+++ b/experiments/retries/_gateway.py
@@ -0,0 +1,260 @@
+"""One instance of the model: the real decision classes around a simple routing."""
+
+import attrs
+import numpy as np
+
+from experiments.retries._endpoint import EndpointModel
+from experiments.retries._events import EventLoop
+from experiments.retries._hedging import Hedging
+from experiments.retries._measures import Measures
+from experiments.retries._request import Request, Try
+from oriolepaddle.errors import (
+    EndpointTimeoutError,
+    ErrorCode,
+    OriolepaddleError,
+    RefusedError,
+)
+from oriolepaddle.quarantine import CrashEvidence, Quarantine, Run, StartAction
+from oriolepaddle.retries import Failure, RetryAction, RetryPolicy
+
+__all__ = ["DEADLINE_S", "GatewayModel"]
+
+DEADLINE_S = 12.0
+TRY_TIMEOUT_S = 4.0
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 8.0
+
+
+@attrs.define(eq=False)
+class _Exchange:
+    """A request with its tries in flight."""
+
+    request: Request
+    attempt: int = 1
+    tried: set[str] = attrs.Factory(set)
+    in_flight: dict[Try, Run | None] = attrs.Factory(dict)
+    is_over: bool = False
+
+    @property
+    def deadline_s(self) -> float:
+        """When the answer must be there, in seconds."""
+        return self.request.arrived_s + DEADLINE_S
+
+
+@attrs.define
+class _Health:
+    """What routing remembers of an endpoint's failures."""
+
+    failures: int = 0
+    skip_until_s: float = 0.0
+    in_flight: int = 0
+
+
+class GatewayModel:
+    """Routes by two choices, and leaves out endpoints that failed lately.
+
+    Args:
+        loop: The events.
+        endpoints: All endpoints by name.
+        policy: The retry policy, or None for no retries.
+        hedging: The hedging, or None.
+        quarantine: The quarantine, or None.
+        measures: Takes the counts.
+        rng: Picks endpoints.
+        is_blind: Whether routing goes on using endpoints that failed.
+        on_end: Called with each request that ended, and its error or None.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        endpoints: dict[str, EndpointModel],
+        policy: RetryPolicy | None,
+        hedging: Hedging | None,
+        quarantine: Quarantine | None,
+        measures: Measures,
+        rng: np.random.Generator,
+        is_blind: bool,
+    ) -> None:
+        self._loop = loop
+        self._endpoints = endpoints
+        self._policy = policy
+        self._hedging = hedging
+        self.quarantine = quarantine
+        self._measures = measures
+        self._rng = rng
+        self._is_blind = is_blind
+        self._health = {name: _Health() for name in endpoints}
+        self.on_end = lambda request, error: None
+
+    def arrive(self, request: Request) -> None:
+        """Take in a request from its caller."""
+        exchange = _Exchange(request)
+        self._loop.schedule(DEADLINE_S, self._expire, exchange)
+        self._try(exchange)
+
+    def _try(self, exchange: _Exchange) -> None:
+        if exchange.is_over:
+            return
+        try:
+            endpoint, run, wait_s = self._pick(exchange)
+        except RefusedError as error:
+            if not exchange.request.is_crasher:
+                self._measures.innocents_refused += 1
+            self._end(exchange, error)
+            return
+        if endpoint is None:
+            exchange.request.waited_s += wait_s
+            self._loop.schedule(wait_s, self._try, exchange)
+            return
+        self._submit(exchange, endpoint, run)
+        self._plan_hedge(exchange)
+
+    def _pick(self, exchange: _Exchange) -> tuple[str | None, Run | None, float]:
+        """Return the endpoint and its run, or how long to wait, in seconds."""
+        order = self._order(exchange.tried)
+        if self.quarantine is None:
+            return order[0], None, 0.0
+        fingerprint = exchange.request.fingerprint
+        if self.quarantine.is_suspect(fingerprint):
+            order.sort(key=lambda name: self._health[name].in_flight)
+        avoided = []
+        for name in order:
+            advice = self.quarantine.may_start(fingerprint, name)
+            if advice.action is StartAction.GO:
+                return name, self.quarantine.started(fingerprint, name), 0.0
+            if advice.action is StartAction.AVOID:
+                avoided.append(name)
+            if advice.action is StartAction.WAIT:
+                return None, None, advice.delay.total_seconds()
+        if avoided:
+            name = avoided[0]
+            return name, self.quarantine.started(fingerprint, name), 0.0
+        return None, None, 0.1
+
+    def _order(self, tried: set[str]) -> list[str]:
+        """Return the candidates, the better of two random ones first."""
+        now_s = self._loop.now_s
+        names = [name for name in self._endpoints if name not in tried]
+        names = names or list(self._endpoints)
+        if not self._is_blind:
+            fit = [n for n in names if self._health[n].skip_until_s <= now_s]
+            names = fit or names
+        order = [names[index] for index in self._rng.permutation(len(names))]
+        if len(order) > 1:
+            first, second = (self._health[name].in_flight for name in order[:2])
+            if second < first:
+                order[0], order[1] = order[1], order[0]
+        return order
+
+    def _submit(self, exchange: _Exchange, endpoint: str, run: Run | None) -> None:
+        attempt = Try(
+            exchange.request,
+            endpoint,
+            lambda done: self._answer(exchange, done),
+            lambda done, error, seen: self._fail(exchange, done, error, seen),
+        )
+        exchange.tried.add(endpoint)
+        exchange.in_flight[attempt] = run
+        self._health[endpoint].in_flight += 1
+        self._loop.schedule(TRY_TIMEOUT_S, self._time_out, exchange, attempt)
+        self._endpoints[endpoint].submit(attempt)
+
+    def _answer(self, exchange: _Exchange, attempt: Try) -> None:
+        run = self._drop(exchange, attempt)
+        if run is not None:
+            run.finished()
+        self._health[attempt.endpoint].failures = 0
+        if exchange.is_over:
+            return
+        latency_s = self._loop.now_s - exchange.request.arrived_s
+        if self._policy is not None:
+            self._policy.succeeded(exchange.request.organisation, attempt.endpoint)
+        if self._hedging is not None:
+            self._hedging.answered(latency_s)
+        self._end(exchange, None)
+
+    def _time_out(self, exchange: _Exchange, attempt: Try) -> None:
+        if attempt.is_over:
+            return
+        self._endpoints[attempt.endpoint].cancel(attempt)
+        self._fail(exchange, attempt, EndpointTimeoutError("late"), None)
+
+    def _fail(
+        self,
+        exchange: _Exchange,
+        attempt: Try,
+        error: OriolepaddleError,
+        seen: CrashEvidence | None,
+    ) -> None:
+        run = self._drop(exchange, attempt)
+        if run is not None and seen is not None:
+            run.crashed(seen)
+        elif run is not None:
+            run.abandoned()
+        health = self._health[attempt.endpoint]
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(health.failures, 10))
+        health.failures += 1
+        health.skip_until_s = self._loop.now_s + pause_s
+        if exchange.is_over or exchange.in_flight:
+            return
+        self._decide(exchange, attempt, error)
+
+    def _decide(
+        self, exchange: _Exchange, attempt: Try, error: OriolepaddleError
+    ) -> None:
+        if self._policy is None:
+            self._end(exchange, error)
+            return
+        failure = Failure(
+            error=error,
+            attempt=exchange.attempt,
+            organisation=exchange.request.organisation,
+            endpoint=attempt.endpoint,
+            is_idempotent=exchange.request.is_idempotent,
+            bytes_sent_to_caller=0,
+            deadline_s=exchange.deadline_s,
+            is_resumable=False,
+        )
+        decision = self._policy.decide(failure)
+        if decision.action is RetryAction.GIVE_UP:
+            self._end(exchange, error)
+            return
+        exchange.attempt += 1
+        self._measures.retries += 1
+        self._loop.schedule(decision.delay.total_seconds(), self._try, exchange)
+
+    def _plan_hedge(self, exchange: _Exchange) -> None:
+        if self._hedging is None or not exchange.request.is_idempotent:
+            return
+        delay_s = self._hedging.find_delay_s()
+        if delay_s is not None and exchange.attempt == 1:
+            self._loop.schedule(delay_s, self._hedge, exchange)
+
+    def _hedge(self, exchange: _Exchange) -> None:
+        if exchange.is_over or not exchange.in_flight or exchange.attempt > 1:
+            return
+        if not self._hedging.may_hedge():
+            return
+        self._measures.hedges += 1
+        self._submit(exchange, self._order(exchange.tried)[0], None)
+
+    def _drop(self, exchange: _Exchange, attempt: Try) -> Run | None:
+        self._health[attempt.endpoint].in_flight -= 1
+        return exchange.in_flight.pop(attempt)
+
+    def _expire(self, exchange: _Exchange) -> None:
+        if not exchange.is_over:
+            error = RefusedError("late", code=ErrorCode.DEADLINE_UNREACHABLE)
+            self._end(exchange, error)
+
+    def _end(self, exchange: _Exchange, error: OriolepaddleError | None) -> None:
+        exchange.is_over = True
+        for attempt in list(exchange.in_flight):
+            self._endpoints[attempt.endpoint].cancel(attempt)
+            run = self._drop(exchange, attempt)
+            if run is not None:
+                run.abandoned()
+        request = exchange.request
+        self._measures.count_end(request, self._loop.now_s, error is None)
+        self.on_end(request, error)
--- /dev/null
+++ b/experiments/retries/_plot.py
@@ -0,0 +1,34 @@
+"""A plot of added tries and success under each fault."""
+
+from pathlib import Path
+
+import numpy as np
+from matplotlib.figure import Figure
+
+from experiments.retries._scenario import Policy
+from experiments.retries._table import COLUMNS, Results
+
+__all__ = ["plot"]
+
+HEADINGS = ("added %", "success %", "p99 s")
+
+
+def plot(results: Results, path: Path) -> None:
+    """Write bars with the spread over the seeds to `path`."""
+    faults = list(dict.fromkeys(fault for fault, _ in results))
+    figure = Figure(figsize=(13, 10), layout="constrained")
+    for heading, axes in zip(HEADINGS, figure.subplots(3, 1, sharex=True), strict=True):
+        read, _ = COLUMNS[heading]
+        for offset, policy in enumerate(Policy):
+            rows = [results.get((fault, policy), []) for fault in faults]
+            places = [place for place, row in enumerate(rows) if row]
+            values = [[read(each) for each in row] for row in rows if row]
+            middles = np.median(values, axis=1)
+            errors = [middles - np.min(values, 1), np.max(values, 1) - middles]
+            x = np.array(places) + (offset - 2.5) * 0.14
+            axes.bar(x, middles, 0.14, yerr=errors, label=policy.value)
+        axes.set_ylabel(heading)
+        axes.set_yscale("symlog" if heading == "added %" else "linear")
+    axes.set_xticks(range(len(faults)), [fault.value for fault in faults], rotation=25)
+    axes.legend(ncols=3)
+    figure.savefig(path)
--- /dev/null
+++ b/experiments/retries/_table.py
@@ -0,0 +1,53 @@
+"""The table of the measures."""
+
+from collections.abc import Callable
+
+import numpy as np
+from rich.console import Console
+from rich.table import Table
+
+from experiments.retries._fault import Fault
+from experiments.retries._measures import Measures
+from experiments.retries._scenario import Policy
+
+__all__ = ["COLUMNS", "Results", "print_table"]
+
+Results = dict[tuple[Fault, Policy], list[Measures]]
+
+COLUMNS: dict[str, tuple[Callable[[Measures], float], str]] = {
+    "added %": (lambda m: 100 * m.added_share, ".2f"),
+    "success %": (lambda m: 100 * m.success_share, ".2f"),
+    "worst org. %": (lambda m: 100 * m.worst_share, ".1f"),
+    "p99 s": (lambda m: m.p99_s, ".2f"),
+    "busy s/answer": (lambda m: m.busy_per_answer_s, ".3f"),
+    "crashes/crasher": (lambda m: m.crashes_per_crasher, ".2f"),
+    "most": (lambda m: max(m.crashes.values(), default=0), ".0f"),
+    "refused": (lambda m: m.innocents_refused, ".0f"),
+    "delayed": (lambda m: m.innocents_delayed, ".0f"),
+    "delay s": (lambda m: m.delay_s / max(1, m.innocents_delayed), ".2f"),
+}
+
+
+def print_table(results: Results, seeds: int) -> None:
+    """Print the median of each measure with the lowest and highest seed."""
+    table = Table(title=f"median [lowest, highest] of {seeds} seeds")
+    for heading in ("fault", "policy", *COLUMNS):
+        table.add_column(heading)
+    last = None
+    for (fault, policy), measures in results.items():
+        cells = [_show(measures, *column) for column in COLUMNS.values()]
+        if last is not None and fault is not last:
+            table.add_section()
+        table.add_row("" if fault is last else fault.value, policy.value, *cells)
+        last = fault
+    Console(width=210).print(table)
+
+
+def _show(
+    measures: list[Measures], read: Callable[[Measures], float], form: str
+) -> str:
+    values = [read(each) for each in measures]
+    middle, low, high = np.median(values), min(values), max(values)
+    if low == high:
+        return format(middle, form)
+    return f"{middle:{form}} [{low:{form}}, {high:{form}}]"
--- a/oriolepaddle/quarantine/_entries.py
+++ b/oriolepaddle/quarantine/_entries.py
@@ -5,7 +5,7 @@
 come late, twice and in any order.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 
 import attrs
 import xxhash
@@ -57,6 +57,10 @@
         entry = self._entries.get(fingerprint)
         return entry.find_active() if entry else []
 
+    def fingerprints(self) -> Set[bytes]:
+        """Return all fingerprints with an entry."""
+        return self._entries.keys()
+
     def iterate(self) -> Iterator[tuple[bytes, HeldEntry]]:
         """Yield each fingerprint with its entry."""
         self._expire()
--- a/oriolepaddle/quarantine/_runs.py
+++ b/oriolepaddle/quarantine/_runs.py
@@ -1,6 +1,7 @@
 """The runs in flight at this instance."""
 
 from collections import defaultdict
+from collections.abc import Set
 
 from oriolepaddle.quarantine.run import Run
 
@@ -27,6 +28,10 @@
         _remove(self._by_endpoint, run.endpoint, run)
         return True
 
+    def fingerprints(self) -> Set[bytes]:
+        """Return the fingerprints with a run in flight."""
+        return self._by_fingerprint.keys()
+
     def find_runs(self, fingerprint: bytes) -> list[Run]:
         """Return the runs of a fingerprint."""
         return self._by_fingerprint.get(fingerprint, [])
--- a/oriolepaddle/quarantine/_trials.py
+++ b/oriolepaddle/quarantine/_trials.py
@@ -1,5 +1,7 @@
 """When a suspect may run, and where."""
 
+from datetime import timedelta
+
 import attrs
 
 from oriolepaddle.clock import Clock
@@ -96,8 +98,8 @@
             Claim(self._instance, fingerprint, pending.endpoint, is_running=False)
             for fingerprint, pending in self._pending.items()
         ]
-        for fingerprint, entry in self._entries.iterate():
-            if entry.find_active():
+        for fingerprint in self._entries.fingerprints() & self._runs.fingerprints():
+            if self._entries.find_active(fingerprint):
                 claims += [
                     Claim(self._instance, fingerprint, run.endpoint, is_running=True)
                     for run in self._runs.find_runs(fingerprint)
@@ -114,9 +116,9 @@
             return StartAdvice(StartAction.WAIT, wait, endpoint)
         left_s = pending.claimed_at_s + wait.total_seconds() - now_s
         if left_s > 0:
-            return StartAdvice(
-                StartAction.WAIT, wait * (left_s / wait.total_seconds()), endpoint
-            )
+            # Rounded up: a delay of zero would make the caller ask without end.
+            delay = timedelta(seconds=left_s) + timedelta.resolution
+            return StartAdvice(StartAction.WAIT, delay, endpoint)
         return StartAdvice(StartAction.GO)
 
     def _advise_other(self, fingerprint: bytes, pending: _Pending) -> StartAdvice:
--- a/oriolepaddle/quarantine/tests/test_quarantine.py
+++ b/oriolepaddle/quarantine/tests/test_quarantine.py
@@ -177,6 +177,21 @@
         run.finished()
         assert quarantine.may_start(CRASHER, "e3").action is StartAction.GO
 
+    @pytest.mark.parametrize("offset_ms", range(0, 2000, 100))
+    def test_wait_is_never_zero(self, quarantine, clock, offset_ms):
+        crash(quarantine, clock, CRASHER, "e1")
+        clock.advance(timedelta(milliseconds=offset_ms))
+        quarantine.may_start(CRASHER, "e2")
+        # Two steps add up to another last digit than one.
+        clock.advance(SETTINGS.claim_wait * 0.37)
+        for _ in range(3):
+            advice = quarantine.may_start(CRASHER, "e2")
+            if advice.action is StartAction.GO:
+                return
+            assert advice.delay > timedelta(0)
+            clock.advance(advice.delay)
+        pytest.fail("the claim never matured")
+
     def test_start_without_a_standing_claim_is_not_run(self, quarantine, clock):
         crash(quarantine, clock, CRASHER, "e1")
         quarantine.may_start(CRASHER, "e2")
