Test that a crasher is stopped and those beside it are served

Cause: the two rules were tested apart, not together over a small fleet. Change: a hypothesis test over three instances and four endpoints.

--- /dev/null
+++ b/oriolepaddle/quarantine/tests/test_narrowing.py
@@ -0,0 +1,100 @@
+from collections import defaultdict
+
+from hypothesis import given, settings, strategies as st
+
+from oriolepaddle.errors import RefusedError
+from oriolepaddle.quarantine import EntryState, StartAction
+from oriolepaddle.quarantine.tests.fleet import Fleet, make_evidence
+
+CRASHER = b"crasher"
+ENDPOINTS = ("e1", "e2", "e3", "e4")
+MAX_STEPS = 400
+
+REQUESTS = st.lists(
+    st.tuples(st.sampled_from("abc"), st.sampled_from(ENDPOINTS)),
+    min_size=1,
+    max_size=8,
+)
+
+
+class Engines:
+    """Endpoints whose crasher takes all that runs beside it down."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.incarnations = dict.fromkeys(ENDPOINTS, 1)
+        self.runs = defaultdict(list)
+        self.waiting = []
+        self.finished = set()
+        self.crashes = 0
+
+    def start(self, name, fingerprint, order):
+        quarantine = self.fleet[name]
+        for endpoint in order:
+            advice = quarantine.may_start(fingerprint, endpoint)
+            if advice.action is StartAction.WAIT:
+                break
+            if advice.action is not StartAction.OTHER_ENDPOINT:
+                run = quarantine.started(fingerprint, endpoint)
+                self.runs[endpoint].append((name, run))
+                self.fleet.tick()
+                return
+        self.waiting.append((name, fingerprint))
+        self.fleet.tick()
+
+    def step(self):
+        """Finish or crash each endpoint's runs, then retry those that wait."""
+        for endpoint in ENDPOINTS:
+            runs = self.runs.pop(endpoint, [])
+            if any(run.fingerprint == CRASHER for _, run in runs):
+                self.crash(endpoint, runs)
+                continue
+            for _, run in runs:
+                run.finished()
+                self.finished.add(run.fingerprint)
+        self.fleet.tick()
+        self.fleet.advance(0.4)
+        self.fleet.tick()
+        waiting, self.waiting = self.waiting, []
+        for number, (name, fingerprint) in enumerate(waiting):
+            shift = number % len(ENDPOINTS)
+            try:
+                self.start(name, fingerprint, ENDPOINTS[shift:] + ENDPOINTS[:shift])
+            except RefusedError:
+                assert fingerprint == CRASHER
+
+    def crash(self, endpoint, runs):
+        self.crashes += 1
+        for name, run in runs:
+            run.crashed(make_evidence(str(self.incarnations[endpoint])))
+            self.waiting.append((name, run.fingerprint))
+        self.incarnations[endpoint] += 1
+
+
+class TestNarrowing:
+    @given(REQUESTS, st.sampled_from("abc"), st.integers(0, 8))
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    def test_innocents_are_served_and_the_crasher_is_stopped(
+        self, requests, crasher_at, late
+    ):
+        fleet = Fleet()
+        engines = Engines(fleet)
+        engines.start(crasher_at, CRASHER, ENDPOINTS)
+        innocents = set()
+        for number, (name, endpoint) in enumerate(requests):
+            innocents.add(b"innocent-%d" % number)
+            if number < late:
+                engines.start(name, b"innocent-%d" % number, (endpoint,))
+            else:
+                engines.waiting.append((name, b"innocent-%d" % number))
+        for _ in range(MAX_STEPS):
+            engines.step()
+            if not engines.waiting and not engines.runs:
+                break
+        assert innocents <= engines.finished
+        assert engines.crashes == 2
+        for node in fleet.nodes.values():
+            states = {e.fingerprint: e.state for e in node.quarantine.list()}
+            assert states.pop(CRASHER) is EntryState.QUARANTINED
+            assert EntryState.QUARANTINED not in states.values()
+            assert EntryState.SUSPECT not in states.values()
