--- a/experiments/retries/__main__.py
+++ b/experiments/retries/__main__.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from experiments.retries._cost import print_cost
 from experiments.retries._fault import Fault
 from experiments.retries._scenario import Policy, Scenario, simulate
 from experiments.retries._table import Results, print_table
@@ -34,8 +35,12 @@
     parser = argparse.ArgumentParser(prog="python -m experiments.retries")
     parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS)
     parser.add_argument("--plot", type=Path, metavar="FILE")
+    parser.add_argument("--cost", action="store_true", help="print costs instead")
     options = parser.parse_args()
     logger.remove()
+    if options.cost:
+        print_cost()
+        return
     results: Results = {}
     for fault in Fault:
         for policy in _choose_policies(fault):
--- a/experiments/retries/_hedging.py
+++ b/experiments/retries/_hedging.py
@@ -4,7 +4,7 @@
 
 __all__ = ["Hedging"]
 
-MIN_ANSWERS = 100
+UPDATE_INTERVAL = 100
 MAX_LATENCY_US = 60_000_000
 US_PER_S = 1_000_000
 
@@ -25,19 +25,21 @@
         self._percentile = percentile
         self._cap = cap
         self._tokens = 0.0
+        self._delay_s: float | None = None
         self._latencies = HdrHistogram(1, MAX_LATENCY_US, 2)
 
     def answered(self, latency_s: float) -> None:
         """Count an answer and its latency."""
         self._tokens = min(self._cap, self._tokens + self._ratio)
         self._latencies.record_value(min(MAX_LATENCY_US, int(latency_s * US_PER_S)))
+        count = self._latencies.get_total_count()
+        if count % UPDATE_INTERVAL == 0:
+            value_us = self._latencies.get_value_at_percentile(self._percentile)
+            self._delay_s = value_us / US_PER_S
 
     def find_delay_s(self) -> float | None:
         """Return after how many seconds to try a second time, or None."""
-        if self._latencies.get_total_count() < MIN_ANSWERS:
-            return None
-        value_us = self._latencies.get_value_at_percentile(self._percentile)
-        return value_us / US_PER_S
+        return self._delay_s
 
     def may_hedge(self) -> bool:
         """Take a token if there is one."""
--- a/oriolepaddle/peers/gen_py/quarantine/ttypes.py
+++ b/oriolepaddle/peers/gen_py/quarantine/ttypes.py
@@ -539,16 +539,8 @@
 
 
 class ReportReply(object):
-    """
-    Attributes:
-     - digest
-
-    """
 
 
-    def __init__(self, digest=None,):
-        self.digest = digest
-
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -558,11 +550,6 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -573,16 +560,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ReportReply')
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 1)
-            oprot.writeBinary(self.digest)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.digest is None:
-            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -770,8 +751,6 @@
 )
 all_structs.append(ReportReply)
 ReportReply.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
 )
 all_structs.append(CompareRequest)
 CompareRequest.thrift_spec = (
--- a/oriolepaddle/peers/idl/quarantine.thrift
+++ b/oriolepaddle/peers/idl/quarantine.thrift
@@ -42,7 +42,6 @@
 }
 
 struct ReportReply {
-  1: required binary digest,
 }
 
 struct CompareRequest {
--- a/oriolepaddle/quarantine/handler.py
+++ b/oriolepaddle/quarantine/handler.py
@@ -26,9 +26,9 @@
         self._quarantine = quarantine
 
     def report(self, request: Report) -> ReportReply:
-        """Take in a report and return the digest after it."""
+        """Take in a report."""
         self._quarantine.merge(request)
-        return ReportReply(digest=self._quarantine.digest())
+        return ReportReply()
 
     def compare(self, request: CompareRequest) -> CompareReply:
         """Return the whole state if the caller's digest differs."""
