Let the platform stand-in answer a first list call at once

Cause: an instance waited 20 s for its first list, because the stand-in held a call with revision 0. Change: revision 0 returns at once, as the interface says. Conclusion: a contract test of the platform's interface is owed.

--- a/oriolepaddle/standins/platform.py
+++ b/oriolepaddle/standins/platform.py
@@ -36,7 +36,7 @@
         self._changed = threading.Condition()
         self._values: list[ServiceValue] = []
         self._instances: tuple[Instance, ...] = ()
-        self._instances_revision = 0
+        self._instances_revision = 1
         self._clients: tuple[ClientRecord, ...] = ()
         self._stale_values: list[ServiceValue] | None = None
         self._server = HttpServer(
@@ -147,7 +147,8 @@
     def _read_instances(self, after: int, wait_s: float) -> dict:
         with self._changed:
             self._changed.wait_for(
-                lambda: self.is_down or self._instances_revision != after, wait_s
+                lambda: self.is_down or self._instances_revision != after,
+                wait_s if after else 0,
             )
             instances = self._instances
             revision = self._instances_revision
