--- a/oriolepaddle/routing/remote_loads.py
+++ b/oriolepaddle/routing/remote_loads.py
@@ -13,6 +13,8 @@
 
 MAX_AGE_S = 10.0
 """A data centre whose summary is older may be cut off."""
+HOME_CACHED_PART = 0.5
+"""Part of a prompt that is expected cached in its home data centre."""
 
 
 @attrs.define
@@ -51,7 +53,7 @@
         )
 
     def score(
-        self, data_centre: str, request: RoutingRequest, senders: int
+        self, data_centre: str, request: RoutingRequest, senders: int, is_home: bool
     ) -> Score | None:
         """Return the score of a data centre, or None if none can run it.
 
@@ -59,6 +61,7 @@
             data_centre: One of `data_centres`.
             request: The request.
             senders: Instances that are expected to send there alike.
+            is_home: Whether all send this document there.
         """
         held = self._remotes[(request.route.id, data_centre)]
         summary = held.summary
@@ -66,14 +69,16 @@
             return None
         excess = max(0.0, held.sent * senders + 1 - summary.free_slots)
         queueing_s = summary.queueing_s + excess / summary.requests_per_s
-        # Nothing is known of a remote prefix cache, so none is counted on.
-        prefill_s = request.prompt_tokens / summary.prefill_tokens_per_s
+        # Nothing is known of a remote prefix cache but that senders agree.
+        cached_tokens = HOME_CACHED_PART * request.prompt_tokens if is_home else 0.0
+        missing_tokens = request.prompt_tokens - cached_tokens
+        prefill_s = missing_tokens / summary.prefill_tokens_per_s
         delay_s = 2 * self._delay_s(data_centre)
         return Score(
             target=data_centre,
             queueing_s=queueing_s,
             prefill_s=prefill_s,
-            cached_tokens=0.0,
+            cached_tokens=cached_tokens,
             delay_s=delay_s,
             total_s=queueing_s + prefill_s + delay_s,
         )
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -11,6 +11,7 @@
 from oriolepaddle.routing.candidate import Candidate
 from oriolepaddle.routing.decision import Decision
 from oriolepaddle.routing.endpoint_policy import EndpointPolicy
+from oriolepaddle.routing.home import find_home
 from oriolepaddle.routing.load_report import LoadReport
 from oriolepaddle.routing.load_summary import LoadSummary
 from oriolepaddle.routing.local_fleet import LocalFleet
@@ -26,7 +27,7 @@
 """Time to be gained before a request is worth the link between regions."""
 MAX_LOCAL_FAILURES = 2
 """Endpoints that failed one request before the whole data centre is doubted."""
-PREFILL_WEIGHT = 4.0
+PREFILL_WEIGHT = 3.0
 """How much prefill counts when a request's cost here and elsewhere is compared."""
 
 
@@ -70,7 +71,7 @@
         regions = AllowedRegions(request, self._config)
         with self._lock:
             local = self._rank_local(request, regions)
-            remote = self._rank_remote(request, regions)
+            remote = self._rank_remote(request, regions, bool(local))
             if local and not self._prefers_remote(request, remote, local):
                 endpoint = self._config.endpoint(local[0].target)
                 if self.is_allowed(local[0].target, request):
@@ -167,18 +168,25 @@
         return usable or [candidate for candidate in candidates if candidate.is_up]
 
     def _rank_remote(
-        self, request: RoutingRequest, regions: AllowedRegions
+        self, request: RoutingRequest, regions: AllowedRegions, is_served: bool
     ) -> tuple[Score, ...]:
         if request.hops:
             return ()
         now_s = self._clock.monotonic_s()
         route = request.route.id
         senders = self._fleet.count_instances()
-        scores = [
-            self._remotes.score(data_centre, request, senders)
+        allowed = [
+            data_centre
             for data_centre in self._remotes.data_centres(route, now_s)
             if regions.contains(data_centre)
         ]
+        # Only when all of a document's requests go away do they share a cache.
+        weights = {} if is_served else {name: 1.0 for name in allowed}
+        home = find_home(request.prefix_hashes, weights)
+        scores = [
+            self._remotes.score(name, request, senders, is_home=name == home)
+            for name in allowed
+        ]
         found = [score for score in scores if score is not None]
         return tuple(sorted(found, key=lambda score: score.total_s))
 
@@ -190,7 +198,7 @@
             return False
         if len(request.excluded) >= MAX_LOCAL_FAILURES:
             return True
-        return _cost_s(local[0]) - _cost_s(remote[0]) > SEND_AWAY_GAIN_S
+        return _gain_s(local[0], remote[0]) > SEND_AWAY_GAIN_S
 
     def _refuse(self, request: RoutingRequest, regions: AllowedRegions) -> RefusedError:
         route = request.route.id
@@ -205,6 +213,9 @@
         )
 
 
-def _cost_s(score: Score) -> float:
-    # Prefill delays other requests too, and elsewhere the cache is cold.
-    return score.first_token_s + (PREFILL_WEIGHT - 1.0) * score.prefill_s
+def _gain_s(local: Score, remote: Score) -> float:
+    # Faster prefill elsewhere is no gain: the prompt would never get cached
+    # here. Slower or uncached prefill is a loss, to other requests too.
+    lost_prefill_s = max(0.0, remote.prefill_s - local.prefill_s)
+    gained_s = local.queueing_s - remote.queueing_s - remote.delay_s
+    return gained_s - PREFILL_WEIGHT * lost_prefill_s
--- a/oriolepaddle/routing/shortest_time.py
+++ b/oriolepaddle/routing/shortest_time.py
@@ -5,18 +5,16 @@
 from collections.abc import Sequence
 
 import attrs
-import xxhash
 
+from oriolepaddle.config.model import Endpoint
 from oriolepaddle.routing.candidate import Candidate
+from oriolepaddle.routing.home import find_home
 from oriolepaddle.routing.score import Score
 
 __all__ = ["ShortestTimePolicy"]
 
-AFFINITY_BLOCKS = 4
-"""Blocks of a prompt that name its document; what comes before is shared."""
-HOME_PREFILL_S = float(__import__("os").environ.get("HP", "1.5"))
+HOME_PREFILL_S = 3.0
 """The longest prefill of a whole prompt for which an endpoint can be its home."""
-MAX_HASH = 2**64
 
 
 @attrs.frozen
@@ -48,8 +46,8 @@
 
     def rank(self, candidates: Sequence[Candidate]) -> tuple[Score, ...]:
         """Return a score of each candidate, best first."""
-        home = self._find_home(candidates)
-        scores = [self._score(item, item is home) for item in candidates]
+        home = _find_home(candidates)
+        scores = [self._score(item, item.endpoint.id == home) for item in candidates]
         scores.sort(key=lambda score: score.total_s)
         best_s = scores[0].total_s
         ties = sum(score.total_s <= best_s + self.tie_s for score in scores)
@@ -75,20 +73,17 @@
             ),
         )
 
-    def _find_home(self, candidates: Sequence[Candidate]) -> Candidate | None:
-        hashes = candidates[0].request.prefix_hashes
-        if len(hashes) < AFFINITY_BLOCKS:
-            return None
-        document = hashes[AFFINITY_BLOCKS - 1]
-        # The first request of a document must not wait long for its prefill.
-        fast = [item for item in candidates if item.whole_prefill_s <= HOME_PREFILL_S]
-        return max(fast, key=lambda item: _weigh(document, item), default=None)
 
+def _find_home(candidates: Sequence[Candidate]) -> str | None:
+    # The first request of a document must not wait long for its prefill.
+    weights = {
+        item.endpoint.id: _weigh(item.endpoint)
+        for item in candidates
+        if item.whole_prefill_s <= HOME_PREFILL_S
+    }
+    return find_home(candidates[0].request.prefix_hashes, weights)
 
-def _weigh(document: int, candidate: Candidate) -> tuple[float, str]:
+
+def _weigh(endpoint: Endpoint) -> float:
     # Published speeds weigh here, not measured ones: all instances must agree.
-    endpoint = candidate.endpoint
-    digest = xxhash.xxh3_64_intdigest(endpoint.id.encode(), seed=document)
-    draw = (digest + 1) / (MAX_HASH + 1)
-    weight = endpoint.cache_tokens * math.sqrt(endpoint.prefill_tokens_per_s)
-    return weight / -math.log(draw), endpoint.id
+    return endpoint.cache_tokens * math.sqrt(endpoint.prefill_tokens_per_s)
