--- /dev/null
+++ b/experiments/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission under overload: fairness, tail latency and what each costs."""
