--- /dev/null
+++ b/experiments/limits/trial.py
@@ -0,0 +1,331 @@
+"""One run of one way of limiting under one scenario."""
+
+import heapq
+import random
+from collections.abc import Callable
+
+import attrs
+
+from experiments.limits.fleet import Fleet
+from experiments.limits.usage import UseLog
+from experiments.limits.workload import (
+    Request,
+    Workload,
+    make_organisations,
+    make_requests,
+)
+from oriolepaddle.config import Entry
+from oriolepaddle.config.model import DataCentre, ObjectKind, Organisation
+from oriolepaddle.errors import RefusedError
+from oriolepaddle.limits import LimitSettings, TokenLimiter
+from oriolepaddle.limits.bucket import Bucket, BucketDebit
+from oriolepaddle.limits.fixed import FixedSplitLimiter
+
+__all__ = ["METHODS", "Scenario", "TrialResult", "run_trial"]
+
+TICK_S = 0.2
+WARM_UP_S = 60.0
+
+Build = Callable[[Fleet], dict[str, TokenLimiter]]
+
+
+@attrs.frozen
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        name: Its name in the table.
+        instances: The data centre of each instance.
+        workload: What organisations ask for.
+        organisations: How many there are.
+        seconds: How long it lasts after the warm-up.
+        cut_off: A data centre cut off in the middle third, or empty.
+        replacements: Instances replaced one after the other, gracefully.
+        crashes: Instances that crash and start again 10 s later.
+    """
+
+    name: str
+    instances: dict[str, str]
+    workload: Workload
+    organisations: int = 12
+    seconds: float = 300.0
+    cut_off: str = ""
+    replacements: int = 0
+    crashes: int = 0
+
+
+@attrs.define
+class TrialResult:
+    """What a run gave.
+
+    Attributes:
+        requests: Requests of the organisations inside their rates.
+        refused: Those refused although the fleet's bucket had the tokens.
+        excess_requests: Requests of the organisation above its rate.
+        excess_refused: Those refused although the fleet's bucket had the tokens.
+        overshoot_tokens: The most by which any window held too much.
+        bytes_per_s: Bytes sent a second by each instance, headers included.
+    """
+
+    requests: int = 0
+    refused: int = 0
+    excess_requests: int = 0
+    excess_refused: int = 0
+    overshoot_tokens: float = 0.0
+    bytes_per_s: float = 0.0
+
+
+@attrs.define
+class _Account:
+    """An organisation's bucket over the whole fleet, and what was admitted."""
+
+    organisation: Organisation
+    bucket: Bucket
+    log: UseLog
+
+
+class _Trial:
+    def __init__(self, scenario: Scenario, build: Build, seed: int) -> None:
+        self.scenario = scenario
+        rng = random.Random(seed)
+        self.organisations = make_organisations(scenario.organisations)
+        self.fleet = _make_fleet(scenario, self.organisations, rng)
+        self.limiters = build(self.fleet)
+        self.build = build
+        self.requests = make_requests(
+            rng,
+            scenario.workload,
+            self.organisations,
+            scenario.instances,
+            scenario.seconds + WARM_UP_S,
+        )
+        self.accounts = [self._account(item) for item in self.organisations]
+        self.result = TrialResult()
+        self.endings: list[tuple[float, int, Request, int, BucketDebit]] = []
+        self.restarts: list[tuple[float, str]] = []
+        self.started_s = self.fleet.now_s
+
+    def run(self) -> TrialResult:
+        waiting = list(reversed(self.requests))
+        events = _plan_events(self.scenario)
+        end_s = self.scenario.seconds + WARM_UP_S
+        steps = round(end_s / TICK_S)
+        for step in range(steps):
+            until_s = step * TICK_S
+            while waiting and waiting[-1].at_s < until_s:
+                self._serve(waiting.pop())
+            self._move_to(until_s)
+            while events and events[0][0] <= until_s:
+                events.pop(0)[1](self)
+            if abs(until_s - WARM_UP_S) < TICK_S / 2:
+                self.fleet.network.sent_bytes.clear()
+            self._tick()
+        return self._finish()
+
+    def _account(self, organisation: Organisation) -> _Account:
+        bucket = Bucket(-1e6)
+        bucket.resize(organisation.rate_tokens_per_s, organisation.burst_tokens)
+        bucket.advance(self.fleet.now_s)
+        return _Account(organisation, bucket, UseLog(organisation))
+
+    def _move_to(self, at_s: float) -> None:
+        while self.endings and self.endings[0][0] <= at_s:
+            ending_s, _, request, index, debit = heapq.heappop(self.endings)
+            self.fleet.advance(max(0.0, self.started_s + ending_s - self.fleet.now_s))
+            account = self.accounts[request.organisation]
+            account.bucket.advance(self.fleet.now_s)
+            account.bucket.settle(debit, request.used)
+            account.log.settle(index, request.used)
+        self.fleet.advance(max(0.0, self.started_s + at_s - self.fleet.now_s))
+
+    def _tick(self) -> None:
+        now_s = self.fleet.now_s - self.started_s
+        for name in sorted(self.fleet.nodes):
+            self.fleet.tick(name)
+        due = [item for item in self.restarts if item[0] <= now_s]
+        self.restarts = [item for item in self.restarts if item[0] > now_s]
+        for _, name in due:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start an instance again."""
+        self.fleet.start(name, self.scenario.instances[name])
+        self.limiters[name] = self.build(self.fleet)[name]
+
+    def _serve(self, request: Request) -> None:
+        self._move_to(request.at_s)
+        account = self.accounts[request.organisation]
+        account.bucket.advance(self.fleet.now_s)
+        is_inside = account.bucket.balance >= request.reserved
+        is_counted = request.at_s >= WARM_UP_S
+        limiter = self.limiters.get(self._instance(request))
+        if limiter is None:
+            return
+        try:
+            reservation = limiter.reserve(account.organisation, request.reserved)
+        except RefusedError:
+            self._count(request, is_counted, is_inside)
+            return
+        self._count(request, is_counted, False)
+        debit = account.bucket.take(request.reserved)
+        if debit is None:
+            # Admitted beyond the bound: the log of uses tells by how much.
+            debit = BucketDebit(request.reserved, 0.0, self.fleet.now_s)
+            account.bucket.charge(request.reserved)
+        index = account.log.add(self.fleet.now_s, reservation)
+        ending_s = request.at_s + request.duration_s
+        item = (ending_s, len(account.log.uses), request, index, debit)
+        heapq.heappush(self.endings, item)
+
+    def _instance(self, request: Request) -> str:
+        """Return the instance, or another of its data centre while it is gone."""
+        if request.instance in self.fleet.nodes:
+            return request.instance
+        centre = self.scenario.instances[request.instance]
+        others = (
+            name
+            for name, stands_in in self.scenario.instances.items()
+            if stands_in == centre and name in self.fleet.nodes
+        )
+        return next(others, "")
+
+    def _count(self, request: Request, is_counted: bool, is_refused: bool) -> None:
+        if not is_counted:
+            return
+        if request.organisation == self.scenario.workload.excessive:
+            self.result.excess_requests += 1
+            self.result.excess_refused += is_refused
+        else:
+            self.result.requests += 1
+            self.result.refused += is_refused
+
+    def _finish(self) -> TrialResult:
+        overshoots = [account.log.overshoot() for account in self.accounts]
+        sent = sum(self.fleet.network.sent_bytes.values())
+        instances = len(self.scenario.instances)
+        self.result.overshoot_tokens = max(overshoots)
+        self.result.bytes_per_s = sent / instances / self.scenario.seconds
+        return self.result
+
+
+def run_trial(scenario: Scenario, method: str, seed: int) -> TrialResult:
+    """Run one way of limiting under a scenario.
+
+    Args:
+        scenario: What happens.
+        method: A key of `METHODS`.
+        seed: The seed of arrivals and clocks.
+    """
+    return _Trial(scenario, METHODS[method], seed).run()
+
+
+def _make_fleet(
+    scenario: Scenario, organisations: list[Organisation], rng: random.Random
+) -> Fleet:
+    entries = [
+        Entry(ObjectKind.ORGANISATION, item.id, 1, item, str(item))
+        for item in organisations
+    ]
+    for name in sorted(set(scenario.instances.values())):
+        centre = DataCentre(name, region=name)
+        entries.append(Entry(ObjectKind.DATA_CENTRE, name, 1, centre, str(centre)))
+    fleet = Fleet(LimitSettings(), tuple(entries))
+    for name, centre in scenario.instances.items():
+        fleet.start(name, centre, rng.choice([-0.0005, 0.0, 0.0005]))
+    # All buckets are full at the start, as after a quiet time.
+    fleet.run(180.0, step_s=1.0)
+    return fleet
+
+
+def _plan_events(
+    scenario: Scenario,
+) -> list[tuple[float, Callable[[_Trial], None]]]:
+    names = list(scenario.instances)
+    third_s = scenario.seconds / 3
+    events: list[tuple[float, Callable[[_Trial], None]]] = []
+    if scenario.cut_off:
+        events.append((WARM_UP_S + third_s, _cut_off))
+        events.append((WARM_UP_S + 2 * third_s, _heal))
+    for index in range(scenario.replacements):
+        at_s = WARM_UP_S + 10 + 30 * index
+        events.append((at_s, _Replacement(names[index % len(names)])))
+    for index in range(scenario.crashes):
+        at_s = WARM_UP_S + 25 + 60 * index
+        events.append((at_s, _Crash(names[-1 - index % len(names)])))
+    return sorted(events, key=lambda event: event[0])
+
+
+def _cut_off(trial: _Trial) -> None:
+    fleet, scenario = trial.fleet, trial.scenario
+    inside = {
+        name
+        for name, centre in scenario.instances.items()
+        if centre == scenario.cut_off
+    }
+    fleet.network.cut(inside, set(scenario.instances) - inside)
+    for name in inside:
+        fleet.nodes[name].has_platform = False
+        fleet.unlist(name)
+
+
+def _heal(trial: _Trial) -> None:
+    fleet = trial.fleet
+    fleet.network.cuts.clear()
+    for name, node in fleet.nodes.items():
+        if not node.has_platform:
+            node.has_platform = True
+            fleet.list(name, trial.scenario.instances[name])
+
+
+@attrs.frozen
+class _Replacement:
+    name: str
+
+    def __call__(self, trial: _Trial) -> None:
+        node = trial.fleet.nodes.get(self.name)
+        if node is None:
+            return
+        node.limiter.hand_over()
+        trial.fleet.stop(self.name)
+        trial.start(self.name)
+
+
+@attrs.frozen
+class _Crash:
+    name: str
+
+    def __call__(self, trial: _Trial) -> None:
+        if self.name in trial.fleet.nodes:
+            trial.fleet.stop(self.name)
+            now_s = trial.fleet.now_s - trial.started_s
+            trial.restarts.append((now_s + 10, self.name))
+
+
+def _share(fleet: Fleet) -> dict[str, TokenLimiter]:
+    return {name: node.limiter for name, node in fleet.nodes.items()}
+
+
+def _split_by_instance(fleet: Fleet) -> dict[str, TokenLimiter]:
+    count = len(fleet.listed)
+    return {
+        name: FixedSplitLimiter(node.clock, 1 / count)
+        for name, node in fleet.nodes.items()
+    }
+
+
+def _split_by_centre(fleet: Fleet) -> dict[str, TokenLimiter]:
+    """Share one limiter in each data centre, as if that cost nothing."""
+    centres = {item.id: item.data_centre for item in fleet.listed}
+    count = len(set(centres.values()))
+    shared: dict[str, TokenLimiter] = {}
+    for name, node in fleet.nodes.items():
+        limiter = FixedSplitLimiter(node.clock, 1 / count)
+        shared.setdefault(centres[name], limiter)
+    return {name: shared[centres[name]] for name in fleet.nodes}
+
+
+METHODS: dict[str, Build] = {
+    "fixed by instance": _split_by_instance,
+    "fixed by data centre": _split_by_centre,
+    "shared": _share,
+}
--- a/oriolepaddle/limits/tests/scenario.py
+++ b/oriolepaddle/limits/tests/scenario.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from experiments.limits.fleet import Fleet
+from experiments.limits.usage import UseLog
 from oriolepaddle.config import Entry
 from oriolepaddle.config.model import DataCentre, ObjectKind, Organisation
 from oriolepaddle.errors import RefusedError
@@ -41,48 +42,8 @@
     return fleet
 
 
-class UseLog:
-    """Everything that was admitted, against one bucket for the whole fleet."""
-
-    def __init__(self, organisation=ORGANISATION):
-        self.uses = []
-        self._limits = []
-        self.limit(0.0, organisation.rate_tokens_per_s, organisation.burst_tokens)
-
-    def add(self, now_s, reservation):
-        self.uses.append([now_s, reservation.tokens, reservation])
-        return len(self.uses) - 1
-
-    def settle(self, index, used):
-        use = self.uses[index]
-        if use[2] is not None:
-            use[2].settle(used)
-            use[1] = min(use[1], used)
-            use[2] = None
-
-    def limit(self, now_s, rate, burst):
-        """Note the highest rate and burst in force anywhere from now on."""
-        if not self._limits or self._limits[-1][2:] != (rate, burst):
-            self._limits.append((len(self.uses), now_s, rate, burst))
-
-    def overshoot(self):
-        """Return the most by which any window exceeds rate x time + burst.
-
-        A token bucket that starts full is in debt exactly when some window
-        holds more than that.
-        """
-        limits = list(self._limits)
-        _, at_s, rate, burst = limits.pop(0)
-        balance, worst = burst, 0.0
-        for index, (used_s, tokens, _) in enumerate(self.uses):
-            while limits and limits[0][0] <= index:
-                _, changed_s, new_rate, new_burst = limits.pop(0)
-                balance = min(burst, balance + rate * (changed_s - at_s))
-                rate, burst, at_s = new_rate, new_burst, changed_s
-            balance = min(burst, balance + rate * (used_s - at_s)) - tokens
-            at_s = used_s
-            worst = max(worst, -balance)
-        return worst
+def make_log():
+    return UseLog(ORGANISATION)
 
 
 def try_reserve(fleet, log, name, tokens, organisation=ORGANISATION):
--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -10,11 +10,11 @@
 from oriolepaddle.limits.tests.scenario import (
     ORGANISATION,
     SETTINGS,
-    UseLog,
     claims,
     drain,
     make_entry,
     make_fleet,
+    make_log,
     try_reserve,
 )
 
@@ -34,34 +34,34 @@
 
 
 def used(log, since_s=0.0):
-    return sum(tokens for at_s, tokens, _ in log.uses if at_s > since_s)
+    return sum(use.tokens for use in log.uses if use.at_s > since_s)
 
 
 class TestCalm:
     @pytest.mark.parametrize("name", ["a1", "a2", "a3", "b1"])
     def test_whole_burst_at_one_instance(self, name):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         for _ in range(5):
             try_reserve(fleet, log, name, 1.0)
             fleet.run(1.0)
         assert try_reserve(fleet, log, name, 990.0) is not None
 
     def test_whole_rate_and_no_more(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         run_and_drain(fleet, log, 10)
         started_s = fleet.now_s
         run_and_drain(fleet, log, 100)
         assert used(log, started_s) >= 100 * 100 * (1 - 2 * SETTINGS.max_clock_drift)
 
     def test_skewed_arrivals_get_the_whole_rate(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         run_and_drain(fleet, log, 20, ["b1"])
         started_s = fleet.now_s
         run_and_drain(fleet, log, 100, ["b1"])
         assert used(log, started_s) >= 0.99 * 100 * 100
 
     def test_refund_comes_back_over_instances(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         try_reserve(fleet, log, "a1", 1.0)
         fleet.run(3.0)
         index = try_reserve(fleet, log, "a1", 900.0)
@@ -79,7 +79,7 @@
         assert caught.value.outcome is Outcome.NOT_RUN
 
     def test_refusal_says_when_to_try_again(self):
-        fleet, log = make_fleet({"a1": "a"}), UseLog()
+        fleet, log = make_fleet({"a1": "a"}), make_log()
         drain(fleet, log, ["a1"])
         with pytest.raises(RefusedError) as caught:
             fleet.nodes["a1"].limiter.reserve(ORGANISATION, 200.0)
@@ -90,7 +90,7 @@
 
 class TestMembers:
     def test_joining_instance_starts_with_nothing(self):
-        fleet, log = make_fleet({"a1": "a", "a2": "a"}), UseLog()
+        fleet, log = make_fleet({"a1": "a", "a2": "a"}), make_log()
         drain(fleet, log, ["a1", "a2"])
         fleet.start("a3", "a")
         fleet.tick("a3")
@@ -100,7 +100,7 @@
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333}
 
     def test_restarted_instance_starts_empty(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         drain(fleet, log, ["a1"])
         for _ in range(3):
             fleet.stop("a1")
@@ -110,7 +110,7 @@
         assert sum(claims(fleet).values()) == pytest.approx(1, abs=0.01)
 
     def test_graceful_leave_hands_the_claim_over(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.nodes["a1"].limiter.hand_over()
         fleet.stop("a1")
         fleet.unlist("a1")
@@ -118,7 +118,7 @@
         assert claims(fleet) == {"a2": 0.5, "a3": 0.5}
 
     def test_vanished_claim_waits_until_the_mint_lease_is_over(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.stop("a1")
         fleet.unlist("a1")
         run_and_drain(fleet, log, LEASE_S)
@@ -127,7 +127,7 @@
         assert claims(fleet) == {"a2": 0.5, "a3": 0.5}
 
     def test_instance_lost_at_birth_blocks_nobody_for_good(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.list("a4", "a")
         fleet.run(3)
         fleet.unlist("a4")
@@ -135,13 +135,13 @@
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333}
 
     def test_listed_instance_keeps_its_claim(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.stop("a1")
         run_and_drain(fleet, log, 3 * SETTINGS.release_s)
         assert claims(fleet) == {"a2": 0.333, "a3": 0.333}
 
     def test_paused_instance_wakes_up_without_its_claim(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         try_reserve(fleet, log, "a1", 10.0)
         fleet.pause("a1")
         fleet.unlist("a1")
@@ -154,7 +154,7 @@
 
 class TestCuts:
     def test_cut_off_data_centre_keeps_serving(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         fleet.network.cut(set(THREE), {"b1"})
         for name in THREE:
             fleet.nodes[name].has_platform = False
@@ -163,7 +163,7 @@
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333, "b1": 1.0}
 
     def test_lost_platform_costs_nothing(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         for node in fleet.nodes.values():
             node.has_platform = False
         run_and_drain(fleet, log, 5 * SETTINGS.release_s)
@@ -172,7 +172,7 @@
         assert used(log, started_s) >= 0.99 * 20 * 100
 
     def test_cut_inside_data_centre_fences_the_unlisted_part(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.network.cut({"a1", "a2"}, {"a3"})
         for name in ("a1", "a2"):
             fleet.nodes[name].has_platform = False
@@ -188,14 +188,14 @@
 
     @pytest.mark.parametrize("source", ["a1", "a3"])
     def test_one_way_cut(self, source):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         fleet.network.cut({source}, {*FOUR} - {source}, both=False)
         run_and_drain(fleet, log, 3 * LOAN_S)
         fleet.unlist(source)
         run_and_drain(fleet, log, 2 * SETTINGS.release_s)
 
     def test_stale_list_takes_nothing_over(self):
-        fleet, log = make_fleet(THREE), UseLog()
+        fleet, log = make_fleet(THREE), make_log()
         fleet.unlist("a1")
         fleet.tick("a2")
         for node in fleet.nodes.values():
@@ -207,7 +207,7 @@
 
 class TestDataCentreLost:
     def test_all_restarted_take_the_share_again(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         run_and_drain(fleet, log, 10, ["b1"])
         for name in THREE:
             fleet.stop(name)
@@ -217,7 +217,7 @@
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333, "b1": 1.0}
 
     def test_unlisted_survivor_keeps_the_others_from_starting(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         for name in ("a1", "a2"):
             fleet.stop(name)
         fleet.nodes["a3"].has_platform = False
@@ -229,7 +229,7 @@
         assert claims(fleet) == {"a1": 0.0, "a2": 0.0, "a3": 0.0, "b1": 1.0}
 
     def test_operator_may_say_that_none_survived(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         for name in THREE:
             fleet.stop(name)
             fleet.unlist(name)
@@ -253,7 +253,7 @@
         ],
     )
     def test_bound_holds_when_every_other_call_fails(self, method, fault):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         for second in range(30):
             fleet.network.method_faults = {method: fault} if second % 2 else {}
             for name in sorted(FOUR):
@@ -265,7 +265,7 @@
                 fleet.network.deliver(len(fleet.network.delayed) - 1)
 
     def test_loan_in_a_late_answer_is_not_used(self):
-        fleet, log = make_fleet({"a1": "a", "a2": "a"}), UseLog()
+        fleet, log = make_fleet({"a1": "a", "a2": "a"}), make_log()
         home = fleet.nodes["a1"].limiter.home("norddal")
         lender = "a2" if home == "a1" else "a1"
         fleet.network.before_reply = lambda: fleet.advance(LOAN_S)
@@ -279,7 +279,7 @@
 
 class TestChanges:
     def test_heavier_data_centre_waits_for_the_lighter_one(self):
-        fleet, log = make_fleet(FOUR), UseLog()
+        fleet, log = make_fleet(FOUR), make_log()
         entry = make_entry(DataCentre("a", region="a", weight=9.0), number=2)
         fleet.nodes["a1"].config.merge([entry])
         run_and_drain(fleet, log, 30)
@@ -296,7 +296,7 @@
         assert fleet.nodes["a1"].limiter.snapshot(ORGANISATION).fraction == 0.9
 
     def test_lower_rate_holds_from_when_it_arrives(self):
-        fleet, log = make_fleet({"a1": "a"}), UseLog()
+        fleet, log = make_fleet({"a1": "a"}), make_log()
         drain(fleet, log, ["a1"])
         slower = Organisation("norddal", rate_tokens_per_s=1, burst_tokens=1000)
         fleet.nodes["a1"].config.merge([make_entry(slower, number=2)])
@@ -305,6 +305,6 @@
 
     def test_drifting_clocks(self):
         drift = SETTINGS.max_clock_drift
-        fleet, log = make_fleet(FOUR, [drift, -drift, drift, drift]), UseLog()
+        fleet, log = make_fleet(FOUR, [drift, -drift, drift, drift]), make_log()
         run_and_drain(fleet, log, 300)
         assert used(log) <= 1000 + 100 * fleet.now_s
--- a/oriolepaddle/limits/tests/test_interleavings.py
+++ b/oriolepaddle/limits/tests/test_interleavings.py
@@ -15,10 +15,10 @@
 from oriolepaddle.limits.tests.scenario import (
     ORGANISATION,
     SETTINGS,
-    UseLog,
     drain,
     make_entry,
     make_fleet,
+    make_log,
     try_reserve,
 )
 
@@ -43,7 +43,7 @@
         self.pending = []
         self.fleet = make_fleet({**CENTRES}, drifts)
         self.drifts = dict(zip(CENTRES, drifts, strict=False))
-        self.log = UseLog()
+        self.log = make_log()
 
     @rule(name=NAMES, tokens=st.sampled_from([1.0, 60.0, 300.0, 1000.0]))
     def reserve(self, name, tokens):
@@ -61,7 +61,7 @@
     def settle(self, index, part):
         if index < len(self.log.uses):
             index = len(self.log.uses) - 1 - index
-            self.log.settle(index, part * self.log.uses[index][1])
+            self.log.settle(index, part * self.log.uses[index].tokens)
 
     @rule(seconds=st.sampled_from([0.5, 1.0, 3.0, 10.0, 40.0]))
     def run(self, seconds):
