--- /dev/null
+++ b/oriolepaddle/daemon/engine_monitor.py
@@ -0,0 +1,75 @@
+"""Reading the load and the lives of this data centre's endpoints."""
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.config import ConfigState
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.routing import LoadReport
+
+__all__ = ["EngineMonitor"]
+
+MIN_INTERVAL_S = 1.0
+MAX_CHECKS_PER_S = 10.0
+
+
+class EngineMonitor:
+    """Asks the endpoints in turn; the rate does not grow with their number.
+
+    Args:
+        clock: The time.
+        config: Lists the endpoints.
+        data_centre: The data centre whose endpoints are asked.
+        parts: Asks them, and is told what they answer.
+    """
+
+    def __init__(
+        self, clock: Clock, config: ConfigState, data_centre: str, parts: ServingParts
+    ) -> None:
+        self._clock = clock
+        self._config = config
+        self._data_centre = data_centre
+        self._parts = parts
+        self._asked_at_s: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Ask the endpoint that has waited longest, if it is due."""
+        endpoints = [
+            endpoint
+            for endpoint in self._config.endpoints()
+            if endpoint.data_centre == self._data_centre
+        ]
+        names = {endpoint.id for endpoint in endpoints}
+        self._asked_at_s = {
+            name: at_s for name, at_s in self._asked_at_s.items() if name in names
+        }
+        if not endpoints:
+            return
+        oldest = min(endpoints, key=self._find_asked_at_s)
+        interval_s = max(MIN_INTERVAL_S, len(endpoints) / MAX_CHECKS_PER_S)
+        now_s = self._clock.monotonic_s()
+        if self._find_asked_at_s(oldest) + interval_s <= now_s:
+            self._asked_at_s[oldest.id] = now_s
+            self._check(oldest)
+
+    def _find_asked_at_s(self, endpoint: Endpoint) -> float:
+        return self._asked_at_s.get(endpoint.id, float("-inf"))
+
+    def _check(self, endpoint: Endpoint) -> None:
+        asked_at_s = self._clock.monotonic_s()
+        answer = self._parts.health.check(endpoint.address)
+        if not answer.is_up:
+            return
+        if answer.incarnation is not None:
+            self._parts.quarantine.endpoint_answered(
+                endpoint.id, answer.incarnation, asked_at_s
+            )
+        self._parts.router.load_reported(
+            LoadReport(
+                endpoint=endpoint.id,
+                running=answer.running,
+                queued=answer.queued,
+                cached_tokens=answer.cached_tokens,
+                age_s=self._clock.monotonic_s() - asked_at_s,
+            )
+        )
+        self._parts.admissions.capacity_changed()
--- a/oriolepaddle/daemon/fleet.py
+++ b/oriolepaddle/daemon/fleet.py
@@ -108,6 +108,10 @@
         self.membership.stop()
         self.pool.close()
 
+    def age_s(self) -> float:
+        """Return the seconds since the configuration was confirmed."""
+        return self.staleness.staleness().total_seconds()
+
     def _find_region(self, data_centre: str) -> str | None:
         known = self.config.data_centre(data_centre)
         return known.region if known else None
--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -10,13 +10,8 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.daemon.fleet import Fleet
 from oriolepaddle.daemon.listeners import Listeners
-from oriolepaddle.endpoints import EndpointTransport
-from oriolepaddle.gateway import Authenticator, CallerApplication, Exchanger
-from oriolepaddle.gateway._interim import RandomRouter
-from oriolepaddle.gateway.activity import Activity
-from oriolepaddle.gateway.forwarder import Forwarder
-from oriolepaddle.gateway.forwarding import ForwardingSigner
-from oriolepaddle.gateway.parser import RequestParser
+from oriolepaddle.daemon.serving import Serving
+from oriolepaddle.daemon.upkeep import Upkeep
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.settings import Settings
 
@@ -44,11 +39,8 @@
         self.listeners = Listeners(settings, clock, self.identity)
         generator = random.Random(secrets.randbits(64))
         self.fleet = Fleet(settings, clock, self.identity, self.listeners, generator)
-        self.activity = Activity(clock)
-        self._transport = EndpointTransport(
-            clock, timedelta(seconds=settings.connect_timeout_s)
-        )
-        self.listeners.callers.application = self._make_application(generator)
+        self.serving = Serving(settings, clock, self.fleet, self.listeners, generator)
+        self._upkeep = Upkeep(clock, self.fleet, self.serving, generator)
 
     def start(self) -> None:
         """Catch up with the configuration, then serve callers."""
@@ -57,8 +49,8 @@
         while not self.fleet.sync.is_caught_up():
             if self._clock.wait(self._stopping, READY_POLL):
                 return
+        self._upkeep.start()
         self.listeners.callers.start()
-        self.fleet.membership.set_ready(True)
         logger.info(
             "instance {} serves callers on port {}, peers on port {}",
             self.identity.instance,
@@ -69,41 +61,25 @@
     def stop(self) -> None:
         """Stop gracefully: answer what has begun, then close."""
         self._stopping.set()
+        limit = timedelta(seconds=self._settings.drain_limit_s)
+        activity = self.serving.parts.activity
         self.fleet.membership.begin_leaving()
         self.listeners.callers.is_draining = True
-        self.activity.drain()
-        limit = timedelta(seconds=self._settings.drain_limit_s)
-        if not self.activity.wait(limit):
-            logger.warning("drain limit reached with {} left", self.activity.count)
+        activity.drain()
+        if not activity.wait(limit):
+            logger.warning("drain limit reached with {} left", activity.count)
+        self.serving.orders.hand_over(limit)
+        self.serving.limiter.hand_over()
+        self._close()
+
+    def _close(self) -> None:
         self.listeners.callers.close()
+        self._upkeep.stop()
         self.fleet.stop()
+        self.serving.orders.close()
         self.listeners.peers.close()
-        self._transport.close()
-
-    def _make_application(self, generator: random.Random) -> CallerApplication:
-        settings = self._settings
-        config = self.fleet.config
-        authenticator = Authenticator(config)
-        signer = ForwardingSigner(settings.peer_secret.encode(), settings.instance)
-        parser = RequestParser(config, authenticator, self._clock, signer)
-        forwarder = Forwarder(
-            settings.instance,
-            self._clock,
-            self.fleet.membership,
-            self._transport,
-            signer,
-        )
-        exchanger = Exchanger(
-            self._clock,
-            RandomRouter(config, settings.data_centre, generator),
-            self._transport,
-            forwarder,
-            authenticator,
-            self.activity,
-        )
-        return CallerApplication(
-            parser, exchanger, self.fleet.membership, settings.data_centre
-        )
+        self.listeners.operators.close()
+        self.serving.parts.transport.close()
 
 
 def _make_incarnation(clock: Clock) -> int:
--- /dev/null
+++ b/oriolepaddle/daemon/loads.py
@@ -0,0 +1,48 @@
+"""Exchanging load with other data centres."""
+
+from datetime import timedelta
+
+from oriolepaddle.membership import LoadSummary as MembershipSummary, Membership
+from oriolepaddle.routing import LoadSummary, Router
+
+__all__ = ["LoadExchange"]
+
+
+class LoadExchange:
+    """Publishes this data centre's load and takes in the others'.
+
+    Args:
+        membership: Carries the summaries in its heartbeats.
+        router: Makes and uses them.
+    """
+
+    def __init__(self, membership: Membership, router: Router) -> None:
+        self._membership = membership
+        self._router = router
+
+    def run(self) -> None:
+        """Publish and take in once."""
+        for summary in self._router.summary():
+            self._membership.publish_load(_write(summary))
+        received = self._membership.load_summaries()
+        self._router.apply_summaries(_read(summary) for summary in received)
+
+
+def _write(summary: LoadSummary) -> MembershipSummary:
+    return MembershipSummary(
+        data_centre=summary.data_centre,
+        route=summary.route,
+        queueing=timedelta(seconds=summary.queueing_s),
+        free_slots=int(summary.free_slots),
+        age=timedelta(seconds=summary.age_s),
+    )
+
+
+def _read(summary: MembershipSummary) -> LoadSummary:
+    return LoadSummary(
+        data_centre=summary.data_centre,
+        route=summary.route,
+        queueing_s=summary.queueing.total_seconds(),
+        free_slots=float(summary.free_slots),
+        age_s=summary.age.total_seconds(),
+    )
--- /dev/null
+++ b/oriolepaddle/daemon/orders.py
@@ -0,0 +1,80 @@
+"""The parts by which orders run at most once."""
+
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.daemon.fleet import Fleet
+from oriolepaddle.daemon.listeners import Listeners
+from oriolepaddle.gateway.order_runner import GatewayOrderRunner
+from oriolepaddle.orders import (
+    ORDERS_SERVICE,
+    OrderArchive,
+    OrderForwarder,
+    OrderHandler,
+    OrderHandover,
+    OrderLimits,
+    OrderNumberCodec,
+    OrderRegistry,
+)
+from oriolepaddle.peers import PeerPool
+from oriolepaddle.settings import Settings
+
+__all__ = ["OrderParts"]
+
+MAX_RUNNING = 16
+HANDOVER_TIMEOUT = timedelta(seconds=5)
+
+
+class OrderParts:
+    """Issuing, running, passing on and handing over of orders.
+
+    Args:
+        settings: The peer secret.
+        clock: The time.
+        fleet: Membership.
+        listeners: Serve the peers.
+        runner: Sends orders to endpoints.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        fleet: Fleet,
+        listeners: Listeners,
+        runner: GatewayOrderRunner,
+    ) -> None:
+        membership = fleet.membership
+        secret = settings.peer_secret.encode()
+        codec = OrderNumberCodec([secret])
+        # Orders have links of their own, for a link carries one call at a time.
+        self._pool = PeerPool(membership.identity, secret, membership)
+        self._executor = ThreadPoolExecutor(MAX_RUNNING, "orders")
+        archive = OrderArchive(clock)
+        limits = OrderLimits()
+        self.registry = OrderRegistry(membership.identity, codec, clock, limits)
+        self.forwarder = OrderForwarder(
+            self._pool, codec, membership, archive, clock, runner.may_enter
+        )
+        handler = OrderHandler(
+            self.registry,
+            archive,
+            runner,
+            self._executor,
+            clock,
+            max_running=MAX_RUNNING,
+        )
+        self._handover = OrderHandover(
+            self.registry, archive, self._pool, membership, clock, limits.lifetime
+        )
+        listeners.peers.register(ORDERS_SERVICE, handler)
+
+    def hand_over(self, drain_timeout: timedelta) -> None:
+        """Wait for orders in flight, then hand the kept answers over."""
+        self._handover.leave(drain_timeout, HANDOVER_TIMEOUT)
+
+    def close(self) -> None:
+        """End the links and the threads."""
+        self._pool.close()
+        self._executor.shutdown(wait=True)
--- /dev/null
+++ b/oriolepaddle/daemon/serving.py
@@ -0,0 +1,142 @@
+"""The parts by which an instance serves callers."""
+
+import random
+from datetime import timedelta
+
+from oriolepaddle.admission import Aim
+from oriolepaddle.clock import Clock
+from oriolepaddle.daemon.fleet import Fleet
+from oriolepaddle.daemon.listeners import Listeners
+from oriolepaddle.daemon.orders import OrderParts
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.endpoints.health import HealthChecker
+from oriolepaddle.gateway import Authenticator, CallerApplication, Exchanger
+from oriolepaddle.gateway.activity import Activity
+from oriolepaddle.gateway.admissions import RouteAdmissions
+from oriolepaddle.gateway.forwarder import Forwarder
+from oriolepaddle.gateway.forwarding import ForwardingSigner
+from oriolepaddle.gateway.order_exchange import OrderExchange
+from oriolepaddle.gateway.order_runner import GatewayOrderRunner
+from oriolepaddle.gateway.parser import RequestParser
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.limits import LIMITS_SERVICE, LimitSettings, SharedTokenLimiter
+from oriolepaddle.metrics import GatewayMetrics
+from oriolepaddle.platform import InstanceState
+from oriolepaddle.quarantine import (
+    QUARANTINE_SERVICE,
+    Quarantine,
+    QuarantineHandler,
+    QuarantineSettings,
+)
+from oriolepaddle.retries import RetryPolicy, RetrySettings
+from oriolepaddle.routing import Router, ShortestTimePolicy
+from oriolepaddle.settings import Settings
+
+__all__ = ["Serving"]
+
+
+class Serving:
+    """Limits, routing, retries, quarantine and the callers' interface.
+
+    Args:
+        settings: Checked settings.
+        clock: The time.
+        fleet: Membership and configuration.
+        listeners: Serve the callers and the peers.
+        generator: Draws jitter and ties.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        fleet: Fleet,
+        listeners: Listeners,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self.metrics = GatewayMetrics()
+        self.limiter = SharedTokenLimiter(
+            clock, fleet.pool, fleet.membership, fleet.config, LimitSettings()
+        )
+        self.quarantine = Quarantine(
+            clock, QuarantineSettings(), fleet.membership.identity
+        )
+        self.router = Router(
+            clock,
+            fleet.config,
+            settings.data_centre,
+            ShortestTimePolicy(generator),
+            self._count_instances,
+            self._find_delay_s,
+        )
+        self.parts = self._make_parts(generator)
+        self.runner = GatewayOrderRunner(self.parts, fleet.config)
+        self.orders = OrderParts(settings, clock, fleet, listeners, self.runner)
+        listeners.peers.register(LIMITS_SERVICE, self.limiter.handler)
+        listeners.peers.register(QUARANTINE_SERVICE, QuarantineHandler(self.quarantine))
+        listeners.callers.application = self._make_application()
+
+    def _make_parts(self, generator: random.Random) -> ServingParts:
+        settings = self._settings
+        clock = self._clock
+        config = self._fleet.config
+        signer = ForwardingSigner(settings.peer_secret.encode(), settings.instance)
+        transport = EndpointTransport(
+            clock, timedelta(seconds=settings.connect_timeout_s)
+        )
+        self._signer = signer
+        return ServingParts(
+            clock=clock,
+            router=self.router,
+            admissions=RouteAdmissions(clock, self.router, Aim(settings.aim)),
+            limiter=self.limiter,
+            quarantine=self.quarantine,
+            retries=RetryPolicy(clock, RetrySettings(), generator),
+            transport=transport,
+            health=HealthChecker(),
+            forwarder=Forwarder(
+                settings.instance, clock, self._fleet.membership, transport, signer
+            ),
+            authenticator=Authenticator(config),
+            staleness=self._fleet.staleness,
+            activity=Activity(clock),
+            metrics=self.metrics,
+            stall_timeout_s=settings.stall_timeout_s,
+        )
+
+    def _make_application(self) -> CallerApplication:
+        parts = self.parts
+        parser = RequestParser(
+            self._fleet.config, parts.authenticator, self._clock, self._signer
+        )
+        orders = OrderExchange(
+            parts, self.orders.registry, self.orders.forwarder, self.runner
+        )
+        return CallerApplication(
+            parser,
+            Exchanger(parts, orders),
+            self._fleet.membership,
+            self._settings.data_centre,
+        )
+
+    def _count_instances(self) -> int:
+        membership = self._fleet.membership
+        own = self._settings.data_centre
+        here = [
+            instance
+            for instance in membership.instances()
+            if instance.data_centre == own and instance.state is InstanceState.LIVE
+        ]
+        return max(1, len(here))
+
+    def _find_delay_s(self, data_centre: str) -> float:
+        config = self._fleet.config
+        own = config.data_centre(self._settings.data_centre)
+        other = config.data_centre(data_centre)
+        is_near = own is not None and other is not None and own.region == other.region
+        settings = self._settings
+        delay_ms = settings.near_delay_ms if is_near else settings.far_delay_ms
+        return delay_ms / 1000
--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -19,6 +19,7 @@
 SECRET = "a secret of the test fleet"
 KEY = "key-of-norddal"
 OTHER_KEY = "key-of-sudurvik"
+CHAT = "/v1/chat/completions"
 _PORTS = re.compile(r"serves callers on port (\d+), peers on port (\d+)")
 
 
@@ -81,6 +82,18 @@
         response = self.send(method, path, document, key, headers)
         return response.status, response.read()
 
+    def await_tokens(self):
+        """Wait until it has its share of the rates and knows the other region."""
+        for _ in range(START_TIMEOUT_S * 20):
+            statuses = [
+                self.ask("POST", CHAT, make_chat(tokens=1), key=key)[0]
+                for key in (KEY, OTHER_KEY)
+            ]
+            if statuses == [200, 200]:
+                return
+            threading.Event().wait(0.05)
+        raise AssertionError("".join(self.lines))
+
     def stop(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
@@ -149,6 +162,8 @@
         self.platform.set_instances(
             tuple(daemon.describe() for daemon in self.daemons.values())
         )
+        for daemon in self.daemons.values():
+            daemon.await_tokens()
         return self
 
     def close(self):
--- a/oriolepaddle/daemon/tests/test_path.py
+++ b/oriolepaddle/daemon/tests/test_path.py
@@ -1,11 +1,10 @@
 import json
 import threading
+from http.client import IncompleteRead
 
 import pytest
 
-from oriolepaddle.daemon.tests.fleet import KEY, OTHER_KEY, Fleet, make_chat
-
-CHAT = "/v1/chat/completions"
+from oriolepaddle.daemon.tests.fleet import CHAT, KEY, OTHER_KEY, Fleet, make_chat
 
 
 @pytest.fixture(scope="module")
@@ -67,12 +66,35 @@
         assert find_error(body)["outcome"] == "unknown"
         assert fleet.desk.runs[json.dumps(order).encode()] == 1
 
+    def test_order_number_makes_repeats_safe(self, fleet):
+        n1, n2 = fleet.daemons["n1"], fleet.daemons["n2"]
+        status, body = n1.ask("POST", "/v1/orders", {"route": "visit-desk"})
+        assert status == 201
+        headers = {"Idempotency-Key": json.loads(body)["order"]}
+        order = {"stay": "family-8"}
+        path = "/services/visit-desk/book"
+        answers = [
+            daemon.ask("POST", path, order, headers=headers) for daemon in (n1, n2, n1)
+        ]
+        assert [answer[0] for answer in answers] == [200, 200, 200]
+        assert len({answer[1] for answer in answers}) == 1
+        assert fleet.desk.runs[json.dumps(order).encode()] == 1
+
+    def test_unknown_order_number_is_refused(self, fleet):
+        order = {"stay": "family-9"}
+        status, body = fleet.daemons["n1"].ask(
+            "POST", "/services/visit-desk/book", order, headers={"Idempotency-Key": "x"}
+        )
+        assert (status, find_error(body)["code"]) == (400, "order_number_invalid")
+        assert json.dumps(order).encode() not in fleet.desk.runs
+
     def test_cut_stream_is_marked(self, fleet):
         for engine in fleet.engines.values():
             engine.faults.cut_after_tokens = 2
         response = fleet.daemons["n1"].send("POST", CHAT, make_chat(stream=True))
-        with pytest.raises(Exception, match="IncompleteRead"):
+        with pytest.raises(IncompleteRead) as caught:
             response.read()
+        assert b"event: error" in caught.value.partial
         for engine in fleet.engines.values():
             engine.faults.cut_after_tokens = None
 
--- /dev/null
+++ b/oriolepaddle/daemon/upkeep.py
@@ -0,0 +1,116 @@
+"""What an instance does in the background."""
+
+import random
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from loguru import logger
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.commands import CommandIssuer
+from oriolepaddle.daemon.engine_monitor import EngineMonitor
+from oriolepaddle.daemon.fleet import Fleet
+from oriolepaddle.daemon.loads import LoadExchange
+from oriolepaddle.daemon.serving import Serving
+from oriolepaddle.endpoints.control import HttpEngineControl
+from oriolepaddle.quarantine import QuarantineSettings, QuarantineSpreader
+
+__all__ = ["Upkeep"]
+
+LIMITS_INTERVAL = timedelta(milliseconds=200)
+LOADS_INTERVAL = timedelta(seconds=1)
+MONITOR_INTERVAL = timedelta(milliseconds=100)
+SPREAD_THREADS = 4
+COMMAND_THREADS = 4
+
+
+class Upkeep:
+    """Periodic tasks, each on a thread of its own.
+
+    Args:
+        clock: Paces the tasks.
+        fleet: Membership and configuration.
+        serving: What the tasks keep up.
+        generator: Draws jitter.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        fleet: Fleet,
+        serving: Serving,
+        generator: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._fleet = fleet
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._spread_executor = ThreadPoolExecutor(SPREAD_THREADS, "quarantine")
+        self._command_executor = ThreadPoolExecutor(COMMAND_THREADS, "commands")
+        parts = serving.parts
+        self._serving = serving
+        self._loads = LoadExchange(fleet.membership, serving.router)
+        self._monitor = EngineMonitor(
+            clock,
+            fleet.config,
+            fleet.membership.identity.data_centre,
+            parts,
+        )
+        self._spreader = QuarantineSpreader(
+            clock,
+            QuarantineSettings(),
+            serving.quarantine,
+            fleet.pool,
+            fleet.membership,
+            self._spread_executor,
+            generator,
+        )
+        self._commands = CommandIssuer(
+            fleet.config,
+            fleet.membership,
+            HttpEngineControl(clock, parts.transport),
+            fleet,
+            clock,
+            generator,
+            self._command_executor,
+        )
+
+    def start(self) -> None:
+        """Begin all tasks."""
+        self._repeat("limits", LIMITS_INTERVAL, self._keep_limits)
+        self._repeat("loads", LOADS_INTERVAL, self._loads.run)
+        self._repeat("engines", MONITOR_INTERVAL, self._monitor.run)
+        self._start("quarantine", lambda: self._spreader.run(self._stopping))
+        self._start("commands", lambda: self._commands.run(self._stopping))
+
+    def stop(self) -> None:
+        """End all tasks and wait for them."""
+        self._stopping.set()
+        self._serving.quarantine.changed.set()
+        for thread in self._threads:
+            thread.join()
+        self._spread_executor.shutdown(wait=True)
+        self._command_executor.shutdown(wait=True)
+
+    def _keep_limits(self) -> None:
+        limiter = self._serving.limiter
+        limiter.tick()
+        # Callers are sent here only once there are tokens to spend.
+        self._fleet.membership.set_ready(limiter.is_warm)
+
+    def _start(self, name: str, run: Callable[[], None]) -> None:
+        thread = threading.Thread(target=run, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _repeat(self, name: str, interval: timedelta, step: Callable[[], None]) -> None:
+        def run() -> None:
+            while not self._clock.wait(self._stopping, interval):
+                try:
+                    step()
+                except Exception:  # noqa: BLE001 - one failure must not end the task
+                    logger.exception("{} failed", name)
+
+        self._start(name, run)
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -14,11 +14,11 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
     OriolepaddleError,
+    Outcome,
 )
 
 __all__ = ["CurlExchange"]
 
-_NOT_CONNECTED = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 _CUT_SHORT = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT = -1
 
@@ -51,6 +51,7 @@
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._is_head_given = False
+        self._is_sent = False
         self._error: Exception | None = None
 
     def perform(self) -> None:
@@ -58,6 +59,7 @@
         curl = self._handle.curl
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
         try:
             curl.perform()
         except pycurl.error as error:
@@ -77,6 +79,11 @@
         except (OSError, OriolepaddleError) as error:
             self._abort(error)
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request may have reached the endpoint."""
+        return self._is_sent
+
     def _abort(self, error: Exception) -> None:
         # The lock keeps a try that ends meanwhile from handing its connection
         # to the next one before it is interrupted.
@@ -86,6 +93,16 @@
             self._error = self._error or error
             self._handle.interrupt()
 
+    def _on_connected(self, *addresses: object) -> int:
+        try:
+            self._check_limits()
+            self._sink.before_send()
+        except (OSError, OriolepaddleError) as error:
+            self._error = error
+            return pycurl.PREREQFUNC_ABORT
+        self._is_sent = True
+        return pycurl.PREREQFUNC_OK
+
     def _on_header(self, line: bytes) -> None:
         self._last_byte_s = self._clock.monotonic_s()
         text = line.decode("latin-1").strip()
@@ -118,20 +135,22 @@
     def _check_limits(self) -> None:
         now_s = self._clock.monotonic_s()
         request = self._request
+        outcome = Outcome.UNKNOWN if self._is_sent else Outcome.NOT_RUN
         if now_s >= request.deadline_s:
-            raise EndpointTimeoutError("the deadline passed")
+            raise EndpointTimeoutError("the deadline passed", outcome=outcome)
         quiet_s = now_s - self._last_byte_s
         if not self._status and quiet_s > request.first_byte_timeout_s:
-            raise EndpointTimeoutError(f"no first byte in {quiet_s:.1f} s")
+            raise EndpointTimeoutError(
+                f"no first byte in {quiet_s:.1f} s", outcome=outcome
+            )
         if self._status and quiet_s > request.stall_timeout_s:
             raise EndpointTimeoutError(f"no byte for {quiet_s:.1f} s")
 
     def _sort_error(self, error: pycurl.error) -> Exception:
         number, text = error.args
-        is_connected = self._handle.curl.getinfo(pycurl.CONNECT_TIME) > 0
-        if self._error is not None and (is_connected or self._status):
+        if self._error is not None:
             return self._error
-        if number in _NOT_CONNECTED or not is_connected and not self._status:
+        if not self._is_sent:
             return EndpointUnreachableError(f"no connection: {text}")
         if number == pycurl.E_OPERATION_TIMEDOUT:
             return EndpointTimeoutError(text)
--- /dev/null
+++ b/oriolepaddle/endpoints/health.py
@@ -0,0 +1,98 @@
+"""Asking an endpoint whether it is up, and in which life."""
+
+import json
+from datetime import timedelta
+from io import BytesIO
+
+import attrs
+import pycurl
+
+__all__ = ["EndpointAnswer", "HealthChecker"]
+
+CONNECT_TIMEOUT = timedelta(milliseconds=300)
+ANSWER_TIMEOUT = timedelta(milliseconds=800)
+
+
+@attrs.frozen
+class EndpointAnswer:
+    """What a check on a new connection gave.
+
+    Attributes:
+        is_up: Whether the endpoint answered.
+        is_refused: Whether the connection was refused or reset at once.
+        incarnation: The life that it names, or None.
+        running: Requests that it says it runs.
+        queued: Requests that it says wait.
+        cached_tokens: Tokens that it says are in its prefix cache.
+    """
+
+    is_up: bool
+    is_refused: bool = False
+    incarnation: str | None = None
+    running: int = 0
+    queued: int = 0
+    cached_tokens: int = 0
+
+
+class HealthChecker:
+    """Calls `GET /load` of an endpoint on a new connection each time.
+
+    It remembers the life that each endpoint named last. Thread-safe.
+    """
+
+    def __init__(self) -> None:
+        self._incarnations: dict[str, str] = {}
+
+    def last_incarnation(self, address: str) -> str | None:
+        """Return the life that an endpoint named last, or None."""
+        return self._incarnations.get(address)
+
+    def check(self, address: str) -> EndpointAnswer:
+        """Return what an endpoint answers; it never raises for the endpoint.
+
+        Args:
+            address: `host:port` of the endpoint.
+        """
+        answer = self._ask(address)
+        if answer.incarnation is not None:
+            self._incarnations[address] = answer.incarnation
+        return answer
+
+    def _ask(self, address: str) -> EndpointAnswer:
+        buffer = BytesIO()
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, f"http://{address}/load")
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
+        curl.setopt(pycurl.TIMEOUT_MS, _to_ms(ANSWER_TIMEOUT))
+        curl.setopt(pycurl.WRITEDATA, buffer)
+        try:
+            curl.perform()
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+        except pycurl.error as error:
+            is_silent = error.args[0] == pycurl.E_OPERATION_TIMEDOUT
+            return EndpointAnswer(is_up=False, is_refused=not is_silent)
+        finally:
+            curl.close()
+        return _parse(status, buffer.getvalue())
+
+
+def _parse(status: int, body: bytes) -> EndpointAnswer:
+    if status != 200:
+        return EndpointAnswer(is_up=True)
+    try:
+        document = json.loads(body)
+        return EndpointAnswer(
+            is_up=True,
+            incarnation=document.get("incarnation"),
+            running=int(document.get("running", 0)),
+            queued=int(document.get("queued", 0)),
+            cached_tokens=int(document.get("cached_tokens", 0)),
+        )
+    except (ValueError, TypeError, AttributeError):
+        return EndpointAnswer(is_up=True)
+
+
+def _to_ms(duration: timedelta) -> int:
+    return int(duration.total_seconds() * 1000)
--- a/oriolepaddle/endpoints/sink.py
+++ b/oriolepaddle/endpoints/sink.py
@@ -8,6 +8,16 @@
 class AnswerSink(Protocol):
     """Takes an answer as it arrives, on the thread that asked for it."""
 
+    def before_send(self) -> None:
+        """Say whether to send; called when a connection is made, before it is used.
+
+        A process may have been paused since the request was checked.
+
+        Raises:
+            OriolepaddleError: The request is not sent.
+        """
+        ...
+
     def on_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Take the status and headers.
 
--- a/oriolepaddle/endpoints/tests/test_transport.py
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -12,6 +12,7 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
     Outcome,
+    RefusedError,
 )
 from oriolepaddle.standins import EngineStandin
 
@@ -22,6 +23,11 @@
         self.headers = ()
         self.data = b""
         self.error = None
+        self.refusal = None
+
+    def before_send(self):
+        if self.refusal is not None:
+            raise self.refusal
 
     def on_head(self, status, headers):
         self.status = status
@@ -138,6 +144,13 @@
         with pytest.raises(ConnectionResetError):
             transport.run(engine.address, make_request(clock), sink)
 
+    def test_refusal_before_sending_reaches_no_endpoint(self, transport, engine, clock):
+        sink = CollectingSink()
+        sink.refusal = RefusedError("the key was withdrawn")
+        with pytest.raises(RefusedError):
+            transport.run(engine.address, make_request(clock), sink)
+        assert not engine.received
+
     @pytest.mark.parametrize("is_idempotent", [True, False])
     def test_only_idempotent_requests_are_sent_again_by_curl(
         self, transport, clock, is_idempotent
--- a/oriolepaddle/gateway/__init__.py
+++ b/oriolepaddle/gateway/__init__.py
@@ -2,6 +2,6 @@
 
 from oriolepaddle.gateway.application import CallerApplication
 from oriolepaddle.gateway.authenticator import Authenticator
-from oriolepaddle.gateway.exchange import Exchanger
+from oriolepaddle.gateway.exchanger import Exchanger
 
 __all__ = ["Authenticator", "CallerApplication", "Exchanger"]
--- /dev/null
+++ b/oriolepaddle/gateway/admissions.py
@@ -0,0 +1,51 @@
+"""One admission queue for each route."""
+
+import threading
+
+from oriolepaddle.admission import Admission, Aim
+from oriolepaddle.clock import Clock
+from oriolepaddle.routing import Router
+
+__all__ = ["RouteAdmissions"]
+
+
+class RouteAdmissions:
+    """Makes the queue of a route when its first request comes.
+
+    Args:
+        clock: The time.
+        router: Tells how many requests of a route may run.
+        aim: The order in which waiting requests go on.
+    """
+
+    def __init__(self, clock: Clock, router: Router, aim: Aim) -> None:
+        self._clock = clock
+        self._router = router
+        self._aim = aim
+        self._lock = threading.Lock()
+        self._queues: dict[str, Admission] = {}
+
+    def of(self, route: str) -> Admission:
+        """Return the queue of a route."""
+        with self._lock:
+            queue = self._queues.get(route)
+            if queue is None:
+                queue = Admission(
+                    self._clock,
+                    lambda: self._router.concurrency_limit(route),
+                    self._aim,
+                )
+                self._queues[route] = queue
+            return queue
+
+    def capacity_changed(self) -> None:
+        """Let go on what may, after load reports or tickets."""
+        with self._lock:
+            queues = list(self._queues.values())
+        for queue in queues:
+            queue.capacity_changed()
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait, over all routes."""
+        return sum(queue.waiting for queue in list(self._queues.values()))
--- a/oriolepaddle/gateway/application.py
+++ b/oriolepaddle/gateway/application.py
@@ -4,9 +4,9 @@
 from werkzeug.wrappers import Request
 
 from oriolepaddle.errors import OriolepaddleError
-from oriolepaddle.gateway.exchange import Exchanger
+from oriolepaddle.gateway.exchanger import Exchanger
 from oriolepaddle.gateway.forwarder import InstanceFinder
-from oriolepaddle.gateway.parser import RequestParser
+from oriolepaddle.gateway.parser import ORDERS_PATH, RequestParser
 from oriolepaddle.web import AnswerWriter
 
 __all__ = ["CallerApplication"]
@@ -47,7 +47,10 @@
             with logger.contextualize(
                 request_id=request_id, organisation=parsed.organisation_id
             ):
-                self._exchanger.serve(parsed, writer)
+                if request.path == ORDERS_PATH:
+                    self._exchanger.issue_order(parsed, writer)
+                else:
+                    self._exchanger.serve(parsed, writer)
         except OriolepaddleError as error:
             logger.bind(request_id=request_id, reason=error.code.code).info(
                 "request ended with {}", error.message
--- /dev/null
+++ b/oriolepaddle/gateway/collector.py
@@ -0,0 +1,72 @@
+"""Keeping a whole answer in memory."""
+
+from collections.abc import Callable
+
+from oriolepaddle.errors import (
+    AnswerMismatchedError,
+    AnswerTruncatedError,
+    EndpointRefusedError,
+)
+from oriolepaddle.gateway.relay import make_head
+from oriolepaddle.orders import OrderAnswer
+
+__all__ = ["AnswerCollector"]
+
+MAX_ANSWER_BYTES = 1_000_000
+_KEPT_HEADERS = frozenset({"content-type", "location", "retry-after"})
+
+
+class AnswerCollector:
+    """An `AnswerSink` for orders, whose answers are kept for repeats.
+
+    Args:
+        request_id: The id that the answer must repeat, if it tells one.
+        recheck: Called just before the order is sent; it raises if the order
+            may not be run any more.
+    """
+
+    def __init__(self, request_id: str, recheck: Callable[[], None]) -> None:
+        self._request_id = request_id
+        self._recheck = recheck
+        self._status = 0
+        self._headers: tuple[tuple[str, str], ...] = ()
+        self._body = bytearray()
+
+    def before_send(self) -> None:
+        """Check the order again; see `AnswerSink.before_send`."""
+        self._recheck()
+
+    def on_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Take the answer's head; see `AnswerSink.on_head`."""
+        head = make_head(status, headers)
+        fields = {name.lower(): value for name, value in headers}
+        if fields.get("x-request-outcome") == "not-run" and status >= 400:
+            raise EndpointRefusedError(f"refused with status {status}")
+        if head.request_id not in (None, self._request_id):
+            raise AnswerMismatchedError(
+                f"the answer belongs to request {head.request_id}"
+            )
+        self._status = status
+        self._headers = tuple(
+            (name, value) for name, value in headers if name.lower() in _KEPT_HEADERS
+        )
+
+    def on_data(self, data: bytes) -> None:
+        """Keep a part of the body; see `AnswerSink.on_data`."""
+        self._body += data
+        if len(self._body) > MAX_ANSWER_BYTES:
+            raise AnswerTruncatedError(
+                f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
+            )
+
+    def check(self) -> None:
+        """Go on: an order is not given up because its caller has left."""
+
+    def make_answer(self) -> OrderAnswer:
+        """Return the whole answer."""
+        return OrderAnswer(
+            status=self._status,
+            headers=self._headers,
+            body=bytes(self._body),
+            request_id=self._request_id,
+        )
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -1,125 +1,253 @@
 """One request from its admission to the end of its answer."""
 
+import threading
+from datetime import timedelta
+
 from loguru import logger
 
-from oriolepaddle.clock import Clock
-from oriolepaddle.endpoints import EndpointRequest, EndpointTransport
+from oriolepaddle.admission import AdmissionSlot
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.endpoints import EndpointRequest
 from oriolepaddle.errors import (
+    AuthenticationError,
     EndpointError,
-    ErrorCode,
+    EndpointRefusedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
     OriolepaddleError,
     Outcome,
-    RefusedError,
 )
-from oriolepaddle.gateway._interim import RandomRouter
-from oriolepaddle.gateway.activity import Activity
-from oriolepaddle.gateway.authenticator import Authenticator
 from oriolepaddle.gateway.caller_request import CallerRequest
-from oriolepaddle.gateway.forwarder import Forwarder
-from oriolepaddle.gateway.relay import AnswerRelay
+from oriolepaddle.gateway.crashes import gather_evidence
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.gateway.relay import RESUME_HEADER, AnswerRelay
+from oriolepaddle.gateway.start import find_startable, make_routing_request
+from oriolepaddle.limits import Reservation
+from oriolepaddle.quarantine import make_fingerprint
+from oriolepaddle.quarantine.run import Run
+from oriolepaddle.retries import Failure, RetryAction
 from oriolepaddle.web import AnswerWriter
 
-__all__ = ["Exchanger"]
+__all__ = ["Exchange"]
 
-MAX_ATTEMPTS = 3
-STALL_TIMEOUT_S = 15.0
+SERVICE_TOKENS = 1.0
 
 
-class Exchanger:
-    """Serves parsed requests, each on the thread of its caller.
+class Exchange:
+    """Serves one parsed request on the thread of its caller.
 
     Args:
-        clock: Tells the time.
-        router: Chooses endpoints.
-        transport: Reaches them.
-        forwarder: Passes requests on to other data centres.
-        authenticator: Tells whether a key is still valid.
-        activity: Counts the requests in flight.
+        parts: What it works with.
+        request: The request.
+        writer: Where the answer goes.
     """
 
     def __init__(
-        self,
-        clock: Clock,
-        router: RandomRouter,
-        transport: EndpointTransport,
-        forwarder: Forwarder,
-        authenticator: Authenticator,
-        activity: Activity,
+        self, parts: ServingParts, request: CallerRequest, writer: AnswerWriter
     ) -> None:
-        self._clock = clock
-        self._router = router
-        self._transport = transport
-        self._forwarder = forwarder
-        self._authenticator = authenticator
-        self._activity = activity
+        self._parts = parts
+        self._request = request
+        self._writer = writer
+        self._fingerprint = make_fingerprint(
+            request.method, request.caller_path, request.body
+        )
+        self._relay = AnswerRelay(
+            parts.clock,
+            request,
+            writer,
+            parts.authenticator,
+            parts.metrics,
+            self._recheck,
+        )
+        self._routing = make_routing_request(request)
+        self._excluded: frozenset[str] = frozenset()
+        self._endpoint: Endpoint | None = None
+        self._target = ""
+        self._attempt = 0
+        self._is_resuming = False
+        self._last_uncertain: OriolepaddleError | None = None
 
-    def serve(self, request: CallerRequest, writer: AnswerWriter) -> None:
-        """Serve one request.
+    def run(self) -> None:
+        """Serve the request.
 
         Raises:
-            OriolepaddleError: It was refused or failed before its answer began.
+            OriolepaddleError: It was refused, or failed before its answer began.
+            OSError: The caller is gone.
         """
-        with self._activity.enter():
-            self._serve_admitted(request, writer)
-
-    def _serve_admitted(self, request: CallerRequest, writer: AnswerWriter) -> None:
-        excluded: set[str] = set()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            choice = self._router.choose(request, frozenset(excluded))
-            relay = AnswerRelay(request, writer, self._authenticator)
+        self._parts.quarantine.check(self._fingerprint)
+        reservation = self._reserve()
+        try:
+            self._run_attempts()
+        finally:
+            if reservation is not None:
+                reservation.settle(self._count_used())
+
+    def _reserve(self) -> Reservation | None:
+        request = self._request
+        # The instance that passed a request on has reserved its tokens.
+        if request.organisation is None or request.hops:
+            return None
+        tokens = max(SERVICE_TOKENS, float(request.tokens))
+        return self._parts.limiter.reserve(request.organisation, tokens)
+
+    def _count_used(self) -> float:
+        if not self._attempt:
+            return 0.0
+        output = self._relay.count_output_tokens()
+        if not output and not self._writer.is_started and not self._last_uncertain:
+            return 0.0
+        return max(SERVICE_TOKENS, self._request.prompt_tokens + output)
+
+    def _run_attempts(self) -> None:
+        while True:
             try:
-                if choice.endpoint is None:
-                    self._forwarder.forward(request, choice.data_centre, relay)
-                else:
-                    excluded.add(choice.endpoint.id)
-                    self._try_endpoint(request, choice.endpoint, relay)
+                self._try_once()
                 return
             except OriolepaddleError as error:
-                if self._is_final(request, error, relay, attempt):
-                    self._end(error, relay, writer)
+                if error.outcome is not Outcome.NOT_RUN:
+                    self._last_uncertain = error
+                if not self._prepare_retry(error):
+                    self._fail(error)
                     return
 
-    def _try_endpoint(self, request, endpoint, relay) -> None:
-        self._authenticator.recheck(request.key)
-        endpoint_request = EndpointRequest(
+    def _try_once(self) -> None:
+        decision = self._parts.router.choose(self._routing)
+        self._attempt += 1
+        if decision.endpoint is None:
+            self._forward(decision.data_centre)
+            return
+        slot = self._enter()
+        try:
+            self._endpoint = find_startable(
+                self._parts, self._routing, self._fingerprint, self._excluded
+            )
+            self._target = self._endpoint.id
+            self._send(self._endpoint)
+        finally:
+            slot.release()
+
+    def _enter(self) -> AdmissionSlot:
+        request = self._request
+        organisation = request.organisation
+        started_s = self._parts.clock.monotonic_s()
+        slot = self._parts.admissions.of(request.route.id).enter(
+            request.organisation_id,
+            organisation.weight if organisation else 1.0,
+            request.prompt_tokens,
+            request.output_tokens,
+            request.deadline_s,
+            request.priority,
+        )
+        waited_s = self._parts.clock.monotonic_s() - started_s
+        self._parts.metrics.queue_time.observe(waited_s)
+        return slot
+
+    def _forward(self, data_centre: str) -> None:
+        self._target = data_centre
+        self._parts.metrics.forwards.labels(data_centre).inc()
+        self._relay.begin(lambda: None)
+        # It is passed on once, whatever becomes of it there.
+        self._routing = make_routing_request(self._request, was_forwarded=True)
+        self._parts.forwarder.forward(self._request, data_centre, self._relay)
+
+    def _send(self, endpoint: Endpoint) -> None:
+        parts = self._parts
+        run = parts.quarantine.started(self._fingerprint, endpoint.id)
+        handle = parts.router.started(self._routing, endpoint)
+        self._relay.begin(handle.first_token)
+        is_failed = True
+        try:
+            parts.transport.run(endpoint.address, self._make_request(), self._relay)
+            self._relay.complete()
+            is_failed = False
+        except OSError:
+            is_failed = False
+            raise
+        except OriolepaddleError as error:
+            self._note_failure(endpoint, run, error)
+            raise
+        finally:
+            run.abandoned()
+            handle.finished(self._relay.count_output_tokens(), is_failed)
+        self._note_success(run)
+
+    def _make_request(self) -> EndpointRequest:
+        request = self._request
+        headers = request.headers
+        if self._is_resuming:
+            headers += ((RESUME_HEADER, str(self._relay.resume_offset)),)
+        return EndpointRequest(
             id=request.id,
             method=request.method,
             path=request.path,
-            headers=request.headers,
+            headers=headers,
             body=request.body,
             is_idempotent=request.is_idempotent,
             first_byte_timeout_s=request.route.first_byte_s,
-            stall_timeout_s=STALL_TIMEOUT_S,
+            stall_timeout_s=self._parts.stall_timeout_s,
             deadline_s=request.deadline_s,
         )
-        self._transport.run(endpoint.address, endpoint_request, relay)
-        relay.complete()
-
-    def _is_final(
-        self,
-        request: CallerRequest,
-        error: OriolepaddleError,
-        relay: AnswerRelay,
-        attempt: int,
-    ) -> bool:
-        if attempt == MAX_ATTEMPTS or relay.bytes_written:
-            return True
-        if not isinstance(error, EndpointError):
-            return True
-        return not request.is_idempotent and error.outcome is not Outcome.NOT_RUN
-
-    def _end(
-        self, error: OriolepaddleError, relay: AnswerRelay, writer: AnswerWriter
+
+    def _recheck(self) -> None:
+        # The process may have slept since the request was admitted.
+        try:
+            self._parts.authenticator.recheck(self._request.key)
+        except AuthenticationError as error:
+            raise AuthenticationError(error.message) from error
+        if self._endpoint is None:
+            return
+        if not self._parts.router.is_allowed(self._endpoint.id, self._routing):
+            raise EndpointRefusedError(f"{self._endpoint.id} may not run it any more")
+
+    def _note_success(self, run: Run) -> None:
+        run.finished()
+        organisation = self._request.organisation_id
+        self._parts.retries.succeeded(organisation, self._target)
+
+    def _note_failure(
+        self, endpoint: Endpoint, run: Run, error: OriolepaddleError
     ) -> None:
-        if not writer.is_started:
+        evidence = gather_evidence(self._parts.health, endpoint, error)
+        if evidence is not None:
+            run.crashed(evidence)
+        is_down = isinstance(error, (EndpointTimeoutError, EndpointUnreachableError))
+        if is_down or (evidence is not None and evidence.is_crash):
+            self._parts.router.endpoint_failed(endpoint.id)
+
+    def _prepare_retry(self, error: OriolepaddleError) -> bool:
+        if not self._attempt or not isinstance(error, EndpointError):
+            return False
+        request = self._request
+        decision = self._parts.retries.decide(
+            Failure(
+                error=error,
+                attempt=self._attempt,
+                organisation=request.organisation_id,
+                endpoint=self._target,
+                is_idempotent=request.is_idempotent,
+                bytes_sent_to_caller=self._relay.bytes_written,
+                deadline_s=request.deadline_s,
+                is_resumable=self._relay.is_resumable,
+            )
+        )
+        self._parts.metrics.retries.labels(decision.action, decision.reason).inc()
+        if decision.action is RetryAction.GIVE_UP:
+            return False
+        self._is_resuming = decision.action is RetryAction.RESUME
+        self._excluded |= {self._target}
+        self._wait(decision.delay)
+        return True
+
+    def _wait(self, delay: timedelta) -> None:
+        self._parts.clock.wait(threading.Event(), delay)
+
+    def _fail(self, error: OriolepaddleError) -> None:
+        if error.outcome is Outcome.NOT_RUN and self._last_uncertain is not None:
+            # An earlier try may have run, so "not run" would be untrue.
+            error = self._last_uncertain
+        if not self._writer.is_started:
             raise error
         logger.info("answer cut short: {} ({})", error.message, error.code.code)
-        relay.cut(error)
-        writer.keep_alive = False
-
-
-def refuse_unready() -> RefusedError:
-    """Return the refusal of an instance that has not caught up."""
-    return RefusedError(
-        "the configuration has not been read yet", code=ErrorCode.NOT_READY
-    )
+        self._relay.cut(error)
+        self._writer.keep_alive = False
+        self._parts.metrics.refusals.labels(error.code.code, error.outcome).inc()
--- /dev/null
+++ b/oriolepaddle/gateway/exchanger.py
@@ -0,0 +1,62 @@
+"""Serving parsed requests."""
+
+from oriolepaddle.errors import ErrorCode, OriolepaddleError, RefusedError
+from oriolepaddle.gateway.caller_request import CallerRequest
+from oriolepaddle.gateway.exchange import Exchange
+from oriolepaddle.gateway.order_exchange import OrderExchange
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.web import AnswerWriter
+
+__all__ = ["Exchanger"]
+
+
+class Exchanger:
+    """Serves each request on the thread of its caller.
+
+    Args:
+        parts: What exchanges work with.
+        orders: Serves requests with an order number.
+    """
+
+    def __init__(self, parts: ServingParts, orders: OrderExchange) -> None:
+        self._parts = parts
+        self._orders = orders
+
+    def serve(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        """Serve one request.
+
+        Raises:
+            OriolepaddleError: It was refused or failed before its answer began.
+            OSError: The caller is gone.
+        """
+        with self._parts.activity.enter():
+            self._check_staleness(request)
+            try:
+                if request.order_number is not None and not request.is_idempotent:
+                    self._orders.run(request, writer)
+                else:
+                    Exchange(self._parts, request, writer).run()
+            except OriolepaddleError as error:
+                self._count(error)
+                raise
+            self._parts.metrics.requests.labels(request.route.id).inc()
+
+    def issue_order(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        """Answer with a new order number.
+
+        Raises:
+            RefusedError: No order of this route can be run here.
+        """
+        with self._parts.activity.enter():
+            self._check_staleness(request)
+            self._orders.issue(request, writer)
+
+    def _check_staleness(self, request: CallerRequest) -> None:
+        if request.key is not None and self._parts.staleness.is_too_stale():
+            raise RefusedError(
+                "neither the platform nor a peer was heard for too long",
+                code=ErrorCode.NOT_READY,
+            )
+
+    def _count(self, error: OriolepaddleError) -> None:
+        self._parts.metrics.refusals.labels(error.code.code, error.outcome).inc()
--- /dev/null
+++ b/oriolepaddle/gateway/order_runner.py
@@ -0,0 +1,130 @@
+"""Running orders at the endpoints of this data centre."""
+
+from collections.abc import Callable
+
+from oriolepaddle.config import ConfigState
+from oriolepaddle.config.model import Organisation, Route
+from oriolepaddle.endpoints import EndpointRequest
+from oriolepaddle.errors import (
+    AuthenticationError,
+    EndpointRefusedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+    ErrorCode,
+    OriolepaddleError,
+    RefusedError,
+)
+from oriolepaddle.gateway.collector import AnswerCollector
+from oriolepaddle.gateway.parser import SERVICE_PREFIX, find_service
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.orders import OrderAnswer, OrderRequest
+from oriolepaddle.routing import RoutingRequest
+from oriolepaddle.routing.residency import AllowedRegions
+
+__all__ = ["GatewayOrderRunner"]
+
+
+class GatewayOrderRunner:
+    """Sends each order to one endpoint, once; an `OrderRunner`.
+
+    Args:
+        parts: What exchanges work with.
+        config: The merged configuration.
+    """
+
+    def __init__(self, parts: ServingParts, config: ConfigState) -> None:
+        self._parts = parts
+        self._config = config
+
+    def check(self, request: OrderRequest) -> None:
+        """Check the key and the residency; see `OrderRunner.check`."""
+        organisation = self._find_organisation(request)
+        self._parts.router.choose(self._make_routing(request, organisation))
+
+    def may_enter(self, request: OrderRequest, data_centre: str) -> bool:
+        """Return whether an order may be run in a data centre."""
+        try:
+            organisation = self._find_organisation(request)
+            routing = self._make_routing(request, organisation)
+        except RefusedError:
+            return False
+        return AllowedRegions(routing, self._config).contains(data_centre)
+
+    def run(self, request: OrderRequest, recheck: Callable[[], None]) -> OrderAnswer:
+        """Send an order to one endpoint; see `OrderRunner.run`."""
+        organisation = self._find_organisation(request)
+        routing = self._make_routing(request, organisation)
+        endpoint = self._parts.router.choose(routing).endpoint
+        if endpoint is None:
+            raise RefusedError(
+                "orders are run where they were issued", code=ErrorCode.NO_ENDPOINT
+            )
+
+        def check_again() -> None:
+            recheck()
+            self._find_organisation(request)
+            if not self._parts.router.is_allowed(endpoint.id, routing):
+                raise EndpointRefusedError(f"{endpoint.id} may not run it any more")
+
+        collector = AnswerCollector(request.request_id, check_again)
+        handle = self._parts.router.started(routing, endpoint)
+        is_failed = True
+        try:
+            self._parts.transport.run(
+                endpoint.address, self._make_request(request, routing.route), collector
+            )
+            is_failed = False
+        except OriolepaddleError as error:
+            if isinstance(error, (EndpointUnreachableError, EndpointTimeoutError)):
+                self._parts.router.endpoint_failed(endpoint.id)
+            raise
+        finally:
+            handle.finished(0, is_failed)
+        return collector.make_answer()
+
+    def _find_organisation(self, request: OrderRequest) -> Organisation | None:
+        if not request.key_digest and self._find_route(request).open:
+            return None
+        caller = self._parts.authenticator.find_caller(request.key_digest)
+        if caller.organisation.id != request.organisation:
+            raise AuthenticationError("the key was given to another organisation")
+        return caller.organisation
+
+    def _find_route(self, request: OrderRequest) -> Route:
+        route = self._config.route(find_service(request.path).partition("?")[0])
+        if route is None:
+            raise RefusedError(
+                f"no route serves {request.path}", code=ErrorCode.ROUTE_UNKNOWN
+            )
+        return route
+
+    def _make_routing(
+        self, request: OrderRequest, organisation: Organisation | None
+    ) -> RoutingRequest:
+        return RoutingRequest(
+            id=request.request_id,
+            route=self._find_route(request),
+            organisation=organisation,
+            prompt_tokens=0,
+            output_tokens=0,
+            prefix_hashes=(),
+            deadline_s=request.deadline_s,
+            # An issuer never passes an order on.
+            hops=request.hops or ("issuer",),
+        )
+
+    def _make_request(self, request: OrderRequest, route: Route) -> EndpointRequest:
+        path = request.path[len(SERVICE_PREFIX) + len(route.id) :]
+        if not path.startswith("/"):
+            path = "/" + path
+        return EndpointRequest(
+            id=request.request_id,
+            method=request.method,
+            path=path,
+            headers=request.headers,
+            body=request.body,
+            is_idempotent=False,
+            first_byte_timeout_s=route.first_byte_s,
+            stall_timeout_s=self._parts.stall_timeout_s,
+            deadline_s=request.deadline_s,
+        )
--- a/oriolepaddle/gateway/parser.py
+++ b/oriolepaddle/gateway/parser.py
@@ -15,10 +15,17 @@
 from oriolepaddle.gateway.forwarding import ForwardedRequest, ForwardingSigner
 from oriolepaddle.gateway.keys import find_presented_key, scrub_body, scrub_query
 
-__all__ = ["COMPLETION_PATHS", "SERVICE_PREFIX", "RequestParser"]
+__all__ = [
+    "COMPLETION_PATHS",
+    "ORDERS_PATH",
+    "SERVICE_PREFIX",
+    "RequestParser",
+    "find_service",
+]
 
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICE_PREFIX = "/services/"
+ORDERS_PATH = "/v1/orders"
 CHARACTERS_PER_TOKEN = 4
 MAX_OUTPUT_TOKENS = 100_000
 MAX_PRIORITY = 9
@@ -71,8 +78,10 @@
         if request.path in COMPLETION_PATHS:
             document = _parse_document(request, body)
             route = self._find_route(document["model"], RouteKind.MODEL)
+        elif request.path == ORDERS_PATH:
+            route = self._find_route(_read_order_route(body), RouteKind.SERVICE)
         else:
-            route = self._find_route(_find_service(request.path), RouteKind.SERVICE)
+            route = self._find_route(find_service(request.path), RouteKind.SERVICE)
         presented = find_presented_key(request)
         caller = self._authenticate(route, presented, forwarded)
         if not route.open:
@@ -132,6 +141,16 @@
         )
 
 
+def _read_order_route(body: bytes) -> str:
+    try:
+        route = json.loads(body)["route"]
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise MalformedRequestError("the body must name the order's route") from error
+    if not isinstance(route, str):
+        raise MalformedRequestError("route must be a string")
+    return route
+
+
 def _parse_document(request: Request, body: bytes) -> dict[str, Any]:
     if request.method != "POST":
         raise MalformedRequestError(f"{request.path} takes POST")
@@ -197,14 +216,19 @@
     return -(-len(text) // CHARACTERS_PER_TOKEN)
 
 
-def _find_service(path: str) -> str:
+def find_service(path: str) -> str:
+    """Return the route's id in the path of a plain service.
+
+    Raises:
+        RefusedError: It is no path of a service.
+    """
     if not path.startswith(SERVICE_PREFIX):
         raise RefusedError(f"no route serves {path}", code=ErrorCode.ROUTE_UNKNOWN)
     return path[len(SERVICE_PREFIX) :].partition("/")[0]
 
 
 def _strip_service(path: str, route: Route) -> str:
-    if route.kind is RouteKind.MODEL:
+    if not path.startswith(SERVICE_PREFIX):
         return path
     return "/" + path[len(SERVICE_PREFIX) :].partition("/")[2]
 
--- /dev/null
+++ b/oriolepaddle/gateway/parts.py
@@ -0,0 +1,39 @@
+"""What an exchange works with."""
+
+import attrs
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.config.staleness import StalenessGuard
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.endpoints.health import HealthChecker
+from oriolepaddle.gateway.activity import Activity
+from oriolepaddle.gateway.admissions import RouteAdmissions
+from oriolepaddle.gateway.authenticator import Authenticator
+from oriolepaddle.gateway.forwarder import Forwarder
+from oriolepaddle.limits import TokenLimiter
+from oriolepaddle.metrics import GatewayMetrics
+from oriolepaddle.quarantine import Quarantine
+from oriolepaddle.retries import RetryPolicy
+from oriolepaddle.routing import Router
+
+__all__ = ["ServingParts"]
+
+
+@attrs.frozen
+class ServingParts:
+    """The collaborators of every exchange of an instance."""
+
+    clock: Clock
+    router: Router
+    admissions: RouteAdmissions
+    limiter: TokenLimiter
+    quarantine: Quarantine
+    retries: RetryPolicy
+    transport: EndpointTransport
+    health: HealthChecker
+    forwarder: Forwarder
+    authenticator: Authenticator
+    staleness: StalenessGuard
+    activity: Activity
+    metrics: GatewayMetrics
+    stall_timeout_s: float
--- /dev/null
+++ b/oriolepaddle/gateway/start.py
@@ -0,0 +1,99 @@
+"""Finding the endpoint at which a request may start now."""
+
+import threading
+
+import attrs
+
+from oriolepaddle.config.model import Endpoint
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.gateway.caller_request import CallerRequest
+from oriolepaddle.gateway.parts import ServingParts
+from oriolepaddle.quarantine import StartAction, StartAdvice
+from oriolepaddle.routing import RoutingRequest, hash_prompt
+
+__all__ = ["find_startable", "make_routing_request"]
+
+
+def make_routing_request(
+    request: CallerRequest, was_forwarded: bool = False
+) -> RoutingRequest:
+    """Return what routing needs to know of a request.
+
+    Args:
+        request: The request.
+        was_forwarded: Whether this instance has passed it on before.
+    """
+    hops = request.hops
+    if was_forwarded and not hops:
+        hops = ("self",)
+    return RoutingRequest(
+        id=request.id,
+        route=request.route,
+        organisation=request.organisation,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        prefix_hashes=hash_prompt(request.prompt_text),
+        deadline_s=request.deadline_s,
+        hops=hops,
+    )
+
+
+def find_startable(
+    parts: ServingParts,
+    routing: RoutingRequest,
+    fingerprint: bytes,
+    excluded: frozenset[str],
+) -> Endpoint:
+    """Return the best endpoint here at which a request may start now.
+
+    Endpoints that failed before are used again only if there is no other. A
+    request that is suspected of crashing endpoints waits for its turn.
+
+    Args:
+        parts: What the exchange works with.
+        routing: The request.
+        fingerprint: Its fingerprint.
+        excluded: Endpoints that failed or refused it before.
+
+    Raises:
+        RefusedError: There is no such endpoint; the request was not run.
+    """
+    avoided: frozenset[str] = frozenset()
+    while True:
+        endpoint = _choose(parts, routing, excluded | avoided, excluded)
+        is_only = endpoint.id in avoided
+        advice = parts.quarantine.may_start(fingerprint, endpoint.id, is_only=is_only)
+        if advice.action is StartAction.GO or is_only:
+            if advice.action is not StartAction.WAIT:
+                return endpoint
+        if advice.action is StartAction.WAIT:
+            _wait(parts, routing, advice)
+            continue
+        avoided |= {endpoint.id}
+
+
+def _choose(
+    parts: ServingParts,
+    routing: RoutingRequest,
+    excluded: frozenset[str],
+    failed: frozenset[str],
+) -> Endpoint:
+    local = attrs.evolve(routing, hops=routing.hops or ("self",))
+    for names in (excluded, failed, frozenset()):
+        try:
+            chosen = parts.router.choose(attrs.evolve(local, excluded=names))
+        except RefusedError:
+            continue
+        if chosen.endpoint is not None:
+            return chosen.endpoint
+    raise RefusedError("no endpoint here may run it now", code=ErrorCode.NO_ENDPOINT)
+
+
+def _wait(parts: ServingParts, routing: RoutingRequest, advice: StartAdvice) -> None:
+    left_s = routing.deadline_s - parts.clock.monotonic_s()
+    if left_s <= advice.delay.total_seconds():
+        raise RefusedError(
+            "the request may not start before its deadline",
+            code=ErrorCode.DEADLINE_UNREACHABLE,
+        )
+    parts.clock.wait(threading.Event(), advice.delay)
--- a/oriolepaddle/limits/shared.py
+++ b/oriolepaddle/limits/shared.py
@@ -124,6 +124,12 @@
         """
         self._renewal.allow_cold_start()
 
+    @property
+    def is_warm(self) -> bool:
+        """Whether this instance knows all that may hold a claim here."""
+        with self._ledger.lock:
+            return self._ledger.book.is_warm
+
     def home(self, organisation_id: str) -> str:
         """Return the instance here at which a request needs no draw."""
         return self._ledger.home(organisation_id)
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -26,9 +26,7 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
-        self.requests = self._count(
-            "requests", "Requests by route and status class.", "route", "status"
-        )
+        self.requests = self._count("requests", "Requests that were answered.", "route")
         self.refusals = self._count(
             "refusals", "Requests that ended with an error code.", "reason", "outcome"
         )
--- a/oriolepaddle/settings/settings.py
+++ b/oriolepaddle/settings/settings.py
@@ -59,9 +59,9 @@
         "", "File of the key of that certificate.", is_optional=True
     )
     aim: str = setting(
-        "worst_served",
+        "worst-served",
         "What matters most under overload.",
-        choices=("worst_served", "tail_latency"),
+        choices=("worst-served", "tail-latency"),
     )
     max_staleness_s: float = setting(
         0.0,
@@ -97,6 +97,12 @@
     connect_timeout_s: float = setting(
         1.0, "Seconds to make a connection to an endpoint.", low=0.05, high=30
     )
+    near_delay_ms: float = setting(
+        1.5, "One-way delay to a data centre of this region.", low=0, high=1000
+    )
+    far_delay_ms: float = setting(
+        80.0, "One-way delay to a data centre of another region.", low=0, high=5000
+    )
     log_level: str = setting(
         "INFO", "Least level that is logged.", choices=("DEBUG", "INFO", "WARNING")
     )
--- a/oriolepaddle/standins/service.py
+++ b/oriolepaddle/standins/service.py
@@ -51,7 +51,7 @@
             if request.method == "POST":
                 self.runs[body] = self.runs.get(body, 0) + 1
         self.hold.wait()
-        if self.cut_before_answer:
+        if self.cut_before_answer and request.method == "POST":
             raise ConnectionResetError("cut as told")
         headers = [("X-Request-Id", request.headers.get("X-Request-Id", ""))]
         writer.answer_json(200, {"service": self.name, "done": True}, headers)
--- a/oriolepaddle/streams/__init__.py
+++ b/oriolepaddle/streams/__init__.py
@@ -1,5 +1,6 @@
 """Answers on their way to callers: checked, resumed, marked when cut short."""
 
+from oriolepaddle.streams._body import EventBody, RawBody
 from oriolepaddle.streams.check import AnswerCheck
 from oriolepaddle.streams.event import SseEvent
 from oriolepaddle.streams.limits import END_MARKER, StreamLimits
@@ -18,6 +19,8 @@
     "AnswerCheck",
     "ChunkSource",
     "ChunkStream",
+    "EventBody",
+    "RawBody",
     "ResumableStream",
     "SseEvent",
     "SseParser",
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -102,7 +102,8 @@
 
     def answer_error(self, error: OriolepaddleError, request_id: str) -> None:
         """Send an error as the whole answer."""
-        headers = [("X-Request-Id", request_id)]
+        outcome = error.outcome.value.replace(" ", "-")
+        headers = [("X-Request-Id", request_id), ("X-Request-Outcome", outcome)]
         if error.retry_after is not None:
             seconds = max(1, round(error.retry_after.total_seconds()))
             headers.append(("Retry-After", str(seconds)))
