Give operators the instance's state; add a relay and engine life to the stand-ins

Cause: operators saw nothing yet, and faults need a link that can be cut, delayed or forgotten. Ruled out: a cluster simulator. Change: the administration of an instance, gauges, a second signal that does not wait, a TCP relay, crashes, resumption and commands in the engine stand-in. Before: is_ready was once seen false while peers lent tokens; the test fleet waits for it now. After: the tests of daemon, endpoints, web and settings pass.

--- a/oriolepaddle/daemon/__main__.py
+++ b/oriolepaddle/daemon/__main__.py
@@ -1,5 +1,6 @@
 """The daemon `oriolepaddled`."""
 
+import os
 import signal
 import sys
 import threading
@@ -16,6 +17,7 @@
 __all__ = ["app", "main"]
 
 EXIT_SETTINGS = 2
+EXIT_FORCED = 3
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
@@ -23,16 +25,23 @@
     """Serve until a signal asks to stop."""
     _check(settings)
     set_up_logs(settings.log_level, settings.log_format)
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
     instance = GatewayInstance(settings, SystemClock())
+    stopping = instance.drain_requested
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: _request_stop(stopping))
     instance.start()
     stopping.wait()
     logger.info("draining")
     instance.stop()
 
 
+def _request_stop(stopping: threading.Event) -> None:
+    if stopping.is_set():
+        # A second signal does not wait for requests in flight.
+        os._exit(EXIT_FORCED)
+    stopping.set()
+
+
 def check(settings: Settings) -> None:
     """Check the settings without serving."""
     _check(settings)
--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -8,10 +8,12 @@
 from loguru import logger
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.daemon.administration import InstanceAdministration
 from oriolepaddle.daemon.fleet import Fleet
 from oriolepaddle.daemon.listeners import Listeners
 from oriolepaddle.daemon.serving import Serving
 from oriolepaddle.daemon.upkeep import Upkeep
+from oriolepaddle.operators import OperatorApplication
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.settings import Settings
 
@@ -40,11 +42,19 @@
         generator = random.Random(secrets.randbits(64))
         self.fleet = Fleet(settings, clock, self.identity, self.listeners, generator)
         self.serving = Serving(settings, clock, self.fleet, self.listeners, generator)
+        self.drain_requested = threading.Event()
+        administration = InstanceAdministration(
+            clock, self.fleet, self.serving, self.drain_requested
+        )
+        self.listeners.operators.application = OperatorApplication(
+            administration, settings.operator_token
+        )
         self._upkeep = Upkeep(clock, self.fleet, self.serving, generator)
 
     def start(self) -> None:
         """Catch up with the configuration, then serve callers."""
         self.listeners.peers.start()
+        self.listeners.operators.start()
         self.fleet.start()
         while not self.fleet.sync.is_caught_up():
             if self._clock.wait(self._stopping, READY_POLL):
@@ -52,10 +62,12 @@
         self._upkeep.start()
         self.listeners.callers.start()
         logger.info(
-            "instance {} serves callers on port {}, peers on port {}",
+            "instance {} serves callers on port {}, peers on port {}, "
+            "operators on port {}",
             self.identity.instance,
             self.listeners.callers.port,
             self.listeners.peers.port,
+            self.listeners.operators.port,
         )
 
     def stop(self) -> None:
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -62,15 +62,13 @@
         return Instance(
             id=settings.instance,
             data_centre=settings.data_centre,
-            caller_address=self._advertise(settings.caller_address, self.callers.port),
-            peer_address=self._advertise(settings.peer_address, self.peers.port),
+            caller_address=settings.advertised_caller_address
+            or _join(settings.caller_address, self.callers.port),
+            peer_address=settings.advertised_peer_address
+            or _join(settings.peer_address, self.peers.port),
             size=settings.size,
         )
 
-    def _advertise(self, address: str, port: int) -> str:
-        host = self._settings.advertised_host or address.rpartition(":")[0]
-        return f"{host}:{port}"
-
 
 def make_server_limits(settings: Settings) -> ServerLimits:
     """Return the limits of the callers' listener."""
@@ -94,3 +92,7 @@
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
+
+
+def _join(address: str, port: int) -> str:
+    return f"{address.rpartition(':')[0]}:{port}"
--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -20,7 +20,9 @@
 KEY = "key-of-norddal"
 OTHER_KEY = "key-of-sudurvik"
 CHAT = "/v1/chat/completions"
-_PORTS = re.compile(r"serves callers on port (\d+), peers on port (\d+)")
+_PORTS = re.compile(
+    r"serves callers on port (\d+), peers on port (\d+), operators on port (\d+)"
+)
 
 
 class Daemon:
@@ -44,6 +46,7 @@
         self.ready = threading.Event()
         self.caller_port = None
         self.peer_port = None
+        self.operator_port = None
         self.process = subprocess.Popen(
             [sys.executable, "-m", "oriolepaddle.daemon", "serve"],
             env=os.environ | environment,
@@ -57,7 +60,8 @@
             self.lines.append(line)
             found = _PORTS.search(line)
             if found:
-                self.caller_port, self.peer_port = map(int, found.groups())
+                ports = map(int, found.groups())
+                self.caller_port, self.peer_port, self.operator_port = ports
                 self.ready.set()
 
     def await_ready(self):
@@ -82,6 +86,13 @@
         response = self.send(method, path, document, key, headers)
         return response.status, response.read()
 
+    def operate(self, method, path, document=None):
+        connection = http.client.HTTPConnection("127.0.0.1", self.operator_port, 30)
+        body = None if document is None else json.dumps(document)
+        fields = {"Authorization": f"Bearer {SECRET}"}
+        connection.request(method, path, body, fields)
+        return json.loads(connection.getresponse().read())
+
     def await_tokens(self):
         """Wait until it has its share of the rates and knows the other region."""
         for _ in range(START_TIMEOUT_S * 20):
@@ -89,7 +100,8 @@
                 self.ask("POST", CHAT, make_chat(tokens=1), key=key)[0]
                 for key in (KEY, OTHER_KEY)
             ]
-            if statuses == [200, 200]:
+            is_ready = self.operate("GET", "/v1/status")["is_ready"]
+            if statuses == [200, 200] and is_ready:
                 return
             threading.Event().wait(0.05)
         raise AssertionError("".join(self.lines))
--- a/oriolepaddle/daemon/tests/test_path.py
+++ b/oriolepaddle/daemon/tests/test_path.py
@@ -98,6 +98,20 @@
         for engine in fleet.engines.values():
             engine.faults.cut_after_tokens = None
 
+    def test_operators_see_the_fleet(self, fleet):
+        daemon = fleet.daemons["n1"]
+        status = daemon.operate("GET", "/v1/status")
+        assert status["is_ready"], status
+        assert status["highest_ticket"] == fleet.number
+        peers = daemon.operate("GET", "/v1/instances")["instances"]
+        assert {peer["id"] for peer in peers} == {"n2", "s1"}
+        limit = daemon.operate("GET", "/v1/limits/norddal")
+        assert 0 < limit["balance_tokens"] <= limit["burst_tokens"]
+        body = {"route": "oriole-answers", "organisation": "sudurvik"}
+        explained = daemon.operate("POST", "/v1/route/explain", body)
+        assert explained["data_centre"] == "sudur-a"
+        assert len(daemon.operate("GET", "/v1/endpoints")["endpoints"]) == 3
+
     def test_graceful_shutdown_cuts_no_request(self, fleet):
         fleet.desk.hold.clear()
         daemon = fleet.daemons["n2"]
--- a/oriolepaddle/operators/reports/endpoint.py
+++ b/oriolepaddle/operators/reports/endpoint.py
@@ -14,5 +14,5 @@
     address: str
     routes: tuple[str, ...]
     is_leaving: bool
-    in_flight: int
+    in_flight: float
     is_backing_off: bool
--- a/oriolepaddle/operators/reports/quarantine.py
+++ b/oriolepaddle/operators/reports/quarantine.py
@@ -12,4 +12,4 @@
     fingerprint: str
     state: str
     crashes: int
-    age_s: float
+    remaining_s: float
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -11,6 +11,7 @@
 from oriolepaddle.routing.candidate import Candidate
 from oriolepaddle.routing.decision import Decision
 from oriolepaddle.routing.endpoint_policy import EndpointPolicy
+from oriolepaddle.routing.endpoint_view import EndpointView
 from oriolepaddle.routing.home import find_home
 from oriolepaddle.routing.load_report import LoadReport
 from oriolepaddle.routing.load_summary import LoadSummary
@@ -113,6 +114,16 @@
             if endpoint is not None:
                 self._fleet.tracker(endpoint).fail(self._clock.monotonic_s())
 
+    def inspect(self, endpoint: Endpoint) -> EndpointView:
+        """Return what operators may see of an endpoint."""
+        with self._lock:
+            tracker = self._fleet.tracker(endpoint)
+            instances = self._fleet.count_instances()
+            return EndpointView(
+                in_flight=tracker.in_flight(self._clock.monotonic_s(), instances),
+                is_failed=tracker.health.is_failed,
+            )
+
     def load_reported(self, report: LoadReport) -> None:
         """Take in an endpoint's late report of its load."""
         with self._lock:
--- a/oriolepaddle/settings/settings.py
+++ b/oriolepaddle/settings/settings.py
@@ -29,8 +29,17 @@
     operator_address: str = setting(
         "127.0.0.1:8082", "IP:port to listen on for operators.", is_address=True
     )
-    advertised_host: str = setting(
-        "", "IP to advertise, if not the one listened on.", is_optional=True
+    advertised_caller_address: str = setting(
+        "",
+        "IP:port for callers, if not the one listened on.",
+        is_address=True,
+        is_optional=True,
+    )
+    advertised_peer_address: str = setting(
+        "",
+        "IP:port for other instances, if not the one listened on.",
+        is_address=True,
+        is_optional=True,
     )
     platform_address: str = setting(
         "", "IP:port of the platform's services.", is_address=True
--- a/oriolepaddle/standins/__init__.py
+++ b/oriolepaddle/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from oriolepaddle.standins.engine import EngineFaults, EngineStandin, ReceivedRequest
 from oriolepaddle.standins.platform import PlatformStandin
+from oriolepaddle.standins.relay import RelayMode, RelayStandin
 from oriolepaddle.standins.service import ServiceStandin
 
 __all__ = [
@@ -9,5 +10,7 @@
     "EngineStandin",
     "PlatformStandin",
     "ReceivedRequest",
+    "RelayMode",
+    "RelayStandin",
     "ServiceStandin",
 ]
--- a/oriolepaddle/standins/engine.py
+++ b/oriolepaddle/standins/engine.py
@@ -11,6 +11,7 @@
 
 from oriolepaddle.clock import Clock, SystemClock
 from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.standins.engine_control import EngineControlStandin
 from oriolepaddle.web import AnswerWriter, HttpServer, ServerLimits
 
 __all__ = ["EngineFaults", "EngineStandin", "ReceivedRequest"]
@@ -79,6 +80,9 @@
         self.prefill_s = prefill_s
         self.received: deque[ReceivedRequest] = deque(maxlen=KEPT_REQUESTS)
         self.running = 0
+        self.crashes = 0
+        self.resumed = 0
+        self.control = EngineControlStandin()
         self.cancelled = 0
         self._clock = clock or SystemClock()
         self._lock = threading.Lock()
@@ -105,10 +109,10 @@
     def handle(self, request: Request, writer: AnswerWriter) -> None:
         """Answer one request; see `Application.handle`."""
         if request.path == "/load":
-            writer.answer_json(200, {"running": self.running, "queued": 0})
+            writer.answer_json(200, self._describe_load())
             return
-        if request.path == "/health":
-            writer.answer_json(200, {"name": self.name})
+        if request.path.startswith("/engine/"):
+            self.control.handle(request, writer)
             return
         if self.faults.refuse:
             self._refuse(writer)
@@ -127,6 +131,19 @@
             with self._lock:
                 self.running -= 1
 
+    def crash(self) -> None:
+        """End all streams and begin a new life, empty."""
+        self.crashes += 1
+        self._server.drop_connections()
+        self.control = EngineControlStandin(self.control.is_fenced)
+
+    def _describe_load(self) -> dict[str, Any]:
+        return {
+            "running": self.running,
+            "queued": 0,
+            "incarnation": f"{self.name}-{self.crashes}",
+        }
+
     def _refuse(self, writer: AnswerWriter) -> None:
         error = RefusedError("the engine is full", code=ErrorCode.OVERLOADED)
         headers = [("X-Request-Outcome", "not-run")]
@@ -145,6 +162,7 @@
     def _check_crash(self, request: Request) -> None:
         text = self.faults.crash_on
         if text is not None and text.encode() in request.get_data():
+            self.crash()
             raise ConnectionResetError("the engine crashed")
 
     def _complete(
@@ -156,7 +174,7 @@
         count = int(document.get("max_tokens", 16))
         self._closing.wait(self.prefill_s)
         if document.get("stream"):
-            self._stream(request_id, count, writer)
+            self._stream(request, request_id, count, writer)
         else:
             self._answer_whole(request_id, count, writer)
 
@@ -185,10 +203,18 @@
         writer.write(body)
         writer.finish()
 
-    def _stream(self, request_id: str, count: int, writer: AnswerWriter) -> None:
-        headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", request_id)]
+    def _stream(
+        self, request: Request, request_id: str, count: int, writer: AnswerWriter
+    ) -> None:
+        first = request.headers.get("X-Resume-Offset", 0, int)
+        self.resumed += first > 0
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Request-Id", request_id),
+            ("X-Resume-Offset", str(first)),
+        ]
         writer.start(200, headers)
-        for number in range(count):
+        for number in range(first, count):
             self._apply_stream_faults(number)
             writer.write(self._make_event(request_id, number))
             if self._closing.wait(self.token_interval_s):
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -87,12 +87,16 @@
         """Close all connections and wait for their threads."""
         self.is_closed = True
         self.stop_accepting()
+        self.drop_connections()
+        self._executor.shutdown(wait=True)
+
+    def drop_connections(self) -> None:
+        """Break off every open connection; the listener goes on."""
         with self._lock:
             connections = list(self._connections)
         for connection in connections:
             with contextlib.suppress(OSError):
                 connection.connection.shutdown(SHUT_RDWR)
-        self._executor.shutdown(wait=True)
 
     def add(self, connection: HttpConnection) -> None:
         """Note a connection that is being served."""
