--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -12,9 +12,16 @@
 
 from oriolepaddle.config import parse_ticket
 from oriolepaddle.platform import Instance
-from oriolepaddle.standins import EngineStandin, PlatformStandin, ServiceStandin
+from oriolepaddle.standins import (
+    EngineStandin,
+    PlatformStandin,
+    RelayMode,
+    RelayStandin,
+    ServiceStandin,
+)
 
 START_TIMEOUT_S = 30
+POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 30
 SECRET = "a secret of the test fleet"
 KEY = "key-of-norddal"
@@ -67,12 +74,12 @@
     def await_ready(self):
         assert self.ready.wait(START_TIMEOUT_S), "".join(self.lines)
 
-    def describe(self):
+    def describe(self, peer_address):
         return Instance(
             id=self.name,
             data_centre=self.data_centre,
             caller_address=f"127.0.0.1:{self.caller_port}",
-            peer_address=f"127.0.0.1:{self.peer_port}",
+            peer_address=peer_address,
         )
 
     def send(self, method, path, document=None, key=KEY, headers=()):
@@ -111,6 +118,12 @@
             self.process.send_signal(signal.SIGTERM)
         return self.process.wait(STOP_TIMEOUT_S)
 
+    def freeze(self):
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self):
+        self.process.send_signal(signal.SIGCONT)
+
     def kill(self):
         self.process.kill()
         self.process.wait(STOP_TIMEOUT_S)
@@ -128,9 +141,15 @@
         self.desk = ServiceStandin("desk")
         for standin in (*self.engines.values(), self.desk):
             standin.start()
+        self.engine_links = {
+            name: RelayStandin(engine.address) for name, engine in self.engines.items()
+        }
+        self.desk_link = RelayStandin(self.desk.address)
+        self.platform_links = {}
+        self.peer_links = {}
+        self.daemons = {}
         self.number = 0
         self.publish(self.make_objects())
-        self.daemons = {}
 
     def make_objects(self):
         objects = [
@@ -142,22 +161,25 @@
             make_key("k2", "sudurvik", OTHER_KEY),
             make("route", "oriole-answers", kind="model"),
             make("route", "visit-desk", kind="service"),
-            self.make_endpoint("desk", "nordur-a", self.desk, ["visit-desk"]),
+            self.make_endpoint("desk", "nordur-a", self.desk_link, ["visit-desk"]),
         ]
-        for name, engine in self.engines.items():
-            data_centre = name.split("-")[0] + "-a"
-            objects.append(
-                self.make_endpoint(name, data_centre, engine, ["oriole-answers"])
-            )
+        objects += [self.make_engine(name) for name in self.engines]
         return objects
 
-    def make_endpoint(self, name, data_centre, standin, routes):
+    def make_engine(self, name, **value):
+        data_centre = name.split("-")[0] + "-a"
+        link = self.engine_links[name]
+        routes = ["oriole-answers"]
+        return self.make_endpoint(name, data_centre, link, routes, **value)
+
+    def make_endpoint(self, name, data_centre, standin, routes, **value):
         return make(
             "endpoint",
             name,
             data_centre=data_centre,
             address=standin.address,
             routes=routes,
+            **value,
         )
 
     def publish(self, objects):
@@ -167,21 +189,72 @@
 
     def start(self, **instances):
         for name, data_centre in instances.items():
-            daemon = Daemon(name, data_centre, self.platform.address)
-            self.daemons[name] = daemon
-        for daemon in self.daemons.values():
-            daemon.await_ready()
+            self.launch(name, data_centre)
+        for name in instances:
+            self.await_listening(name)
+        self.list_instances()
+        for name in instances:
+            self.daemons[name].await_tokens()
+        return self
+
+    def launch(self, name, data_centre, **settings):
+        self.platform_links[name] = RelayStandin(self.platform.address)
+        self.peer_links[name] = RelayStandin()
+        self.daemons[name] = Daemon(
+            name,
+            data_centre,
+            self.platform_links[name].address,
+            advertised_peer_address=self.peer_links[name].address,
+            **settings,
+        )
+
+    def await_listening(self, name):
+        daemon = self.daemons[name]
+        daemon.await_ready()
+        self.peer_links[name].target = f"127.0.0.1:{daemon.peer_port}"
+
+    def list_instances(self):
         self.platform.set_instances(
-            tuple(daemon.describe() for daemon in self.daemons.values())
+            tuple(
+                daemon.describe(self.peer_links[name].address)
+                for name, daemon in self.daemons.items()
+            )
         )
-        for daemon in self.daemons.values():
-            daemon.await_tokens()
-        return self
+
+    def replace(self, name, **settings):
+        """Stop an instance gracefully and start it anew."""
+        data_centre = self.daemons[name].data_centre
+        self.daemons[name].stop()
+        self.launch(name, data_centre, **settings)
+        self.await_listening(name)
+        self.list_instances()
+
+    def cut_region(self, *names):
+        """Cut some instances off from the platform and from all others."""
+        inside = {f"{name}".encode() for name in names}
+        outside = {name.encode() for name in self.daemons} - inside
+        for name in self.daemons:
+            is_inside = name.encode() in inside
+            self.peer_links[name].block(*(outside if is_inside else inside))
+        for name in names:
+            self.platform_links[name].set_mode(RelayMode.CUT)
+
+    def heal(self):
+        for link in self.peer_links.values():
+            link.unblock()
+        for link in (*self.platform_links.values(), *self.engine_links.values()):
+            link.set_mode(RelayMode.PASS)
 
     def close(self):
         for daemon in self.daemons.values():
             if daemon.process.poll() is None:
                 daemon.kill()
+        links = (self.engine_links, self.platform_links, self.peer_links)
+        for link in [
+            self.desk_link,
+            *(item for group in links for item in group.values()),
+        ]:
+            link.close()
         for standin in (*self.engines.values(), self.desk, self.platform):
             standin.close()
 
@@ -207,3 +280,13 @@
         "max_tokens": tokens,
         "stream": stream,
     }
+
+
+def await_true(check, timeout_s=20):
+    """Wait until `check` returns something true, and return it."""
+    for _ in range(int(timeout_s / POLL_INTERVAL_S)):
+        found = check()
+        if found:
+            return found
+        threading.Event().wait(POLL_INTERVAL_S)
+    raise AssertionError(f"not true within {timeout_s} s")
--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -0,0 +1,390 @@
+"""Faults on real processes: kill, freeze, cut, silence, outage, races."""
+
+import json
+import threading
+from http.client import HTTPException
+
+import pytest
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.daemon.tests.fleet import (
+    CHAT,
+    KEY,
+    Fleet,
+    await_true,
+    make,
+    make_chat,
+    make_key,
+    make_organisation,
+)
+from oriolepaddle.standins import RelayMode
+
+WITHDRAWAL = [{"kind": "key", "id": "k1", "value": None}]
+WITHIN_SECONDS_S = 8
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def running(fleet):
+    return fleet.start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
+
+
+def find_code(answer):
+    return json.loads(answer[1])["error"]["code"]
+
+
+def open_stream(daemon, tokens=100_000):
+    response = daemon.send("POST", CHAT, make_chat(tokens=tokens, stream=True))
+    assert response.status == 200
+    response.readline()
+    return response
+
+
+class TestWithdrawnKey:
+    def test_ends_streams_and_requests_everywhere(self, running):
+        for engine in running.engines.values():
+            engine.token_interval_s = 0.05
+        streams = [open_stream(daemon) for daemon in running.daemons.values()]
+        running.publish(WITHDRAWAL)
+        for stream in streams:
+            assert b"key_withdrawn" in read_rest(stream)
+        for daemon in running.daemons.values():
+            assert find_code(daemon.ask("POST", CHAT, make_chat())) == "key_unknown"
+
+    def test_reaches_an_instance_without_the_platform_through_peers(self, running):
+        running.platform_links["n2"].set_mode(RelayMode.CUT)
+        running.platform_links["s1"].set_mode(RelayMode.SILENT)
+        running.publish(WITHDRAWAL)
+        for daemon in running.daemons.values():
+            await_true(lambda d=daemon: is_refused(d), WITHIN_SECONDS_S)
+
+    def test_is_known_to_a_process_that_slept(self, running):
+        daemon = running.daemons["n1"]
+        daemon.freeze()
+        running.publish(WITHDRAWAL)
+        await_true(lambda: is_refused(running.daemons["n2"]), WITHIN_SECONDS_S)
+        daemon.wake()
+        await_true(lambda: is_refused(daemon), WITHIN_SECONDS_S)
+
+    def test_does_not_revert_when_every_instance_is_replaced(self, running):
+        running.publish(WITHDRAWAL)
+        for daemon in running.daemons.values():
+            await_true(lambda d=daemon: is_refused(d), WITHIN_SECONDS_S)
+        running.platform.hide_after(1)
+        for name in ("n1", "n2", "s1"):
+            running.replace(name)
+            assert is_refused(running.daemons[name])
+
+
+def is_refused(daemon):
+    return daemon.ask("POST", CHAT, make_chat(tokens=1))[0] == 401
+
+
+def read_rest(stream):
+    try:
+        return stream.read()
+    except HTTPException as error:
+        return error.partial
+
+
+class TestResidency:
+    def test_is_kept_when_the_region_is_cut_off(self, running):
+        running.publish([make_organisation("norddal", residency=["sudur"])])
+        ask = running.daemons["n1"].ask
+        await_true(lambda: b"sudur-e1" in ask("POST", CHAT, make_chat())[1])
+        before = count_north(running)
+        running.daemons["s1"].kill()
+        for _ in range(5):
+            status, body = ask("POST", CHAT, make_chat())
+            assert status >= 500
+            assert json.loads(body)["error"]["outcome"] in ("not run", "unknown")
+        assert count_north(running) == before
+
+
+def count_north(fleet):
+    return sum(
+        len(engine.received)
+        for name, engine in fleet.engines.items()
+        if name.startswith("nordur")
+    )
+
+
+class TestIsolatedRegion:
+    def test_keeps_serving(self, running):
+        running.cut_region("s1")
+        for _ in range(20):
+            for daemon in running.daemons.values():
+                assert daemon.ask("POST", CHAT, make_chat())[0] == 200
+
+    def test_takes_in_what_it_missed_after_the_cut(self, running):
+        running.cut_region("s1")
+        running.publish(WITHDRAWAL)
+        await_true(lambda: is_refused(running.daemons["n1"]), WITHIN_SECONDS_S)
+        assert not is_refused(running.daemons["s1"])
+        running.heal()
+        await_true(lambda: is_refused(running.daemons["s1"]), 30)
+
+
+class TestHops:
+    def test_forged_hops_are_refused(self, running):
+        headers = {
+            "X-Oriolepaddle-Hops": "s1",
+            "X-Oriolepaddle-Key-Digest": "0" * 64,
+            "X-Oriolepaddle-Deadline-Left-Ms": "1000",
+            "X-Oriolepaddle-Signature": "0" * 64,
+        }
+        answer = running.daemons["n1"].ask("POST", CHAT, make_chat(), headers=headers)
+        assert find_code(answer) == "peer_rejected"
+
+
+class TestKilledInstance:
+    def test_its_stream_is_seen_to_be_cut(self, running):
+        for engine in running.engines.values():
+            engine.token_interval_s = 0.02
+        stream = open_stream(running.daemons["n1"])
+        running.daemons["n1"].kill()
+        with pytest.raises((HTTPException, OSError)):
+            stream.read()
+
+    def test_its_order_is_not_run_again_elsewhere(self, running):
+        n1, n2 = running.daemons["n1"], running.daemons["n2"]
+        number = issue(n1)
+        order = {"stay": "family-10"}
+        running.desk.hold.clear()
+        caller = threading.Thread(target=send_order, args=(n1, number, order))
+        caller.start()
+        await_true(lambda: count_runs(running, order) == 1)
+        n1.kill()
+        running.desk.hold.set()
+        caller.join()
+        answer = send_order(n2, number, order)
+        assert json.loads(answer[1])["error"]["outcome"] == "unknown"
+        assert count_runs(running, order) == 1
+
+
+def issue(daemon):
+    status, body = daemon.ask("POST", "/v1/orders", {"route": "visit-desk"})
+    assert status == 201, body
+    return json.loads(body)["order"]
+
+
+def send_order(daemon, number, order):
+    headers = {"Idempotency-Key": number}
+    try:
+        return daemon.ask("POST", "/services/visit-desk/book", order, headers=headers)
+    except (HTTPException, OSError):
+        return None
+
+
+def count_runs(fleet, order):
+    return fleet.desk.runs.get(json.dumps(order).encode(), 0)
+
+
+class TestOrders:
+    @pytest.mark.parametrize("mode", [RelayMode.CUT, RelayMode.FORGET])
+    def test_cut_during_the_run_is_unknown_and_run_once(self, fleet, mode):
+        fleet.publish([make("route", "visit-desk", kind="service", first_byte_s=1)])
+        fleet.start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
+        n1, n2 = fleet.daemons["n1"], fleet.daemons["n2"]
+        number = issue(n1)
+        order = {"stay": "family-11"}
+        fleet.desk.hold.clear()
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(send_order(n1, number, order))
+        )
+        caller.start()
+        await_true(lambda: count_runs(fleet, order) == 1)
+        fleet.desk_link.set_mode(mode)
+        caller.join()
+        fleet.desk.hold.set()
+        fleet.desk_link.set_mode(RelayMode.PASS)
+        answers += [send_order(daemon, number, order) for daemon in (n1, n2, n1)]
+        outcomes = {json.loads(body)["error"]["outcome"] for _, body in answers}
+        assert outcomes == {"unknown"}
+        assert count_runs(fleet, order) == 1
+
+    def test_endpoint_that_is_down_is_not_run(self, running):
+        number = issue(running.daemons["n1"])
+        running.desk.close()
+        running.desk_link.close()
+        order = {"stay": "family-12"}
+        _, body = send_order(running.daemons["n1"], number, order)
+        assert json.loads(body)["error"]["outcome"] == "not run"
+        assert count_runs(running, order) == 0
+
+    def test_issuer_that_slept_sends_nothing_late(self, running):
+        n1, n2 = running.daemons["n1"], running.daemons["n2"]
+        number = issue(n1)
+        n1.freeze()
+        order = {"stay": "family-13"}
+        answer = send_order(n2, number, order)
+        n1.wake()
+        outcome = json.loads(answer[1])["error"]["outcome"]
+        runs = count_runs(running, order)
+        assert runs <= 1
+        assert outcome == "unknown" or runs == 0
+
+
+class TestSilentConnection:
+    def test_is_found_and_the_request_repeated_elsewhere(self, fleet):
+        fleet.publish([make("route", "oriole-answers", kind="model", first_byte_s=1)])
+        fleet.start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
+        ask = fleet.daemons["n1"].ask
+        for _ in range(6):
+            assert ask("POST", CHAT, make_chat())[0] == 200
+        fleet.engine_links["nordur-e1"].set_mode(RelayMode.FORGET)
+        fleet.engine_links["nordur-e2"].set_mode(RelayMode.FORGET)
+        for _ in range(6):
+            assert ask("POST", CHAT, make_chat())[0] == 200
+
+
+class TestBrokenStream:
+    def test_is_resumed_without_lost_or_doubled_events(self, running):
+        for engine in running.engines.values():
+            engine.token_interval_s = 0.02
+        chat = make_chat(tokens=60, stream=True)
+        response = running.daemons["n1"].send("POST", CHAT, chat)
+        response.readline()
+        for link in running.engine_links.values():
+            link.set_mode(RelayMode.CUT)
+            link.set_mode(RelayMode.PASS)
+        body = response.read()
+        numbers = [
+            json.loads(line[6:])["choices"][0]["delta"]["content"].strip()
+            for line in body.split(b"\n")
+            if line.startswith(b"data: {")
+        ]
+        assert numbers == [str(number) for number in range(1, 60)]
+        assert sum(engine.resumed for engine in running.engines.values()) == 1
+
+
+class TestLeavingEndpoint:
+    def test_gets_no_new_work(self, running):
+        running.publish([running.make_engine("nordur-e1", leaving=True)])
+        daemons = running.daemons.values()
+
+        def knows(daemon):
+            found = daemon.operate("GET", "/v1/endpoints")["endpoints"]
+            return any(item["is_leaving"] for item in found)
+
+        for daemon in daemons:
+            if daemon.data_centre == "nordur-a":
+                await_true(lambda d=daemon: knows(d), WITHIN_SECONDS_S)
+        before = len(running.engines["nordur-e1"].received)
+        for daemon in daemons:
+            for _ in range(10):
+                assert daemon.ask("POST", CHAT, make_chat())[0] == 200
+        assert len(running.engines["nordur-e1"].received) == before
+
+
+class TestDrain:
+    def test_cuts_no_request_under_load(self, running):
+        for engine in running.engines.values():
+            engine.token_interval_s = 0.01
+        stopping = threading.Event()
+        answers = []
+        callers = [
+            threading.Thread(target=call_until, args=(running, stopping, answers))
+            for _ in range(6)
+        ]
+        for caller in callers:
+            caller.start()
+        await_true(lambda: len(answers) > 20)
+        assert running.daemons["n2"].stop() == 0
+        seen = len(answers)
+        await_true(lambda: len(answers) > seen + 20)
+        stopping.set()
+        for caller in callers:
+            caller.join()
+        assert set(answers) <= {"whole", "not run", "not connected"}
+        assert answers.count("whole") > 20
+
+
+def call_until(fleet, stopping, answers):
+    while not stopping.is_set():
+        for name in ("n2", "n1"):
+            answers.append(call_once(fleet.daemons[name]))
+
+
+def call_once(daemon):
+    try:
+        response = daemon.send("POST", CHAT, make_chat(tokens=10, stream=True))
+    except ConnectionRefusedError:
+        return "not connected"
+    except (HTTPException, ConnectionError):
+        # The listener was closed before the request was read.
+        return "not connected" if daemon.process.poll() is not None else "cut"
+    body = read_rest(response)
+    if response.status == 503:
+        return json.loads(body)["error"]["outcome"]
+    return "whole" if body.endswith(b"data: [DONE]\n\n") else "cut"
+
+
+class TestCrashingRequest:
+    def test_is_stopped_fleet_wide_after_two_crashes(self, running):
+        for engine in running.engines.values():
+            engine.faults.crash_on = "poison"
+        chat = make_chat(text="poison")
+        daemons = [running.daemons[name] for name in ("n1", "n2", "s1")]
+        for number in range(9):
+            daemons[number % 3].ask("POST", CHAT, chat)
+        assert sum(engine.crashes for engine in running.engines.values()) <= 2
+        answer = daemons[0].ask("POST", CHAT, chat)
+        assert find_code(answer) == "quarantined"
+        assert daemons[0].ask("POST", CHAT, make_chat())[0] == 200
+
+
+class TestRate:
+    def test_is_not_exceeded_by_all_instances_together(self, fleet):
+        limits = {"rate_tokens_per_s": 100, "burst_tokens": 400}
+        fleet.publish(
+            [
+                make_organisation("small", **limits),
+                make_key("k3", "small", "key-of-small"),
+            ]
+        )
+        fleet.start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
+        clock = SystemClock()
+        started_s = clock.monotonic_s()
+        used = sum(use_tokens(daemon) for daemon in list(fleet.daemons.values()) * 60)
+        elapsed_s = clock.monotonic_s() - started_s
+        # The organisation exists for longer than it is measured, but its burst
+        # holds no more than it says.
+        assert 0 < used <= 400 + 100 * elapsed_s
+
+
+def use_tokens(daemon):
+    chat = make_chat(tokens=10)
+    status, _ = daemon.ask("POST", CHAT, chat, key="key-of-small")
+    return 10 if status == 200 else 0
+
+
+class TestRacingOperators:
+    def test_one_number_twice_ends_alike_everywhere(self, running):
+        first = [make_organisation("racing", rate_tokens_per_s=1)]
+        second = [make_organisation("racing", rate_tokens_per_s=2)]
+        number = running.number + 1
+        running.publish(first)
+        running.number = number - 1
+        running.publish(second)
+
+        def states():
+            return {
+                daemon.operate("GET", "/v1/objects/organisation/racing").get("value")
+                for daemon in running.daemons.values()
+            }
+
+        await_true(lambda: None not in states() and len(states()) == 1)
+
+
+class TestKeyUse:
+    def test_key_of_one_organisation_is_no_key_of_another(self, running):
+        answer = running.daemons["n1"].ask("POST", CHAT, make_chat(), key=KEY + "x")
+        assert find_code(answer) == "key_unknown"
--- a/oriolepaddle/standins/platform.py
+++ b/oriolepaddle/standins/platform.py
@@ -55,6 +55,12 @@
             self._stale_values = list(self._values) if value else None
             self._changed.notify_all()
 
+    def hide_after(self, revision: int) -> None:
+        """Show readers an old copy that ends at a revision."""
+        with self._changed:
+            self._stale_values = self._values[:revision]
+            self._changed.notify_all()
+
     def start(self) -> None:
         """Begin to serve."""
         self._server.start()
