Let platform calls run side by side

Ruled out: the relay and the peers' spread (the instance's link to the platform passed; peers spread only after a merge). Conclusion: clients with waiting calls must not share a connection.

--- a/oriolepaddle/platform/http.py
+++ b/oriolepaddle/platform/http.py
@@ -25,12 +25,12 @@
 
 
 class _PlatformClient:
-    """A connection to one service of the platform."""
+    """Connections to one service of the platform, one for each call at a time."""
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._lock = threading.Lock()
-        self._curl = pycurl.Curl()
+        self._idle: list[pycurl.Curl] = []
 
     def get(self, path: str, wait: timedelta = timedelta(0), **query: Any) -> Any:
         """Return the JSON of one call.
@@ -40,8 +40,7 @@
         """
         query["wait_ms"] = int(wait.total_seconds() * 1000)
         url = f"http://{self._address}{path}?{urlencode(query)}"
-        with self._lock:
-            status, body = self._fetch(url, wait + READ_TIMEOUT)
+        status, body = self._fetch(url, wait + READ_TIMEOUT)
         if status != 200:
             raise PlatformUnavailableError(f"{path} answered with status {status}")
         try:
@@ -51,8 +50,7 @@
 
     def _fetch(self, url: str, timeout: timedelta) -> tuple[int, bytes]:
         buffer = BytesIO()
-        curl = self._curl
-        curl.reset()
+        curl = self._take()
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, 1)
@@ -64,10 +62,21 @@
         try:
             curl.perform()
         except pycurl.error as error:
+            curl.close()
             raise PlatformUnavailableError(
                 f"the platform at {self._address} did not answer: {error.args[1]}"
             ) from error
-        return curl.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue()
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        with self._lock:
+            self._idle.append(curl)
+        return status, buffer.getvalue()
+
+    def _take(self) -> pycurl.Curl:
+        # A waiting watch holds its connection, so calls must not share one.
+        with self._lock:
+            curl = self._idle.pop() if self._idle else pycurl.Curl()
+        curl.reset()
+        return curl
 
 
 class HttpConfigurationService:
