Resume cut streams and keep curl from sending a request again

Cause: a cut answer was no error that may be retried, so no stream was resumed; and a crasher crashed each engine twice, since curl repeats a request on its own when a reused connection breaks before the first byte. Ruled out: the quarantine (it counted its own two crashes and stopped). Change: cut answers are resumed at the engine that began them; a second sending by curl is refused, whatever the request. Conclusion: whether to repeat is the retry policy's to decide alone.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -94,6 +94,12 @@
             self._handle.interrupt()
 
     def _on_connected(self, *addresses: object) -> int:
+        if self._is_sent:
+            # curl sends a request again by itself when a reused connection
+            # breaks before the first byte of the answer; whether to repeat is
+            # not its to decide.
+            self._error = EndpointFailedError("the connection broke before an answer")
+            return pycurl.PREREQFUNC_ABORT
         try:
             self._check_limits()
             self._sink.before_send()
--- a/oriolepaddle/endpoints/tests/test_transport.py
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -9,6 +9,7 @@
 from oriolepaddle.errors import (
     AnswerTruncatedError,
     EndpointError,
+    EndpointFailedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
     Outcome,
@@ -151,13 +152,23 @@
             transport.run(engine.address, make_request(clock), sink)
         assert not engine.received
 
-    @pytest.mark.parametrize("is_idempotent", [True, False])
-    def test_only_idempotent_requests_are_sent_again_by_curl(
-        self, transport, clock, is_idempotent
+    def test_broken_reused_connection_is_not_used_for_a_second_sending(
+        self, transport, clock
     ):
         server = DroppingServer()
-        request = make_request(clock, is_idempotent=is_idempotent)
+        request = make_request(clock)
+        transport.run(server.address, request, CollectingSink())
+        with pytest.raises(EndpointFailedError):
+            transport.run(server.address, request, CollectingSink())
+        server.listener.close()
+        assert len(server.requests) == 2
+
+    def test_request_that_may_not_repeat_gets_a_connection_of_its_own(
+        self, transport, clock
+    ):
+        server = DroppingServer()
+        request = make_request(clock, is_idempotent=False)
         transport.run(server.address, request, CollectingSink())
         transport.run(server.address, request, CollectingSink())
         server.listener.close()
-        assert len(server.requests) == (3 if is_idempotent else 2)
+        assert len(server.requests) == 2
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -94,8 +94,8 @@
         handle.setopt(pycurl.TCP_KEEPINTVL, 5)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(self._connect_timeout))
         if not request.is_idempotent:
-            # curl sends a request again by itself when a reused connection
-            # breaks before the first byte of the answer.
+            # A reused connection may have been closed meanwhile, which would
+            # leave the outcome unknown for nothing.
             handle.setopt(pycurl.FRESH_CONNECT, 1)
         handle.setopt(pycurl.CUSTOMREQUEST, request.method)
         if request.method == "HEAD":
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -9,6 +9,7 @@
 from oriolepaddle.config.model import Endpoint
 from oriolepaddle.endpoints import EndpointRequest
 from oriolepaddle.errors import (
+    AnswerTruncatedError,
     AuthenticationError,
     EndpointError,
     EndpointRefusedError,
@@ -31,6 +32,7 @@
 __all__ = ["Exchange"]
 
 SERVICE_TOKENS = 1.0
+_RETRIED = (EndpointError, AnswerTruncatedError)
 
 
 class Exchange:
@@ -111,6 +113,11 @@
                     return
 
     def _try_once(self) -> None:
+        if self._is_resuming and self._endpoint is not None:
+            # Only the engine that began an answer can go on with it.
+            self._attempt += 1
+            self._send(self._endpoint)
+            return
         decision = self._parts.router.choose(self._routing)
         self._attempt += 1
         if decision.endpoint is None:
@@ -215,7 +222,7 @@
             self._parts.router.endpoint_failed(endpoint.id)
 
     def _prepare_retry(self, error: OriolepaddleError) -> bool:
-        if not self._attempt or not isinstance(error, EndpointError):
+        if not self._attempt or not isinstance(error, _RETRIED):
             return False
         request = self._request
         decision = self._parts.retries.decide(
@@ -234,7 +241,8 @@
         if decision.action is RetryAction.GIVE_UP:
             return False
         self._is_resuming = decision.action is RetryAction.RESUME
-        self._excluded |= {self._target}
+        if not self._is_resuming:
+            self._excluded |= {self._target}
         self._wait(decision.delay)
         return True
 
