Serve what the kernel has accepted before the listener closes

Cause: a drain under load cut a request: closing the listener resets connections that wait in its backlog. Ruled out: answers in flight (the wait for them ended whole). Change: the acceptor drains the backlog, connections get a moment to send their first request, and closing waits for the last one. Conclusion: the window that is left is the kernel's own.

--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -40,7 +40,8 @@
         self._clock: Clock = server.clock
         self._limits: ServerLimits = server.limits
         self._application: Application = server.application
-        self.is_idle = True
+        self._is_waiting = True
+        self._has_served = False
         self.idle_since_s = self._clock.monotonic_s()
         super().__init__(connection, address, server)
 
@@ -66,6 +67,14 @@
                 logger.debug("connection ended: {}", error)
                 return
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being served or may be on its way."""
+        if not self._is_waiting:
+            return False
+        age_s = self._clock.monotonic_s() - self.idle_since_s
+        return self._has_served or age_s > FIRST_REQUEST_GRACE.total_seconds()
+
     def interrupt_if_idle(self) -> bool:
         """Close the connection if no request is being served on it."""
         if not self.is_idle:
@@ -98,7 +107,7 @@
             self.close_connection = True
 
     def _await_request(self) -> bool:
-        self.is_idle = True
+        self._is_waiting = True
         self.idle_since_s = self._clock.monotonic_s()
         limits = self._limits
         self._reader.allow(
@@ -108,7 +117,8 @@
             is_open = bool(self.rfile.peek(1))
         except MalformedRequestError:
             return False
-        self.is_idle = False
+        self._is_waiting = False
+        self._has_served = True
         return is_open and not self.server.is_closed
 
     def _read_request(self, writer: AnswerWriter) -> Request:
@@ -229,6 +239,7 @@
         """Do nothing: refusals are logged with their code."""
 
 
+FIRST_REQUEST_GRACE = timedelta(seconds=1)
 FRAMING_ALLOWANCE_BYTES = 65_536
 LINGER_TIMEOUT = timedelta(milliseconds=200)
 LINGER_MAX_READS = 200
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -1,6 +1,7 @@
 """The listener and its bounded pool of threads."""
 
 import contextlib
+import select
 import ssl
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -19,6 +20,8 @@
 __all__ = ["HttpServer"]
 
 BACKLOG = 512
+ACCEPT_INTERVAL = timedelta(milliseconds=100)
+CLOSE_GRACE = timedelta(seconds=1.5)
 REFUSAL_TIMEOUT = timedelta(milliseconds=50)
 REFUSAL_TRIES = 4
 
@@ -66,6 +69,7 @@
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
         self._free = threading.Semaphore(self.limits.max_connections)
         self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
         self._connections: set[HttpConnection] = set()
         self._acceptor = threading.Thread(
             target=self._accept, name=f"{name}-accept", daemon=True
@@ -76,17 +80,25 @@
         self._acceptor.start()
 
     def stop_accepting(self) -> None:
-        """Close the listener and the idle connections; answers go on."""
+        """Close the listener and the idle connections; answers go on.
+
+        Connections that the kernel has taken already are served, so that none
+        is reset before its request was read.
+        """
         self.is_draining = True
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(SHUT_RDWR)
+        if self._acceptor.is_alive():
+            self._acceptor.join()
         self._listener.close()
         self._close_idle(count=self.limits.max_connections)
 
     def close(self) -> None:
-        """Close all connections and wait for their threads."""
-        self.is_closed = True
+        """Let begun requests end for a moment, then close all connections."""
         self.stop_accepting()
+        with self._changed:
+            self._changed.wait_for(
+                lambda: not self._connections, CLOSE_GRACE.total_seconds()
+            )
+        self.is_closed = True
         self.drop_connections()
         self._executor.shutdown(wait=True)
 
@@ -104,15 +116,27 @@
             self._connections.add(connection)
 
     def _accept(self) -> None:
-        while not self.is_draining:
-            try:
-                connection, address = self._listener.accept()
-            except OSError:
+        poller = select.poll()
+        poller.register(self._listener, select.POLLIN)
+        while True:
+            # Read before the poll: what came before draining is then served.
+            is_draining = self.is_draining
+            timeout = timedelta(0) if is_draining else ACCEPT_INTERVAL
+            if poller.poll(timeout.total_seconds() * 1000):
+                self._accept_one()
+            elif is_draining:
                 return
-            if self._reserve_thread():
-                self._executor.submit(self._serve, connection, address)
-            else:
-                self._refuse(connection)
+
+    def _accept_one(self) -> None:
+        try:
+            connection, address = self._listener.accept()
+        except OSError as error:
+            logger.warning("{} cannot accept: {}", self._name, error)
+            return
+        if self._reserve_thread():
+            self._executor.submit(self._serve, connection, address)
+        else:
+            self._refuse(connection)
 
     def _reserve_thread(self) -> bool:
         if self._free.acquire(blocking=False):
@@ -167,8 +191,9 @@
         return self.ssl_context.wrap_socket(connection, server_side=True)
 
     def _forget(self, connection: HttpConnection) -> None:
-        with self._lock:
+        with self._changed:
             self._connections.discard(connection)
+            self._changed.notify_all()
 
 
 class _TrackedConnection(HttpConnection):
