Hand tokens over before leaving and shrink claims without a gap

Cause: a replaced or shrinking instance lost its tokens and a loan period's rate. Change: a draining instance returns its loans and lends the rest; a claim shrinks only when loans out of it have run out; loans are renewed in part.

--- a/experiments/limits/trial.py
+++ b/experiments/limits/trial.py
@@ -25,6 +25,7 @@
 
 TICK_S = 0.2
 WARM_UP_S = 60.0
+DRAIN_S = 10.0
 
 Build = Callable[[Fleet], dict[str, TokenLimiter]]
 
@@ -102,6 +103,7 @@
         self.accounts = [self._account(item) for item in self.organisations]
         self.result = TrialResult()
         self.endings: list[tuple[float, int, Request, int, BucketDebit]] = []
+        self.draining: set[str] = set()
         self.restarts: list[tuple[float, str]] = []
         self.started_s = self.fleet.now_s
 
@@ -140,8 +142,9 @@
 
     def _tick(self) -> None:
         now_s = self.fleet.now_s - self.started_s
-        for name in sorted(self.fleet.nodes):
-            self.fleet.tick(name)
+        if self.build is _share:
+            for name in sorted(self.fleet.nodes):
+                self.fleet.tick(name)
         due = [item for item in self.restarts if item[0] <= now_s]
         self.restarts = [item for item in self.restarts if item[0] > now_s]
         for _, name in due:
@@ -179,13 +182,14 @@
 
     def _instance(self, request: Request) -> str:
         """Return the instance, or another of its data centre while it is gone."""
-        if request.instance in self.fleet.nodes:
+        serving = self.fleet.nodes.keys() - self.draining
+        if request.instance in serving:
             return request.instance
         centre = self.scenario.instances[request.instance]
         others = (
             name
             for name, stands_in in self.scenario.instances.items()
-            if stands_in == centre and name in self.fleet.nodes
+            if stands_in == centre and name in serving
         )
         return next(others, "")
 
@@ -248,7 +252,9 @@
         events.append((WARM_UP_S + 2 * third_s, _heal))
     for index in range(scenario.replacements):
         at_s = WARM_UP_S + 10 + 30 * index
-        events.append((at_s, _Replacement(names[index % len(names)])))
+        name = names[index % len(names)]
+        events.append((at_s, _Drain(name)))
+        events.append((at_s + DRAIN_S, _Replacement(name)))
     for index in range(scenario.crashes):
         at_s = WARM_UP_S + 25 + 60 * index
         events.append((at_s, _Crash(names[-1 - index % len(names)])))
@@ -277,6 +283,17 @@
             fleet.list(name, trial.scenario.instances[name])
 
 
+@attrs.frozen
+class _Drain:
+    name: str
+
+    def __call__(self, trial: _Trial) -> None:
+        if self.name in trial.fleet.nodes:
+            trial.draining.add(self.name)
+            if trial.build is _share:
+                trial.limiters[self.name].prepare_hand_over()
+
+
 @attrs.frozen
 class _Replacement:
     name: str
@@ -286,6 +303,7 @@
         if node is None:
             return
         node.limiter.hand_over()
+        trial.draining.discard(self.name)
         trial.fleet.stop(self.name)
         trial.start(self.name)
 
--- a/oriolepaddle/limits/account.py
+++ b/oriolepaddle/limits/account.py
@@ -1,5 +1,7 @@
 """One organisation's tokens at one instance."""
 
+import attrs
+
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.limits.bucket import Bucket
 from oriolepaddle.limits.demand import Demand
@@ -15,13 +17,12 @@
 
     Args:
         organisation: The organisation.
-        base: The own part of its rate and burst, from 0 to 1.
-        since_s: Monotonic time from which that part has accrued unused.
+        since_s: Monotonic time from which the own part has accrued unused.
         drift: The greatest relative error of the clock.
     """
 
     def __init__(
-        self, organisation: Organisation, base: float, since_s: float, drift: float
+        self, organisation: Organisation, since_s: float, drift: float
     ) -> None:
         self.organisation = organisation
         self.demand = Demand(since_s)
@@ -30,9 +31,9 @@
         self.borrowed: dict[tuple[str, int, int], Loan] = {}
         self.asked_s: float | None = None
         self.dry_until_s = since_s
-        self._base = base
+        self._base = 0.0
+        self._lent_base = 0.0
         self._drift = drift
-        self._resize()
 
     @property
     def share(self) -> float:
@@ -42,11 +43,11 @@
         return max(0.0, self._base + borrowed - lent)
 
     @property
-    def is_overlent(self) -> bool:
-        """Whether more is lent than the own part and the loans taken allow."""
+    def overlent(self) -> float:
+        """The part lent beyond what may stay lent."""
         lent = sum(loan.share for loan in self.lent.values())
         borrowed = sum(loan.share for loan in self.borrowed.values())
-        return lent > self._base + borrowed
+        return max(0.0, lent - self._lent_base - borrowed)
 
     @property
     def is_idle(self) -> bool:
@@ -76,9 +77,10 @@
             self._end_loans(min(ends))
         self.bucket.advance(now_s)
 
-    def set_base(self, base: float) -> None:
-        """Set the own part; call `advance` before."""
+    def set_base(self, base: float, lent_base: float) -> None:
+        """Set the own part and how much of it may be lent; `advance` before."""
         self._base = base
+        self._lent_base = lent_base
         self._resize()
 
     def set_organisation(self, organisation: Organisation) -> None:
@@ -104,16 +106,20 @@
 
     def lendable(self, now_s: float) -> float:
         """Return the part of the organisation that is not needed here."""
+        kept = max(self._kept(now_s), self._base - self._lent_base)
+        return max(0.0, self.share - kept)
+
+    def _kept(self, now_s: float) -> float:
         rate = self.organisation.rate_tokens_per_s
         asked = self.demand.rate_per_s(now_s)
         if rate <= 0 or asked <= 0:
-            return self.share
+            return 0.0
         kept = KEPT_DEMAND * asked / rate
         least = KEPT_REQUESTS * self.demand.request_tokens
         if kept * self.organisation.burst_tokens < least:
             # Such a part cannot hold one request; the borrower serves them.
-            return self.share
-        return max(0.0, self.share - kept)
+            return 0.0
+        return kept
 
     def wants_back(self, now_s: float) -> bool:
         """Return whether requests here need what is lent."""
@@ -139,6 +145,34 @@
         }
         self._resize()
 
+    def renew(self, loan: Loan, share: float, end_s: float, now_s: float) -> None:
+        """Prolong a loan taken, of which `share` is left."""
+        self.advance(now_s)
+        loan.end_s = max(loan.end_s, end_s)
+        loan.share = min(loan.share, share)
+        self._resize()
+
+    def take_back(self, number: int, tokens: float) -> None:
+        """End a loan given early; its tokens come back."""
+        del self.lent[number]
+        self._resize()
+        self.bucket.add(tokens)
+
+    def give_back(self, loan: Loan) -> float | None:
+        """End a loan taken early and return its tokens; None if it is lent on."""
+        share = self.share
+        if share <= 0 or self.overlent > 0 or share < loan.share:
+            return None
+        tokens = self.bucket.remove(self.bucket.balance * loan.share / share)
+        del self.borrowed[(loan.peer, loan.incarnation, loan.number)]
+        self._resize()
+        return tokens
+
+    def split_loan(self, loan: Loan, share: float, number: int) -> None:
+        """Let a part of a loan run out and keep `share` of it to be renewed."""
+        self.lent[number] = attrs.evolve(loan, number=number, share=loan.share - share)
+        loan.share = share
+
     def _resize(self) -> None:
         share = self.share
         rate = self.organisation.rate_tokens_per_s / (1 + self._drift)
--- a/oriolepaddle/limits/claims.py
+++ b/oriolepaddle/limits/claims.py
@@ -38,8 +38,10 @@
         self.members: dict[str, Member] = {}
         self.claim = 0.0
         self.is_warm = False
+        self.is_draining = False
         self.is_leaving = False
         self._held: list[tuple[float, float]] = []
+        self._steps: list[tuple[float, float]] = []
         self._freed: list[tuple[float, float]] = []
         self._life = Life(identity.incarnation)
         self._ended: dict[str, tuple[Life, float]] = {}
@@ -62,7 +64,7 @@
         return 1.0 / (1 + len(self.members))
 
     def held(self, now_s: float) -> float:
-        """Return the claim with what loans made before it shrank may still use."""
+        """Return the claim with what loans made before it lapsed may still use."""
         self._held = [pair for pair in self._held if pair[0] > now_s]
         return max([self.claim, *(claim for _, claim in self._held)])
 
@@ -126,6 +128,7 @@
             wanted=wanted,
             tables=sorted(tables),
             is_warm=self.is_warm,
+            is_draining=self.is_draining,
         )
 
     def accept(
@@ -160,6 +163,7 @@
             return self._reply(request, 0.0, tables, now_s, accepted=False)
         member.received = request.sequence
         member.vouched_s = now_s
+        member.is_draining = request.is_draining
         member.tables = frozenset(request.tables)
         self.shrink(now_s)
         room = 0.0
@@ -204,16 +208,29 @@
             self._note_member(state, now_s)
         self.end(request.instance, Life.read(request.life), now_s)
 
+    @property
+    def lent_claim(self) -> float:
+        """The part of the claim out of which loans may be made and renewed."""
+        return min([self.claim, *(claim for _, claim in self._steps)])
+
     def shrink(self, now_s: float) -> None:
-        """Lower the claim to what is due."""
-        if self.claim > self.target:
-            until_s = now_s + self._settings.lent_s
-            self._held.append((until_s, self.claim))
-            self.claim = self.target
+        """Lower the claim to what is due, once loans out of it have run out."""
+        due = [claim for at_s, claim in self._steps if at_s <= now_s]
+        self._steps = [step for step in self._steps if step[0] > now_s]
+        self.claim = min([self.claim, *due])
+        if self.lent_claim > self.target:
+            self._steps.append((now_s + self._settings.lent_s, self.target))
+
+    def give_up(self, now_s: float) -> None:
+        """Stop minting at once; the loans made before run out."""
+        if self.claim > 0:
+            self._held.append((now_s + self._settings.lent_s, self.claim))
+        self.claim = 0.0
+        self._steps.clear()
 
     def grow(self, now_s: float) -> None:
         """Raise the claim to what all members have reserved."""
-        if not self.is_warm or self.is_leaving:
+        if not self.is_warm or self.is_leaving or self._steps:
             return
         if any(member.answered_s is None for member in self.members.values()):
             return
@@ -223,9 +240,7 @@
 
     def lapse(self, now_s: float) -> None:
         """Give the claim up after the mint lease has run out."""
-        if self.claim > 0:
-            self._held.append((now_s + self._settings.lent_s, self.claim))
-        self.claim = 0.0
+        self.give_up(now_s)
         self.is_warm = False
         self._life = Life(self._life.incarnation, self._life.lapses + 1)
         for member in self.members.values():
--- a/oriolepaddle/limits/drawing.py
+++ b/oriolepaddle/limits/drawing.py
@@ -10,9 +10,11 @@
 from oriolepaddle.limits.settlements import Settlements
 from oriolepaddle.peers.gen_py.limits.ttypes import DrawReply, DrawRequest
 
-__all__ = ["TokenDrawer"]
+__all__ = ["LEAST_TOKENS", "TokenDrawer"]
 
 REMOTE_HOMES = 3
+# Parts of a reservation add up to what was asked for but for rounding.
+LEAST_TOKENS = 1e-6
 
 
 class TokenDrawer:
@@ -50,7 +52,7 @@
         queue = [ledger.home(organisation_id), *others]
         near = set(ledger.homes(organisation_id, own.data_centre))
         remote = self._remote_homes(organisation_id)
-        while tokens > 0 and (queue or remote):
+        while tokens > LEAST_TOKENS and (queue or remote):
             peer = queue.pop(0) if queue else remote.pop(0)
             if peer in asked:
                 continue
--- a/oriolepaddle/limits/handler.py
+++ b/oriolepaddle/limits/handler.py
@@ -18,6 +18,8 @@
     Renewal,
     RenewReply,
     RenewRequest,
+    ReturnReply,
+    ReturnRequest,
     SettleReply,
     SettleRequest,
 )
@@ -93,6 +95,23 @@
                 renewed=renewed,
             )
 
+    def give_back(self, request: ReturnRequest) -> ReturnReply:
+        """Take loans back that the borrower no longer uses, with their tokens."""
+        ledger = self._ledger
+        with ledger.lock:
+            now_s = ledger.refresh()
+            if request.lender_incarnation != ledger.identity.incarnation:
+                return ReturnReply()
+            for item in request.loans:
+                account = self._lent_from.get(item.number)
+                if account is None:
+                    continue
+                account.advance(now_s)
+                loan = account.lent.get(item.number)
+                if loan is not None and loan.peer == request.instance:
+                    account.take_back(item.number, item.tokens)
+        return ReturnReply()
+
     def draw(self, request: DrawRequest) -> DrawReply:
         """Debit tokens for a request that runs at the calling instance."""
         ledger = self._ledger
@@ -184,17 +203,21 @@
             loan = account.lent.get(number)
             if loan is None or loan.peer != request.instance:
                 continue
-            duration_s = self._prolong(account, loan, now_s)
-            if duration_s > 0:
-                renewals.append(Renewal(number=number, duration_s=duration_s))
+            renewal = self._prolong(account, loan, now_s)
+            if renewal is not None:
+                renewals.append(renewal)
         return renewals
 
-    def _prolong(self, account: Account, loan: Loan, now_s: float) -> float:
-        if account.is_overlent or account.wants_back(now_s):
-            return 0.0
+    def _prolong(self, account: Account, loan: Loan, now_s: float) -> Renewal | None:
+        share = loan.share - account.overlent
         duration_s = self._duration_s(account, now_s)
+        if share < LEAST_LOAN or duration_s <= 0 or account.wants_back(now_s):
+            return None
+        if share < loan.share:
+            self._number += 1
+            account.split_loan(loan, share, self._number)
         loan.end_s = max(loan.end_s, now_s + duration_s)
-        return duration_s
+        return Renewal(number=loan.number, duration_s=duration_s, share=share)
 
     def _duration_s(self, account: Account, now_s: float) -> float:
         """Return how long a loan may last: no longer than those it draws on."""
--- a/oriolepaddle/limits/ledger.py
+++ b/oriolepaddle/limits/ledger.py
@@ -47,6 +47,7 @@
         self.rosters = RosterBook(self.identity.data_centre)
         self.borrowing = 0
         self._base = 0.0
+        self._lent_base = 0.0
         self._base_since_s = now_s
         self._changed_s: dict[str, float] = {}
         self._published: InstanceList | None = None
@@ -76,23 +77,24 @@
     def rebase(self, now_s: float) -> None:
         """Apply a changed claim or changed weights to all accounts."""
         base = self.book.claim * self.weights.fraction
-        if base == self._base:
+        lent_base = self.book.lent_claim * self.weights.fraction
+        if (base, lent_base) == (self._base, self._lent_base):
             return
         if base > self._base:
             self._base_since_s = now_s
         self._base = base
+        self._lent_base = lent_base
         for account in self.accounts.values():
             account.advance(now_s)
-            account.set_base(base)
+            account.set_base(base, lent_base)
 
     def account(self, organisation: Organisation, now_s: float) -> Account:
         """Return an organisation's account, minted until `now_s`."""
         account = self.accounts.get(organisation.id)
         if account is None:
             since_s = max(self._base_since_s, self._changed_s.get(organisation.id, 0.0))
-            account = Account(
-                organisation, self._base, since_s, self.settings.max_clock_drift
-            )
+            account = Account(organisation, since_s, self.settings.max_clock_drift)
+            account.set_base(self._base, self._lent_base)
             self.accounts[organisation.id] = account
         account.advance(now_s)
         account.set_organisation(organisation)
@@ -127,8 +129,13 @@
         """Return the instance of this data centre that pools an organisation."""
         own = self.identity
         reachable = self.view.reachable()
+        members = self.book.members
         for name in self.homes(organisation_id, own.data_centre):
-            if name == own.instance or name in reachable:
+            if name == own.instance and not self.book.is_draining:
+                return name
+            member = members.get(name)
+            is_draining = member is not None and member.is_draining
+            if name in reachable and not is_draining:
                 return name
         return own.instance
 
--- a/oriolepaddle/limits/member.py
+++ b/oriolepaddle/limits/member.py
@@ -24,6 +24,7 @@
             was asked for, or None while it is listed.
         is_warm: Whether the member said that it knows all other members.
         holds_loans: Whether the member holds loans or is asking for some.
+        is_draining: Whether the member is about to leave.
         is_known_there: Whether the member accounts for this instance's present
             life, so that it cannot mint for long without being answered.
         received: The sequence number of the last renewal received.
@@ -40,6 +41,7 @@
     absent_s: float | None = None
     is_warm: bool = False
     holds_loans: bool = False
+    is_draining: bool = False
     is_known_there: bool = False
     received: int = 0
     sent: int = 0
--- a/oriolepaddle/limits/pooling.py
+++ b/oriolepaddle/limits/pooling.py
@@ -10,6 +10,8 @@
     BorrowReply,
     BorrowRequest,
     LoanRequest,
+    ReturnedLoan,
+    ReturnRequest,
 )
 
 __all__ = ["SharePool"]
@@ -49,6 +51,28 @@
         for lender, batch in batches.items():
             self._borrow(lender, batch)
 
+    def give_back(self) -> None:
+        """Return all loans taken, before this instance leaves."""
+        ledger = self._ledger
+        returned: dict[tuple[str, int], list[ReturnedLoan]] = {}
+        with ledger.lock:
+            now_s = ledger.refresh()
+            for account in ledger.accounts.values():
+                account.advance(now_s)
+                for loan in list(account.borrowed.values()):
+                    tokens = account.give_back(loan)
+                    if tokens is not None:
+                        item = ReturnedLoan(number=loan.number, tokens=tokens)
+                        lender = (loan.peer, loan.incarnation)
+                        returned.setdefault(lender, []).append(item)
+        for (lender, incarnation), loans in returned.items():
+            request = ReturnRequest(
+                instance=ledger.identity.instance,
+                lender_incarnation=incarnation,
+                loans=loans,
+            )
+            self._link.call(lender, "give_back", request)
+
     def _plan(self, now_s: float) -> dict[str, _Batch]:
         self._round += 1
         batches: dict[str, _Batch] = {}
@@ -139,19 +163,19 @@
         asked_s: float,
         now_s: float,
     ) -> None:
-        ends_s = {
-            renewal.number: self._end_s(asked_s, renewal.duration_s)
-            for renewal in reply.renewed
-        }
+        renewals = {renewal.number: renewal for renewal in reply.renewed}
         for account in self._ledger.accounts.values():
-            for key, loan in account.borrowed.items():
-                if loan.peer != lender or loan.number not in ends_s:
+            for loan in list(account.borrowed.values()):
+                renewal = renewals.get(loan.number)
+                is_lender = loan.peer == lender
+                if renewal is None or not is_lender:
                     continue
                 if loan.incarnation != batch.lender_incarnation:
                     continue
                 # A loan that has ended in the meantime must not come back.
-                if key in account.borrowed and loan.end_s > now_s:
-                    loan.end_s = max(loan.end_s, ends_s[loan.number])
+                if loan.end_s > now_s:
+                    end_s = self._end_s(asked_s, renewal.duration_s)
+                    account.renew(loan, renewal.share, end_s, now_s)
 
     def _take_loans(
         self, lender: str, reply: BorrowReply, asked_s: float, now_s: float
--- a/oriolepaddle/limits/shared.py
+++ b/oriolepaddle/limits/shared.py
@@ -8,7 +8,8 @@
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.limits.account import Account
 from oriolepaddle.limits.bucket import BucketDebit
-from oriolepaddle.limits.drawing import TokenDrawer
+from oriolepaddle.limits.demand import Demand
+from oriolepaddle.limits.drawing import LEAST_TOKENS, TokenDrawer
 from oriolepaddle.limits.drawings import Drawings
 from oriolepaddle.limits.handler import LimitsHandler
 from oriolepaddle.limits.ledger import MAX_REQUEST_S, Ledger
@@ -74,17 +75,18 @@
             is_dry = account.is_dry(now_s)
             parts = self._take_own(account, tokens, is_dry)
             missing = tokens - sum(part.tokens for part in parts)
-            if missing <= 0 or is_dry:
-                account.demand.note(tokens, now_s, missing <= 0)
+            is_missing = missing > LEAST_TOKENS
+            if not is_missing or is_dry:
+                account.demand.note(tokens, now_s, not is_missing)
             others = []
-            if missing > 0:
+            if is_missing:
                 others = self.handler.others(account, ledger.identity.instance)
-        if missing > 0 and not is_dry:
+        if is_missing and not is_dry:
             parts += self._drawer.draw(name, missing, others)
             missing = tokens - sum(part.tokens for part in parts)
             self._note_drawn(account, tokens, missing)
         reservation = SharedReservation(parts, self._charger(account))
-        if missing > 0:
+        if missing > LEAST_TOKENS:
             reservation.release()
             raise self._refusal(organisation, tokens, missing)
         return reservation
@@ -101,13 +103,29 @@
             self._settlements.send()
             self._forget()
 
+    def prepare_hand_over(self) -> None:
+        """Lend all that is here to the others; call it when draining begins.
+
+        Keep calling `tick` until `hand_over`, for some seconds: the others need
+        the time to borrow, and then lose neither rate nor tokens.
+        """
+        ledger = self._ledger
+        with ledger.lock:
+            now_s = ledger.refresh()
+            ledger.book.is_draining = True
+            for account in ledger.accounts.values():
+                # What was asked of this instance will be asked of others.
+                account.demand = Demand(now_s)
+        self._renewal.run()
+        self._pool.give_back()
+
     def hand_over(self) -> None:
         """Give the claim up and tell the others; nothing is admitted after."""
         ledger = self._ledger
         with ledger.lock:
             now_s = ledger.refresh()
             ledger.book.is_leaving = True
-            ledger.book.shrink(now_s)
+            ledger.book.give_up(now_s)
             ledger.rebase(now_s)
             members = list(ledger.book.members)
         self._settlements.send()
@@ -188,8 +206,9 @@
     def _note_drawn(self, account: Account, tokens: float, missing: float) -> None:
         with self._ledger.lock:
             now_s = self._ledger.refresh()
-            account.demand.note(tokens, now_s, missing <= 0)
-            if missing > 0:
+            is_missing = missing > LEAST_TOKENS
+            account.demand.note(tokens, now_s, not is_missing)
+            if is_missing:
                 rate = account.organisation.rate_tokens_per_s
                 wait_s = missing / rate if rate > 0 else MAX_DRY_S
                 account.dry_until_s = now_s + min(MAX_DRY_S, max(MIN_DRY_S, wait_s))
--- a/oriolepaddle/peers/gen_py/limits/Limits.py
+++ b/oriolepaddle/peers/gen_py/limits/Limits.py
@@ -52,6 +52,14 @@
         """
         pass
 
+    def give_back(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
     def draw(self, request):
         """
         Parameters:
@@ -204,6 +212,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "borrow failed: unknown result")
 
+    def give_back(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_give_back(request)
+        return self.recv_give_back()
+
+    def send_give_back(self, request):
+        self._oprot.writeMessageBegin('give_back', TMessageType.CALL, self._seqid)
+        args = give_back_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_give_back(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = give_back_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "give_back failed: unknown result")
+
     def draw(self, request):
         """
         Parameters:
@@ -277,6 +317,7 @@
         self._processMap["leave"] = Processor.process_leave
         self._processMap["probe"] = Processor.process_probe
         self._processMap["borrow"] = Processor.process_borrow
+        self._processMap["give_back"] = Processor.process_give_back
         self._processMap["draw"] = Processor.process_draw
         self._processMap["settle"] = Processor.process_settle
         self._on_message_begin = None
@@ -393,6 +434,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_give_back(self, seqid, iprot, oprot):
+        args = give_back_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = give_back_result()
+        try:
+            result.success = self._handler.give_back(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("give_back", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_draw(self, seqid, iprot, oprot):
         args = draw_args()
         args.read(iprot)
@@ -942,6 +1006,131 @@
 )
 
 
+class give_back_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ReturnRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('give_back_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(give_back_args)
+give_back_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ReturnRequest, None], None, ),  # 1
+)
+
+
+class give_back_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ReturnReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('give_back_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(give_back_result)
+give_back_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ReturnReply, None], None, ),  # 0
+)
+
+
 class draw_args(object):
     """
     Attributes:
--- a/oriolepaddle/peers/gen_py/limits/ttypes.py
+++ b/oriolepaddle/peers/gen_py/limits/ttypes.py
@@ -190,11 +190,12 @@
      - wanted: The claim to reserve; never less than what the sender holds.
      - tables: Digests of the weight tables that bound the sender.
      - is_warm
+     - is_draining: Whether the sender drains and lends all that it has.
 
     """
 
 
-    def __init__(self, instance=None, life=None, data_centre=None, sequence=None, held=None, wanted=None, tables=None, is_warm=None,):
+    def __init__(self, instance=None, life=None, data_centre=None, sequence=None, held=None, wanted=None, tables=None, is_warm=None, is_draining=None,):
         self.instance = instance
         self.life = life
         self.data_centre = data_centre
@@ -203,6 +204,7 @@
         self.wanted = wanted
         self.tables = tables
         self.is_warm = is_warm
+        self.is_draining = is_draining
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -259,6 +261,11 @@
                     self.is_warm = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -304,6 +311,10 @@
             oprot.writeFieldBegin('is_warm', TType.BOOL, 8)
             oprot.writeBool(self.is_warm)
             oprot.writeFieldEnd()
+        if self.is_draining is not None:
+            oprot.writeFieldBegin('is_draining', TType.BOOL, 9)
+            oprot.writeBool(self.is_draining)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -324,6 +335,8 @@
             raise TProtocolException(message='Required field tables is unset!')
         if self.is_warm is None:
             raise TProtocolException(message='Required field is_warm is unset!')
+        if self.is_draining is None:
+            raise TProtocolException(message='Required field is_draining is unset!')
         return
 
     def __repr__(self):
@@ -1175,13 +1188,15 @@
     Attributes:
      - number
      - duration_s
+     - share: What is left of the loan.
 
     """
 
 
-    def __init__(self, number=None, duration_s=None,):
+    def __init__(self, number=None, duration_s=None, share=None,):
         self.number = number
         self.duration_s = duration_s
+        self.share = share
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1202,6 +1217,11 @@
                     self.duration_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1220,6 +1240,10 @@
             oprot.writeFieldBegin('duration_s', TType.DOUBLE, 2)
             oprot.writeDouble(self.duration_s)
             oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 3)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1228,6 +1252,8 @@
             raise TProtocolException(message='Required field number is unset!')
         if self.duration_s is None:
             raise TProtocolException(message='Required field duration_s is unset!')
+        if self.share is None:
+            raise TProtocolException(message='Required field share is unset!')
         return
 
     def __repr__(self):
@@ -1460,6 +1486,212 @@
         return not (self == other)
 
 
+class ReturnedLoan(object):
+    """
+    Attributes:
+     - number
+     - tokens
+
+    """
+
+
+    def __init__(self, number=None, tokens=None,):
+        self.number = number
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReturnedLoan')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 2)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReturnRequest(object):
+    """
+    Attributes:
+     - instance
+     - lender_incarnation
+     - loans
+
+    """
+
+
+    def __init__(self, instance=None, lender_incarnation=None, loans=None,):
+        self.instance = instance
+        self.lender_incarnation = lender_incarnation
+        self.loans = loans
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.lender_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.loans = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = ReturnedLoan()
+                        _elem103.read(iprot)
+                        self.loans.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReturnRequest')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.lender_incarnation is not None:
+            oprot.writeFieldBegin('lender_incarnation', TType.I64, 2)
+            oprot.writeI64(self.lender_incarnation)
+            oprot.writeFieldEnd()
+        if self.loans is not None:
+            oprot.writeFieldBegin('loans', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.loans))
+            for iter104 in self.loans:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.lender_incarnation is None:
+            raise TProtocolException(message='Required field lender_incarnation is unset!')
+        if self.loans is None:
+            raise TProtocolException(message='Required field loans is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReturnReply(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReturnReply')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DrawRequest(object):
     """
     Attributes:
@@ -1601,10 +1833,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.others = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.others.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.others.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1625,8 +1857,8 @@
         if self.others is not None:
             oprot.writeFieldBegin('others', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.others))
-            for iter104 in self.others:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.others:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1760,11 +1992,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.settlements = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Settlement()
-                        _elem110.read(iprot)
-                        self.settlements.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Settlement()
+                        _elem117.read(iprot)
+                        self.settlements.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1789,8 +2021,8 @@
         if self.settlements is not None:
             oprot.writeFieldBegin('settlements', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.settlements))
-            for iter111 in self.settlements:
-                iter111.write(oprot)
+            for iter118 in self.settlements:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1879,6 +2111,7 @@
     (6, TType.DOUBLE, 'wanted', None, None, ),  # 6
     (7, TType.LIST, 'tables', (TType.I64, None, False), None, ),  # 7
     (8, TType.BOOL, 'is_warm', None, None, ),  # 8
+    (9, TType.BOOL, 'is_draining', None, None, ),  # 9
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
@@ -1946,6 +2179,7 @@
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.DOUBLE, 'duration_s', None, None, ),  # 2
+    (3, TType.DOUBLE, 'share', None, None, ),  # 3
 )
 all_structs.append(BorrowRequest)
 BorrowRequest.thrift_spec = (
@@ -1962,6 +2196,22 @@
     (2, TType.LIST, 'loans', (TType.STRUCT, [Loan, None], False), None, ),  # 2
     (3, TType.LIST, 'renewed', (TType.STRUCT, [Renewal, None], False), None, ),  # 3
 )
+all_structs.append(ReturnedLoan)
+ReturnedLoan.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.DOUBLE, 'tokens', None, None, ),  # 2
+)
+all_structs.append(ReturnRequest)
+ReturnRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'lender_incarnation', None, None, ),  # 2
+    (3, TType.LIST, 'loans', (TType.STRUCT, [ReturnedLoan, None], False), None, ),  # 3
+)
+all_structs.append(ReturnReply)
+ReturnReply.thrift_spec = (
+)
 all_structs.append(DrawRequest)
 DrawRequest.thrift_spec = (
     None,  # 0
--- a/oriolepaddle/peers/idl/limits.thrift
+++ b/oriolepaddle/peers/idl/limits.thrift
@@ -28,6 +28,8 @@
   /** Digests of the weight tables that bound the sender. */
   7: required list<i64> tables,
   8: required bool is_warm,
+  /** Whether the sender drains and lends all that it has. */
+  9: required bool is_draining,
 }
 
 struct RenewReply {
@@ -96,6 +98,8 @@
 struct Renewal {
   1: required i64 number,
   2: required double duration_s,
+  /** What is left of the loan. */
+  3: required double share,
 }
 
 struct BorrowRequest {
@@ -113,6 +117,20 @@
   3: required list<Renewal> renewed,
 }
 
+struct ReturnedLoan {
+  1: required i64 number,
+  2: required double tokens,
+}
+
+struct ReturnRequest {
+  1: required string instance,
+  2: required i64 lender_incarnation,
+  3: required list<ReturnedLoan> loans,
+}
+
+struct ReturnReply {
+}
+
 struct DrawRequest {
   1: required string instance,
   2: required i64 incarnation,
@@ -147,6 +165,7 @@
   LeaveReply leave(1: LeaveRequest request),
   ProbeReply probe(1: ProbeRequest request),
   BorrowReply borrow(1: BorrowRequest request),
+  ReturnReply give_back(1: ReturnRequest request),
   DrawReply draw(1: DrawRequest request),
   SettleReply settle(1: SettleRequest request),
 }
