Level tokens between data centres and recall loans with their tokens

Cause: buckets overflowed in one data centre while another ran dry, and a loan that the lender needed back lapsed with its tokens. Change: a home below half asks others for tokens, with room kept for them; a recalled loan comes back at once with its tokens.

--- a/oriolepaddle/limits/account.py
+++ b/oriolepaddle/limits/account.py
@@ -33,6 +33,7 @@
         self.dry_until_s = since_s
         self._base = 0.0
         self._lent_base = 0.0
+        self._room = 0.0
         self._drift = drift
 
     @property
@@ -58,6 +59,7 @@
             and not self.lent
             and not self.borrowed
             and not self.bucket.open_debits
+            and self._room == 0
         )
 
     def is_dry(self, now_s: float) -> bool:
@@ -168,6 +170,20 @@
         self._resize()
         return tokens
 
+    @property
+    def missing(self) -> float:
+        """The tokens for which there is room."""
+        return self.bucket.capacity - self.bucket.balance
+
+    def keep_room(self, tokens: float) -> None:
+        """Keep room for tokens that are asked for, or with less than 0 free it.
+
+        Until they arrive or are given up, nothing accrues into that room, so
+        that tokens on their way never come on top of a full bucket.
+        """
+        self._room += tokens
+        self._resize()
+
     def split_loan(self, loan: Loan, share: float, number: int) -> None:
         """Let a part of a loan run out and keep `share` of it to be renewed."""
         self.lent[number] = attrs.evolve(loan, number=number, share=loan.share - share)
@@ -176,7 +192,8 @@
     def _resize(self) -> None:
         share = self.share
         rate = self.organisation.rate_tokens_per_s / (1 + self._drift)
-        self.bucket.resize(rate * share, self.organisation.burst_tokens * share)
+        capacity = self.organisation.burst_tokens * share
+        self.bucket.resize(rate * share, max(0.0, capacity - self._room))
 
 
 KEPT_DEMAND = 1.2
--- a/oriolepaddle/limits/handler.py
+++ b/oriolepaddle/limits/handler.py
@@ -88,11 +88,13 @@
         with ledger.lock:
             now_s = ledger.refresh()
             renewed = self._renew_loans(request, now_s)
+            kept = {renewal.number for renewal in renewed}
             loans = [self._lend(request, item, now_s) for item in request.wanted]
             return BorrowReply(
                 incarnation=ledger.identity.incarnation,
                 loans=[loan for loan in loans if loan is not None],
                 renewed=renewed,
+                recalled=[item for item in request.renewed if item not in kept],
             )
 
     def give_back(self, request: ReturnRequest) -> ReturnReply:
@@ -170,7 +172,7 @@
         share = min(item.share, account.lendable(now_s))
         duration_s = self._duration_s(account, now_s)
         if share < LEAST_LOAN or duration_s <= 0:
-            return None
+            return self._give_tokens(account, item)
         self._number += 1
         loan = Loan(
             peer=request.instance,
@@ -189,6 +191,24 @@
             duration_s=duration_s,
         )
 
+    def _give_tokens(self, account: Account, item: LoanRequest) -> LoanMessage | None:
+        """Give tokens away so that both buckets are filled alike."""
+        room = account.bucket.capacity + item.capacity
+        if item.tokens <= 0 or room <= 0 or self._ledger.book.is_leaving:
+            return None
+        fill = (account.bucket.balance + item.balance) / room
+        spare = account.bucket.balance - fill * account.bucket.capacity
+        tokens = account.bucket.remove(min(item.tokens, spare))
+        if tokens <= 0:
+            return None
+        return LoanMessage(
+            organisation=item.organisation,
+            number=0,
+            share=0.0,
+            tokens=tokens,
+            duration_s=0.0,
+        )
+
     def _renew_loans(self, request: BorrowRequest, now_s: float) -> list[Renewal]:
         ledger = self._ledger
         is_same_life = request.lender_incarnation == ledger.identity.incarnation
--- a/oriolepaddle/limits/pooling.py
+++ b/oriolepaddle/limits/pooling.py
@@ -1,5 +1,7 @@
 """Borrows share for the organisations whose home this instance is."""
 
+from collections.abc import Callable
+
 import attrs
 
 from oriolepaddle.limits.account import Account
@@ -17,6 +19,8 @@
 __all__ = ["SharePool"]
 
 REMOTE_LENDERS = 4
+ROUNDS_PER_LEVELLING = 3
+LOW_FILL = 0.5
 SHORT_S = 5.0
 
 
@@ -54,20 +58,32 @@
     def give_back(self) -> None:
         """Return all loans taken, before this instance leaves."""
         ledger = self._ledger
-        returned: dict[tuple[str, int], list[ReturnedLoan]] = {}
         with ledger.lock:
             now_s = ledger.refresh()
-            for account in ledger.accounts.values():
-                account.advance(now_s)
-                for loan in list(account.borrowed.values()):
-                    tokens = account.give_back(loan)
-                    if tokens is not None:
-                        item = ReturnedLoan(number=loan.number, tokens=tokens)
-                        lender = (loan.peer, loan.incarnation)
-                        returned.setdefault(lender, []).append(item)
+            returned = self._return_loans(now_s, lambda loan: True)
+        self._send_returned(returned)
+
+    def _return_loans(
+        self, now_s: float, is_returned: Callable[[Loan], bool]
+    ) -> dict[tuple[str, int], list[ReturnedLoan]]:
+        """Stop using loans taken; the messages are by lender and its life."""
+        returned: dict[tuple[str, int], list[ReturnedLoan]] = {}
+        for account in self._ledger.accounts.values():
+            account.advance(now_s)
+            for loan in list(account.borrowed.values()):
+                tokens = account.give_back(loan) if is_returned(loan) else None
+                if tokens is not None:
+                    item = ReturnedLoan(number=loan.number, tokens=tokens)
+                    lender = (loan.peer, loan.incarnation)
+                    returned.setdefault(lender, []).append(item)
+        return returned
+
+    def _send_returned(
+        self, returned: dict[tuple[str, int], list[ReturnedLoan]]
+    ) -> None:
         for (lender, incarnation), loans in returned.items():
             request = ReturnRequest(
-                instance=ledger.identity.instance,
+                instance=self._ledger.identity.instance,
                 lender_incarnation=incarnation,
                 loans=loans,
             )
@@ -77,6 +93,7 @@
         self._round += 1
         batches: dict[str, _Batch] = {}
         near = sorted(self._ledger.view.reachable() & self._ledger.book.members.keys())
+        own = self._ledger.identity.instance
         period_s = self._ledger.settings.active_for.total_seconds()
         for account in list(self._ledger.accounts.values()):
             account.advance(now_s)
@@ -84,12 +101,36 @@
             if not is_active and not account.is_asked(now_s, period_s):
                 continue
             self._plan_renewals(account, batches, now_s)
-            name = account.organisation.id
-            for lender in self._lenders(account, near, now_s):
-                batch = batches.setdefault(lender, _Batch())
-                batch.wanted.append(LoanRequest(organisation=name, share=1.0))
+            if self._ledger.home(account.organisation.id) == own:
+                self._plan_loans(account, near, batches, now_s)
         return batches
 
+    def _plan_loans(
+        self,
+        account: Account,
+        near: list[str],
+        batches: dict[str, _Batch],
+        now_s: float,
+    ) -> None:
+        for lender in self._lenders(account, near, now_s):
+            batch = batches.setdefault(lender, _Batch())
+            batch.wanted.append(self._request(account, 1.0))
+        is_low = account.missing > LOW_FILL * account.bucket.capacity
+        if not is_low or self._round % ROUNDS_PER_LEVELLING:
+            return
+        for lender in self._remote_lenders(account.organisation.id):
+            batch = batches.setdefault(lender, _Batch())
+            batch.wanted.append(self._request(account, 0.0))
+
+    def _request(self, account: Account, share: float) -> LoanRequest:
+        return LoanRequest(
+            organisation=account.organisation.id,
+            share=share,
+            tokens=0.0 if share > 0 else account.missing / REMOTE_LENDERS,
+            balance=account.bucket.balance,
+            capacity=account.bucket.capacity,
+        )
+
     def _plan_renewals(
         self, account: Account, batches: dict[str, _Batch], now_s: float
     ) -> None:
@@ -103,10 +144,7 @@
                 batch.renewed.append(loan.number)
 
     def _lenders(self, account: Account, near: list[str], now_s: float) -> list[str]:
-        ledger = self._ledger
         name = account.organisation.id
-        if ledger.home(name) != ledger.identity.instance:
-            return []
         is_short = account.demand.is_short(now_s, SHORT_S)
         held = {loan.peer for loan in account.borrowed.values()}
         lenders = [peer for peer in near if is_short or peer not in held]
@@ -140,16 +178,29 @@
             lender_incarnation=batch.lender_incarnation,
         )
         with ledger.lock:
+            now_s = asked_s = ledger.refresh()
             ledger.borrowing += 1
-            asked_s = ledger.clock.monotonic_s()
+            self._keep_room(batch, 1.0, now_s)
         reply = self._link.call(lender, "borrow", request)
         with ledger.lock:
+            now_s = ledger.refresh()
             ledger.borrowing -= 1
+            self._keep_room(batch, -1.0, now_s)
             if reply is None:
                 return
-            now_s = ledger.refresh()
             self._take_renewals(lender, batch, reply, asked_s, now_s)
             self._take_loans(lender, reply, asked_s, now_s)
+            recalled = set(reply.recalled)
+            returned = self._return_loans(
+                now_s, lambda loan: loan.peer == lender and loan.number in recalled
+            )
+        self._send_returned(returned)
+
+    def _keep_room(self, batch: _Batch, sign: float, now_s: float) -> None:
+        for item in batch.wanted:
+            account = self._ledger.known_account(item.organisation, now_s)
+            if account is not None and item.tokens > 0:
+                account.keep_room(sign * item.tokens)
 
     def _end_s(self, asked_s: float, duration_s: float) -> float:
         drift = self._ledger.settings.max_clock_drift
@@ -183,7 +234,12 @@
         for message in reply.loans:
             end_s = self._end_s(asked_s, message.duration_s)
             account = self._ledger.known_account(message.organisation, now_s)
-            if account is None or end_s <= now_s:
+            if account is None:
+                continue
+            if message.share <= 0:
+                account.bucket.add(message.tokens)
+                continue
+            if end_s <= now_s:
                 continue
             loan = Loan(
                 peer=lender,
--- a/oriolepaddle/peers/gen_py/limits/ttypes.py
+++ b/oriolepaddle/peers/gen_py/limits/ttypes.py
@@ -1005,13 +1005,19 @@
     Attributes:
      - organisation
      - share: A part, from 0 to 1, of the organisation's rate and burst.
+     - tokens: Room that the sender keeps free for tokens without a share.
+     - balance
+     - capacity
 
     """
 
 
-    def __init__(self, organisation=None, share=None,):
+    def __init__(self, organisation=None, share=None, tokens=None, balance=None, capacity=None,):
         self.organisation = organisation
         self.share = share
+        self.tokens = tokens
+        self.balance = balance
+        self.capacity = capacity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1032,6 +1038,21 @@
                     self.share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.balance = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.capacity = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1050,6 +1071,18 @@
             oprot.writeFieldBegin('share', TType.DOUBLE, 2)
             oprot.writeDouble(self.share)
             oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.balance is not None:
+            oprot.writeFieldBegin('balance', TType.DOUBLE, 4)
+            oprot.writeDouble(self.balance)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.DOUBLE, 5)
+            oprot.writeDouble(self.capacity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1058,6 +1091,12 @@
             raise TProtocolException(message='Required field organisation is unset!')
         if self.share is None:
             raise TProtocolException(message='Required field share is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.balance is None:
+            raise TProtocolException(message='Required field balance is unset!')
+        if self.capacity is None:
+            raise TProtocolException(message='Required field capacity is unset!')
         return
 
     def __repr__(self):
@@ -1077,7 +1116,7 @@
     Attributes:
      - organisation
      - number
-     - share
+     - share: 0 for tokens alone.
      - tokens
      - duration_s: Counted by the lender from its answer, by the borrower from its call.
 
@@ -1389,14 +1428,16 @@
      - incarnation
      - loans
      - renewed
+     - recalled: Loans that the lender needs back as soon as may be.
 
     """
 
 
-    def __init__(self, incarnation=None, loans=None, renewed=None,):
+    def __init__(self, incarnation=None, loans=None, renewed=None, recalled=None,):
         self.incarnation = incarnation
         self.loans = loans
         self.renewed = renewed
+        self.recalled = recalled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1434,6 +1475,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.recalled = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readI64()
+                        self.recalled.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1451,15 +1502,22 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter96 in self.loans:
-                iter96.write(oprot)
+            for iter102 in self.loans:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.renewed is not None:
             oprot.writeFieldBegin('renewed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.renewed))
-            for iter97 in self.renewed:
-                iter97.write(oprot)
+            for iter103 in self.renewed:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recalled is not None:
+            oprot.writeFieldBegin('recalled', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.recalled))
+            for iter104 in self.recalled:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1472,6 +1530,8 @@
             raise TProtocolException(message='Required field loans is unset!')
         if self.renewed is None:
             raise TProtocolException(message='Required field renewed is unset!')
+        if self.recalled is None:
+            raise TProtocolException(message='Required field recalled is unset!')
         return
 
     def __repr__(self):
@@ -1595,11 +1655,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = ReturnedLoan()
-                        _elem103.read(iprot)
-                        self.loans.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = ReturnedLoan()
+                        _elem110.read(iprot)
+                        self.loans.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1624,8 +1684,8 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter104 in self.loans:
-                iter104.write(oprot)
+            for iter111 in self.loans:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1833,10 +1893,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.others = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.others.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.others.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1857,8 +1917,8 @@
         if self.others is not None:
             oprot.writeFieldBegin('others', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.others))
-            for iter111 in self.others:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.others:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1992,11 +2052,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.settlements = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = Settlement()
-                        _elem117.read(iprot)
-                        self.settlements.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = Settlement()
+                        _elem124.read(iprot)
+                        self.settlements.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2021,8 +2081,8 @@
         if self.settlements is not None:
             oprot.writeFieldBegin('settlements', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.settlements))
-            for iter118 in self.settlements:
-                iter118.write(oprot)
+            for iter125 in self.settlements:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2164,6 +2224,9 @@
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'share', None, None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.DOUBLE, 'balance', None, None, ),  # 4
+    (5, TType.DOUBLE, 'capacity', None, None, ),  # 5
 )
 all_structs.append(Loan)
 Loan.thrift_spec = (
@@ -2195,6 +2258,7 @@
     (1, TType.I64, 'incarnation', None, None, ),  # 1
     (2, TType.LIST, 'loans', (TType.STRUCT, [Loan, None], False), None, ),  # 2
     (3, TType.LIST, 'renewed', (TType.STRUCT, [Renewal, None], False), None, ),  # 3
+    (4, TType.LIST, 'recalled', (TType.I64, None, False), None, ),  # 4
 )
 all_structs.append(ReturnedLoan)
 ReturnedLoan.thrift_spec = (
--- a/oriolepaddle/peers/idl/limits.thrift
+++ b/oriolepaddle/peers/idl/limits.thrift
@@ -84,11 +84,16 @@
   1: required string organisation,
   /** A part, from 0 to 1, of the organisation's rate and burst. */
   2: required double share,
+  /** Room that the sender keeps free for tokens without a share. */
+  3: required double tokens,
+  4: required double balance,
+  5: required double capacity,
 }
 
 struct Loan {
   1: required string organisation,
   2: required i64 number,
+  /** 0 for tokens alone. */
   3: required double share,
   4: required double tokens,
   /** Counted by the lender from its answer, by the borrower from its call. */
@@ -115,6 +120,8 @@
   1: required i64 incarnation,
   2: required list<Loan> loans,
   3: required list<Renewal> renewed,
+  /** Loans that the lender needs back as soon as may be. */
+  4: required list<i64> recalled,
 }
 
 struct ReturnedLoan {
