Make the limiter's periodic calls cheaper

Cause: renewals every 2 s and a scan of all accounts for each reply. Change: renew claims every 30 s while nothing changes, renew all loans of one lender together, settle every 3 s, index loans by the batch that renews them.

--- a/experiments/limits/__main__.py
+++ b/experiments/limits/__main__.py
@@ -1,5 +1,6 @@
 """Print how well each way of limiting holds and serves, over fixed seeds."""
 
+from experiments.limits.cost import print_costs
 from experiments.limits.trial import METHODS, Scenario, TrialResult, run_trial
 from experiments.limits.workload import Workload
 
@@ -17,6 +18,12 @@
         Workload(0.6, is_skewed=True, excessive=2),
         cut_off="b",
     ),
+    Scenario(
+        "the same, even arrivals",
+        TODAY,
+        Workload(0.6, is_skewed=False, excessive=2),
+        cut_off="b",
+    ),
     Scenario(
         "9 replacements",
         TODAY,
@@ -28,7 +35,7 @@
 
 
 def main() -> None:
-    """Run all scenarios and print one table."""
+    """Run all scenarios and print a table of service and one of cost."""
     print(
         f"{'scenario':<30} {'way':<21} {'requests':>8} {'refused inside':>15} "
         f"{'worst seed':>11} {'overshoot':>10} {'B/s':>6}"
@@ -37,6 +44,8 @@
         for method in METHODS:
             results = [run_trial(scenario, method, seed) for seed in SEEDS]
             print(_format(scenario, method, results), flush=True)
+    print()
+    print_costs()
 
 
 def _format(scenario: Scenario, method: str, results: list[TrialResult]) -> str:
--- /dev/null
+++ b/experiments/limits/cost.py
@@ -0,0 +1,132 @@
+"""Print what the limiter costs an instance: bytes and processor time."""
+
+import random
+import time
+
+import attrs
+
+from experiments.limits.fleet import Fleet
+from experiments.limits.workload import (
+    Request,
+    Workload,
+    make_organisations,
+    make_requests,
+)
+from oriolepaddle.config import Entry
+from oriolepaddle.config.model import DataCentre, ObjectKind, Organisation
+from oriolepaddle.errors import RefusedError
+from oriolepaddle.limits import LimitSettings
+
+__all__ = ["print_costs"]
+
+SECONDS = 20.0
+WARM_UP_S = 20.0
+TICK_S = 0.2
+LOAD = 0.6
+TOKENS_PER_REQUEST = 1156.0
+
+
+@attrs.frozen
+class CostCase:
+    """A fleet whose cost is measured.
+
+    Attributes:
+        centres: Data centres.
+        size: Instances in each.
+        organisations: Organisations with traffic.
+        requests_per_s: Requests at each instance.
+    """
+
+    centres: int
+    size: int
+    organisations: int
+    requests_per_s: float
+
+
+CASES = (
+    CostCase(centres=3, size=2, organisations=1, requests_per_s=0.1),
+    CostCase(centres=3, size=8, organisations=1, requests_per_s=0.1),
+    CostCase(centres=3, size=8, organisations=100, requests_per_s=5.0),
+    CostCase(centres=3, size=8, organisations=400, requests_per_s=5.0),
+    CostCase(centres=3, size=8, organisations=400, requests_per_s=21.0),
+    CostCase(centres=3, size=8, organisations=1300, requests_per_s=21.0),
+)
+
+
+def print_costs() -> None:
+    """Measure all cases and print one table; times are of this machine."""
+    print(
+        f"{'instances':>9} {'organisations':>13} {'requests/s':>10} "
+        f"{'B/s':>7} {'calls/s':>8} {'CPU':>7}   (each instance)"
+    )
+    for case in CASES:
+        _print_case(case)
+
+
+def _print_case(case: CostCase) -> None:
+    instances = {
+        f"c{centre}i{index}": f"c{centre}"
+        for centre in range(case.centres)
+        for index in range(case.size)
+    }
+    total = case.requests_per_s * len(instances) * TOKENS_PER_REQUEST / LOAD
+    organisations = make_organisations(case.organisations, total)
+    fleet = _make_fleet(instances, organisations)
+    requests = make_requests(
+        random.Random(1),
+        Workload(LOAD, is_skewed=True),
+        organisations,
+        instances,
+        WARM_UP_S + SECONDS,
+    )
+    waiting = list(reversed(requests))
+    _run(fleet, organisations, waiting, 0.0, WARM_UP_S)
+    fleet.network.sent_bytes.clear()
+    calls = fleet.network.calls
+    started_s = time.process_time()
+    _run(fleet, organisations, waiting, WARM_UP_S, WARM_UP_S + SECONDS)
+    spent_s = time.process_time() - started_s
+    each = len(instances) * SECONDS
+    sent = sum(fleet.network.sent_bytes.values()) / each
+    print(
+        f"{len(instances):>9} {case.organisations:>13} {case.requests_per_s:>10} "
+        f"{sent:>7.0f} {(fleet.network.calls - calls) / each:>8.2f} "
+        f"{100 * spent_s / each:>6.2f}%",
+        flush=True,
+    )
+
+
+def _make_fleet(instances: dict[str, str], organisations: list[Organisation]) -> Fleet:
+    entries = [
+        Entry(ObjectKind.ORGANISATION, item.id, 1, item) for item in organisations
+    ]
+    entries += [
+        Entry(ObjectKind.DATA_CENTRE, name, 1, DataCentre(name, region=name))
+        for name in sorted(set(instances.values()))
+    ]
+    fleet = Fleet(LimitSettings(), tuple(entries))
+    for name, centre in instances.items():
+        fleet.start(name, centre)
+    fleet.run(180.0, step_s=1.0)
+    return fleet
+
+
+def _run(
+    fleet: Fleet,
+    organisations: list[Organisation],
+    waiting: list[Request],
+    from_s: float,
+    until_s: float,
+) -> None:
+    for step in range(round((until_s - from_s) / TICK_S)):
+        fleet.advance(TICK_S)
+        while waiting and waiting[-1].at_s < from_s + step * TICK_S:
+            request = waiting.pop()
+            limiter = fleet.nodes[request.instance].limiter
+            try:
+                organisation = organisations[request.organisation]
+                limiter.reserve(organisation, request.reserved).settle(request.used)
+            except RefusedError:
+                continue
+        for name in fleet.nodes:
+            fleet.tick(name)
--- a/experiments/limits/workload.py
+++ b/experiments/limits/workload.py
@@ -51,15 +51,18 @@
     excess: float = 4.0
 
 
-def make_organisations(count: int) -> list[Organisation]:
+def make_organisations(
+    count: int, total_tokens_per_s: float = 7500.0
+) -> list[Organisation]:
     """Return organisations whose rates differ, a few of them large."""
+    scale = total_tokens_per_s / sum(1 / (1 + index) for index in range(count))
     return [
         Organisation(
             id=f"organisation-{index}",
             rate_tokens_per_s=rate,
             burst_tokens=max(60 * rate, 12_000.0),
         )
-        for index, rate in enumerate(2400.0 / (1 + index) for index in range(count))
+        for index, rate in enumerate(scale / (1 + index) for index in range(count))
     ]
 
 
--- a/oriolepaddle/limits/account.py
+++ b/oriolepaddle/limits/account.py
@@ -30,6 +30,7 @@
         self.lent: dict[int, Loan] = {}
         self.borrowed: dict[tuple[str, int, int], Loan] = {}
         self.asked_s: float | None = None
+        self.asked_lenders_s: dict[str, float] = {}
         self.dry_until_s = since_s
         self._base = 0.0
         self._lent_base = 0.0
@@ -147,9 +148,8 @@
         }
         self._resize()
 
-    def renew(self, loan: Loan, share: float, end_s: float, now_s: float) -> None:
-        """Prolong a loan taken, of which `share` is left."""
-        self.advance(now_s)
+    def renew(self, loan: Loan, share: float, end_s: float) -> None:
+        """Prolong a loan taken, of which `share` is left; `advance` before."""
         loan.end_s = max(loan.end_s, end_s)
         loan.share = min(loan.share, share)
         self._resize()
@@ -163,10 +163,11 @@
     def give_back(self, loan: Loan) -> float | None:
         """End a loan taken early and return its tokens; None if it is lent on."""
         share = self.share
-        if share <= 0 or self.overlent > 0 or share < loan.share:
+        key = (loan.peer, loan.incarnation, loan.number)
+        if key not in self.borrowed or self.overlent > 0 or share < loan.share:
             return None
         tokens = self.bucket.remove(self.bucket.balance * loan.share / share)
-        del self.borrowed[(loan.peer, loan.incarnation, loan.number)]
+        del self.borrowed[key]
         self._resize()
         return tokens
 
--- a/oriolepaddle/limits/claims.py
+++ b/oriolepaddle/limits/claims.py
@@ -16,6 +16,7 @@
 
 __all__ = ["ClaimBook"]
 
+SETTLED_CLAIM = 1e-9
 NO_END_S = float("inf")
 
 
@@ -208,6 +209,12 @@
             self._note_member(state, now_s)
         self.end(request.instance, Life.read(request.life), now_s)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the claim is what is due and no member waits for it."""
+        is_due = abs(self.claim - self.target) < SETTLED_CLAIM
+        return self.is_warm and is_due and not self._steps and not self.is_draining
+
     @property
     def lent_claim(self) -> float:
         """The part of the claim out of which loans may be made and renewed."""
--- a/oriolepaddle/limits/ledger.py
+++ b/oriolepaddle/limits/ledger.py
@@ -111,7 +111,8 @@
         """Drop the accounts of organisations that nobody uses here."""
         period_s = self.settings.active_for.total_seconds()
         for name, account in list(self.accounts.items()):
-            account.bucket.forget(now_s - MAX_REQUEST_S)
+            if account.bucket.open_debits:
+                account.bucket.forget(now_s - MAX_REQUEST_S)
             if account.demand.is_active(now_s, period_s) or account.is_asked(
                 now_s, period_s
             ):
--- a/oriolepaddle/limits/pooling.py
+++ b/oriolepaddle/limits/pooling.py
@@ -1,7 +1,5 @@
 """Borrows share for the organisations whose home this instance is."""
 
-from collections.abc import Callable
-
 import attrs
 
 from oriolepaddle.limits.account import Account
@@ -22,6 +20,7 @@
 ROUNDS_PER_LEVELLING = 3
 LOW_FILL = 0.5
 SHORT_S = 5.0
+REASK_S = 10.0
 
 
 @attrs.define
@@ -29,7 +28,7 @@
     """What one lender is asked for in a round."""
 
     wanted: list[LoanRequest] = attrs.Factory(list)
-    renewed: list[int] = attrs.Factory(list)
+    renewed: dict[int, tuple[Account, Loan]] = attrs.Factory(dict)
     lender_incarnation: int = 0
 
 
@@ -60,22 +59,26 @@
         ledger = self._ledger
         with ledger.lock:
             now_s = ledger.refresh()
-            returned = self._return_loans(now_s, lambda loan: True)
+            loans = [
+                (account, loan)
+                for account in ledger.accounts.values()
+                for loan in account.borrowed.values()
+            ]
+            returned = self._return_loans(loans, now_s)
         self._send_returned(returned)
 
     def _return_loans(
-        self, now_s: float, is_returned: Callable[[Loan], bool]
+        self, loans: list[tuple[Account, Loan]], now_s: float
     ) -> dict[tuple[str, int], list[ReturnedLoan]]:
         """Stop using loans taken; the messages are by lender and its life."""
         returned: dict[tuple[str, int], list[ReturnedLoan]] = {}
-        for account in self._ledger.accounts.values():
+        for account, loan in loans:
             account.advance(now_s)
-            for loan in list(account.borrowed.values()):
-                tokens = account.give_back(loan) if is_returned(loan) else None
-                if tokens is not None:
-                    item = ReturnedLoan(number=loan.number, tokens=tokens)
-                    lender = (loan.peer, loan.incarnation)
-                    returned.setdefault(lender, []).append(item)
+            tokens = account.give_back(loan)
+            if tokens is not None:
+                item = ReturnedLoan(number=loan.number, tokens=tokens)
+                lender = (loan.peer, loan.incarnation)
+                returned.setdefault(lender, []).append(item)
         return returned
 
     def _send_returned(
@@ -100,9 +103,10 @@
             is_active = account.demand.is_active(now_s, period_s)
             if not is_active and not account.is_asked(now_s, period_s):
                 continue
-            self._plan_renewals(account, batches, now_s)
+            self._plan_renewals(account, batches)
             if self._ledger.home(account.organisation.id) == own:
                 self._plan_loans(account, near, batches, now_s)
+        self._drop_early_renewals(batches, now_s)
         return batches
 
     def _plan_loans(
@@ -131,25 +135,38 @@
             capacity=account.bucket.capacity,
         )
 
-    def _plan_renewals(
-        self, account: Account, batches: dict[str, _Batch], now_s: float
-    ) -> None:
-        threshold_s = self._ledger.settings.lent_s / 2
+    def _plan_renewals(self, account: Account, batches: dict[str, _Batch]) -> None:
         for loan in account.borrowed.values():
-            if loan.end_s - now_s > threshold_s:
-                continue
             batch = batches.setdefault(loan.peer, _Batch())
             if loan.incarnation >= batch.lender_incarnation:
                 batch.lender_incarnation = loan.incarnation
-                batch.renewed.append(loan.number)
+                batch.renewed[loan.number] = (account, loan)
+
+    def _drop_early_renewals(self, batches: dict[str, _Batch], now_s: float) -> None:
+        """Renew all loans of one lender together, once the first needs it."""
+        threshold_s = self._ledger.settings.lent_s / 2
+        for lender, batch in list(batches.items()):
+            loans = [loan for _, loan in batch.renewed.values()]
+            first_s = min((loan.end_s for loan in loans), default=now_s)
+            if first_s - now_s > threshold_s:
+                batch.renewed.clear()
+            if not batch.renewed and not batch.wanted:
+                del batches[lender]
 
     def _lenders(self, account: Account, near: list[str], now_s: float) -> list[str]:
         name = account.organisation.id
         is_short = account.demand.is_short(now_s, SHORT_S)
         held = {loan.peer for loan in account.borrowed.values()}
-        lenders = [peer for peer in near if is_short or peer not in held]
+        asked_s = account.asked_lenders_s
+        lenders = [
+            peer
+            for peer in near
+            if is_short
+            or (peer not in held and now_s - asked_s.get(peer, -REASK_S) >= REASK_S)
+        ]
         if is_short:
             lenders += self._remote_lenders(name)
+        asked_s.update(dict.fromkeys(lenders, now_s))
         return lenders
 
     def _remote_lenders(self, organisation_id: str) -> list[str]:
@@ -174,7 +191,7 @@
         request = BorrowRequest(
             instance=ledger.identity.instance,
             wanted=batch.wanted,
-            renewed=batch.renewed,
+            renewed=list(batch.renewed),
             lender_incarnation=batch.lender_incarnation,
         )
         with ledger.lock:
@@ -188,12 +205,10 @@
             self._keep_room(batch, -1.0, now_s)
             if reply is None:
                 return
-            self._take_renewals(lender, batch, reply, asked_s, now_s)
+            self._take_renewals(batch, reply, asked_s, now_s)
             self._take_loans(lender, reply, asked_s, now_s)
-            recalled = set(reply.recalled)
-            returned = self._return_loans(
-                now_s, lambda loan: loan.peer == lender and loan.number in recalled
-            )
+            recalled = [batch.renewed[number] for number in reply.recalled]
+            returned = self._return_loans(recalled, now_s)
         self._send_returned(returned)
 
     def _keep_room(self, batch: _Batch, sign: float, now_s: float) -> None:
@@ -207,26 +222,15 @@
         return asked_s + duration_s * (1 - 3 * drift)
 
     def _take_renewals(
-        self,
-        lender: str,
-        batch: _Batch,
-        reply: BorrowReply,
-        asked_s: float,
-        now_s: float,
+        self, batch: _Batch, reply: BorrowReply, asked_s: float, now_s: float
     ) -> None:
-        renewals = {renewal.number: renewal for renewal in reply.renewed}
-        for account in self._ledger.accounts.values():
-            for loan in list(account.borrowed.values()):
-                renewal = renewals.get(loan.number)
-                is_lender = loan.peer == lender
-                if renewal is None or not is_lender:
-                    continue
-                if loan.incarnation != batch.lender_incarnation:
-                    continue
-                # A loan that has ended in the meantime must not come back.
-                if loan.end_s > now_s:
-                    end_s = self._end_s(asked_s, renewal.duration_s)
-                    account.renew(loan, renewal.share, end_s, now_s)
+        for renewal in reply.renewed:
+            account, loan = batch.renewed[renewal.number]
+            account.advance(now_s)
+            # A loan that has ended in the meantime must not come back.
+            if loan in account.borrowed.values():
+                end_s = self._end_s(asked_s, renewal.duration_s)
+                account.renew(loan, renewal.share, end_s)
 
     def _take_loans(
         self, lender: str, reply: BorrowReply, asked_s: float, now_s: float
--- a/oriolepaddle/limits/renewal.py
+++ b/oriolepaddle/limits/renewal.py
@@ -38,7 +38,7 @@
                 ledger.book.note_list(published)
                 ledger.rosters.note_listed(published.instances)
             ledger.book.release_vanished(now_s)
-            names = list(ledger.book.members)
+            names = self._due_members(now_s)
         for name in names:
             self._renew(name)
         self._settle_weights()
@@ -50,6 +50,18 @@
             ledger.book.grow(now_s)
             ledger.rebase(now_s)
 
+    def _due_members(self, now_s: float) -> list[str]:
+        ledger = self._ledger
+        is_steady = ledger.book.is_settled and ledger.weights.is_settled
+        interval_s = ledger.settings.steady_interval.total_seconds()
+        return [
+            name
+            for name, member in ledger.book.members.items()
+            if not is_steady
+            or member.answered_s is None
+            or now_s - member.answered_s >= interval_s
+        ]
+
     def _renew(self, name: str) -> None:
         ledger = self._ledger
         if not self._link.is_open(name):
--- a/oriolepaddle/limits/settings.py
+++ b/oriolepaddle/limits/settings.py
@@ -18,8 +18,12 @@
             centre could not meet, waits for peers of others.
         call_timeout: The longest that a periodic call waits for a peer.
         loan: How long a loan of share lasts unless it is renewed.
-        renew_interval: Time between two renewals of the claim with a member.
+        renew_interval: Time between two renewals of the claim with a member
+            while claims or weights change.
+        steady_interval: The same while nothing changes.
         pool_interval: Time between two rounds of borrowing.
+        settle_interval: Time between two batches of settlements.
+        forget_interval: Time between two searches for accounts to drop.
         mint_lease: How long an instance mints without a fresh list that names
             it and without an answer from every member of its data centre.
         max_list_lag: The greatest age of a list that the platform serves.
@@ -35,7 +39,10 @@
     call_timeout: timedelta = timedelta(milliseconds=500)
     loan: timedelta = timedelta(seconds=20)
     renew_interval: timedelta = timedelta(seconds=2)
+    steady_interval: timedelta = timedelta(seconds=30)
     pool_interval: timedelta = timedelta(seconds=1)
+    settle_interval: timedelta = timedelta(seconds=3)
+    forget_interval: timedelta = timedelta(seconds=10)
     mint_lease: timedelta = timedelta(minutes=15)
     max_list_lag: timedelta = timedelta(minutes=1)
     max_list_age: timedelta = timedelta(minutes=2)
--- a/oriolepaddle/limits/shared.py
+++ b/oriolepaddle/limits/shared.py
@@ -61,6 +61,8 @@
         self._renewal = ClaimRenewal(self._ledger, self._link)
         self._renewed_s: float | None = None
         self._pooled_s: float | None = None
+        self._settled_s: float | None = None
+        self._forgot_s: float | None = None
 
     def reserve(self, organisation: Organisation, tokens: float) -> SharedReservation:
         """Set tokens aside for a request; see `TokenLimiter.reserve`."""
@@ -100,7 +102,11 @@
         if self._is_due(self._pooled_s, self._settings.pool_interval, now_s):
             self._pooled_s = now_s
             self._pool.run()
+        if self._is_due(self._settled_s, self._settings.settle_interval, now_s):
+            self._settled_s = now_s
             self._settlements.send()
+        if self._is_due(self._forgot_s, self._settings.forget_interval, now_s):
+            self._forgot_s = now_s
             self._forget()
 
     def prepare_hand_over(self) -> None:
--- a/oriolepaddle/limits/tests/scenario.py
+++ b/oriolepaddle/limits/tests/scenario.py
@@ -12,7 +12,9 @@
 SETTINGS = LimitSettings(
     loan=timedelta(seconds=4),
     renew_interval=timedelta(seconds=1),
+    steady_interval=timedelta(seconds=3),
     pool_interval=timedelta(seconds=1),
+    settle_interval=timedelta(seconds=1),
     mint_lease=timedelta(seconds=10),
     max_list_lag=timedelta(seconds=3),
     max_list_age=timedelta(seconds=5),
