--- a/oriolepaddle/limits/handler.py
+++ b/oriolepaddle/limits/handler.py
@@ -18,6 +18,8 @@
     Renewal,
     RenewReply,
     RenewRequest,
+    ReturnReply,
+    ReturnRequest,
     SettleReply,
     SettleRequest,
 )
@@ -86,13 +88,32 @@
         with ledger.lock:
             now_s = ledger.refresh()
             renewed = self._renew_loans(request, now_s)
+            kept = {renewal.number for renewal in renewed}
             loans = [self._lend(request, item, now_s) for item in request.wanted]
             return BorrowReply(
                 incarnation=ledger.identity.incarnation,
                 loans=[loan for loan in loans if loan is not None],
                 renewed=renewed,
+                recalled=[item for item in request.renewed if item not in kept],
             )
 
+    def give_back(self, request: ReturnRequest) -> ReturnReply:
+        """Take loans back that the borrower no longer uses, with their tokens."""
+        ledger = self._ledger
+        with ledger.lock:
+            now_s = ledger.refresh()
+            if request.lender_incarnation != ledger.identity.incarnation:
+                return ReturnReply()
+            for item in request.loans:
+                account = self._lent_from.get(item.number)
+                if account is None:
+                    continue
+                account.advance(now_s)
+                loan = account.lent.get(item.number)
+                if loan is not None and loan.peer == request.instance:
+                    account.take_back(item.number, item.tokens)
+        return ReturnReply()
+
     def draw(self, request: DrawRequest) -> DrawReply:
         """Debit tokens for a request that runs at the calling instance."""
         ledger = self._ledger
@@ -151,7 +172,7 @@
         share = min(item.share, account.lendable(now_s))
         duration_s = self._duration_s(account, now_s)
         if share < LEAST_LOAN or duration_s <= 0:
-            return None
+            return self._give_tokens(account, item)
         self._number += 1
         loan = Loan(
             peer=request.instance,
@@ -170,6 +191,24 @@
             duration_s=duration_s,
         )
 
+    def _give_tokens(self, account: Account, item: LoanRequest) -> LoanMessage | None:
+        """Give tokens away so that both buckets are filled alike."""
+        room = account.bucket.capacity + item.capacity
+        if item.tokens <= 0 or room <= 0 or self._ledger.book.is_leaving:
+            return None
+        fill = (account.bucket.balance + item.balance) / room
+        spare = account.bucket.balance - fill * account.bucket.capacity
+        tokens = account.bucket.remove(min(item.tokens, spare))
+        if tokens <= 0:
+            return None
+        return LoanMessage(
+            organisation=item.organisation,
+            number=0,
+            share=0.0,
+            tokens=tokens,
+            duration_s=0.0,
+        )
+
     def _renew_loans(self, request: BorrowRequest, now_s: float) -> list[Renewal]:
         ledger = self._ledger
         is_same_life = request.lender_incarnation == ledger.identity.incarnation
@@ -184,17 +223,21 @@
             loan = account.lent.get(number)
             if loan is None or loan.peer != request.instance:
                 continue
-            duration_s = self._prolong(account, loan, now_s)
-            if duration_s > 0:
-                renewals.append(Renewal(number=number, duration_s=duration_s))
+            renewal = self._prolong(account, loan, now_s)
+            if renewal is not None:
+                renewals.append(renewal)
         return renewals
 
-    def _prolong(self, account: Account, loan: Loan, now_s: float) -> float:
-        if account.is_overlent or account.wants_back(now_s):
-            return 0.0
+    def _prolong(self, account: Account, loan: Loan, now_s: float) -> Renewal | None:
+        share = loan.share - account.overlent
         duration_s = self._duration_s(account, now_s)
+        if share < LEAST_LOAN or duration_s <= 0 or account.wants_back(now_s):
+            return None
+        if share < loan.share:
+            self._number += 1
+            account.split_loan(loan, share, self._number)
         loan.end_s = max(loan.end_s, now_s + duration_s)
-        return duration_s
+        return Renewal(number=loan.number, duration_s=duration_s, share=share)
 
     def _duration_s(self, account: Account, now_s: float) -> float:
         """Return how long a loan may last: no longer than those it draws on."""
--- a/oriolepaddle/peers/idl/limits.thrift
+++ b/oriolepaddle/peers/idl/limits.thrift
@@ -28,6 +28,8 @@
   /** Digests of the weight tables that bound the sender. */
   7: required list<i64> tables,
   8: required bool is_warm,
+  /** Whether the sender drains and lends all that it has. */
+  9: required bool is_draining,
 }
 
 struct RenewReply {
@@ -82,11 +84,16 @@
   1: required string organisation,
   /** A part, from 0 to 1, of the organisation's rate and burst. */
   2: required double share,
+  /** Room that the sender keeps free for tokens without a share. */
+  3: required double tokens,
+  4: required double balance,
+  5: required double capacity,
 }
 
 struct Loan {
   1: required string organisation,
   2: required i64 number,
+  /** 0 for tokens alone. */
   3: required double share,
   4: required double tokens,
   /** Counted by the lender from its answer, by the borrower from its call. */
@@ -96,6 +103,8 @@
 struct Renewal {
   1: required i64 number,
   2: required double duration_s,
+  /** What is left of the loan. */
+  3: required double share,
 }
 
 struct BorrowRequest {
@@ -111,6 +120,22 @@
   1: required i64 incarnation,
   2: required list<Loan> loans,
   3: required list<Renewal> renewed,
+  /** Loans that the lender needs back as soon as may be. */
+  4: required list<i64> recalled,
+}
+
+struct ReturnedLoan {
+  1: required i64 number,
+  2: required double tokens,
+}
+
+struct ReturnRequest {
+  1: required string instance,
+  2: required i64 lender_incarnation,
+  3: required list<ReturnedLoan> loans,
+}
+
+struct ReturnReply {
 }
 
 struct DrawRequest {
@@ -147,6 +172,7 @@
   LeaveReply leave(1: LeaveRequest request),
   ProbeReply probe(1: ProbeRequest request),
   BorrowReply borrow(1: BorrowRequest request),
+  ReturnReply give_back(1: ReturnRequest request),
   DrawReply draw(1: DrawRequest request),
   SettleReply settle(1: SettleRequest request),
 }
