Let idle organisations catch up and tell the wait for admission

Change: a quarter of the slots more may wait in the engines, a bounded credit after a gap, and the wait for admission counts where requests are sent away.

--- a/experiments/admission/bench.py
+++ b/experiments/admission/bench.py
@@ -9,6 +9,7 @@
 from experiments.admission.measures import Measures
 from experiments.admission.workload import (
     MEAN_OUTPUT_TOKENS,
+    OUTPUT_LIMIT,
     SHARES,
     Demand,
     make_demands,
@@ -104,7 +105,7 @@
                 demand.organisation,
                 1.0,
                 demand.prompt_tokens,
-                demand.output_tokens,
+                OUTPUT_LIMIT,
                 demand.deadline_s,
                 0,
             )
@@ -138,7 +139,7 @@
             route=ROUTE,
             organisation=self._organisations[demand.organisation],
             prompt_tokens=demand.prompt_tokens,
-            output_tokens=demand.output_tokens,
+            output_tokens=OUTPUT_LIMIT,
             prefix_hashes=(),
             deadline_s=demand.deadline_s,
         )
--- a/experiments/admission/fifo_queue.py
+++ b/experiments/admission/fifo_queue.py
@@ -16,6 +16,11 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    @property
+    def cost_tokens(self) -> float:
+        """The cost in tokens of all that wait."""
+        return sum(waiter.cost_tokens for waiter in self._waiters)
+
     def push(self, waiter: Waiter) -> None:
         """Put in a request."""
         self._waiters.append(waiter)
@@ -35,4 +40,4 @@
 
     def estimate_ahead(self, newcomer: Waiter) -> float:
         """Return the cost in tokens of all that wait."""
-        return sum(waiter.cost_tokens for waiter in self._waiters)
+        return self.cost_tokens
--- a/experiments/admission/workload.py
+++ b/experiments/admission/workload.py
@@ -5,7 +5,7 @@
 import attrs
 import numpy as np
 
-__all__ = ["MEAN_OUTPUT_TOKENS", "SHARES", "Demand", "make_demands"]
+__all__ = ["MEAN_OUTPUT_TOKENS", "OUTPUT_LIMIT", "SHARES", "Demand", "make_demands"]
 
 SHARES = {"vik": 0.42, "dalur": 0.24, "holt": 0.15, "nes": 0.12, "tunga": 0.07}
 """Each organisation's part of the requests."""
--- a/oriolepaddle/admission/admission.py
+++ b/oriolepaddle/admission/admission.py
@@ -40,6 +40,7 @@
     ) -> None:
         self._clock = clock
         self._lock = threading.Lock()
+        self._wait_s = 0.0
         self._queue = AdmissionQueue(
             clock, count_allowed, _make_queue(aim), limits or AdmissionLimits.of(aim)
         )
@@ -54,6 +55,11 @@
         """Requests that hold a slot."""
         return self._queue.running
 
+    @property
+    def estimated_wait_s(self) -> float:
+        """Seconds that a request would wait, as of the last change."""
+        return self._wait_s
+
     def enter(
         self,
         organisation: str,
@@ -81,6 +87,7 @@
             waiter = self._queue.join(
                 organisation, weight, prompt_tokens, output_tokens, deadline_s, priority
             )
+            self._wait_s = self._queue.estimate_wait_s()
             left_s = self._queue.latest_start_s(waiter) - self._clock.monotonic_s()
         self._await(waiter, max(0.0, left_s))
         self._check_late(waiter)
@@ -92,6 +99,7 @@
         """Admit what may run now, after a load report or a ticket."""
         with self._lock:
             self._queue.admit()
+            self._wait_s = self._queue.estimate_wait_s()
 
     def _await(self, waiter: Waiter, left_s: float) -> None:
         try:
@@ -102,6 +110,7 @@
         if not is_decided:
             with self._lock:
                 self._queue.expire(waiter)
+                self._wait_s = self._queue.estimate_wait_s()
 
     def _check_late(self, waiter: Waiter) -> None:
         # The process may have slept between the admission and this thread's turn.
@@ -115,6 +124,7 @@
     def _leave(self, waiter: Waiter) -> None:
         with self._lock:
             self._queue.leave(waiter)
+            self._wait_s = self._queue.estimate_wait_s()
 
 
 def _make_queue(aim: Aim) -> WaitingQueue:
--- a/oriolepaddle/admission/admission_queue.py
+++ b/oriolepaddle/admission/admission_queue.py
@@ -57,6 +57,13 @@
         """Requests that wait."""
         return len(self._queue)
 
+    def estimate_wait_s(self) -> float:
+        """Return the seconds until all that wait now could have been admitted."""
+        if not len(self._queue):
+            return 0.0
+        allowed = max(1, self._count_allowed())
+        return self._expect_s(self._queue.cost_tokens) / allowed
+
     def join(
         self,
         organisation: str,
--- a/oriolepaddle/admission/deadline_queue.py
+++ b/oriolepaddle/admission/deadline_queue.py
@@ -16,6 +16,11 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    @property
+    def cost_tokens(self) -> float:
+        """The cost in tokens of all that wait."""
+        return sum(waiter.cost_tokens for waiter in self._waiters)
+
     def push(self, waiter: Waiter) -> None:
         """Put in a request."""
         bisect.insort(self._waiters, waiter, key=lambda item: item.rank)
--- a/oriolepaddle/admission/fair_queue.py
+++ b/oriolepaddle/admission/fair_queue.py
@@ -8,6 +8,9 @@
 
 __all__ = ["FairQueue"]
 
+CREDIT_TOKENS = 4000.0
+"""Cost over weight by which an organisation that was idle may stay behind."""
+
 
 @attrs.define
 class _Flow:
@@ -27,8 +30,9 @@
 
     Each organisation has a virtual time that grows by the cost of each of its
     admitted requests over its weight; the one furthest behind goes next. One
-    that comes back from a pause starts at the present virtual time, so that it
-    cannot save up. Inside an organisation the earliest deadline goes next.
+    that comes back from a pause may be behind by `CREDIT_TOKENS` at most: enough
+    to make up for short gaps in its requests, and no more saved up. Inside an
+    organisation the earliest deadline goes next.
     """
 
     def __init__(self) -> None:
@@ -39,13 +43,22 @@
     def __len__(self) -> int:
         return self._count
 
+    @property
+    def cost_tokens(self) -> float:
+        """The cost in tokens of all that wait."""
+        return sum(
+            waiter.cost_tokens
+            for flow in self._flows.values()
+            for waiter in flow.waiters
+        )
+
     def push(self, waiter: Waiter) -> None:
         """Put a request into its organisation's queue."""
         flow = self._flows.get(waiter.organisation)
         if flow is None:
             flow = self._flows[waiter.organisation] = _Flow(used=self._virtual)
         if not flow.waiters:
-            flow.used = max(flow.used, self._virtual)
+            flow.used = max(flow.used, self._virtual - CREDIT_TOKENS)
         bisect.insort(flow.waiters, waiter, key=lambda item: item.rank)
         self._count += 1
 
@@ -92,7 +105,7 @@
         flow = self._flows.get(newcomer.organisation)
         held = flow.waiters if flow is not None else []
         before = sum(w.cost_tokens for w in held if w.rank < newcomer.rank)
-        used = max(flow.used, self._virtual) if flow is not None else self._virtual
+        used = flow.used if flow is not None else self._virtual
         start = used + before / newcomer.weight
         ahead = before
         for name, other in self._flows.items():
@@ -114,11 +127,11 @@
         return sum(waiter.cost_tokens / waiter.weight for waiter in flow.waiters)
 
     def _forget_idle(self) -> None:
-        # An idle organisation behind the present virtual time has no claim left.
+        # What an idle organisation can still claim does not depend on the past.
         idle = [
             name
             for name, flow in self._flows.items()
-            if not flow.waiters and flow.used <= self._virtual
+            if not flow.waiters and flow.used <= self._virtual - CREDIT_TOKENS
         ]
         for name in idle:
             del self._flows[name]
--- a/oriolepaddle/admission/waiting_queue.py
+++ b/oriolepaddle/admission/waiting_queue.py
@@ -12,6 +12,11 @@
 
     def __len__(self) -> int: ...
 
+    @property
+    def cost_tokens(self) -> float:
+        """The cost in tokens of all that wait."""
+        ...
+
     def push(self, waiter: Waiter) -> None:
         """Put in a request."""
         ...
--- a/oriolepaddle/routing/local_fleet.py
+++ b/oriolepaddle/routing/local_fleet.py
@@ -12,6 +12,10 @@
 
 __all__ = ["LocalFleet"]
 
+ENGINE_QUEUE_PART = 0.25
+"""Requests let into the engines' queues, as a part of the slots, so that a slot
+that comes free is taken before the next load report tells of it."""
+
 
 class LocalFleet:
     """The endpoints of one data centre and what is known of each.
@@ -84,22 +88,24 @@
     def concurrency_limit(self, route_id: str, now_s: float) -> int:
         """Return how many requests of a route may run from this instance.
 
-        It is at least an even share of the slots. Above that it is what runs
+        It is at least an even share of the slots and of the short queues before
+        them. Above that it is what runs
         already plus an even share of what seems free, or minus an even share
         of what waits in the engines' queues.
         """
         instances = self.count_instances()
-        slots = own = 0
-        free = 0.0
+        own = 0
+        slots = free = 0.0
         for endpoint in self.endpoints(route_id):
             tracker = self.tracker(endpoint)
             usable = tracker.health.limit(endpoint.slots, now_s)
             if endpoint.leaving or usable == 0:
                 continue
-            slots += usable
+            places = usable * (1.0 + ENGINE_QUEUE_PART)
+            slots += places
             own += tracker.load.own
-            free += usable - tracker.in_flight(now_s, instances)
-        return max(-(-slots // instances), int(own + free / instances))
+            free += places - tracker.in_flight(now_s, instances)
+        return max(math.ceil(slots / instances), int(own + free / instances))
 
     def summarize(self, now_s: float) -> tuple[LoadSummary, ...]:
         """Return the load of each route."""
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -3,6 +3,8 @@
 import threading
 from collections.abc import Callable, Iterable
 
+import attrs
+
 from oriolepaddle.clock import Clock
 from oriolepaddle.config import ConfigState
 from oriolepaddle.config.model import Endpoint
@@ -42,6 +44,9 @@
         count_instances: Returns the live instances of this data centre, this
             one included; they share its endpoints.
         delay_s: Returns the one-way delay to a data centre, in seconds.
+        waiting_s: Returns the seconds that requests of a route wait for
+            admission here; it must take no lock that is held while the router
+            is called.
     """
 
     def __init__(
@@ -52,8 +57,10 @@
         policy: EndpointPolicy,
         count_instances: Callable[[], int],
         delay_s: Callable[[str], float],
+        waiting_s: Callable[[str], float] = lambda route_id: 0.0,
     ) -> None:
         self._clock = clock
+        self._waiting_s = waiting_s
         self._config = config
         self._data_centre = data_centre
         self._policy = policy
@@ -61,18 +68,26 @@
         self._fleet = LocalFleet(config, data_centre, count_instances)
         self._remotes = RemoteLoads(delay_s)
 
-    def choose(self, request: RoutingRequest) -> Decision:
+    def choose(self, request: RoutingRequest, is_admitted: bool = False) -> Decision:
         """Choose the endpoint, or the data centre to send a request away to.
 
+        Ask once before admission, as the wait for it may be worth sending the
+        request away, and again after it for the endpoint.
+
+        Args:
+            request: The request.
+            is_admitted: Whether it waits no longer for admission here.
+
         Raises:
             RefusedError: Nothing may run it now; it was not run. The code is
                 `RESIDENCY_UNSERVABLE`, `NO_ENDPOINT` or `HOP_LIMIT`.
         """
         regions = AllowedRegions(request, self._config)
+        waiting_s = 0.0 if is_admitted else self._waiting_s(request.route.id)
         with self._lock:
             local = self._rank_local(request, regions)
             remote = self._rank_remote(request, regions, bool(local))
-            if local and not self._prefers_remote(request, remote, local):
+            if local and not _prefers_remote(request, remote, local, waiting_s):
                 endpoint = self._config.endpoint(local[0].target)
                 if self.is_allowed(local[0].target, request):
                     return Decision(endpoint, None, local + remote)
@@ -132,7 +147,11 @@
     def summary(self) -> tuple[LoadSummary, ...]:
         """Return this data centre's load, one entry for each route."""
         with self._lock:
-            return self._fleet.summarize(self._clock.monotonic_s())
+            summaries = self._fleet.summarize(self._clock.monotonic_s())
+        return tuple(
+            attrs.evolve(item, queueing_s=item.queueing_s + self._waiting_s(item.route))
+            for item in summaries
+        )
 
     def apply_summaries(self, summaries: Iterable[LoadSummary]) -> None:
         """Take in other data centres' summaries; own ones are ignored."""
@@ -190,16 +209,6 @@
         found = [score for score in scores if score is not None]
         return tuple(sorted(found, key=lambda score: score.total_s))
 
-    @staticmethod
-    def _prefers_remote(
-        request: RoutingRequest, remote: tuple[Score, ...], local: tuple[Score, ...]
-    ) -> bool:
-        if not remote:
-            return False
-        if len(request.excluded) >= MAX_LOCAL_FAILURES:
-            return True
-        return _gain_s(local[0], remote[0]) > SEND_AWAY_GAIN_S
-
     def _refuse(self, request: RoutingRequest, regions: AllowedRegions) -> RefusedError:
         route = request.route.id
         if request.hops:
@@ -213,6 +222,19 @@
         )
 
 
+def _prefers_remote(
+    request: RoutingRequest,
+    remote: tuple[Score, ...],
+    local: tuple[Score, ...],
+    waiting_s: float,
+) -> bool:
+    if not remote:
+        return False
+    if len(request.excluded) >= MAX_LOCAL_FAILURES:
+        return True
+    return waiting_s + _gain_s(local[0], remote[0]) > SEND_AWAY_GAIN_S
+
+
 def _gain_s(local: Score, remote: Score) -> float:
     # Faster prefill elsewhere is no gain: the prompt would never get cached
     # here. Slower or uncached prefill is a loss, to other requests too.
