--- a/oriolepaddle/admission/deadline_queue.py
+++ b/experiments/admission/deadline_queue.py
@@ -1,8 +1,8 @@
-"""Waiting requests by deadline."""
+"""Earliest deadline first: a baseline."""
 
 import bisect
 
-from oriolepaddle.admission.waiter import Waiter
+from oriolepaddle.admission import Waiter
 
 __all__ = ["DeadlineQueue"]
 
--- a/experiments/admission/discipline.py
+++ b/experiments/admission/discipline.py
@@ -4,11 +4,11 @@
 
 import attrs
 
+from experiments.admission.deadline_queue import DeadlineQueue
 from experiments.admission.fifo_queue import FifoQueue
 from oriolepaddle.admission import (
     AdmissionLimits,
     Aim,
-    DeadlineQueue,
     FairQueue,
     WaitingQueue,
 )
@@ -33,8 +33,10 @@
 
 DISCIPLINES = (
     Discipline("aim worst-served", FairQueue, AdmissionLimits.of(Aim.WORST_SERVED)),
-    Discipline("aim tail-latency", DeadlineQueue, AdmissionLimits.of(Aim.TAIL_LATENCY)),
-    Discipline("fair, short wait", FairQueue, AdmissionLimits.of(Aim.TAIL_LATENCY)),
+    Discipline("aim tail-latency", FairQueue, AdmissionLimits.of(Aim.TAIL_LATENCY)),
+    Discipline(
+        "deadline, short wait", DeadlineQueue, AdmissionLimits.of(Aim.TAIL_LATENCY)
+    ),
     Discipline("earliest deadline", DeadlineQueue, AdmissionLimits()),
     Discipline("first in first out", FifoQueue, AdmissionLimits()),
 )
--- a/oriolepaddle/admission/__init__.py
+++ b/oriolepaddle/admission/__init__.py
@@ -5,7 +5,6 @@
 from oriolepaddle.admission.admission_queue import AdmissionQueue
 from oriolepaddle.admission.admission_slot import AdmissionSlot
 from oriolepaddle.admission.aim import Aim
-from oriolepaddle.admission.deadline_queue import DeadlineQueue
 from oriolepaddle.admission.fair_queue import FairQueue
 from oriolepaddle.admission.waiter import Waiter
 from oriolepaddle.admission.waiting_queue import WaitingQueue
@@ -16,7 +15,6 @@
     "AdmissionQueue",
     "AdmissionSlot",
     "Aim",
-    "DeadlineQueue",
     "FairQueue",
     "Waiter",
     "WaitingQueue",
--- a/oriolepaddle/admission/admission.py
+++ b/oriolepaddle/admission/admission.py
@@ -8,10 +8,8 @@
 from oriolepaddle.admission.admission_queue import AdmissionQueue
 from oriolepaddle.admission.admission_slot import AdmissionSlot
 from oriolepaddle.admission.aim import Aim
-from oriolepaddle.admission.deadline_queue import DeadlineQueue
 from oriolepaddle.admission.fair_queue import FairQueue
 from oriolepaddle.admission.waiter import Waiter
-from oriolepaddle.admission.waiting_queue import WaitingQueue
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 
@@ -27,8 +25,8 @@
         clock: The clock.
         count_allowed: Returns how many requests this instance may have running
             now, such as `Router.concurrency_limit` of the route.
-        aim: The order in which waiting requests go on.
-        limits: The bounds of the queue.
+        aim: What to aim for when the endpoints are full.
+        limits: The bounds of the queue; by default those of the aim.
     """
 
     def __init__(
@@ -42,7 +40,7 @@
         self._lock = threading.Lock()
         self._wait_s = 0.0
         self._queue = AdmissionQueue(
-            clock, count_allowed, _make_queue(aim), limits or AdmissionLimits.of(aim)
+            clock, count_allowed, FairQueue(), limits or AdmissionLimits.of(aim)
         )
 
     @property
@@ -125,7 +123,3 @@
         with self._lock:
             self._queue.leave(waiter)
             self._wait_s = self._queue.estimate_wait_s()
-
-
-def _make_queue(aim: Aim) -> WaitingQueue:
-    return FairQueue() if aim is Aim.WORST_SERVED else DeadlineQueue()
