--- a/oriolepaddle/admission/admission.py
+++ b/oriolepaddle/admission/admission.py
@@ -8,10 +8,8 @@
 from oriolepaddle.admission.admission_queue import AdmissionQueue
 from oriolepaddle.admission.admission_slot import AdmissionSlot
 from oriolepaddle.admission.aim import Aim
-from oriolepaddle.admission.deadline_queue import DeadlineQueue
 from oriolepaddle.admission.fair_queue import FairQueue
 from oriolepaddle.admission.waiter import Waiter
-from oriolepaddle.admission.waiting_queue import WaitingQueue
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 
@@ -27,8 +25,8 @@
         clock: The clock.
         count_allowed: Returns how many requests this instance may have running
             now, such as `Router.concurrency_limit` of the route.
-        aim: The order in which waiting requests go on.
-        limits: The bounds of the queue.
+        aim: What to aim for when the endpoints are full.
+        limits: The bounds of the queue; by default those of the aim.
     """
 
     def __init__(
@@ -40,8 +38,9 @@
     ) -> None:
         self._clock = clock
         self._lock = threading.Lock()
+        self._wait_s = 0.0
         self._queue = AdmissionQueue(
-            clock, count_allowed, _make_queue(aim), limits or AdmissionLimits.of(aim)
+            clock, count_allowed, FairQueue(), limits or AdmissionLimits.of(aim)
         )
 
     @property
@@ -54,6 +53,11 @@
         """Requests that hold a slot."""
         return self._queue.running
 
+    @property
+    def estimated_wait_s(self) -> float:
+        """Seconds that a request would wait, as of the last change."""
+        return self._wait_s
+
     def enter(
         self,
         organisation: str,
@@ -81,6 +85,7 @@
             waiter = self._queue.join(
                 organisation, weight, prompt_tokens, output_tokens, deadline_s, priority
             )
+            self._wait_s = self._queue.estimate_wait_s()
             left_s = self._queue.latest_start_s(waiter) - self._clock.monotonic_s()
         self._await(waiter, max(0.0, left_s))
         self._check_late(waiter)
@@ -92,6 +97,7 @@
         """Admit what may run now, after a load report or a ticket."""
         with self._lock:
             self._queue.admit()
+            self._wait_s = self._queue.estimate_wait_s()
 
     def _await(self, waiter: Waiter, left_s: float) -> None:
         try:
@@ -102,6 +108,7 @@
         if not is_decided:
             with self._lock:
                 self._queue.expire(waiter)
+                self._wait_s = self._queue.estimate_wait_s()
 
     def _check_late(self, waiter: Waiter) -> None:
         # The process may have slept between the admission and this thread's turn.
@@ -115,7 +122,4 @@
     def _leave(self, waiter: Waiter) -> None:
         with self._lock:
             self._queue.leave(waiter)
-
-
-def _make_queue(aim: Aim) -> WaitingQueue:
-    return FairQueue() if aim is Aim.WORST_SERVED else DeadlineQueue()
+            self._wait_s = self._queue.estimate_wait_s()
