--- a/experiments/retries/__main__.py
+++ b/experiments/retries/__main__.py
@@ -63,7 +63,7 @@
 def _choose_policies(fault: Fault) -> tuple[Policy, ...]:
     policies = RETRY_POLICIES
     if fault in TIMEOUT_FAULTS:
-        policies = (*policies, Policy.FLAT)
+        policies = (*policies, Policy.FLAT, Policy.DEAR)
     if fault in CRASH_FAULTS:
         policies = tuple(dict.fromkeys([*policies, *CRASH_POLICIES]))
     return policies
--- a/experiments/retries/_plot.py
+++ b/experiments/retries/_plot.py
@@ -10,7 +10,7 @@
 
 __all__ = ["plot"]
 
-BAR_WIDTH = 0.1
+BAR_WIDTH = 0.09
 HEADINGS = ("added %", "success %", "p99 s")
 
 
@@ -26,7 +26,7 @@
             values = [[read(each) for each in row] for row in rows if row]
             middles = np.median(values, axis=1)
             errors = [middles - np.min(values, 1), np.max(values, 1) - middles]
-            x = np.array(places) + (offset - 3) * BAR_WIDTH
+            x = np.array(places) + (offset - 4) * BAR_WIDTH
             axes.bar(x, middles, BAR_WIDTH, yerr=errors, label=policy.value)
         axes.set_ylabel(heading)
         axes.set_yscale("symlog" if heading == "added %" else "linear")
--- a/experiments/retries/_scenario.py
+++ b/experiments/retries/_scenario.py
@@ -45,6 +45,7 @@
     UNBOUNDED = "unbounded retries"
     BUDGETED = "budgeted retries"
     FLAT = "budgeted, timeouts cost 1"
+    DEAR = "budgeted, timeouts cost 2"
     HEDGED = "budgeted, hedged"
     HEDGED_RARELY = "budgeted, hedged rarely"
     LOCAL_QUARANTINE = "budgeted, quarantine untold"
@@ -53,6 +54,7 @@
 
 RETRY_SETTINGS = {
     Policy.FLAT: RetrySettings(timeout_cost=1.0),
+    Policy.DEAR: RetrySettings(timeout_cost=2.0),
     Policy.UNBOUNDED: RetrySettings(
         max_attempts=10,
         budget_ratio=0.99,
--- a/oriolepaddle/retries/settings.py
+++ b/oriolepaddle/retries/settings.py
@@ -37,7 +37,7 @@
     max_attempts: int = 3
     budget_ratio: float = 0.08
     budget_cap: float = 10.0
-    timeout_cost: float = 2.0
+    timeout_cost: float = 1.5
     organisation_cap: float = 5.0
     organisation_share: float = 0.02
     endpoint_cap: float = 5.0
