--- a/experiments/retries/_cost.py
+++ b/experiments/retries/_cost.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import numpy as np
 from rich.console import Console
 from rich.table import Table
 from thrift.protocol.TCompactProtocol import TCompactProtocol
 from thrift.transport.TTransport import TMemoryBuffer
 
+from experiments.retries._events import EventLoop
+from experiments.retries._links import LinkModel
 from oriolepaddle.clock import ManualClock, SystemClock
 from oriolepaddle.errors import EndpointRefusedError
 from oriolepaddle.peers import PeerIdentity
@@ -29,6 +32,7 @@
 REPEATS = 2_000
 ENTRIES = 1_024
 RUNS_IN_FLIGHT = 330
+RUNS_AT_A_CRASH = 8
 US_PER_S = 1_000_000
 
 
@@ -39,6 +43,7 @@
         *_measure_policy(),
         *_measure_fingerprints(),
         *_measure_quarantine(),
+        *_measure_spread(),
     ]:
         table.add_row(name, cost)
     Console().print(table)
@@ -89,14 +94,60 @@
             quarantine.started(b"run-%d" % number, f"endpoint-{number % 100}")
         cost = _time_us(lambda quarantine=quarantine: _run_once(quarantine))
         rows.append((f"one run with {entries} entries", cost))
-    buffer = TMemoryBuffer()
-    quarantine.export().write(TCompactProtocol(buffer))
-    size_bytes = len(buffer.getvalue()) / ENTRIES
+    size_bytes = _count_bytes(quarantine.export()) / ENTRIES
     rows.append(("report of an entry", f"{size_bytes:.0f} bytes"))
     rows.append(("digest of 1024 entries", _time_us(quarantine.digest, 20)))
     return rows
 
 
+def _count_bytes(struct: object) -> int:
+    buffer = TMemoryBuffer()
+    struct.write(TCompactProtocol(buffer))
+    return len(buffer.getvalue())
+
+
+class _CountingLinks(LinkModel):
+    """Links that count what they carry."""
+
+    calls = 0
+    sent_bytes = 0
+
+    def carry(self, instance: str, method: str, request: object) -> object:
+        """Carry and count a call."""
+        self.calls += 1
+        self.sent_bytes += _count_bytes(request)
+        return super().carry(instance, method, request)
+
+
+def _measure_spread() -> list[tuple[str, str]]:
+    """Crash an endpoint with some runs in flight, then run the suspects again."""
+    rows = []
+    for instances in (4, 7, 13):
+        loop = EventLoop()
+        links = _CountingLinks(loop, instances, np.random.default_rng(1), 1)
+        loop.run(1.0)
+        calls, sent_bytes = links.calls, links.sent_bytes
+        quarantine = links.quarantines[0]
+        evidence = CrashEvidence(ConnectionEnd.RESET, incarnation_before="1767225600")
+        names = [b"%016d" % number for number in range(RUNS_AT_A_CRASH)]
+        runs = [quarantine.started(name, "endpoint") for name in names]
+        for run in runs:
+            run.crashed(evidence)
+        for number, name in enumerate(names):
+            quarantine.may_start(name, f"endpoint-{number}")
+        loop.run(2.0)
+        for number, name in enumerate(names):
+            quarantine.may_start(name, f"endpoint-{number}")
+            quarantine.started(name, f"endpoint-{number}").finished()
+        loop.run(5.0)
+        calls = (links.calls - calls) / instances
+        sent = (links.sent_bytes - sent_bytes) / instances
+        name = f"a crash under {RUNS_AT_A_CRASH} runs, full mesh of {instances}"
+        cost = f"{calls:.1f} calls, {sent / 1000:.1f} kB from each"
+        rows.append((name, cost))
+    return rows
+
+
 def _make_quarantine(entries: int) -> Quarantine:
     clock = ManualClock()
     identity = PeerIdentity("instance", 1, "data-centre")
