--- a/experiments/retries/_plot.py
+++ b/experiments/retries/_plot.py
@@ -30,6 +30,7 @@
             axes.bar(x, middles, BAR_WIDTH, yerr=errors, label=policy.value)
         axes.set_ylabel(heading)
         axes.set_yscale("symlog" if heading == "added %" else "linear")
-    axes.set_xticks(range(len(faults)), [fault.value for fault in faults], rotation=25)
+    names = [fault.value for fault in faults]
+    axes.set_xticks(range(len(faults)), names, rotation=25, ha="right")
     axes.legend(ncols=3)
     figure.savefig(path)
--- a/experiments/retries/_table.py
+++ b/experiments/retries/_table.py
@@ -32,7 +32,7 @@
 
 def print_table(results: Results, seeds: int) -> None:
     """Print the median of each measure with the lowest and highest seed."""
-    table = Table(title=f"median [lowest, highest] of {seeds} seeds")
+    table = Table(title=f"median of {seeds} seeds, lowest and highest in brackets")
     for heading in ("fault", "policy", *COLUMNS):
         table.add_column(heading, no_wrap=True)
     last = None
