--- a/oriolepaddle/quarantine/tests/test_quarantine.py
+++ b/oriolepaddle/quarantine/tests/test_quarantine.py
@@ -1,3 +1,5 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
@@ -223,3 +225,20 @@
         with pytest.raises(RefusedError):
             quarantine.started(CRASHER, "e2")
         assert quarantine.may_start(CRASHER, "e2").action is StartAction.WAIT
+
+    def test_threads_start_a_suspect_once(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        quarantine.may_start(CRASHER, "e2")
+        clock.advance(SETTINGS.claim_wait)
+        barrier = threading.Barrier(8)
+
+        def start():
+            barrier.wait(10)
+            try:
+                return quarantine.started(CRASHER, "e2")
+            except RefusedError:
+                return None
+
+        with ThreadPoolExecutor(8) as executor:
+            futures = [executor.submit(start) for _ in range(8)]
+        assert sum(future.result() is not None for future in futures) == 1
