--- a/oriolepaddle/quarantine/tests/test_quarantine.py
+++ b/oriolepaddle/quarantine/tests/test_quarantine.py
@@ -1,9 +1,11 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
 
 from oriolepaddle.clock import ManualClock
-from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.errors import ErrorCode, Outcome, RefusedError, SettingsError
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.quarantine import (
     ConnectionEnd,
@@ -150,6 +152,21 @@
         assert is_refused(quarantine, CRASHER)
 
 
+class TestQuarantineSettings:
+    @pytest.mark.parametrize(
+        "wrong",
+        [
+            {"crash_limit": 1},
+            {"spread_time": timedelta(0)},
+            {"life": timedelta(0)},
+            {"claim_renewal": timedelta(minutes=1)},
+        ],
+    )
+    def test_settings_out_of_range_are_refused(self, wrong):
+        with pytest.raises(SettingsError):
+            QuarantineSettings(**wrong)
+
+
 class TestTrials:
     def test_suspect_keeps_off_where_it_crashed(self, quarantine, clock):
         crash(quarantine, clock, CRASHER, "e1")
@@ -208,3 +225,20 @@
         with pytest.raises(RefusedError):
             quarantine.started(CRASHER, "e2")
         assert quarantine.may_start(CRASHER, "e2").action is StartAction.WAIT
+
+    def test_threads_start_a_suspect_once(self, quarantine, clock):
+        crash(quarantine, clock, CRASHER, "e1")
+        quarantine.may_start(CRASHER, "e2")
+        clock.advance(SETTINGS.claim_wait)
+        barrier = threading.Barrier(8)
+
+        def start():
+            barrier.wait(10)
+            try:
+                return quarantine.started(CRASHER, "e2")
+            except RefusedError:
+                return None
+
+        with ThreadPoolExecutor(8) as executor:
+            futures = [executor.submit(start) for _ in range(8)]
+        assert sum(future.result() is not None for future in futures) == 1
