--- a/oriolepaddle/orders/limits.py
+++ b/oriolepaddle/orders/limits.py
@@ -20,7 +20,8 @@
     Attributes:
         lifetime: How long a number may be used after its issue.
         max_bytes: The most bytes kept for records and answers together. Once
-            it is reached, answers give way to records down to half of it.
+            it is reached, answers give way to records down to half of it. Only
+            the records of orders that are running may exceed it.
         max_answer_bytes: The largest answer that is kept.
         max_wait: How long a repeat waits for the first run's answer.
         max_waiters: Repeats that wait side by side; others are told at once
