--- a/oriolepaddle/orders/tests/fleet.py
+++ b/oriolepaddle/orders/tests/fleet.py
@@ -110,7 +110,7 @@
         self.revoked = False
         codec = OrderNumberCodec((b"secret",))
         clock = fleet.clock
-        limits = OrderLimits(lifetime=LIFETIME)
+        limits = OrderLimits(lifetime=LIFETIME, max_bytes=fleet.max_bytes)
         self.executor = PausableExecutor()
         self.registry = OrderRegistry(
             self.identity, codec, clock, limits, life=incarnation
@@ -169,7 +169,8 @@
 class Fleet:
     """The nodes, the endpoint and the faults of the network between them."""
 
-    def __init__(self):
+    def __init__(self, max_bytes=1_000_000):
+        self.max_bytes = max_bytes
         self.clock = SteppingClock()
         self.endpoint = Endpoint(self)
         self.incarnations = itertools.count(1)
--- a/oriolepaddle/orders/tests/test_fleet.py
+++ b/oriolepaddle/orders/tests/test_fleet.py
@@ -146,7 +146,8 @@
 
     def __init__(self):
         super().__init__()
-        self.fleet = Fleet()
+        # So little room that used numbers are evicted.
+        self.fleet = Fleet(max_bytes=3_000)
         self.numbers = [
             self.fleet.nodes[node].registry.issue("office") for node in NODES
         ]
