--- /dev/null
+++ b/experiments/spread.py
@@ -0,0 +1,245 @@
+"""How fast a ticket is in force everywhere, and what that costs.
+
+Run with `python -m experiments.spread`. The real classes run on a model of the
+network and the platform, see `_spread_model`.
+"""
+
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+from rich.console import Console
+from rich.table import Table
+
+from experiments._spread_model import (
+    Events,
+    Fleet,
+    ModelPlatform,
+    PlatformTask,
+    PlatformView,
+)
+from oriolepaddle.config import (
+    ConfigState,
+    PlatformReader,
+    Rejections,
+    StalenessGuard,
+    parse_ticket,
+    write_ticket,
+)
+from oriolepaddle.config.ticket import Ticket
+
+__all__ = ["SpreadResult", "main", "run_outage", "run_spread"]
+
+SIZES = ((6, 3), (12, 6), (24, 8), (48, 12), (420, 52))
+CHANGES_PER_S = 19_000 / 86_400
+WARM_UP_S = 20.0
+MEASURED_S = 60.0
+SETTLING_S = 10.0
+OUTAGE_S = 300.0
+AFTER_OUTAGE_S = 60
+
+
+@attrs.frozen
+class SpreadResult:
+    """What one run gave.
+
+    Attributes:
+        instances: How many instances there were.
+        data_centres: Over how many data centres.
+        case: Who read the platform.
+        tickets: How many tickets were issued.
+        median_s: Median over tickets of the time until the last instance.
+        worst_s: The greatest of these times.
+        unspread: Tickets that were not in force everywhere at the end.
+        mean_bytes_per_s: Bytes sent and received, mean over instances.
+        worst_bytes_per_s: The same of the busiest instance.
+        calls_per_s: The platform's busiest second.
+        load_age_s: Median age of the load summaries that one instance holds.
+        cpu_share: Processor time of the model and the classes, as a part of
+            one core for each instance.
+        bytes_by_method: Bytes a second and instance of each method.
+    """
+
+    instances: int
+    data_centres: int
+    case: str
+    tickets: int
+    median_s: float
+    worst_s: float
+    unspread: int
+    mean_bytes_per_s: float
+    worst_bytes_per_s: float
+    calls_per_s: int
+    load_age_s: float
+    cpu_share: float
+    bytes_by_method: dict[str, float]
+
+
+CASES: dict[str, Callable[[str], bool]] = {
+    "all read the platform": lambda data_centre: True,
+    "one data centre reads it": lambda data_centre: data_centre == "dc0",
+    "platform down": lambda data_centre: False,
+}
+
+
+def run_spread(instances: int, data_centres: int, case: str) -> SpreadResult:
+    """Issue tickets at the daily rate and measure their spread."""
+    fleet = Fleet(instances, data_centres)
+    fleet.events.run_until(WARM_UP_S)
+    for node in fleet.nodes.values():
+        node.platform.is_cut = not CASES[case](node.instance.data_centre)
+    fleet.reset_counts()
+    fleet.platform.calls.clear()
+    started_s = time.process_time()
+    issued = _issue_tickets(fleet, case)
+    fleet.events.run_until(WARM_UP_S + MEASURED_S)
+    cpu_s = time.process_time() - started_s
+    spent = dict(fleet.bytes)
+    by_method = dict(fleet.bytes_by_method)
+    load_age_s = _measure_load_age_s(fleet)
+    fleet.events.run_until(WARM_UP_S + MEASURED_S + SETTLING_S)
+    times = list(_measure_spread(fleet, issued))
+    whole = [duration for duration in times if duration is not None]
+    return SpreadResult(
+        instances=instances,
+        data_centres=data_centres,
+        case=case,
+        tickets=len(issued),
+        median_s=statistics.median(whole),
+        worst_s=max(whole),
+        unspread=len(times) - len(whole),
+        mean_bytes_per_s=sum(spent.values()) / instances / MEASURED_S,
+        worst_bytes_per_s=max(spent.values()) / MEASURED_S,
+        calls_per_s=max(fleet.platform.calls.values(), default=0),
+        load_age_s=load_age_s,
+        cpu_share=cpu_s / MEASURED_S / instances,
+        bytes_by_method={
+            name: 2 * size / instances / MEASURED_S for name, size in by_method.items()
+        },
+    )
+
+
+def run_outage(instances: int) -> tuple[int, float]:
+    """Let all readers return after an outage.
+
+    Returns:
+        The busiest second's calls, and the seconds until the last instance
+        has a ticket that was published during the outage.
+    """
+    events = Events()
+    platform = ModelPlatform(events)
+    states = []
+    for number in range(instances):
+        clock, state = events.clock, ConfigState()
+        staleness, generator = StalenessGuard(clock, None), random.Random(number)
+        reader = PlatformReader(
+            clock, platform, state, Rejections(clock), staleness, generator
+        )
+        for prefix in reader.readers:
+            PlatformTask(events, PlatformView(platform), prefix)
+        states.append(state)
+    events.run_until(WARM_UP_S)
+    platform.is_down = True
+    platform.publish("tickets/1", write_ticket(_make_ticket(1)))
+    events.run_until(WARM_UP_S + OUTAGE_S)
+    platform.is_down = False
+    platform.calls.clear()
+    waited_s = 0
+    while any(state.highest_number < 1 for state in states):
+        waited_s += 1
+        events.run_until(WARM_UP_S + OUTAGE_S + waited_s)
+    events.run_until(WARM_UP_S + OUTAGE_S + AFTER_OUTAGE_S)
+    return max(platform.calls.values()), float(waited_s)
+
+
+def _issue_tickets(fleet: Fleet, case: str) -> dict[int, float]:
+    generator = random.Random(19_000)
+    issued: dict[int, float] = {}
+    at_s = WARM_UP_S
+    number = 0
+    while (at_s := at_s + generator.expovariate(CHANGES_PER_S)) < (
+        WARM_UP_S + MEASURED_S
+    ):
+        number += 1
+        issued[number] = at_s
+        ticket = _make_ticket(number)
+        place = generator.choice(list(fleet.nodes.values()))
+        if case == "platform down":
+            fleet.events.at(at_s, lambda p=place, t=ticket: p.state.merge(t.entries))
+        else:
+            text = write_ticket(ticket)
+            key = f"tickets/{number}"
+            fleet.events.at(at_s, lambda k=key, t=text: fleet.platform.publish(k, t))
+    return issued
+
+
+def _measure_spread(fleet: Fleet, issued: dict[int, float]) -> Iterator[float | None]:
+    for number, at_s in issued.items():
+        in_force = fleet.in_force[number]
+        is_whole = len(in_force) == len(fleet.nodes)
+        yield max(in_force.values()) - at_s if is_whole else None
+
+
+def _measure_load_age_s(fleet: Fleet) -> float:
+    node = next(iter(fleet.nodes.values()))
+    summaries = node.membership.load_summaries()
+    return statistics.median(summary.age.total_seconds() for summary in summaries)
+
+
+def _make_ticket(number: int) -> Ticket:
+    key = f"key-{number:05d}"
+    value = f'{{"organisation": "organisation-{number:05d}", "digest": "{"0" * 64}"}}'
+    text = f'{{"kind": "key", "id": "{key}", "value": {value}}}'
+    return parse_ticket(f'{{"number": {number}, "objects": [{text}]}}')
+
+
+def _print_results(results: list[SpreadResult]) -> None:
+    table = Table(title="Spread of tickets at 19,000 a day")
+    columns = ("instances", "data centres", "case", "tickets", "not spread")
+    columns += ("in force, median s", "worst s", "B/s mean", "B/s worst")
+    columns += ("platform calls/s", "load age s", "core %")
+    for column in columns:
+        table.add_column(column, justify="right")
+    for result in results:
+        table.add_row(
+            str(result.instances),
+            str(result.data_centres),
+            result.case,
+            str(result.tickets),
+            str(result.unspread),
+            f"{result.median_s:.2f}",
+            f"{result.worst_s:.2f}",
+            f"{result.mean_bytes_per_s:.0f}",
+            f"{result.worst_bytes_per_s:.0f}",
+            str(result.calls_per_s),
+            f"{result.load_age_s:.1f}",
+            f"{100 * result.cpu_share:.2f}",
+        )
+    console = Console(width=150)
+    console.print(table)
+    for name, rate in sorted(results[-1].bytes_by_method.items()):
+        console.print(f"last row, {name}: {rate:.0f} B/s sent and received")
+
+
+def main(arguments: list[str]) -> None:
+    """Run all sizes and cases, or those up to a size, and print the table."""
+    largest = int(arguments[0]) if arguments else SIZES[-1][0]
+    results = [
+        run_spread(instances, data_centres, case)
+        for instances, data_centres in SIZES
+        for case in CASES
+        if instances <= largest
+    ]
+    _print_results(results)
+    calls, waited_s = run_outage(largest)
+    print(
+        f"after an outage of {OUTAGE_S:.0f} s, {largest} instances: "
+        f"{calls} calls in the busiest second, last instance after {waited_s:.0f} s"
+    )
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/oriolepaddle/config/platform_reader.py
+++ b/oriolepaddle/config/platform_reader.py
@@ -53,7 +53,8 @@
         self._rejections = rejections
         self._assembler = SnapshotAssembler()
         self._digests: OrderedDict[int, tuple[str, int]] = OrderedDict()
-        self._readers = tuple(
+        #: One for each prefix, the snapshots' first.
+        self.readers = tuple(
             PrefixReader(
                 clock, service, prefix, apply, staleness.note_contact, generator
             )
@@ -68,27 +69,27 @@
     @property
     def is_complete(self) -> bool:
         """Whether all that the platform held was read since the start."""
-        return all(reader.is_complete for reader in self._readers)
+        return all(reader.is_complete for reader in self.readers)
 
     @property
     def has_failed(self) -> bool:
         """Whether the last call of a prefix was not answered."""
-        return any(reader.has_failed for reader in self._readers)
+        return any(reader.has_failed for reader in self.readers)
 
     @property
     def calls(self) -> int:
         """How many calls were made, watches included."""
-        return sum(reader.calls for reader in self._readers)
+        return sum(reader.calls for reader in self.readers)
 
     def tick(self) -> None:
         """Make the calls that are due, without waiting for changes."""
-        for reader in self._readers:
+        for reader in self.readers:
             if reader.due_at_s <= self._clock.monotonic_s():
                 reader.step(timedelta())
 
     def start(self) -> None:
         """Follow each prefix on a thread of its own until `stop`."""
-        for reader in self._readers:
+        for reader in self.readers:
             thread = threading.Thread(
                 target=self._follow, args=(reader,), name="config-reader", daemon=True
             )
--- a/oriolepaddle/config/sync.py
+++ b/oriolepaddle/config/sync.py
@@ -33,7 +33,7 @@
 
 __all__ = ["ConfigSync"]
 
-LOOK_INTERVAL = timedelta(milliseconds=50)
+LOOK_INTERVAL = timedelta(milliseconds=100)
 PUSH_TIMEOUT = timedelta(seconds=2)
 # What the platform published reaches most peers by their own watch meanwhile.
 PUBLISHED_DELAY_S = 2.0
@@ -276,4 +276,6 @@
             peer.retry_at_s = self._clock.monotonic_s() + pause_s
 
     def _peer(self, name: str) -> PeerSync:
-        return self._peers.setdefault(name, PeerSync(name))
+        if name not in self._peers:
+            self._peers[name] = PeerSync(name)
+        return self._peers[name]
--- a/oriolepaddle/config/tests/test_sync.py
+++ b/oriolepaddle/config/tests/test_sync.py
@@ -41,7 +41,7 @@
         stale = Platform()
         for number, node in enumerate(fleet.nodes.values()):
             if number != place:
-                for reader in node.reader._readers:
+                for reader in node.reader.readers:
                     reader._service = stale
         fleet.platform.publish("tickets/2", make_ticket(2, ("x", 5)))
         fleet.run(IN_FORCE_S)
@@ -203,7 +203,7 @@
         due = {
             reader.due_at_s
             for node in fleet.nodes.values()
-            for reader in node.reader._readers
+            for reader in node.reader.readers
         }
         assert max(due) - min(due) > 5
         before = fleet.platform.calls
--- a/oriolepaddle/membership/load.py
+++ b/oriolepaddle/membership/load.py
@@ -1,6 +1,9 @@
 """Summaries of load that spread from data centre to data centre."""
 
+import bisect
+import itertools
 import threading
+from collections.abc import Iterator
 from datetime import timedelta
 
 import attrs
@@ -11,6 +14,7 @@
 
 LOAD_LIFE = timedelta(seconds=120)
 REFRESH_S = 4.0
+EXPIRE_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -42,6 +46,18 @@
 Name = tuple[str, str]
 
 
+@attrs.define
+class _Sent:
+    """What one peer has, and the name after which it is told next."""
+
+    cursor: Name = ("", "")
+    measured_at_s: dict[Name, float] = attrs.field(factory=dict)
+
+    def lacks(self, name: Name, measured_at_s: float) -> bool:
+        held_s = self.measured_at_s.get(name)
+        return held_s is None or measured_at_s - held_s >= REFRESH_S
+
+
 class LoadBoard:
     """The freshest summary of each data centre and route. Thread-safe."""
 
@@ -49,7 +65,9 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._held: dict[Name, _Held] = {}
-        self._sent: dict[str, dict[Name, float]] = {}
+        self._names: list[Name] = []
+        self._sent: dict[str, _Sent] = {}
+        self._expire_at_s = 0.0
 
     def put(self, summary: LoadSummary, source: str | None) -> None:
         """Keep a summary if it is fresher than the one held.
@@ -64,11 +82,13 @@
         name = (summary.data_centre, summary.route)
         with self._lock:
             held = self._held.get(name)
+            if held is None:
+                bisect.insort(self._names, name)
             if held is None or held.measured_at_s < measured_at_s:
                 self._held[name] = _Held(summary, measured_at_s, source)
             if source is not None:
-                sent = self._sent.setdefault(source, {})
-                sent[name] = max(sent.get(name, measured_at_s), measured_at_s)
+                times = self._sent.setdefault(source, _Sent()).measured_at_s
+                times[name] = max(times.get(name, measured_at_s), measured_at_s)
 
     def summaries(self) -> tuple[LoadSummary, ...]:
         """Return the summaries, each with its age now."""
@@ -79,7 +99,7 @@
     def choose(
         self, peer: str, skipped_sources: frozenset[str], limit: int
     ) -> tuple[LoadSummary, ...]:
-        """Return the summaries that `peer` lacks longest, and mark them sent.
+        """Return summaries that `peer` lacks, in turn, and mark them sent.
 
         Args:
             peer: The peer to send to.
@@ -88,18 +108,19 @@
         """
         with self._lock:
             self._expire()
-            sent = self._sent.setdefault(peer, {})
-            due = [
-                (held.measured_at_s - sent.get(name, float("-inf")), name, held)
-                for name, held in self._held.items()
-                if held.source is None or held.source not in skipped_sources
-            ]
-            due = [item for item in due if item[0] >= REFRESH_S]
-            due.sort(key=lambda item: (-item[0], item[1]))
-            chosen = due[:limit]
-            for _, name, held in chosen:
-                sent[name] = held.measured_at_s
-            return tuple(self._age(held) for _, _, held in chosen)
+            sent = self._sent.setdefault(peer, _Sent())
+            chosen = []
+            for name in self._iterate_from(sent.cursor):
+                held = self._held[name]
+                is_skipped = held.source is not None and held.source in skipped_sources
+                if is_skipped or not sent.lacks(name, held.measured_at_s):
+                    continue
+                sent.measured_at_s[name] = held.measured_at_s
+                sent.cursor = name
+                chosen.append(self._age(held))
+                if len(chosen) == limit:
+                    break
+            return tuple(chosen)
 
     def forget(self, peer: str) -> None:
         """Forget what was sent to a peer that went or restarted."""
@@ -108,10 +129,27 @@
 
     def _age(self, held: _Held) -> LoadSummary:
         age_s = max(0.0, self._clock.monotonic_s() - held.measured_at_s)
-        return attrs.evolve(held.summary, age=timedelta(seconds=age_s))
+        summary = held.summary
+        return LoadSummary(
+            summary.data_centre,
+            summary.route,
+            summary.queueing,
+            summary.free_slots,
+            timedelta(seconds=age_s),
+        )
+
+    def _iterate_from(self, cursor: Name) -> Iterator[Name]:
+        start = bisect.bisect_right(self._names, cursor)
+        return itertools.chain(self._names[start:], self._names[:start])
 
     def _expire(self) -> None:
-        oldest_s = self._clock.monotonic_s() - LOAD_LIFE.total_seconds()
+        now_s = self._clock.monotonic_s()
+        if now_s < self._expire_at_s:
+            return
+        self._expire_at_s = now_s + EXPIRE_INTERVAL_S
+        oldest_s = now_s - LOAD_LIFE.total_seconds()
         gone = [n for n, held in self._held.items() if held.measured_at_s < oldest_s]
         for name in gone:
             del self._held[name]
+        if gone:
+            self._names = sorted(self._held)
