--- a/oriolepaddle/config/prefix_reader.py
+++ b/oriolepaddle/config/prefix_reader.py
@@ -43,12 +43,12 @@
     ) -> None:
         self._clock = clock
         self._service = service
-        self._prefix = prefix
+        self.prefix = prefix
         self._apply = apply
         self._note_contact = note_contact
         self._generator = generator
         self._backoff = Backoff(generator, SHORTEST_BACKOFF, LONGEST_BACKOFF)
-        self._revision = 0
+        self.revision = 0
         self.is_complete = False
         self.has_failed = False
         self.due_at_s = 0.0
@@ -75,18 +75,18 @@
 
     def _call(self, timeout: timedelta) -> ServiceReading:
         if not self.is_complete:
-            return self._service.read(self._prefix, self._revision)
-        return self._service.watch(self._prefix, self._revision, timeout)
+            return self._service.read(self.prefix, self.revision)
+        return self._service.watch(self.prefix, self.revision, timeout)
 
     def _take(self, reading: ServiceReading) -> None:
         self._apply(reading.values)
-        if reading.revision < self._revision:
+        if reading.revision < self.revision:
             # A stale copy, or one restored from a backup, whose later values
             # would carry revisions that were seen before: read it whole.
-            self._revision = 0
+            self.revision = 0
             self.is_complete = False
         else:
-            self._revision = reading.revision
+            self.revision = reading.revision
             self.is_complete = reading.is_complete
         is_behind = not reading.is_complete
         pause_s = self._generator.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)
--- a/oriolepaddle/membership/load.py
+++ b/oriolepaddle/membership/load.py
@@ -3,7 +3,7 @@
 import bisect
 import itertools
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -59,13 +59,21 @@
 
 
 class LoadBoard:
-    """The freshest summary of each data centre and route. Thread-safe."""
+    """The freshest summary of each data centre and route. Thread-safe.
 
-    def __init__(self, clock: Clock) -> None:
+    Args:
+        clock: The time.
+        is_near: Whether a data centre's summaries go out before others': half
+            of each message is kept for them.
+    """
+
+    def __init__(self, clock: Clock, is_near: Callable[[str], bool]) -> None:
         self._clock = clock
+        self._is_near = is_near
         self._lock = threading.Lock()
         self._held: dict[Name, _Held] = {}
         self._names: list[Name] = []
+        self._near_names: list[Name] = []
         self._sent: dict[str, _Sent] = {}
         self._expire_at_s = 0.0
 
@@ -84,6 +92,7 @@
             held = self._held.get(name)
             if held is None:
                 bisect.insort(self._names, name)
+                self._expire_at_s = 0.0
             if held is None or held.measured_at_s < measured_at_s:
                 self._held[name] = _Held(summary, measured_at_s, source)
             if source is not None:
@@ -109,19 +118,36 @@
         with self._lock:
             self._expire()
             sent = self._sent.setdefault(peer, _Sent())
-            chosen = []
-            for name in self._iterate_from(sent.cursor):
-                held = self._held[name]
-                is_skipped = held.source is not None and held.source in skipped_sources
-                if is_skipped or not sent.lacks(name, held.measured_at_s):
-                    continue
-                sent.measured_at_s[name] = held.measured_at_s
-                sent.cursor = name
-                chosen.append(self._age(held))
-                if len(chosen) == limit:
-                    break
+            chosen = self._choose_from(
+                self._near_names, sent, skipped_sources, limit // 2
+            )
+            left = limit - len(chosen)
+            chosen += self._choose_from(self._names, sent, skipped_sources, left)
             return tuple(chosen)
 
+    def _choose_from(
+        self,
+        names: list[Name],
+        sent: _Sent,
+        skipped_sources: frozenset[str],
+        limit: int,
+    ) -> list[LoadSummary]:
+        chosen: list[LoadSummary] = []
+        start = bisect.bisect_right(names, sent.cursor)
+        for name in itertools.chain(names[start:], names[:start]):
+            if len(chosen) == limit:
+                break
+            held = self._held[name]
+            is_skipped = held.source is not None and held.source in skipped_sources
+            if is_skipped or not sent.lacks(name, held.measured_at_s):
+                continue
+            sent.measured_at_s[name] = held.measured_at_s
+            chosen.append(self._age(held))
+            cursor = name
+        if chosen and names is self._names:
+            sent.cursor = cursor
+        return chosen
+
     def forget(self, peer: str) -> None:
         """Forget what was sent to a peer that went or restarted."""
         with self._lock:
@@ -138,10 +164,6 @@
             timedelta(seconds=age_s),
         )
 
-    def _iterate_from(self, cursor: Name) -> Iterator[Name]:
-        start = bisect.bisect_right(self._names, cursor)
-        return itertools.chain(self._names[start:], self._names[:start])
-
     def _expire(self) -> None:
         now_s = self._clock.monotonic_s()
         if now_s < self._expire_at_s:
@@ -151,5 +173,5 @@
         gone = [n for n, held in self._held.items() if held.measured_at_s < oldest_s]
         for name in gone:
             del self._held[name]
-        if gone:
-            self._names = sorted(self._held)
+        self._names = sorted(self._held)
+        self._near_names = [name for name in self._names if self._is_near(name[0])]
--- a/oriolepaddle/membership/membership.py
+++ b/oriolepaddle/membership/membership.py
@@ -15,6 +15,7 @@
 from oriolepaddle.membership.member import Member, MemberStatus
 from oriolepaddle.membership.peer import Peer
 from oriolepaddle.membership.peer_table import PeerTable
+from oriolepaddle.membership.regions import Regions
 from oriolepaddle.membership.runner import PeerRunner
 from oriolepaddle.membership.suggestion import Suggestion, order_by_size
 from oriolepaddle.membership.table import MemberTable
@@ -62,12 +63,12 @@
         self._clock = clock
         self._identity = identity
         self._caller = caller
-        self._region_of = region_of
+        self._regions = Regions(identity.data_centre, region_of)
         self._generator = generator
         self._lock = threading.RLock()
         own = Member(instance, identity.incarnation, 0.0)
         self._table = MemberTable(own, seeds)
-        self._loads = LoadBoard(clock)
+        self._loads = LoadBoard(clock, self._regions.is_near)
         self._exchange = HeartbeatExchange(
             clock, identity, self._table, self._loads, config_digest
         )
@@ -213,7 +214,8 @@
             usable = [
                 instance
                 for instance in self.instances()
-                if self._is_in(instance, place) and self._is_usable(instance)
+                if self._regions.is_in(instance.data_centre, place)
+                and self._is_usable(instance)
             ]
             return Suggestion(order_by_size(usable, count, self._generator))
 
@@ -286,10 +288,6 @@
     def _mesh(self) -> frozenset[str]:
         return frozenset(self.links().mesh)
 
-    def _is_in(self, instance: Instance, place: str | None) -> bool:
-        data_centre = instance.data_centre
-        return place is None or place in (data_centre, self._region_of(data_centre))
-
     def _is_usable(self, instance: Instance) -> bool:
         if instance.id == self._identity.instance:
             return self._exchange.is_ready and not self._table.own.is_leaving
--- a/oriolepaddle/membership/peer_table.py
+++ b/oriolepaddle/membership/peer_table.py
@@ -11,7 +11,7 @@
 
 __all__ = ["PeerTable"]
 
-HEARTBEATS_PER_S = 6.0
+HEARTBEATS_PER_S = 5.0
 MIN_INTERVAL_S = 1.0
 MAX_INTERVAL_S = 5.0
 INTERVALS_TO_TIMEOUT = 3
