Drop new connections in the kernel before a listener closes

Cause: under load a drain still reset connections: between the last look at the backlog and the close more of them were made. Ruled out: unread bytes of refused requests (bodies are read before a refusal) and connections closed as idle (they get a second for their first request). Change: a filter on the listener drops first packets; what was made before is accepted and served. Conclusion: a shutdown cuts no request that reached it.

--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -15,6 +15,7 @@
 from oriolepaddle.web.application import Application
 from oriolepaddle.web.connection import HttpConnection
 from oriolepaddle.web.limits import ServerLimits
+from oriolepaddle.web.syn_filter import drop_new_connections
 from oriolepaddle.web.writer import AnswerWriter
 
 __all__ = ["HttpServer"]
@@ -61,6 +62,7 @@
         self.ssl_context = tls
         self.is_draining = False
         self.is_closed = False
+        self._is_stopping = False
         self.refused_connections = 0
         self._listener = create_server((host, port), backlog=BACKLOG)
         self.server_address = self._listener.getsockname()
@@ -86,6 +88,7 @@
         is reset before its request was read.
         """
         self.is_draining = True
+        self._is_stopping = True
         if self._acceptor.is_alive():
             self._acceptor.join()
         self._listener.close()
@@ -118,14 +121,14 @@
     def _accept(self) -> None:
         poller = select.poll()
         poller.register(self._listener, select.POLLIN)
-        while True:
-            # Read before the poll: what came before draining is then served.
-            is_draining = self.is_draining
-            timeout = timedelta(0) if is_draining else ACCEPT_INTERVAL
-            if poller.poll(timeout.total_seconds() * 1000):
+        interval_ms = ACCEPT_INTERVAL.total_seconds() * 1000
+        while not self._is_stopping:
+            if poller.poll(interval_ms):
                 self._accept_one()
-            elif is_draining:
-                return
+        drop_new_connections(self._listener)
+        while poller.poll(interval_ms):
+            self._accept_one()
+        self._listener.close()
 
     def _accept_one(self) -> None:
         try:
--- a/oriolepaddle/web/tests/test_server.py
+++ b/oriolepaddle/web/tests/test_server.py
@@ -145,3 +145,29 @@
                 connect(server)
             server.application.release.set()
             assert read_answer(busy)[0] == 200
+
+    def test_stop_accepting_resets_no_connection(self):
+        server = make_server()
+        outcomes = []
+        stopping = threading.Event()
+
+        def call():
+            while not stopping.is_set():
+                try:
+                    outcomes.append(send(server, b"GET / HTTP/1.1\r\n\r\n")[0])
+                except ConnectionRefusedError:
+                    return
+                except OSError as error:
+                    outcomes.append(error)
+
+        callers = [threading.Thread(target=call) for _ in range(8)]
+        for caller in callers:
+            caller.start()
+        while len(outcomes) < 100:
+            threading.Event().wait(0.001)
+        server.stop_accepting()
+        stopping.set()
+        for caller in callers:
+            caller.join()
+        server.close()
+        assert set(outcomes) == {200}
