Don't condemn a request that another accompanied at each of its crashes

Cause: while instances are cut from each other but reach the same endpoints, a suspect of one part can run beside the crasher of the other part, twice, and was refused for an hour after the cut had healed. Ruled out: a shorter life (more crashes by real crashers in all cases). Change: a fingerprint is condemned unless another one was at all of its crashes. Equal sets leave two suspects and the next run of one tells; a larger set condemns its owner and clears the other. It can cost one crash more after a cut. Seen to fail: test_each_part_of_a_cut_fleet_crashes_at_most_twice, where an innocent was refused for good (seven requests, four of them in flight).

--- a/oriolepaddle/quarantine/_entries.py
+++ b/oriolepaddle/quarantine/_entries.py
@@ -48,8 +48,19 @@
         return len(self._entries)
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether requests with this fingerprint are refused."""
-        return len(self.find_active(fingerprint)) >= self._settings.crash_limit
+        """Return whether requests with this fingerprint are refused.
+
+        One that another fingerprint accompanied at each of its crashes is not:
+        either may be the culprit, and only the next run of one can tell.
+        """
+        active = set(self.find_active(fingerprint))
+        if len(active) < self._settings.crash_limit:
+            return False
+        return not any(
+            active <= set(self.find_active(other))
+            for other in self._by_crash[next(iter(active))]
+            if other != fingerprint
+        )
 
     def find_active(self, fingerprint: bytes) -> list[Crash]:
         """Return the crashes that are held against a fingerprint."""
--- a/oriolepaddle/quarantine/tests/fleet.py
+++ b/oriolepaddle/quarantine/tests/fleet.py
@@ -37,6 +37,11 @@
         clock.advance(advice.delay)
 
 
+def find_state(quarantine, fingerprint):
+    states = {entry.fingerprint: entry.state for entry in quarantine.list()}
+    return states.get(fingerprint)
+
+
 class InlineExecutor(Executor):
     def submit(self, function, *args):
         future = Future()
--- a/oriolepaddle/quarantine/tests/test_merge.py
+++ b/oriolepaddle/quarantine/tests/test_merge.py
@@ -11,11 +11,17 @@
 from oriolepaddle.quarantine import (
     QUARANTINE_SERVICE,
     Crash,
+    EntryState,
     Quarantine,
     QuarantineHandler,
     QuarantineSpreader,
 )
-from oriolepaddle.quarantine.tests.fleet import SETTINGS, Fleet, make_evidence
+from oriolepaddle.quarantine.tests.fleet import (
+    SETTINGS,
+    Fleet,
+    find_state,
+    make_evidence,
+)
 
 CRASHER = b"c" * 16
 INNOCENT = b"i" * 16
@@ -66,6 +72,43 @@
     return Crash(endpoint, "1")
 
 
+class TestAmbiguity:
+    """Two requests at the same crashes, seen by parts cut from each other."""
+
+    def make_fleet(self):
+        fleet = Fleet("ab")
+        fleet.cut = {frozenset("ab")}
+        for endpoint in ("e1", "e2"):
+            fleet.crash("a", CRASHER, endpoint)
+            fleet.crash("b", INNOCENT, endpoint)
+        return fleet
+
+    def heal(self, fleet):
+        fleet.cut = set()
+        fleet.advance(60)
+        fleet.tick()
+
+    def find_states(self, fleet):
+        return [find_state(fleet["b"], each) for each in (CRASHER, INNOCENT)]
+
+    def test_same_crashes_leave_two_suspects(self):
+        fleet = self.make_fleet()
+        assert find_state(fleet["b"], INNOCENT) is EntryState.QUARANTINED
+        self.heal(fleet)
+        assert self.find_states(fleet) == [EntryState.SUSPECT] * 2
+        fleet.crash("a", CRASHER, "e3")
+        fleet.tick()
+        states = [EntryState.QUARANTINED, EntryState.CLEARED]
+        assert self.find_states(fleet) == states
+
+    def test_one_crash_more_tells_the_culprit(self):
+        fleet = self.make_fleet()
+        fleet["a"]._entries.record(CRASHER, make_crash("e3"))
+        self.heal(fleet)
+        states = [EntryState.QUARANTINED, EntryState.CLEARED]
+        assert self.find_states(fleet) == states
+
+
 class OneAddress:
     def __init__(self, address):
         self.address = address
--- a/oriolepaddle/quarantine/tests/test_spread.py
+++ b/oriolepaddle/quarantine/tests/test_spread.py
@@ -7,17 +7,17 @@
 from oriolepaddle.quarantine import (
     EntryState,
 )
-from oriolepaddle.quarantine.tests.fleet import SETTINGS, Fleet, make_evidence
+from oriolepaddle.quarantine.tests.fleet import (
+    SETTINGS,
+    Fleet,
+    find_state,
+    make_evidence,
+)
 
 CRASHER = b"c" * 16
 INNOCENT = b"i" * 16
 
 
-def find_state(quarantine, fingerprint):
-    states = {entry.fingerprint: entry.state for entry in quarantine.list()}
-    return states.get(fingerprint)
-
-
 class TestSpread:
     def test_crashes_at_two_instances_quarantine_everywhere(self):
         fleet = Fleet()
