--- a/oriolepaddle/quarantine/tests/fleet.py
+++ b/oriolepaddle/quarantine/tests/fleet.py
@@ -81,6 +81,8 @@
         link = frozenset({instance, self.identity.instance})
         if link in self.fleet.cut:
             raise PeerUnavailableError("cut")
+        if self.fleet.is_lost():
+            raise PeerTimeoutError("lost")
         reply = getattr(self.fleet.nodes[instance].handler, method)(request)
         if link in self.fleet.mute:
             raise PeerTimeoutError("no reply")
@@ -92,6 +94,7 @@
         self.clock = ManualClock()
         self.cut = set()
         self.mute = set()
+        self.is_lost = lambda: False
         self.nodes = {name: Node(self, name) for name in names}
 
     def __getitem__(self, name):
--- a/oriolepaddle/quarantine/tests/test_narrowing.py
+++ b/oriolepaddle/quarantine/tests/test_narrowing.py
@@ -10,6 +10,7 @@
 ENDPOINTS = ("e1", "e2", "e3", "e4")
 MAX_STEPS = 60
 PARTS = 2
+LOSS_SHARE = 0.5
 
 REQUESTS = st.lists(
     st.tuples(st.sampled_from("abc"), st.sampled_from(ENDPOINTS)),
@@ -120,6 +121,22 @@
         assert engines.crashes <= 2 * PARTS + 1
         check_verdicts(fleet)
 
+    @given(REQUESTS, st.integers(0, 8), st.randoms(use_true_random=False))
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    def test_innocents_are_served_though_reports_are_lost(self, requests, late, rng):
+        fleet = Fleet()
+        fleet.is_lost = lambda: rng.random() < LOSS_SHARE
+        engines = Engines(fleet)
+        for name in fleet.nodes:
+            engines.start(name, CRASHER, ENDPOINTS)
+        innocents = engines.run(requests, late)
+        fleet.is_lost = lambda: False
+        fleet.advance(60)
+        fleet.tick()
+        engines.run([], 0)
+        assert innocents <= engines.finished
+        assert engines.crashes <= 2 * len(fleet.nodes)
+
 
 def check_verdicts(fleet):
     for node in fleet.nodes.values():
