Make the simulation repeatable to the digit across processes

Tries in flight were held in a set, whose order depends on addresses. Change: a dict, which keeps the order of starts.

--- a/experiments/retries/_endpoint.py
+++ b/experiments/retries/_endpoint.py
@@ -1,6 +1,7 @@
 """An endpoint with slots, a queue and faults."""
 
 from collections import deque
+from collections.abc import Iterable
 
 import numpy as np
 
@@ -40,7 +41,8 @@
         self._loop = loop
         self._slots = slots
         self._rng = rng
-        self._running: set[Try] = set()
+        # A dict, since the order of a set would differ from run to run.
+        self._running: dict[Try, None] = {}
         self._queue: deque[Try] = deque()
         self.name = name
         self.slowness = 1.0
@@ -104,7 +106,7 @@
         self._break_all(evidence)
 
     def _break_all(self, evidence: CrashEvidence) -> None:
-        lost = [*sorted(self._running, key=_get_start), *self._queue]
+        lost = [*self._running, *self._queue]
         self._count_busy(self._running)
         self._running.clear()
         self._queue.clear()
@@ -116,7 +118,7 @@
 
     def _start(self, attempt: Try) -> None:
         attempt.started_s = self._loop.now_s
-        self._running.add(attempt)
+        self._running[attempt] = None
         if attempt.request.is_crasher:
             self._loop.schedule(CRASH_AFTER_S, self._crash_by, attempt)
             return
@@ -136,14 +138,14 @@
             attempt.on_answer(attempt)
 
     def _free(self, attempt: Try) -> None:
-        self._running.discard(attempt)
-        self._count_busy({attempt})
+        self._running.pop(attempt, None)
+        self._count_busy([attempt])
         while self._queue and len(self._running) < self._slots:
             waiting = self._queue.popleft()
             if not waiting.is_over:
                 self._start(waiting)
 
-    def _count_busy(self, attempts: set[Try]) -> None:
+    def _count_busy(self, attempts: Iterable[Try]) -> None:
         now_s = self._loop.now_s
         self.busy_s += sum(now_s - attempt.started_s for attempt in attempts)
 
@@ -153,7 +155,3 @@
         if not attempt.is_over:
             attempt.is_over = True
             attempt.on_failure(attempt, error, evidence)
-
-
-def _get_start(attempt: Try) -> float:
-    return attempt.started_s
