Keep a reserve at home when share is lent to another data centre

Cause: a region that was cut off refused by rate: its whole share was lent to another data centre, which renewed the loan for as long as it could use it. Change: 5% of a data centre's part is not lent far; single requests elsewhere may still draw on it. A request that came from a peer is not retried here, and one that became a suspect asks for its turn again.

--- a/oriolepaddle/daemon/tests/test_faults.py
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -117,6 +117,10 @@
 
 class TestIsolatedRegion:
     def test_keeps_serving(self, running):
+        # A data centre that starts anew has no share while loans of its earlier
+        # life may be running elsewhere.
+        s1 = running.daemons["s1"]
+        await_true(lambda: s1.operate("GET", "/v1/limits/norddal")["share"] > 0, 60)
         running.cut_region("s1")
         for _ in range(20):
             for daemon in running.daemons.values():
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -15,8 +15,10 @@
     EndpointRefusedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    ErrorCode,
     OriolepaddleError,
     Outcome,
+    RefusedError,
 )
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.crashes import gather_evidence
@@ -116,7 +118,9 @@
         if self._is_resuming and self._endpoint is not None:
             # Only the engine that began an answer can go on with it.
             self._attempt += 1
-            self._send(self._endpoint)
+            endpoint = self._endpoint
+            run = self._parts.quarantine.started(self._fingerprint, endpoint.id)
+            self._send(endpoint, run)
             return
         decision = self._parts.router.choose(self._routing)
         self._attempt += 1
@@ -125,14 +129,26 @@
             return
         slot = self._enter()
         try:
-            self._endpoint = find_startable(
-                self._parts, self._routing, self._fingerprint, self._excluded
-            )
-            self._target = self._endpoint.id
-            self._send(self._endpoint)
+            self._start_and_send()
         finally:
             slot.release()
 
+    def _start_and_send(self) -> None:
+        parts = self._parts
+        while True:
+            endpoint = find_startable(
+                parts, self._routing, self._fingerprint, self._excluded
+            )
+            try:
+                run = parts.quarantine.started(self._fingerprint, endpoint.id)
+            except RefusedError as error:
+                if error.code is not ErrorCode.OVERLOADED:
+                    raise
+                # It became a suspect meanwhile and asks for its turn again.
+                continue
+            self._send(endpoint, run)
+            return
+
     def _enter(self) -> AdmissionSlot:
         request = self._request
         organisation = request.organisation
@@ -157,9 +173,10 @@
         self._routing = make_routing_request(self._request, was_forwarded=True)
         self._parts.forwarder.forward(self._request, data_centre, self._relay)
 
-    def _send(self, endpoint: Endpoint) -> None:
+    def _send(self, endpoint: Endpoint, run: Run) -> None:
         parts = self._parts
-        run = parts.quarantine.started(self._fingerprint, endpoint.id)
+        self._endpoint = endpoint
+        self._target = endpoint.id
         handle = parts.router.started(self._routing, endpoint)
         self._relay.begin(handle.first_token)
         is_failed = True
@@ -222,9 +239,10 @@
             self._parts.router.endpoint_failed(endpoint.id)
 
     def _prepare_retry(self, error: OriolepaddleError) -> bool:
-        if not self._attempt or not isinstance(error, _RETRIED):
-            return False
         request = self._request
+        # The instance that holds the caller decides on tries after a hop.
+        if request.hops or not self._attempt or not isinstance(error, _RETRIED):
+            return False
         decision = self._parts.retries.decide(
             Failure(
                 error=error,
--- a/oriolepaddle/limits/account.py
+++ b/oriolepaddle/limits/account.py
@@ -112,6 +112,22 @@
         kept = max(self._kept(now_s), self._base - self._lent_base)
         return max(0.0, self.share - kept)
 
+    def lendable_far(self, now_s: float, fraction: float) -> float:
+        """Return the part that may go to another data centre.
+
+        A reserve stays, so that a cut between the data centres finds some here;
+        until then others may draw on it for single requests.
+
+        Args:
+            now_s: The monotonic time.
+            fraction: The part of each rate that is this data centre's.
+        """
+        reserve = RESERVED_PART * fraction
+        least = KEPT_REQUESTS * self.demand.request_tokens
+        if reserve * self.organisation.burst_tokens < least:
+            reserve = 0.0
+        return min(self.lendable(now_s), max(0.0, self.share - reserve))
+
     def _kept(self, now_s: float) -> float:
         rate = self.organisation.rate_tokens_per_s
         asked = self.demand.rate_per_s(now_s)
@@ -198,5 +214,6 @@
 
 
 KEPT_DEMAND = 1.2
+RESERVED_PART = 0.05
 KEPT_REQUESTS = 2.0
 SHORT_S = 5.0
--- a/oriolepaddle/limits/handler.py
+++ b/oriolepaddle/limits/handler.py
@@ -169,7 +169,11 @@
         if account is None or ledger.book.is_leaving:
             return None
         account.asked_s = now_s
-        share = min(item.share, account.lendable(now_s))
+        if request.instance in ledger.book.members:
+            lendable = account.lendable(now_s)
+        else:
+            lendable = account.lendable_far(now_s, ledger.weights.fraction)
+        share = min(item.share, lendable)
         duration_s = self._duration_s(account, now_s)
         if share < LEAST_LOAN or duration_s <= 0:
             return self._give_tokens(account, item)
