Add the embedded demo

Cause: each mechanism is to be watched at work with one command. Ruled out: fixed text; each row is counted or measured while it runs. Change: stand-ins and six instances in three data centres in one process, a publisher of tickets that the tests and the benchmark use too.

--- a/experiments/overhead/processes.py
+++ b/experiments/overhead/processes.py
@@ -1,8 +1,6 @@
 """The processes of the measurement."""
 
 import contextlib
-import hashlib
-import json
 import os
 import re
 import signal
@@ -13,9 +11,13 @@
 
 import attrs
 
-from oriolepaddle.config import parse_ticket
 from oriolepaddle.errors import EndpointUnreachableError
-from oriolepaddle.standins import PlatformStandin
+from oriolepaddle.standins import (
+    PlatformStandin,
+    TicketPublisher,
+    make_key,
+    make_object,
+)
 
 __all__ = ["Gateway", "Usage", "run_engines", "run_gateway"]
 
@@ -88,7 +90,7 @@
     """Run a platform stand-in and one daemon before the engines."""
     platform = PlatformStandin()
     platform.start()
-    platform.publish(parse_ticket(json.dumps(_make_ticket(engines))))
+    TicketPublisher(platform).publish(*_make_objects(engines))
     settings = {
         "INSTANCE": "n1",
         "DATA_CENTRE": "nordur-a",
@@ -111,14 +113,12 @@
         platform.close()
 
 
-def _make_ticket(engines: tuple[str, ...]) -> dict:
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-    organisation = {"rate_tokens_per_s": 1e6, "burst_tokens": 1e8}
+def _make_objects(engines: tuple[str, ...]) -> list[dict]:
     objects = [
-        _make("data_centre", "nordur-a", region="nordur"),
-        _make("organisation", "norddal", **organisation),
-        _make("key", "k1", organisation="norddal", digest=digest),
-        _make("route", "oriole-answers", kind="model"),
+        make_object("data_centre", "nordur-a", region="nordur"),
+        make_object("organisation", "norddal", rate_tokens_per_s=1e6, burst_tokens=1e8),
+        make_key("k1", "norddal", KEY),
+        make_object("route", "oriole-answers", kind="model"),
     ]
     for number, address in enumerate(engines):
         endpoint = {
@@ -128,12 +128,8 @@
             "slots": 512,
             "decode_tokens_per_s": 1000,
         }
-        objects.append(_make("endpoint", f"e{number}", **endpoint))
-    return {"number": 1, "objects": objects}
-
-
-def _make(object_kind: str, object_id: str, /, **value: object) -> dict:
-    return {"kind": object_kind, "id": object_id, "value": value}
+        objects.append(make_object("endpoint", f"e{number}", **endpoint))
+    return objects
 
 
 def _start(
--- a/oriolepaddle/ctl/commands.py
+++ b/oriolepaddle/ctl/commands.py
@@ -192,6 +192,15 @@
                 time.sleep(WATCH_INTERVAL_S)
 
 
+@app.command()
+def demo() -> None:
+    """Run stand-ins and six instances on loopback and show what happens."""
+    # Most commands need none of what the demo runs.
+    from oriolepaddle.demo import run_demo
+
+    run_demo()
+
+
 def _read_row(address: str, client: OperatorClient) -> dict[str, object]:
     names = (
         "instance",
--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -43,11 +43,11 @@
         self.fleet = Fleet(settings, clock, self.identity, self.listeners, generator)
         self.serving = Serving(settings, clock, self.fleet, self.listeners, generator)
         self.drain_requested = threading.Event()
-        administration = InstanceAdministration(
+        self._administration = InstanceAdministration(
             clock, self.fleet, self.serving, self.drain_requested
         )
         self.listeners.operators.application = OperatorApplication(
-            administration, settings.operator_token
+            self._administration, settings.operator_token
         )
         self._upkeep = Upkeep(clock, self.fleet, self.serving, generator)
 
@@ -70,8 +70,14 @@
             self.listeners.operators.port,
         )
 
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self._administration.status().is_ready
+
     def stop(self) -> None:
         """Stop gracefully: answer what has begun, then close."""
+        if self._stopping.is_set():
+            return
         self._stopping.set()
         limit = timedelta(seconds=self._settings.drain_limit_s)
         activity = self.serving.parts.activity
--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -1,6 +1,5 @@
 """Real daemon processes against stand-ins, for tests."""
 
-import hashlib
 import http.client
 import json
 import os
@@ -18,6 +17,8 @@
     RelayMode,
     RelayStandin,
     ServiceStandin,
+    make_key,
+    make_object as make,
 )
 
 START_TIMEOUT_S = 30
@@ -259,20 +260,11 @@
             standin.close()
 
 
-def make(kind, object_id, /, **value):
-    return {"kind": kind, "id": object_id, "value": value}
-
-
 def make_organisation(object_id, /, **value):
     limits = {"rate_tokens_per_s": 100_000, "burst_tokens": 1_000_000}
     return make("organisation", object_id, **(limits | value))
 
 
-def make_key(object_id, organisation, key):
-    digest = hashlib.sha256(key.encode()).hexdigest()
-    return make("key", object_id, organisation=organisation, digest=digest)
-
-
 def make_chat(tokens=8, stream=False, text="When does the bus leave?"):
     return {
         "model": "oriole-answers",
--- a/oriolepaddle/daemon/tests/test_faults.py
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -12,12 +12,10 @@
     KEY,
     Fleet,
     await_true,
-    make,
     make_chat,
-    make_key,
     make_organisation,
 )
-from oriolepaddle.standins import RelayMode
+from oriolepaddle.standins import RelayMode, make_key, make_object as make
 
 WITHDRAWAL = [{"kind": "key", "id": "k1", "value": None}]
 WITHIN_SECONDS_S = 8
--- /dev/null
+++ b/oriolepaddle/demo/__init__.py
@@ -0,0 +1,5 @@
+"""An embedded demo: stand-ins and six instances in one process."""
+
+from oriolepaddle.demo.run import run_demo
+
+__all__ = ["run_demo"]
--- /dev/null
+++ b/oriolepaddle/demo/caller.py
@@ -0,0 +1,105 @@
+"""A caller of the demo's instances."""
+
+import http.client
+import json
+
+import attrs
+
+from oriolepaddle.clock import Clock
+
+__all__ = ["CallResult", "DemoCaller"]
+
+TIMEOUT_S = 30
+
+
+@attrs.frozen
+class CallResult:
+    """What came of one request.
+
+    Attributes:
+        status: The HTTP status; 0 if the connection was cut or refused.
+        body: The body, as far as it came.
+        elapsed_s: Seconds until the answer ended.
+        is_whole: Whether the answer was whole.
+    """
+
+    status: int
+    body: bytes
+    elapsed_s: float
+    is_whole: bool
+
+    @property
+    def code(self) -> str:
+        """The error code, or empty."""
+        try:
+            return json.loads(self.body)["error"]["code"]
+        except (ValueError, KeyError, TypeError):
+            return ""
+
+
+class DemoCaller:
+    """Sends requests with one organisation's key.
+
+    Args:
+        clock: Measures the answers.
+        key: The key.
+    """
+
+    def __init__(self, clock: Clock, key: str) -> None:
+        self._clock = clock
+        self._key = key
+
+    def chat(
+        self, address: str, model: str, prompt: str, tokens: int = 16
+    ) -> CallResult:
+        """Ask a model, streamed."""
+        document = {
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        result = self.post(address, "/v1/chat/completions", document)
+        is_whole = result.body.endswith(b"data: [DONE]\n\n")
+        return attrs.evolve(result, is_whole=result.is_whole and is_whole)
+
+    def order(
+        self, address: str, service: str, document: dict, number: str | None
+    ) -> CallResult:
+        """Send an order to a plain service."""
+        headers = {"Idempotency-Key": number} if number else {}
+        return self.post(address, f"/services/{service}/orders", document, headers)
+
+    def issue(self, address: str, service: str) -> str:
+        """Return a new order number."""
+        result = self.post(address, "/v1/orders", {"route": service})
+        return json.loads(result.body).get("order", "")
+
+    def post(
+        self,
+        address: str,
+        path: str,
+        document: dict,
+        headers: dict[str, str] | None = None,
+    ) -> CallResult:
+        """Send one request and read the whole answer."""
+        started_s = self._clock.monotonic_s()
+        connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+        fields = {"Authorization": f"Bearer {self._key}"} | (headers or {})
+        try:
+            connection.request("POST", path, json.dumps(document), fields)
+            response = connection.getresponse()
+            status, body, is_whole = _read(response)
+        except (OSError, http.client.HTTPException):
+            status, body, is_whole = 0, b"", False
+        finally:
+            connection.close()
+        elapsed_s = self._clock.monotonic_s() - started_s
+        return CallResult(status, body, elapsed_s, is_whole)
+
+
+def _read(response: http.client.HTTPResponse) -> tuple[int, bytes, bool]:
+    try:
+        return response.status, response.read(), True
+    except http.client.IncompleteRead as error:
+        return response.status, error.partial, False
--- a/oriolepaddle/standins/__init__.py
+++ b/oriolepaddle/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from oriolepaddle.standins.engine import EngineFaults, EngineStandin, ReceivedRequest
 from oriolepaddle.standins.platform import PlatformStandin
+from oriolepaddle.standins.publisher import TicketPublisher, make_key, make_object
 from oriolepaddle.standins.relay import RelayMode, RelayStandin
 from oriolepaddle.standins.service import ServiceStandin
 
@@ -13,4 +14,7 @@
     "RelayMode",
     "RelayStandin",
     "ServiceStandin",
+    "TicketPublisher",
+    "make_key",
+    "make_object",
 ]
