--- a/oriolepaddle/orders/tests/test_fleet.py
+++ b/oriolepaddle/orders/tests/test_fleet.py
@@ -81,6 +81,16 @@
         assert not fleet.endpoint.runs
         assert fleet.send("b", number) == "answer"
 
+    def test_closed_executor_refuses(self):
+        fleet = Fleet()
+        number = fleet.nodes["a"].registry.issue("office")
+        fleet.nodes["a"].executor.submit = self.refuse
+        assert fleet.send("b", number) == NOT_RUN
+        assert not fleet.endpoint.runs
+
+    def refuse(self, work, *args):
+        raise RuntimeError("cannot schedule new futures after shutdown")
+
     def test_withdrawn_key_is_seen_at_the_issuer(self):
         fleet = Fleet()
         number = fleet.nodes["a"].registry.issue("office")
