--- a/oriolepaddle/config/handler.py
+++ b/oriolepaddle/config/handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from oriolepaddle.config.digest import BUCKET_COUNT, hash_entry, hash_name
+from oriolepaddle.config.entry import Entry
 from oriolepaddle.config.inbox import Inbox
 from oriolepaddle.config.merge_target import MergeTarget
 from oriolepaddle.config.state import ConfigState
@@ -80,15 +81,17 @@
             if not 0 <= known.bucket < BUCKET_COUNT:
                 continue
             entries = index.bucket_entries(known.bucket)
-            fetched, bucket_size = _answer(known, entries)
-            if buckets and size + bucket_size > MAX_MESSAGE_BYTES:
-                break
+            fetched, bucket_size = _answer(known, entries, MAX_MESSAGE_BYTES - size)
             buckets.append(fetched)
             size += bucket_size
+            if not fetched.is_whole:
+                break
         return FetchReply(write_floor(floor), buckets)
 
 
-def _answer(known: KnownBucket, entries: tuple) -> tuple[FetchedBucket, int]:
+def _answer(
+    known: KnownBucket, entries: tuple[Entry, ...], room_bytes: int
+) -> tuple[FetchedBucket, int]:
     hashes = unpack_hashes(known.known)
     theirs = dict(zip(hashes[::2], hashes[1::2], strict=False))
     own = {hash_name((entry.kind, entry.id)): entry for entry in entries}
@@ -96,6 +99,13 @@
         entry for name, entry in own.items() if theirs.get(name) != hash_entry(entry)
     ]
     absent = pack_hashes(name for name in theirs if name not in own)
-    size = sum(measure_entry(entry) for entry in missing) + len(absent)
-    records = [write_entry(entry) for entry in missing]
-    return FetchedBucket(known.bucket, records, absent), size
+    size = len(absent)
+    records = []
+    for entry in missing:
+        size += measure_entry(entry)
+        # One entry always goes, so that each call gets on.
+        if records and size > room_bytes:
+            break
+        records.append(write_entry(entry))
+    is_whole = len(records) == len(missing)
+    return FetchedBucket(known.bucket, records, absent, is_whole), size
--- a/oriolepaddle/config/reconciliation.py
+++ b/oriolepaddle/config/reconciliation.py
@@ -95,6 +95,7 @@
         self._floor, self._index = state.copy_index()
         self._fetched: list[Entry] = []
         self._absent: set[int] = set()
+        self._fetched_hashes: dict[int, dict[int, int]] = {}
         self._has_rejected = False
 
     def run(self) -> ReconciliationResult:
@@ -133,17 +134,19 @@
                 return False
             for bucket in reply.buckets:
                 self._take(bucket)
-            left = left[len(reply.buckets) :]
+            whole = {bucket.bucket for bucket in reply.buckets if bucket.is_whole}
+            left = [bucket for bucket in left if bucket not in whole]
         return True
 
     def _describe(self, buckets: list[int]) -> Iterator[KnownBucket]:
         size = 0
         for bucket in buckets:
-            known = pack_hashes(
-                value
+            hashes = {
+                hash_name((entry.kind, entry.id)): hash_entry(entry)
                 for entry in self._index.bucket_entries(bucket)
-                for value in (hash_name((entry.kind, entry.id)), hash_entry(entry))
-            )
+            }
+            hashes |= self._fetched_hashes.get(bucket, {})
+            known = pack_hashes(value for pair in hashes.items() for value in pair)
             size += len(known) + KNOWN_OVERHEAD_BYTES
             if size > MAX_MESSAGE_BYTES:
                 return
@@ -153,6 +156,10 @@
         entries = read_valid_entries(bucket.entries, self._peer, self._rejections)
         self._fetched.extend(entries)
         self._absent.update(unpack_hashes(bucket.absent))
+        # In case the bucket is asked for again, what came is not sent twice.
+        hashes = self._fetched_hashes.setdefault(bucket.bucket, {})
+        for entry in entries:
+            hashes[hash_name((entry.kind, entry.id))] = hash_entry(entry)
         self._has_rejected |= len(entries) < len(bucket.entries)
 
     def _merge(self, floor: Floor) -> None:
--- a/oriolepaddle/config/tests/test_sync.py
+++ b/oriolepaddle/config/tests/test_sync.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from oriolepaddle.config import parse_ticket
 from oriolepaddle.config.tests.fleet import (
     NAMES,
     Fleet,
@@ -156,6 +157,17 @@
         return PushRequest(self.sender, 1, part, is_last, records)
 
 
+class TestReconciliation:
+    def test_bucket_larger_than_a_message_comes_in_parts(self, fleet, monkeypatch):
+        monkeypatch.setattr("oriolepaddle.config.handler.MAX_MESSAGE_BYTES", 200)
+        fleet.platform.is_down = True
+        changes = [(f"o{number}", 1) for number in range(600)]
+        fleet.nodes["a1-0"].state.merge(parse_ticket(make_ticket(2, *changes)).entries)
+        node = fleet.add("a1-9", is_listed=False)
+        fleet.run(4)
+        assert node.state.digest == fleet.nodes["a1-0"].state.digest
+
+
 class TestPlatformReader:
     def test_bad_ticket_is_rejected_whole_and_kept(self, fleet):
         text = make_ticket(2, ("x", 9), ("z", -1))
--- a/oriolepaddle/peers/gen_py/configuration/ttypes.py
+++ b/oriolepaddle/peers/gen_py/configuration/ttypes.py
@@ -709,14 +709,16 @@
      - bucket
      - entries: Entries that the caller does not hold alike.
      - absent: Hashes of the names that only the caller holds.
+     - is_whole: Whether all entries fitted; if not, the bucket is asked for again.
 
     """
 
 
-    def __init__(self, bucket=None, entries=None, absent=None,):
+    def __init__(self, bucket=None, entries=None, absent=None, is_whole=None,):
         self.bucket = bucket
         self.entries = entries
         self.absent = absent
+        self.is_whole = is_whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -748,6 +750,11 @@
                     self.absent = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -773,6 +780,10 @@
             oprot.writeFieldBegin('absent', TType.STRING, 3)
             oprot.writeBinary(self.absent)
             oprot.writeFieldEnd()
+        if self.is_whole is not None:
+            oprot.writeFieldBegin('is_whole', TType.BOOL, 4)
+            oprot.writeBool(self.is_whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -783,6 +794,8 @@
             raise TProtocolException(message='Required field entries is unset!')
         if self.absent is None:
             raise TProtocolException(message='Required field absent is unset!')
+        if self.is_whole is None:
+            raise TProtocolException(message='Required field is_whole is unset!')
         return
 
     def __repr__(self):
@@ -937,6 +950,7 @@
     (1, TType.I16, 'bucket', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRUCT, [EntryRecord, None], False), None, ),  # 2
     (3, TType.STRING, 'absent', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'is_whole', None, None, ),  # 4
 )
 all_structs.append(FetchReply)
 FetchReply.thrift_spec = (
--- a/oriolepaddle/peers/idl/configuration.thrift
+++ b/oriolepaddle/peers/idl/configuration.thrift
@@ -58,6 +58,8 @@
   2: required list<EntryRecord> entries,
   /** Hashes of the names that only the caller holds. */
   3: required binary absent,
+  /** Whether all entries fitted; if not, the bucket is asked for again. */
+  4: required bool is_whole,
 }
 
 struct FetchReply {
