--- a/experiments/spread.py
+++ b/experiments/spread.py
@@ -16,13 +16,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from experiments._spread_model import (
+from experiments._platform_model import (
     Events,
-    Fleet,
     ModelPlatform,
     PlatformTask,
     PlatformView,
 )
+from experiments._spread_model import Fleet
 from oriolepaddle.config import (
     ConfigState,
     PlatformReader,
--- a/experiments/tests/test_spread.py
+++ b/experiments/tests/test_spread.py
@@ -1,6 +1,6 @@
 import random
 
-from experiments._spread_model import Events
+from experiments._platform_model import Events
 from experiments.spread import run_outage, run_spread
 from experiments.tombstones import DottedEntry, merge_dotted
 
--- a/experiments/tombstones.py
+++ b/experiments/tombstones.py
@@ -95,11 +95,11 @@
         for entry in held.values()
     )
 
-    def merge() -> None:
+    def _merge() -> None:
         for place, entry in other.items():
             merge_dotted(held[place], entry)
 
-    return wire / ORGANISATIONS, memory_bytes / ORGANISATIONS, _measure_time_s(merge)
+    return wire / ORGANISATIONS, memory_bytes / ORGANISATIONS, _measure_time_s(_merge)
 
 
 def _measure_numbers() -> tuple[float, float, float]:
@@ -113,11 +113,11 @@
     other = held | {place: (held[place][0] + 1, False) for place in changed}
     wire = struct.calcsize(">Q?")
 
-    def merge() -> None:
+    def _merge() -> None:
         for place, rank in other.items():
             max(held[place], rank)
 
-    return float(wire), memory_bytes / ORGANISATIONS, _measure_time_s(merge)
+    return float(wire), memory_bytes / ORGANISATIONS, _measure_time_s(_merge)
 
 
 def _measure_memory(build: Callable[[], Any]) -> tuple[Any, int]:
--- a/oriolepaddle/config/tests/fleet.py
+++ b/oriolepaddle/config/tests/fleet.py
@@ -24,6 +24,7 @@
     ServiceValue,
 )
 
+IN_FORCE_S = 8
 STEP = timedelta(milliseconds=250)
 REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
 NAMES = [f"{place}-{number}" for place in REGIONS for number in range(2)]
--- a/oriolepaddle/membership/load.py
+++ b/oriolepaddle/membership/load.py
@@ -54,6 +54,7 @@
     measured_at_s: dict[Name, float] = attrs.field(factory=dict)
 
     def lacks(self, name: Name, measured_at_s: float) -> bool:
+        """Return whether a summary is much fresher than what the peer has."""
         held_s = self.measured_at_s.get(name)
         return held_s is None or measured_at_s - held_s >= REFRESH_S
 
