Count the exchanges of the configuration's spread

Cause: operators could not see refused transfers and failed calls. Change: ConfigSync.counts tells them by kind.

--- a/oriolepaddle/config/sync.py
+++ b/oriolepaddle/config/sync.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections import Counter
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
@@ -95,6 +96,7 @@
         # has little left to fetch from the others.
         self._reconciling = threading.Lock()
         self._transfer = 0
+        self._counts: Counter[str] = Counter()
         self._runner = PeerRunner(
             "config-sync", clock, self._due_peers, self._exchange, LOOK_INTERVAL
         )
@@ -128,6 +130,15 @@
         with self._lock:
             return self._catch_up.is_done(self._progress, self._peers)
 
+    def counts(self) -> dict[str, int]:
+        """Return how often each kind of exchange took place since the start.
+
+        `push` counts pushed entries, `compare` reconciliations, `refused`
+        transfers of which a part was lost, and `failed` calls to peers.
+        """
+        with self._lock:
+            return dict(self._counts)
+
     def _note_changes(self, changed: tuple[Entry, ...]) -> None:
         self._history.note()
         source = self._source.name
@@ -210,6 +221,7 @@
 
     def _push(self, peer: PeerSync, entries: tuple[Entry, ...]) -> None:
         with self._lock:
+            self._counts["push"] += len(entries)
             self._transfer += 1
             transfer = self._transfer
         parts = list(split_entries(entries))
@@ -226,6 +238,7 @@
             )
             if not reply.is_accepted:
                 peer.needs_comparison = True
+                self._count("refused")
                 return
 
     def _reconcile(self, peer: PeerSync) -> None:
@@ -247,6 +260,7 @@
             self._rejections,
             lambda: self._may_adopt(peer),
         )
+        self._count("compare")
         result = reconciliation.run()
         pause_s = FLOOR_INTERVAL_S if result.has_other_floor else COMPARE_INTERVAL_S
         pause_s *= self._generator.uniform(1, 1.5)
@@ -268,6 +282,7 @@
 
     def _note_failure(self, peer: PeerSync) -> None:
         with self._lock:
+            self._counts["failed"] += 1
             peer.failures += 1
             # What was on its way may or may not have arrived.
             peer.needs_comparison = True
@@ -275,6 +290,10 @@
             pause_s *= self._generator.uniform(0.5, 1)
             peer.retry_at_s = self._clock.monotonic_s() + pause_s
 
+    def _count(self, kind: str) -> None:
+        with self._lock:
+            self._counts[kind] += 1
+
     def _peer(self, name: str) -> PeerSync:
         if name not in self._peers:
             self._peers[name] = PeerSync(name)
