--- a/oriolepaddle/config/tests/test_sync.py
+++ b/oriolepaddle/config/tests/test_sync.py
@@ -58,7 +58,7 @@
             "request" if method == "push" else None
         )
         fleet.inject("a1-0", make_ticket(2, ("x", 2)))
-        fleet.run(30)
+        fleet.run(IN_FORCE_S)
         assert fleet.rates() == [{"x": 2, "y": 1}]
 
     @pytest.mark.parametrize("direction", [0, 1])
