--- a/oriolepaddle/routing/remote_loads.py
+++ b/oriolepaddle/routing/remote_loads.py
@@ -44,13 +44,17 @@
             if held is None or made_s > held.made_s:
                 self._remotes[name] = _Remote(summary, made_s)
 
-    def data_centres(self, route: str, now_s: float) -> tuple[str, ...]:
-        """Return the data centres with a fresh summary of a route."""
-        return tuple(
-            data_centre
+    def data_centres(self, route: str, now_s: float) -> dict[str, float]:
+        """Return the data centres with a fresh summary of a route.
+
+        Returns:
+            Their capacities, in requests a second.
+        """
+        return {
+            data_centre: held.summary.requests_per_s
             for (held_route, data_centre), held in self._remotes.items()
             if held_route == route and now_s - held.made_s <= MAX_AGE_S
-        )
+        }
 
     def score(
         self, data_centre: str, request: RoutingRequest, senders: int, is_home: bool
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -194,14 +194,13 @@
         now_s = self._clock.monotonic_s()
         route = request.route.id
         senders = self._fleet.count_instances()
-        allowed = [
-            data_centre
-            for data_centre in self._remotes.data_centres(route, now_s)
-            if regions.contains(data_centre)
-        ]
+        allowed = {
+            name: requests_per_s
+            for name, requests_per_s in self._remotes.data_centres(route, now_s).items()
+            if requests_per_s > 0 and regions.contains(name)
+        }
         # Only when all of a document's requests go away do they share a cache.
-        weights = {} if is_served else {name: 1.0 for name in allowed}
-        home = find_home(request.prefix_hashes, weights)
+        home = None if is_served else find_home(request.prefix_hashes, allowed)
         scores = [
             self._remotes.score(name, request, senders, is_home=name == home)
             for name in allowed
