--- a/experiments/admission/bench.py
+++ b/experiments/admission/bench.py
@@ -146,18 +146,20 @@
         endpoint = instance.router.choose(request).endpoint
         handle = instance.router.started(request, endpoint)
 
-        def finish() -> None:
+        def _finish() -> None:
             handle.finished(demand.output_tokens, failed=False)
             self._count_answer(demand)
             instance.queue.leave(waiter)
             self._settle(instance)
 
-        def start() -> None:
+        def _start() -> None:
             handle.first_token()
             self._count_first_token(demand)
 
         self._engines[endpoint.id].submit(
-            Job(demand.prompt_tokens, demand.output_tokens, (), start, finish, finish)
+            Job(
+                demand.prompt_tokens, demand.output_tokens, (), _start, _finish, _finish
+            )
         )
 
     def _count_refusal(self, demand: Demand, error: RefusedError) -> None:
--- a/experiments/routing/fleet.py
+++ b/experiments/routing/fleet.py
@@ -30,7 +30,6 @@
 __all__ = ["Fleet"]
 
 ROUTE = Route(id="oriole-answers", kind=RouteKind.MODEL)
-INSTANCES_PER_DATA_CENTRE = 6
 ENDPOINTS = {"nordur": 10, "sudur": 8, "austur": 6}
 SLOTS = 8
 SLOWEST_PREFILL_TOKENS_PER_S = 1000.0
@@ -73,7 +72,7 @@
         self._routers = {
             f"{region}-a": [
                 self._make_router(f"{region}-a", make_policy(random.Random(place)))
-                for place in range(INSTANCES_PER_DATA_CENTRE)
+                for place in range(scenario.instances)
             ]
             for region in REGIONS
         }
@@ -85,7 +84,9 @@
         """Run the scenario and return its measures."""
         rate = self._scenario.load * self._capacity_per_s()
         duration_s = self._scenario.duration_s
-        for arrival in make_arrivals(self._rng, rate, duration_s):
+        for arrival in make_arrivals(
+            self._rng, rate, duration_s, self._scenario.is_steady
+        ):
             self.loop.schedule(arrival.time_s, self._begin, arrival)
         self._publisher.begin()
         self._schedule_faults()
@@ -202,7 +203,7 @@
             config=self._config,
             data_centre=data_centre,
             policy=policy,
-            count_instances=lambda: INSTANCES_PER_DATA_CENTRE,
+            count_instances=lambda: self._scenario.instances,
             delay_s=lambda target: WAN_DELAY_S,
         )
 
--- a/experiments/routing/publisher.py
+++ b/experiments/routing/publisher.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Publisher"]
 
-INTERVAL_S = 1.0
+SUMMARY_INTERVAL_S = 1.0
 
 
 class Publisher:
@@ -48,7 +48,7 @@
             self._loop.schedule(self._random.random(), self._summarize, data_centre)
 
     def _publish(self, engine: Engine) -> None:
-        self._loop.schedule(INTERVAL_S, self._publish, engine)
+        self._loop.schedule(self._scenario.report_interval_s, self._publish, engine)
         if not engine.is_up:
             return
         name = engine.endpoint.id
@@ -73,7 +73,7 @@
             router.cache_events(events)
 
     def _summarize(self, data_centre: str) -> None:
-        self._loop.schedule(INTERVAL_S, self._summarize, data_centre)
+        self._loop.schedule(SUMMARY_INTERVAL_S, self._summarize, data_centre)
         router = self._random.choice(self._routers[data_centre])
         summaries = router.summary()
         self._loop.schedule(self._delay_s, self._apply, data_centre, summaries)
--- a/experiments/routing/scenario.py
+++ b/experiments/routing/scenario.py
@@ -16,6 +16,9 @@
         event_lag_s: Age of cache events when they come in.
         event_loss: Part of the batches of cache events that are lost.
         lost_region: A region whose endpoints are all down for a while.
+        instances: Gateway instances of each data centre.
+        report_interval_s: Seconds between two load reports of an endpoint.
+        is_steady: Whether there are neither bursts nor a greedy organisation.
         warm_up_s: Time before requests are measured.
         measured_s: Time in which they are.
         crashes: Endpoints of each data centre that crash, one after another.
@@ -28,6 +31,9 @@
     event_loss: float = 0.05
     lost_region: str | None = None
     crashes: int = 0
+    instances: int = 6
+    report_interval_s: float = 1.0
+    is_steady: bool = False
     warm_up_s: float = 40.0
     measured_s: float = 120.0
 
--- a/experiments/routing/workload.py
+++ b/experiments/routing/workload.py
@@ -59,7 +59,10 @@
 
 
 def make_arrivals(
-    rng: np.random.Generator, requests_per_s: float, duration_s: float
+    rng: np.random.Generator,
+    requests_per_s: float,
+    duration_s: float,
+    is_steady: bool = False,
 ) -> list[Arrival]:
     """Return the requests of one run that are inside their rates, in order.
 
@@ -67,6 +70,7 @@
         rng: The source of randomness.
         requests_per_s: The mean rate over all regions.
         duration_s: The length of the run.
+        is_steady: Whether bursts and the greedy organisation are left out.
     """
     dossiers = {region: _make_dossiers(rng, region) for region in REGIONS}
     arrivals: list[Arrival] = []
@@ -74,7 +78,10 @@
         regions = organisation.residency or REGIONS
         rate = requests_per_s * share / len(regions)
         for region in regions:
-            times = _draw_times(rng, rate, region, name, duration_s)
+            rates = _swing(rate, region, duration_s)
+            if not is_steady:
+                rates = _add_bursts(rng, rates, name)
+            times = _draw_times(rng, rates)
             arrivals += [
                 _make_arrival(rng, float(t), region, organisation, dossiers[region])
                 for t in times
@@ -95,24 +102,32 @@
     return dossiers
 
 
-def _draw_times(
-    rng: np.random.Generator, rate: float, region: str, name: str, duration_s: float
-) -> np.ndarray:
-    seconds = np.arange(duration_s)
+def _swing(rate: float, region: str, duration_s: float) -> np.ndarray:
+    # One run stands for a day; the peaks of the regions are offset.
     phase = REGIONS.index(region) / len(REGIONS)
-    swing = np.sin(2 * math.pi * (seconds / duration_s + phase))
-    burst_part = BURST_S / BURST_EVERY_S
-    calm_rate = rate / (1 + (BURST_FACTOR - 1) * burst_part)
-    rates = calm_rate * (1 + PEAK_SWING * swing)
+    swing = np.sin(2 * math.pi * (np.arange(duration_s) / duration_s + phase))
+    return rate * (1 + PEAK_SWING * swing)
+
+
+def _add_bursts(rng: np.random.Generator, rates: np.ndarray, name: str) -> np.ndarray:
+    duration_s = len(rates)
+    seconds = np.arange(duration_s)
+    rates = rates / (1 + (BURST_FACTOR - 1) * BURST_S / BURST_EVERY_S)
     for start_s in rng.uniform(0, duration_s, int(duration_s / BURST_EVERY_S)):
         is_burst = (seconds >= start_s) & (seconds < start_s + BURST_S)
         rates = np.where(is_burst, rates * BURST_FACTOR, rates)
-    if name == GREEDY:
-        begin_s, end_s = (part * duration_s for part in GREEDY_WINDOW)
-        is_greedy = (seconds >= begin_s) & (seconds < end_s)
-        rates = np.where(is_greedy, rates * GREEDY_FACTOR, rates)
+    if name != GREEDY:
+        return rates
+    begin_s, end_s = (part * duration_s for part in GREEDY_WINDOW)
+    is_greedy = (seconds >= begin_s) & (seconds < end_s)
+    return np.where(is_greedy, rates * GREEDY_FACTOR, rates)
+
+
+def _draw_times(rng: np.random.Generator, rates: np.ndarray) -> np.ndarray:
     counts = rng.poisson(rates)
-    return np.repeat(seconds, counts) + rng.uniform(0, 1, int(counts.sum()))
+    return np.repeat(np.arange(len(rates)), counts) + rng.uniform(
+        0, 1, int(counts.sum())
+    )
 
 
 def _make_arrival(
