--- a/experiments/routing/choices.py
+++ b/experiments/routing/choices.py
@@ -57,6 +57,14 @@
     _change_scenario(
         "reports each 0.25 s, 0.1 s late", report_interval_s=0.25, report_lag_s=0.1
     ),
+    _change_scenario("summaries each 0.5 s", summary_interval_s=0.5),
+    _change_scenario("summaries each 0.25 s", summary_interval_s=0.25),
+    _change_scenario(
+        "both as often as 0.25 s",
+        report_interval_s=0.25,
+        report_lag_s=0.1,
+        summary_interval_s=0.25,
+    ),
     _change_scenario("no bursts", is_steady=True),
     _change_scenario("no bursts, 1 instance", is_steady=True, instances=1),
 )
--- a/experiments/routing/publisher.py
+++ b/experiments/routing/publisher.py
@@ -8,8 +8,6 @@
 
 __all__ = ["Publisher"]
 
-SUMMARY_INTERVAL_S = 1.0
-
 
 class Publisher:
     """Carries load reports, cache events and summaries to the routers.
@@ -73,7 +71,8 @@
             router.cache_events(events)
 
     def _summarize(self, data_centre: str) -> None:
-        self._loop.schedule(SUMMARY_INTERVAL_S, self._summarize, data_centre)
+        interval_s = self._scenario.summary_interval_s
+        self._loop.schedule(interval_s, self._summarize, data_centre)
         router = self._random.choice(self._routers[data_centre])
         summaries = router.summary()
         self._loop.schedule(self._delay_s, self._apply, data_centre, summaries)
--- a/experiments/routing/scenario.py
+++ b/experiments/routing/scenario.py
@@ -18,6 +18,7 @@
         lost_region: A region whose endpoints are all down for a while.
         instances: Gateway instances of each data centre.
         report_interval_s: Seconds between two load reports of an endpoint.
+        summary_interval_s: Seconds between two summaries of a data centre.
         is_steady: Whether there are neither bursts nor a greedy organisation.
         warm_up_s: Time before requests are measured.
         measured_s: Time in which they are.
@@ -33,6 +34,7 @@
     crashes: int = 0
     instances: int = 6
     report_interval_s: float = 1.0
+    summary_interval_s: float = 1.0
     is_steady: bool = False
     warm_up_s: float = 40.0
     measured_s: float = 120.0
