Close gaps that mutations of the code showed in the tests

Cause: five mutations survived: a moved endpoint in is_allowed, a repeated batch of cache events, the check after the admission, the bounded credit's maximum.

--- a/oriolepaddle/admission/fair_queue.py
+++ b/oriolepaddle/admission/fair_queue.py
@@ -57,8 +57,6 @@
         flow = self._flows.get(waiter.organisation)
         if flow is None:
             flow = self._flows[waiter.organisation] = _Flow(used=self._virtual)
-        if not flow.waiters:
-            flow.used = max(flow.used, self._virtual - CREDIT_TOKENS)
         bisect.insort(flow.waiters, waiter, key=lambda item: item.rank)
         self._count += 1
 
@@ -127,7 +125,8 @@
         return sum(waiter.cost_tokens / waiter.weight for waiter in flow.waiters)
 
     def _forget_idle(self) -> None:
-        # What an idle organisation can still claim does not depend on the past.
+        # One that is forgotten starts at the present virtual time again, so that
+        # no idle organisation is ever further behind than the credit.
         idle = [
             name
             for name, flow in self._flows.items()
--- a/oriolepaddle/admission/tests/test_admission.py
+++ b/oriolepaddle/admission/tests/test_admission.py
@@ -11,6 +11,15 @@
 TIMEOUT_S = 30
 
 
+class SleepyClock(ManualClock):
+    """A clock that passes a minute between an event and its waiter's turn."""
+
+    def wait(self, event, timeout):
+        is_set = super().wait(event, timeout)
+        self.advance(timedelta(minutes=1))
+        return is_set
+
+
 class Bench:
     """An admission with a set number of places and threads that enter it."""
 
@@ -157,6 +166,15 @@
         assert refusal(future) is ErrorCode.DEADLINE_UNREACHABLE
         assert bench.admission.running == 0
 
+    def test_sleep_after_the_admission_is_not_run(self):
+        clock = SleepyClock()
+        admission = Admission(clock, lambda: 1)
+        with pytest.raises(RefusedError) as caught:
+            admission.enter("norddal", 1.0, 100, 100, deadline_s=50.0)
+        assert caught.value.code is ErrorCode.DEADLINE_UNREACHABLE
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert admission.running == 0
+
     def test_full_queue_drops_from_the_longest(self, make_bench):
         bench = make_bench(queue_length=3)
         bench.enter("large")
--- a/oriolepaddle/routing/tests/test_endpoint_failure.py
+++ b/oriolepaddle/routing/tests/test_endpoint_failure.py
@@ -141,6 +141,16 @@
         assert (cached == len(DOSSIER) * BLOCK_TOKENS) is is_trusted
         assert cached > 0
 
+    def test_repeated_batch_does_not_undo_a_later_one(self, bench):
+        bench.put(make_endpoint())
+        router = bench.make_router()
+        first = CacheEvents("e1", epoch=1, sequence=1, stored=DOSSIER)
+        router.cache_events(first)
+        router.cache_events(CacheEvents("e1", 1, sequence=2, evicted=DOSSIER))
+        router.cache_events(first)
+        request = make_request(prompt_tokens=6000, prefix_hashes=DOSSIER)
+        assert router.choose(request).scores[0].cached_tokens == 0
+
     def test_restarted_engine_is_cold(self, bench):
         bench.put(make_endpoint())
         router = bench.make_router()
--- a/oriolepaddle/routing/tests/test_router.py
+++ b/oriolepaddle/routing/tests/test_router.py
@@ -135,6 +135,7 @@
         bench.put(make_endpoint())
         router = bench.make_router()
         bench.put(make_endpoint(data_centre="sudur-a"))
+        assert not router.is_allowed("e1", make_request())
         assert refusal(router, make_request()) is ErrorCode.NO_ENDPOINT
 
 
