--- a/oriolepaddle/routing/home.py
+++ b/oriolepaddle/routing/home.py
@@ -9,7 +9,8 @@
 
 DOCUMENT_BLOCKS = 4
 """Blocks of a prompt that name its document; earlier ones may be shared."""
-MAX_HASH = 2**64
+DRAW_BITS = 52
+"""Bits of a hash that a float holds exactly, with half a step to spare."""
 
 
 def find_home(
@@ -32,5 +33,5 @@
 
 def _draw(document: int, place: str, weight: float) -> tuple[float, str]:
     digest = xxhash.xxh3_64_intdigest(place.encode(), seed=document)
-    uniform = (digest + 1) / (MAX_HASH + 1)
+    uniform = ((digest >> (64 - DRAW_BITS)) + 0.5) / 2**DRAW_BITS
     return weight / -math.log(uniform), place
--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -86,7 +86,9 @@
         waiting_s = 0.0 if is_admitted else self._waiting_s(request.route.id)
         with self._lock:
             local = self._rank_local(request, regions)
-            remote = self._rank_remote(request, regions, bool(local))
+            remote: tuple[Score, ...] = ()
+            if _may_prefer_remote(request, local, waiting_s):
+                remote = self._rank_remote(request, regions, bool(local))
             if local and not _prefers_remote(request, remote, local, waiting_s):
                 endpoint = self._config.endpoint(local[0].target)
                 if self.is_allowed(local[0].target, request):
@@ -221,6 +223,16 @@
         )
 
 
+def _may_prefer_remote(
+    request: RoutingRequest, local: tuple[Score, ...], waiting_s: float
+) -> bool:
+    # Nothing can be gained where there is next to no queue; most requests
+    # need not be scored for each data centre of the fleet.
+    if not local or len(request.excluded) >= MAX_LOCAL_FAILURES:
+        return True
+    return waiting_s + local[0].queueing_s > SEND_AWAY_GAIN_S
+
+
 def _prefers_remote(
     request: RoutingRequest,
     remote: tuple[Score, ...],
