--- a/oriolepaddle/routing/router.py
+++ b/oriolepaddle/routing/router.py
@@ -87,7 +87,9 @@
         waiting_s = 0.0 if is_admitted else self._waiting_s(request.route.id)
         with self._lock:
             local = self._rank_local(request, regions)
-            remote = self._rank_remote(request, regions, bool(local))
+            remote: tuple[Score, ...] = ()
+            if _may_prefer_remote(request, local, waiting_s):
+                remote = self._rank_remote(request, regions, bool(local))
             if local and not _prefers_remote(request, remote, local, waiting_s):
                 endpoint = self._config.endpoint(local[0].target)
                 if self.is_allowed(local[0].target, request):
@@ -205,14 +207,13 @@
         now_s = self._clock.monotonic_s()
         route = request.route.id
         senders = self._fleet.count_instances()
-        allowed = [
-            data_centre
-            for data_centre in self._remotes.data_centres(route, now_s)
-            if regions.contains(data_centre)
-        ]
+        allowed = {
+            name: requests_per_s
+            for name, requests_per_s in self._remotes.data_centres(route, now_s).items()
+            if requests_per_s > 0 and regions.contains(name)
+        }
         # Only when all of a document's requests go away do they share a cache.
-        weights = {} if is_served else {name: 1.0 for name in allowed}
-        home = find_home(request.prefix_hashes, weights)
+        home = None if is_served else find_home(request.prefix_hashes, allowed)
         scores = [
             self._remotes.score(name, request, senders, is_home=name == home)
             for name in allowed
@@ -233,6 +234,16 @@
         )
 
 
+def _may_prefer_remote(
+    request: RoutingRequest, local: tuple[Score, ...], waiting_s: float
+) -> bool:
+    # Nothing can be gained where there is next to no queue; most requests
+    # need not be scored for each data centre of the fleet.
+    if not local or len(request.excluded) >= MAX_LOCAL_FAILURES:
+        return True
+    return waiting_s + local[0].queueing_s > SEND_AWAY_GAIN_S
+
+
 def _prefers_remote(
     request: RoutingRequest,
     remote: tuple[Score, ...],
