Answer before the catch-up, end by a signal during it, count each refusal

Cause: during the catch-up callers hung in the kernel's backlog and a signal had no effect; refusals before the exchange were not counted; oriolectl spoke no TLS. Change: the callers' listener refuses as not ready until the configuration is there; the start ends when a drain is asked for; one counter for each reason at the callers' application; https addresses for oriolectl. Before: with the platform cut, the first SIGTERM had no effect within 3 s. Conclusion: an instance can be stopped at every stage of its start.

--- a/oriolepaddle/ctl/client.py
+++ b/oriolepaddle/ctl/client.py
@@ -1,6 +1,7 @@
 """Calls of the administration API."""
 
 import json
+import os
 from datetime import timedelta
 from io import BytesIO
 from typing import Any
@@ -12,6 +13,7 @@
 
 __all__ = ["OperatorClient"]
 
+CA_FILE_VARIABLE = "ORIOLECTL_CA_FILE"
 TIMEOUT = timedelta(seconds=10)
 
 
@@ -19,7 +21,8 @@
     """Calls one instance's administration API.
 
     Args:
-        address: `host:port` of the instance's operators' listener.
+        address: `host:port` of the instance's operators' listener, after
+            `https://` if it uses TLS.
         token: The operator's token.
     """
 
@@ -59,7 +62,10 @@
     def _send(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
         buffer = BytesIO()
         curl = pycurl.Curl()
-        curl.setopt(pycurl.URL, f"http://{self._address}{path}")
+        base = self._address if "://" in self._address else f"http://{self._address}"
+        curl.setopt(pycurl.URL, f"{base}{path}")
+        if CA_FILE_VARIABLE in os.environ:
+            curl.setopt(pycurl.CAINFO, os.environ[CA_FILE_VARIABLE])
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.TIMEOUT_MS, int(TIMEOUT.total_seconds() * 1000))
--- a/oriolepaddle/daemon/administration.py
+++ b/oriolepaddle/daemon/administration.py
@@ -226,6 +226,11 @@
             "Requests held against.",
             lambda: len(self._serving.quarantine.list()),
         )
+        metrics.watch(
+            "rejected_tickets",
+            "Tickets that broke the schema.",
+            lambda: sum(fleet.rejections.counts().values()),
+        )
         metrics.watch(
             "draining", "1 while draining.", lambda: float(parts.activity.is_draining)
         )
--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -55,12 +55,13 @@
         """Catch up with the configuration, then serve callers."""
         self.listeners.peers.start()
         self.listeners.operators.start()
+        self.listeners.callers.start()
         self.fleet.start()
         while not self.fleet.sync.is_caught_up():
-            if self._clock.wait(self._stopping, READY_POLL):
+            if self._clock.wait(self.drain_requested, READY_POLL):
                 return
         self._upkeep.start()
-        self.listeners.callers.start()
+        self.listeners.callers.application = self.serving.application
         logger.info(
             "instance {} serves callers on port {}, peers on port {}, "
             "operators on port {}",
--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -79,7 +79,7 @@
         self.orders = OrderParts(settings, clock, fleet, listeners, self.runner)
         listeners.peers.register(LIMITS_SERVICE, self.limiter.handler)
         listeners.peers.register(QUARANTINE_SERVICE, QuarantineHandler(self.quarantine))
-        listeners.callers.application = self._make_application()
+        self.application = self._make_application()
 
     def _make_parts(self, generator: random.Random) -> ServingParts:
         settings = self._settings
@@ -122,6 +122,7 @@
             Exchanger(parts, orders),
             self._fleet.membership,
             self._settings.data_centre,
+            self.metrics,
         )
 
     def _count_instances(self) -> int:
--- a/oriolepaddle/demo/fleet.py
+++ b/oriolepaddle/demo/fleet.py
@@ -1,6 +1,7 @@
 """Six instances in three data centres, with all that they need."""
 
 import secrets
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
@@ -26,10 +27,13 @@
 ENGINES_PER_DATA_CENTRE = 2
 INSTANCES_PER_DATA_CENTRE = 2
 START_TIMEOUT_S = 60.0
+FILL_TIME = timedelta(seconds=3)
 POLL_INTERVAL = timedelta(milliseconds=50)
 MODELS = ("oriole-answers", "consiglio")
 SERVICES = ("visit-desk", "cabina")
 ORGANISATIONS = ("vinabaer", "skolar", "padana", "frutta")
+RATE_TOKENS_PER_S = 20_000.0
+BURST_TOKENS = 60_000.0
 GREEDY = "skolar"
 GREEDY_RATE_TOKENS_PER_S = 1_000.0
 GREEDY_BURST_TOKENS = 4_000.0
@@ -77,6 +81,8 @@
             list(executor.map(GatewayInstance.start, self.instances.values()))
         for instance in self.instances.values():
             self._await_ready(instance)
+        # A fleet that starts anew has no tokens yet.
+        self.clock.wait(threading.Event(), FILL_TIME)
 
     def close(self) -> None:
         """Stop everything."""
@@ -158,12 +164,7 @@
             make_object("data_centre", f"{region}-a", region=region)
             for region in REGIONS
         ]
-        objects += [
-            make_object(
-                "organisation", name, rate_tokens_per_s=20_000, burst_tokens=60_000
-            )
-            for name in ORGANISATIONS
-        ]
+        objects += [_make_organisation(name) for name in ORGANISATIONS]
         objects += [
             make_key(f"key-{name}", name, key) for name, key in self.keys.items()
         ]
@@ -196,3 +197,10 @@
     def retire_engine(self, name: str) -> None:
         """Publish that an engine is leaving."""
         self.publisher.publish(self._make_engine(name, leaving=True))
+
+
+def _make_organisation(name: str) -> dict:
+    rate, burst = RATE_TOKENS_PER_S, BURST_TOKENS
+    if name == GREEDY:
+        rate, burst = GREEDY_RATE_TOKENS_PER_S, GREEDY_BURST_TOKENS
+    return make_object("organisation", name, rate_tokens_per_s=rate, burst_tokens=burst)
--- a/oriolepaddle/demo/steps.py
+++ b/oriolepaddle/demo/steps.py
@@ -151,7 +151,8 @@
         )
         return Observation(
             "a region cut off from the others and the platform",
-            f"{inside} of 10 whole inside, {outside} of 10 outside",
+            f"{inside} of 10 whole inside, {outside} of 10 outside"
+            + _write_codes([result for found in results.values() for result in found]),
         )
 
     def withdraw_key_during_cut(self) -> Observation:
--- a/oriolepaddle/gateway/application.py
+++ b/oriolepaddle/gateway/application.py
@@ -7,6 +7,7 @@
 from oriolepaddle.gateway.exchanger import Exchanger
 from oriolepaddle.gateway.forwarder import InstanceFinder
 from oriolepaddle.gateway.parser import ORDERS_PATH, RequestParser
+from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.web import AnswerWriter
 
 __all__ = ["CallerApplication"]
@@ -22,6 +23,7 @@
         exchanger: Serves them.
         finder: Tells which instances callers may use.
         data_centre: The data centre of this instance.
+        metrics: Counts each reason for which a request ended without answer.
     """
 
     def __init__(
@@ -30,11 +32,13 @@
         exchanger: Exchanger,
         finder: InstanceFinder,
         data_centre: str,
+        metrics: GatewayMetrics,
     ) -> None:
         self._parser = parser
         self._exchanger = exchanger
         self._finder = finder
         self._data_centre = data_centre
+        self._metrics = metrics
 
     def handle(self, request: Request, writer: AnswerWriter) -> None:
         """Answer one request; see `Application.handle`."""
@@ -52,6 +56,7 @@
                 else:
                     self._exchanger.serve(parsed, writer)
         except OriolepaddleError as error:
+            self._metrics.refusals.labels(error.code.code, error.outcome).inc()
             logger.bind(request_id=request_id, reason=error.code.code).info(
                 "request ended with {}", error.message
             )
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -225,6 +225,8 @@
 
     def _note_success(self, run: Run) -> None:
         run.finished()
+        tokens = self._relay.count_output_tokens()
+        self._parts.metrics.output_tokens.labels(self._request.route.id).inc(tokens)
         organisation = self._request.organisation_id
         self._parts.retries.succeeded(organisation, self._target)
 
--- a/oriolepaddle/gateway/exchanger.py
+++ b/oriolepaddle/gateway/exchanger.py
@@ -1,6 +1,6 @@
 """Serving parsed requests."""
 
-from oriolepaddle.errors import ErrorCode, OriolepaddleError, RefusedError
+from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.exchange import Exchange
 from oriolepaddle.gateway.order_exchange import OrderExchange
@@ -31,14 +31,10 @@
         """
         with self._parts.activity.enter():
             self._check_staleness(request)
-            try:
-                if request.order_number is not None and not request.is_idempotent:
-                    self._orders.run(request, writer)
-                else:
-                    Exchange(self._parts, request, writer).run()
-            except OriolepaddleError as error:
-                self._count(error)
-                raise
+            if request.order_number is not None and not request.is_idempotent:
+                self._orders.run(request, writer)
+            else:
+                Exchange(self._parts, request, writer).run()
             self._parts.metrics.requests.labels(request.route.id).inc()
 
     def issue_order(self, request: CallerRequest, writer: AnswerWriter) -> None:
@@ -57,6 +53,3 @@
                 "neither the platform nor a peer was heard for too long",
                 code=ErrorCode.NOT_READY,
             )
-
-    def _count(self, error: OriolepaddleError) -> None:
-        self._parts.metrics.refusals.labels(error.code.code, error.outcome).inc()
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -36,9 +36,6 @@
         self.forwards = self._count(
             "forwards", "Requests passed on to a data centre.", "data_centre"
         )
-        self.rejected_tickets = self._count(
-            "rejected_tickets", "Tickets rejected by validation."
-        )
         self.output_tokens = self._count("output_tokens", "Tokens passed on.", "route")
         self.queue_time = self._measure(
             "queue_seconds", "Time waiting for an endpoint.", QUEUE_BUCKETS_S
