--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -277,9 +277,14 @@
         home = names.nodes["a1"].limiter.home("norddal")
         drifts = [-drift, drift] if home == "a1" else [drift, -drift]
         fleet, log = make_fleet({"a1": "a", "a2": "a"}, drifts), make_log()
-        fleet.network.before_reply = lambda: fleet.advance(delay_s)
         try_reserve(fleet, log, home, 1.0)
-        fleet.tick(home)
+        fleet.advance(1.1)
+        fleet.network.before_reply = lambda: fleet.advance(delay_s)
+        fleet.nodes[home].limiter.tick()
+        fleet.network.before_reply = None
+        nodes = fleet.nodes.values()
+        lent = sum(node.limiter.snapshot(ORGANISATION).lent for node in nodes)
+        assert lent == (0.5 if delay_s < LOAN_S else 0.0)
         for _ in range(2100):
             fleet.advance(LOAN_S / 2000)
             assert sum(shares(fleet)) <= 1 + 1e-9
