--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import attrs
 import pytest
 
 from experiments.limits.network import Fault
@@ -104,6 +105,16 @@
         run_and_drain(fleet, log, 10)
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333}
 
+    def test_grown_claim_has_accrued_nothing_before(self):
+        quiet = attrs.evolve(SETTINGS, pool_interval=timedelta(hours=1))
+        fleet, log = make_fleet({"a1": "a", "a2": "a"}, settings=quiet), make_log()
+        drain(fleet, log, ["a1", "a2"])
+        fleet.start("a3", "a")
+        fleet.run(LOAN_S + 4)
+        drain(fleet, log, ["a1", "a2", "a3"])
+        assert claims(fleet)["a3"] == 0.333
+        assert log.overshoot() <= 1e-6
+
     def test_restarted_instance_starts_empty(self):
         fleet, log = make_fleet(THREE), make_log()
         drain(fleet, log, ["a1"])
@@ -289,6 +300,24 @@
             fleet.advance(LOAN_S / 2000)
             assert sum(shares(fleet)) <= 1 + 1e-9
 
+    def test_tokens_on_their_way_do_not_top_full_buckets(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+
+        def refill_and_drain():
+            fleet.network.before_reply = None
+            fleet.advance(10.0)
+            drain(fleet, log, ["a1", "b1"])
+            fleet.network.before_reply = refill_and_drain
+
+        for _ in range(6):
+            fleet.advance(20.0)
+            try_reserve(fleet, log, "a1", 400.0)
+            fleet.network.before_reply = refill_and_drain
+            fleet.nodes["a1"].limiter.tick()
+            fleet.network.before_reply = None
+            drain(fleet, log, ["a1", "b1"])
+            assert log.overshoot() <= 1e-6
+
 
 class TestChanges:
     def test_heavier_data_centre_waits_for_the_lighter_one(self):
