Test loans lent on and a restart with old weights

Cause: two naive variants passed all tests: a loan lent on that outlives the one behind it, and a data centre that starts with weights the others have left.

--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -300,6 +300,21 @@
             fleet.advance(LOAN_S / 2000)
             assert sum(shares(fleet)) <= 1 + 1e-9
 
+    def test_share_lent_on_ends_with_the_loan_behind_it(self):
+        fleet, log = make_fleet({"a1": "a", "a2": "a", "b1": "b"}), make_log()
+        home = fleet.nodes["a1"].limiter.home("norddal")
+        try_reserve(fleet, log, home, 1.0)
+        fleet.run(1.0)
+        fleet.network.method_faults = {"draw": Fault(is_lost=True)}
+        drain(fleet, log, ["b1"])
+        fleet.network.method_faults = {}
+        fleet.advance(2.0)
+        fleet.nodes["b1"].limiter.tick()
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).share > 0.75
+        for _ in range(100):
+            fleet.advance(0.1)
+            assert sum(shares(fleet)) <= 1 + 1e-9
+
     def test_tokens_on_their_way_do_not_top_full_buckets(self):
         fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
 
@@ -337,6 +352,21 @@
         run_and_drain(fleet, log, 40)
         assert fleet.nodes["a1"].limiter.snapshot(ORGANISATION).fraction == 0.9
 
+    def test_restart_with_old_weights_waits_for_the_new_ones(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+        entry = make_entry(DataCentre("b", region="b", weight=9.0), number=2)
+        for node in fleet.nodes.values():
+            node.config.merge([entry])
+        run_and_drain(fleet, log, 20)
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).fraction == 0.9
+        fleet.stop("a1")
+        node = fleet.start("a1", "a")
+        run_and_drain(fleet, log, 20)
+        assert sum(shares(fleet)) <= 1 + 1e-9
+        node.config.merge([entry])
+        run_and_drain(fleet, log, 20)
+        assert sum(shares(fleet)) == pytest.approx(1, abs=0.01)
+
     def test_lower_rate_holds_from_when_it_arrives(self):
         fleet, log = make_fleet({"a1": "a"}), make_log()
         drain(fleet, log, ["a1"])
