Test the guards that three more naive variants left out

Cause: growth while weights change, release of a member that does not know this instance, and a restart that ignores loans of the earlier life passed all tests.

--- a/oriolepaddle/limits/tests/test_claims.py
+++ b/oriolepaddle/limits/tests/test_claims.py
@@ -7,6 +7,7 @@
 from oriolepaddle.limits.member import Member
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.peers.gen_py.limits.ttypes import RenewRequest
+from oriolepaddle.platform import Instance, InstanceList
 
 SETTINGS = LimitSettings()
 TABLES = frozenset([7])
@@ -50,6 +51,22 @@
         renew(book, name="a3", held=0.3, wanted=0.3)
         assert book.members["a3"].reserved == 0.3
 
+    def test_nobody_grows_while_weights_change(self):
+        request = make_request(name="a3", wanted=0.2)
+        for tables in ({8}, {7, 8}):
+            book = make_book(reserved=0.0)
+            assert book.handle(request, frozenset(tables), 0.0).granted == 0
+
+    @pytest.mark.parametrize("is_known", [True, False])
+    def test_releases_only_whom_it_has_answered(self, is_known):
+        # One that does not know this instance needs no answer of it to mint.
+        book = make_book()
+        book.members["a2"].is_known_there = is_known
+        for at_s in range(0, 2000, 60):
+            book.note_list(InstanceList((Instance("a1", "a", "", ""),), 1, at_s))
+            book.release_vanished(at_s)
+        assert ("a2" in book.members) is not is_known
+
     def test_overtaken_request_changes_nothing(self):
         book = make_book()
         renew(book, sequence=2, held=0.5, wanted=0.5)
--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -232,6 +232,21 @@
         run_and_drain(fleet, log, 3 * LOAN_S)
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333, "b1": 1.0}
 
+    def test_restart_waits_for_loans_of_the_earlier_life(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+        fleet.network.method_faults = {"draw": Fault(is_lost=True)}
+        drain(fleet, log, ["b1"])
+        fleet.network.method_faults = {}
+        fleet.run(2.0)
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).borrowed == 0.5
+        fleet.stop("a1")
+        fleet.start("a1", "a")
+        for _ in range(200):
+            fleet.advance(0.1)
+            fleet.tick("a1")
+            assert sum(shares(fleet)) <= 1 + 1e-9
+        assert claims(fleet)["a1"] == 1
+
     def test_unlisted_survivor_keeps_the_others_from_starting(self):
         fleet, log = make_fleet(FOUR), make_log()
         for name in ("a1", "a2"):
