--- a/experiments/limits/__main__.py
+++ b/experiments/limits/__main__.py
@@ -1,7 +1,9 @@
 """Print how well each way of limiting holds and serves, over fixed seeds."""
 
 from experiments.limits.cost import print_costs
-from experiments.limits.trial import METHODS, Scenario, TrialResult, run_trial
+from experiments.limits.scenario import Scenario
+from experiments.limits.trial import METHODS, run_trial
+from experiments.limits.trialresult import TrialResult
 from experiments.limits.workload import Workload
 
 SEEDS = (1, 2, 3, 4, 5)
--- a/experiments/limits/trial.py
+++ b/experiments/limits/trial.py
@@ -7,10 +7,11 @@
 import attrs
 
 from experiments.limits.fleet import Fleet
+from experiments.limits.scenario import Scenario
+from experiments.limits.trialresult import TrialResult
 from experiments.limits.usage import UseLog
 from experiments.limits.workload import (
     Request,
-    Workload,
     make_organisations,
     make_requests,
 )
@@ -21,7 +22,7 @@
 from oriolepaddle.limits.bucket import Bucket, BucketDebit
 from oriolepaddle.limits.fixed import FixedSplitLimiter
 
-__all__ = ["METHODS", "Scenario", "TrialResult", "run_trial"]
+__all__ = ["METHODS", "run_trial"]
 
 TICK_S = 0.2
 WARM_UP_S = 60.0
@@ -30,52 +31,6 @@
 Build = Callable[[Fleet], dict[str, TokenLimiter]]
 
 
-@attrs.frozen
-class Scenario:
-    """What happens in a run.
-
-    Attributes:
-        name: Its name in the table.
-        instances: The data centre of each instance.
-        workload: What organisations ask for.
-        organisations: How many there are.
-        seconds: How long it lasts after the warm-up.
-        cut_off: A data centre cut off in the middle third, or empty.
-        replacements: Instances replaced one after the other, gracefully.
-        crashes: Instances that crash and start again 10 s later.
-    """
-
-    name: str
-    instances: dict[str, str]
-    workload: Workload
-    organisations: int = 12
-    seconds: float = 300.0
-    cut_off: str = ""
-    replacements: int = 0
-    crashes: int = 0
-
-
-@attrs.define
-class TrialResult:
-    """What a run gave.
-
-    Attributes:
-        requests: Requests of the organisations inside their rates.
-        refused: Those refused although the fleet's bucket had the tokens.
-        excess_requests: Requests of the organisation above its rate.
-        excess_refused: Those refused although the fleet's bucket had the tokens.
-        overshoot_tokens: The most by which any window held too much.
-        bytes_per_s: Bytes sent a second by each instance, headers included.
-    """
-
-    requests: int = 0
-    refused: int = 0
-    excess_requests: int = 0
-    excess_refused: int = 0
-    overshoot_tokens: float = 0.0
-    bytes_per_s: float = 0.0
-
-
 @attrs.define
 class _Account:
     """An organisation's bucket over the whole fleet, and what was admitted."""
--- a/experiments/tests/test_limits.py
+++ b/experiments/tests/test_limits.py
@@ -1,6 +1,7 @@
 import pytest
 
-from experiments.limits.trial import METHODS, Scenario, run_trial
+from experiments.limits.scenario import Scenario
+from experiments.limits.trial import METHODS, run_trial
 from experiments.limits.workload import Workload
 
 SCENARIO = Scenario(
--- a/oriolepaddle/limits/claims.py
+++ b/oriolepaddle/limits/claims.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable
 
+from oriolepaddle.limits.claim import OwnClaim
 from oriolepaddle.limits.life import UNKNOWN_LIFE, Life
+from oriolepaddle.limits.listing import Listing
 from oriolepaddle.limits.member import Member
 from oriolepaddle.limits.settings import LimitSettings
 from oriolepaddle.peers import PeerIdentity
@@ -37,19 +39,20 @@
         self._identity = identity
         self._settings = settings
         self.members: dict[str, Member] = {}
-        self.claim = 0.0
         self.is_warm = False
         self.is_draining = False
         self.is_leaving = False
-        self._held: list[tuple[float, float]] = []
-        self._steps: list[tuple[float, float]] = []
+        self._own = OwnClaim(settings.lent_s)
+        self._listing = Listing(identity, settings.max_list_age)
         self._freed: list[tuple[float, float]] = []
         self._life = Life(identity.incarnation)
         self._ended: dict[str, tuple[Life, float]] = {}
         self._sequence = 0
-        self._listed_s: float | None = None
-        self._list_asked_s: float | None = None
-        self._listed: frozenset[str] = frozenset()
+
+    @property
+    def claim(self) -> float:
+        """The part of the data centre's share that is minted here, from 0 to 1."""
+        return self._own.claim
 
     @property
     def _loan_end_s(self) -> float:
@@ -66,8 +69,7 @@
 
     def held(self, now_s: float) -> float:
         """Return the claim with what loans made before it lapsed may still use."""
-        self._held = [pair for pair in self._held if pair[0] > now_s]
-        return max([self.claim, *(claim for _, claim in self._held)])
+        return self._own.held(now_s)
 
     def lapse_s(self) -> float:
         """Return when this instance must stop minting, or infinity."""
@@ -77,39 +79,26 @@
             max(member.known_s, member.answered_s or 0.0)
             for member in self.members.values()
         )
-        listed = -NO_END_S if self._listed_s is None else self._listed_s
-        return max(vouched, listed) + self._settings.mint_lease.total_seconds()
+        return (
+            max(vouched, self._listing.named_s)
+            + self._settings.mint_lease.total_seconds()
+        )
 
     def note_list(self, published: InstanceList) -> None:
         """Take in a list; repeated readings of one list are welcome."""
-        asked_s = published.asked_at_s
-        if self._list_asked_s is not None and asked_s <= self._list_asked_s:
+        change = self._listing.note(published)
+        if change is None:
             return
-        is_gap = self._list_asked_s is None or (
-            asked_s - self._list_asked_s > self._settings.max_list_age.total_seconds()
-        )
-        self._list_asked_s = asked_s
-        own = self._identity
-        names = {
-            instance.id
-            for instance in published.instances
-            if instance.data_centre == own.data_centre
-        }
-        if own.instance in names:
-            self._listed_s = asked_s
-        self._listed = frozenset(names - {own.instance})
-        for name in self._listed:
-            self._note_listed(name, asked_s)
+        for name in change.present:
+            self._note_listed(name, change.asked_s)
         for name, member in self.members.items():
-            if name not in names and (is_gap or member.absent_s is None):
-                member.absent_s = asked_s
+            is_first = change.is_gap or member.absent_s is None
+            if name not in change.present and is_first:
+                member.absent_s = change.asked_s
 
     def is_list_fresh(self, now_s: float) -> bool:
         """Return whether the newest list is fresh and names this instance."""
-        asked_s = self._list_asked_s
-        if asked_s is None or asked_s != self._listed_s:
-            return False
-        return now_s - asked_s <= self._settings.max_list_age.total_seconds()
+        return self._listing.is_fresh(now_s)
 
     def prepare(self, name: str, tables: Iterable[int], now_s: float) -> RenewRequest:
         """Return the renewal to send to a member."""
@@ -213,37 +202,35 @@
     def is_settled(self) -> bool:
         """Whether the claim is what is due and no member waits for it."""
         is_due = abs(self.claim - self.target) < SETTLED_CLAIM
-        return self.is_warm and is_due and not self._steps and not self.is_draining
+        return (
+            self.is_warm
+            and is_due
+            and not self._own.is_shrinking
+            and not self.is_draining
+        )
 
     @property
     def lent_claim(self) -> float:
         """The part of the claim out of which loans may be made and renewed."""
-        return min([self.claim, *(claim for _, claim in self._steps)])
+        return self._own.lent_claim
 
     def shrink(self, now_s: float) -> None:
         """Lower the claim to what is due, once loans out of it have run out."""
-        due = [claim for at_s, claim in self._steps if at_s <= now_s]
-        self._steps = [step for step in self._steps if step[0] > now_s]
-        self.claim = min([self.claim, *due])
-        if self.lent_claim > self.target:
-            self._steps.append((now_s + self._settings.lent_s, self.target))
+        self._own.shrink(self.target, now_s)
 
     def give_up(self, now_s: float) -> None:
         """Stop minting at once; the loans made before run out."""
-        if self.claim > 0:
-            self._held.append((now_s + self._settings.lent_s, self.claim))
-        self.claim = 0.0
-        self._steps.clear()
+        self._own.give_up(now_s)
 
     def grow(self, now_s: float) -> None:
         """Raise the claim to what all members have reserved."""
-        if not self.is_warm or self.is_leaving or self._steps:
+        if not self.is_warm or self.is_leaving or self._own.is_shrinking:
             return
         if any(member.answered_s is None for member in self.members.values()):
             return
         grants = [member.granted for member in self.members.values()]
         allowed = self.claim + max(0.0, self.free(now_s))
-        self.claim = max(self.claim, min([self.target, allowed, *grants]))
+        self._own.grow(min([self.target, allowed, *grants]))
 
     def lapse(self, now_s: float) -> None:
         """Give the claim up after the mint lease has run out."""
@@ -260,7 +247,8 @@
         self._ended = {
             name: (life, ended_s)
             for name, (life, ended_s) in self._ended.items()
-            if name in self._listed or now_s - ended_s < self._settings.release_s
+            if name in self._listing.present
+            or now_s - ended_s < self._settings.release_s
         }
         if not self.is_list_fresh(now_s):
             return
@@ -357,7 +345,7 @@
         return self._ended.get(name, (UNKNOWN_LIFE, 0.0))[0]
 
     def _add(self, name: str, now_s: float) -> Member:
-        absent_s = None if name in self._listed else now_s
+        absent_s = None if name in self._listing.present else now_s
         # While this instance is warm, a newcomer can hold nothing without it.
         member = Member(
             now_s, vouched_s=now_s, absent_s=absent_s, is_known_there=self.is_warm
--- a/oriolepaddle/limits/tests/test_claims.py
+++ b/oriolepaddle/limits/tests/test_claims.py
@@ -18,7 +18,7 @@
 def make_book(claim=0.5, reserved=0.5):
     book = ClaimBook(PeerIdentity("a1", 1, "a"), SETTINGS)
     book.is_warm = True
-    book.claim = claim
+    book._own.grow(claim)
     book.members["a2"] = Member(0.0, life=FIRST, reserved=reserved, granted=claim)
     return book
 
