--- a/oriolepaddle/limits/claims.py
+++ b/oriolepaddle/limits/claims.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from oriolepaddle.limits.claim import OwnClaim
+from oriolepaddle.limits.endedlives import EndedLives
 from oriolepaddle.limits.life import UNKNOWN_LIFE, Life
 from oriolepaddle.limits.listing import Listing
 from oriolepaddle.limits.member import Member
@@ -46,7 +47,7 @@
         self._listing = Listing(identity, settings.max_list_age)
         self._freed: list[tuple[float, float]] = []
         self._life = Life(identity.incarnation)
-        self._ended: dict[str, tuple[Life, float]] = {}
+        self._ended = EndedLives()
         self._sequence = 0
 
     @property
@@ -175,8 +176,7 @@
         """Note that a life of a member is over; its loans run out first."""
         if name == self._identity.instance:
             return
-        if life > self._ended_life(name):
-            self._ended[name] = (life, now_s)
+        self._ended.add(name, life, now_s)
         member = self.members.get(name)
         if member is None or member.life > life:
             return
@@ -244,20 +244,15 @@
 
     def release_vanished(self, now_s: float) -> None:
         """Drop members that have surely stopped minting."""
-        self._ended = {
-            name: (life, ended_s)
-            for name, (life, ended_s) in self._ended.items()
-            if name in self._listing.present
-            or now_s - ended_s < self._settings.release_s
-        }
+        wait_s = self._settings.release_s
+        self._ended.forget(now_s - wait_s, self._listing.present)
         if not self.is_list_fresh(now_s):
             return
-        wait_s = self._settings.release_s
         for name, member in list(self.members.items()):
             if member.absent_s is None or not member.is_known_there:
                 continue
             if now_s - max(member.absent_s, member.vouched_s) > wait_s:
-                self._ended[name] = (member.life, now_s)
+                self._ended.add(name, member.life, now_s)
                 del self.members[name]
 
     def join(self, now_s: float) -> None:
@@ -295,7 +290,7 @@
         if is_stranger or name == self._identity.instance:
             return None
         life = Life.read(request.life)
-        if life <= self._ended_life(name):
+        if life <= self._ended.last(name):
             return None
         member = self.members.get(name)
         if member is None:
@@ -324,10 +319,7 @@
             is_warm=self.is_warm,
             holds_loans=False,
             members=self._member_states(request.instance),
-            ended=[
-                MemberState(instance=name, life=life.write(), reserved=0.0)
-                for name, (life, _) in self._ended.items()
-            ],
+            ended=self._ended.write(),
             tables=sorted(tables),
             rosters=[],
         )
@@ -341,9 +333,6 @@
             if name != excluded
         ]
 
-    def _ended_life(self, name: str) -> Life:
-        return self._ended.get(name, (UNKNOWN_LIFE, 0.0))[0]
-
     def _add(self, name: str, now_s: float) -> Member:
         absent_s = None if name in self._listing.present else now_s
         # While this instance is warm, a newcomer can hold nothing without it.
@@ -365,7 +354,7 @@
         if name == self._identity.instance:
             return
         life = Life.read(state.life)
-        if UNKNOWN_LIFE < life <= self._ended_life(name):
+        if UNKNOWN_LIFE < life <= self._ended.last(name):
             return
         member = self.members.get(name)
         if member is None:
