--- a/oriolepaddle/limits/drawing.py
+++ b/oriolepaddle/limits/drawing.py
@@ -80,8 +80,12 @@
             for centre in ledger.config.data_centres()
             if centre.id != ledger.identity.data_centre
         ]
-        homes = [ledger.homes(organisation_id, centre) for centre in centres]
-        return [ranked[0] for ranked in homes if ranked][:REMOTE_HOMES]
+        homes: list[str] = []
+        for centre in centres:
+            homes += ledger.homes(organisation_id, centre)[:1]
+            if len(homes) == REMOTE_HOMES:
+                break
+        return homes
 
     def _draw_from(
         self,
--- a/oriolepaddle/limits/ledger.py
+++ b/oriolepaddle/limits/ledger.py
@@ -52,6 +52,7 @@
         self._changed_s: dict[str, float] = {}
         self._published: InstanceList | None = None
         self._live: dict[str, list[str]] = {}
+        self._ranked: dict[tuple[str, str], list[str]] = {}
         config.add_listener(self._note_entries)
 
     @property
@@ -124,12 +125,25 @@
     def homes(self, organisation_id: str, data_centre: str) -> list[str]:
         """Rank a data centre's instances as homes of an organisation."""
         names = self._live_instances().get(data_centre, ())
-        return rank_instances(organisation_id, names)
-
-    def home(self, organisation_id: str) -> str:
-        """Return the instance of this data centre that pools an organisation."""
+        key = (organisation_id, data_centre)
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            ranked = rank_instances(organisation_id, names)
+            self._ranked[key] = ranked
+        return ranked
+
+    def home(
+        self, organisation_id: str, reachable: frozenset[str] | None = None
+    ) -> str:
+        """Return the instance of this data centre that pools an organisation.
+
+        Args:
+            organisation_id: The organisation.
+            reachable: The peers that can be reached, if the caller has them.
+        """
         own = self.identity
-        reachable = self.view.reachable()
+        if reachable is None:
+            reachable = self.view.reachable()
         members = self.book.members
         for name in self.homes(organisation_id, own.data_centre):
             if name == own.instance and not self.book.is_draining:
@@ -166,7 +180,10 @@
         for instance in published.instances:
             if instance.state is InstanceState.LIVE:
                 live.setdefault(instance.data_centre, []).append(instance.id)
+        is_same = live == self._live
         self._published, self._live = published, live
+        if not is_same:
+            self._ranked = {}
         return live
 
     def _note_entries(self, entries: tuple[Entry, ...]) -> None:
--- a/oriolepaddle/limits/pooling.py
+++ b/oriolepaddle/limits/pooling.py
@@ -95,7 +95,8 @@
     def _plan(self, now_s: float) -> dict[str, _Batch]:
         self._round += 1
         batches: dict[str, _Batch] = {}
-        near = sorted(self._ledger.view.reachable() & self._ledger.book.members.keys())
+        reachable = self._ledger.view.reachable()
+        near = sorted(reachable & self._ledger.book.members.keys())
         own = self._ledger.identity.instance
         period_s = self._ledger.settings.active_for.total_seconds()
         for account in list(self._ledger.accounts.values()):
@@ -104,7 +105,7 @@
             if not is_active and not account.is_asked(now_s, period_s):
                 continue
             self._plan_renewals(account, batches)
-            if self._ledger.home(account.organisation.id) == own:
+            if self._ledger.home(account.organisation.id, reachable) == own:
                 self._plan_loans(account, near, batches, now_s)
         self._drop_early_renewals(batches, now_s)
         return batches
