--- a/oriolepaddle/limits/pooling.py
+++ b/oriolepaddle/limits/pooling.py
@@ -95,7 +95,8 @@
     def _plan(self, now_s: float) -> dict[str, _Batch]:
         self._round += 1
         batches: dict[str, _Batch] = {}
-        near = sorted(self._ledger.view.reachable() & self._ledger.book.members.keys())
+        reachable = self._ledger.view.reachable()
+        near = sorted(reachable & self._ledger.book.members.keys())
         own = self._ledger.identity.instance
         period_s = self._ledger.settings.active_for.total_seconds()
         for account in list(self._ledger.accounts.values()):
@@ -104,7 +105,7 @@
             if not is_active and not account.is_asked(now_s, period_s):
                 continue
             self._plan_renewals(account, batches)
-            if self._ledger.home(account.organisation.id) == own:
+            if self._ledger.home(account.organisation.id, reachable) == own:
                 self._plan_loans(account, near, batches, now_s)
         self._drop_early_renewals(batches, now_s)
         return batches
@@ -161,12 +162,12 @@
         lenders = [
             peer
             for peer in near
-            if is_short
-            or (peer not in held and now_s - asked_s.get(peer, -REASK_S) >= REASK_S)
+            if (is_short or peer not in held)
+            and now_s - asked_s.get(peer, -REASK_S) >= REASK_S
         ]
+        asked_s.update(dict.fromkeys(lenders, now_s))
         if is_short:
             lenders += self._remote_lenders(name)
-        asked_s.update(dict.fromkeys(lenders, now_s))
         return lenders
 
     def _remote_lenders(self, organisation_id: str) -> list[str]:
@@ -224,13 +225,17 @@
     def _take_renewals(
         self, batch: _Batch, reply: BorrowReply, asked_s: float, now_s: float
     ) -> None:
-        for renewal in reply.renewed:
-            account, loan = batch.renewed[renewal.number]
+        changed = {renewal.number: renewal for renewal in reply.renewed}
+        recalled = set(reply.recalled)
+        for number, (account, loan) in batch.renewed.items():
             account.advance(now_s)
             # A loan that has ended in the meantime must not come back.
-            if loan in account.borrowed.values():
-                end_s = self._end_s(asked_s, renewal.duration_s)
-                account.renew(loan, renewal.share, end_s)
+            if number in recalled or loan not in account.borrowed.values():
+                continue
+            renewal = changed.get(number)
+            share = loan.share if renewal is None else renewal.share
+            duration_s = reply.duration_s if renewal is None else renewal.duration_s
+            account.renew(loan, share, self._end_s(asked_s, duration_s))
 
     def _take_loans(
         self, lender: str, reply: BorrowReply, asked_s: float, now_s: float
--- a/oriolepaddle/limits/tests/test_faults.py
+++ b/oriolepaddle/limits/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import attrs
 import pytest
 
 from experiments.limits.network import Fault
@@ -37,6 +38,11 @@
     return sum(use.tokens for use in log.uses if use.at_s > since_s)
 
 
+def shares(fleet):
+    nodes = fleet.nodes.values()
+    return [node.limiter.snapshot(ORGANISATION).share for node in nodes]
+
+
 class TestCalm:
     @pytest.mark.parametrize("name", ["a1", "a2", "a3", "b1"])
     def test_whole_burst_at_one_instance(self, name):
@@ -99,6 +105,16 @@
         run_and_drain(fleet, log, 10)
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333}
 
+    def test_grown_claim_has_accrued_nothing_before(self):
+        quiet = attrs.evolve(SETTINGS, pool_interval=timedelta(hours=1))
+        fleet, log = make_fleet({"a1": "a", "a2": "a"}, settings=quiet), make_log()
+        drain(fleet, log, ["a1", "a2"])
+        fleet.start("a3", "a")
+        fleet.run(LOAN_S + 4)
+        drain(fleet, log, ["a1", "a2", "a3"])
+        assert claims(fleet)["a3"] == 0.333
+        assert log.overshoot() <= 1e-6
+
     def test_restarted_instance_starts_empty(self):
         fleet, log = make_fleet(THREE), make_log()
         drain(fleet, log, ["a1"])
@@ -216,6 +232,21 @@
         run_and_drain(fleet, log, 3 * LOAN_S)
         assert claims(fleet) == {"a1": 0.333, "a2": 0.333, "a3": 0.333, "b1": 1.0}
 
+    def test_restart_waits_for_loans_of_the_earlier_life(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+        fleet.network.method_faults = {"draw": Fault(is_lost=True)}
+        drain(fleet, log, ["b1"])
+        fleet.network.method_faults = {}
+        fleet.run(2.0)
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).borrowed == 0.5
+        fleet.stop("a1")
+        fleet.start("a1", "a")
+        for _ in range(200):
+            fleet.advance(0.1)
+            fleet.tick("a1")
+            assert sum(shares(fleet)) <= 1 + 1e-9
+        assert claims(fleet)["a1"] == 1
+
     def test_unlisted_survivor_keeps_the_others_from_starting(self):
         fleet, log = make_fleet(FOUR), make_log()
         for name in ("a1", "a2"):
@@ -264,17 +295,58 @@
             while second % 3 == 0 and fleet.network.delayed:
                 fleet.network.deliver(len(fleet.network.delayed) - 1)
 
-    def test_loan_in_a_late_answer_is_not_used(self):
-        fleet, log = make_fleet({"a1": "a", "a2": "a"}), make_log()
-        home = fleet.nodes["a1"].limiter.home("norddal")
-        lender = "a2" if home == "a1" else "a1"
-        fleet.network.before_reply = lambda: fleet.advance(LOAN_S)
+    @pytest.mark.parametrize("delay_s", [0.0, LOAN_S / 2, LOAN_S])
+    def test_loan_ends_first_at_the_borrower(self, delay_s):
+        # The borrower's clock is slow, the lender's is fast.
+        drift = SETTINGS.max_clock_drift
+        names = make_fleet({"a1": "a", "a2": "a"})
+        home = names.nodes["a1"].limiter.home("norddal")
+        drifts = [-drift, drift] if home == "a1" else [drift, -drift]
+        fleet, log = make_fleet({"a1": "a", "a2": "a"}, drifts), make_log()
         try_reserve(fleet, log, home, 1.0)
-        fleet.tick(home)
+        fleet.advance(1.1)
+        fleet.network.before_reply = lambda: fleet.advance(delay_s)
+        fleet.nodes[home].limiter.tick()
         fleet.network.before_reply = None
-        drain(fleet, log, [lender])
-        drain(fleet, log, [home])
-        assert log.overshoot() <= 1e-6
+        nodes = fleet.nodes.values()
+        lent = sum(node.limiter.snapshot(ORGANISATION).lent for node in nodes)
+        assert lent == (0.5 if delay_s < LOAN_S else 0.0)
+        for _ in range(2100):
+            fleet.advance(LOAN_S / 2000)
+            assert sum(shares(fleet)) <= 1 + 1e-9
+
+    def test_share_lent_on_ends_with_the_loan_behind_it(self):
+        fleet, log = make_fleet({"a1": "a", "a2": "a", "b1": "b"}), make_log()
+        home = fleet.nodes["a1"].limiter.home("norddal")
+        try_reserve(fleet, log, home, 1.0)
+        fleet.run(1.0)
+        fleet.network.method_faults = {"draw": Fault(is_lost=True)}
+        drain(fleet, log, ["b1"])
+        fleet.network.method_faults = {}
+        fleet.advance(2.0)
+        fleet.nodes["b1"].limiter.tick()
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).share > 0.75
+        for _ in range(100):
+            fleet.advance(0.1)
+            assert sum(shares(fleet)) <= 1 + 1e-9
+
+    def test_tokens_on_their_way_do_not_top_full_buckets(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+
+        def refill_and_drain():
+            fleet.network.before_reply = None
+            fleet.advance(10.0)
+            drain(fleet, log, ["a1", "b1"])
+            fleet.network.before_reply = refill_and_drain
+
+        for _ in range(6):
+            fleet.advance(20.0)
+            try_reserve(fleet, log, "a1", 400.0)
+            fleet.network.before_reply = refill_and_drain
+            fleet.nodes["a1"].limiter.tick()
+            fleet.network.before_reply = None
+            drain(fleet, log, ["a1", "b1"])
+            assert log.overshoot() <= 1e-6
 
 
 class TestChanges:
@@ -295,6 +367,21 @@
         run_and_drain(fleet, log, 40)
         assert fleet.nodes["a1"].limiter.snapshot(ORGANISATION).fraction == 0.9
 
+    def test_restart_with_old_weights_waits_for_the_new_ones(self):
+        fleet, log = make_fleet({"a1": "a", "b1": "b"}), make_log()
+        entry = make_entry(DataCentre("b", region="b", weight=9.0), number=2)
+        for node in fleet.nodes.values():
+            node.config.merge([entry])
+        run_and_drain(fleet, log, 20)
+        assert fleet.nodes["b1"].limiter.snapshot(ORGANISATION).fraction == 0.9
+        fleet.stop("a1")
+        node = fleet.start("a1", "a")
+        run_and_drain(fleet, log, 20)
+        assert sum(shares(fleet)) <= 1 + 1e-9
+        node.config.merge([entry])
+        run_and_drain(fleet, log, 20)
+        assert sum(shares(fleet)) == pytest.approx(1, abs=0.01)
+
     def test_lower_rate_holds_from_when_it_arrives(self):
         fleet, log = make_fleet({"a1": "a"}), make_log()
         drain(fleet, log, ["a1"])
