--- a/oriolepaddle/config/keys.py
+++ b/oriolepaddle/config/keys.py
@@ -6,7 +6,7 @@
 from oriolepaddle.config.model import Key
 from oriolepaddle.config.state import ConfigState
 
-__all__ = ["digest_key", "find_key"]
+__all__ = ["digest_key", "find_key", "find_key_by_digest"]
 
 
 def digest_key(presented_key: str) -> str:
@@ -15,12 +15,16 @@
 
 
 def find_key(state: ConfigState, presented_key: str) -> Key | None:
-    """Return the live key that a caller shows, or None.
+    """Return the live key that a caller shows, or None."""
+    return find_key_by_digest(state, digest_key(presented_key))
+
+
+def find_key_by_digest(state: ConfigState, digest: str) -> Key | None:
+    """Return the live key with a digest, or None.
 
     The look-up is by SHA-256, whose value a caller cannot steer, and the
     digest found is compared again in constant time.
     """
-    digest = digest_key(presented_key)
     key = state.key_by_digest(digest)
     if key is None or not hmac.compare_digest(key.digest, digest):
         return None
--- a/oriolepaddle/daemon/instance_list.py
+++ b/oriolepaddle/daemon/instance_list.py
@@ -8,14 +8,15 @@
 from loguru import logger
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.config.backoff import Backoff
 from oriolepaddle.errors import PlatformUnavailableError
 from oriolepaddle.platform import InstanceList, InstanceListService
 
 __all__ = ["InstanceListReader"]
 
 WATCH_TIMEOUT = timedelta(seconds=20)
-FIRST_PAUSE_S = 0.5
-MAX_PAUSE_S = 10.0
+SHORTEST_PAUSE = timedelta(seconds=0.25)
+LONGEST_PAUSE = timedelta(seconds=10)
 
 
 class InstanceListReader:
@@ -38,10 +39,8 @@
         self._clock = clock
         self._service = service
         self._take = take
-        self._generator = generator
+        self._backoff = Backoff(generator, SHORTEST_PAUSE, LONGEST_PAUSE)
         self._stopping = threading.Event()
-        self._pause_s = FIRST_PAUSE_S
-        self.has_answered = threading.Event()
 
     def start(self) -> None:
         """Begin to watch."""
@@ -58,9 +57,8 @@
             PlatformUnavailableError: There was no answer.
         """
         reading = self._service.watch(revision, WATCH_TIMEOUT)
-        self._pause_s = FIRST_PAUSE_S
+        self._backoff.reset()
         self._take(reading)
-        self.has_answered.set()
         return reading.revision
 
     def _follow(self) -> None:
@@ -70,9 +68,4 @@
                 revision = self.step(revision)
             except PlatformUnavailableError as error:
                 logger.warning("instance list: {}", error.message)
-                self._pause()
-
-    def _pause(self) -> None:
-        pause_s = self._pause_s * self._generator.uniform(0.5, 1.0)
-        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
-        self._clock.wait(self._stopping, timedelta(seconds=pause_s))
+                self._clock.wait(self._stopping, self._backoff.draw())
--- a/oriolepaddle/gateway/authenticator.py
+++ b/oriolepaddle/gateway/authenticator.py
@@ -1,11 +1,9 @@
 """Who a request runs for."""
 
-import hashlib
-import hmac
-
 import attrs
 
 from oriolepaddle.config import ConfigState
+from oriolepaddle.config.keys import digest_key, find_key_by_digest
 from oriolepaddle.config.model import Key, Organisation, Route
 from oriolepaddle.errors import AuthenticationError, ErrorCode
 
@@ -48,8 +46,7 @@
             raise AuthenticationError(
                 "this route needs a key", code=ErrorCode.KEY_MISSING
             )
-        digest = hashlib.sha256(presented.encode()).hexdigest()
-        return self.find_caller(digest)
+        return self.find_caller(digest_key(presented))
 
     def find_caller(self, digest: str) -> Caller:
         """Return the caller whose key has a digest.
@@ -60,8 +57,8 @@
         Raises:
             AuthenticationError: There is no such key or organisation now.
         """
-        key = self._config.key_by_digest(digest)
-        if key is None or not hmac.compare_digest(key.digest, digest):
+        key = find_key_by_digest(self._config, digest)
+        if key is None:
             raise AuthenticationError("the key is unknown or withdrawn")
         organisation = self._config.organisation(key.organisation)
         if organisation is None:
--- a/oriolepaddle/gateway/parser.py
+++ b/oriolepaddle/gateway/parser.py
@@ -14,6 +14,7 @@
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.forwarding import ForwardedRequest, ForwardingSigner
 from oriolepaddle.gateway.keys import find_presented_key, scrub_body, scrub_query
+from oriolepaddle.routing import estimate_tokens
 
 __all__ = [
     "COMPLETION_PATHS",
@@ -26,7 +27,6 @@
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICE_PREFIX = "/services/"
 ORDERS_PATH = "/v1/orders"
-CHARACTERS_PER_TOKEN = 4
 MAX_OUTPUT_TOKENS = 100_000
 MAX_PRIORITY = 9
 PASSED_HEADERS = (
@@ -132,7 +132,7 @@
             is_idempotent=document is not None or route.idempotent or is_safe,
             is_stream=bool(document and document.get("stream")),
             prompt_text=prompt,
-            prompt_tokens=_estimate_tokens(prompt),
+            prompt_tokens=estimate_tokens(prompt) if prompt else 0,
             output_tokens=_read_output_tokens(document, route),
             priority=_read_priority(document),
             deadline_s=self._clock.monotonic_s() + deadline_s,
@@ -212,10 +212,6 @@
     return _read_integer(document, "priority", 0, MAX_PRIORITY)
 
 
-def _estimate_tokens(text: str) -> int:
-    return -(-len(text) // CHARACTERS_PER_TOKEN)
-
-
 def find_service(path: str) -> str:
     """Return the route's id in the path of a plain service.
 
