Rank instances in one place; hand shares over from the start of a drain

Cause: two modules ranked instances by hash; the limiter wants to hand over while it still mints. Change: one ranking; prepare_hand_over when a drain begins.

--- a/oriolepaddle/daemon/instance.py
+++ b/oriolepaddle/daemon/instance.py
@@ -83,6 +83,7 @@
         limit = timedelta(seconds=self._settings.drain_limit_s)
         activity = self.serving.parts.activity
         self.fleet.membership.begin_leaving()
+        self.serving.limiter.prepare_hand_over()
         self.listeners.callers.is_draining = True
         activity.drain()
         if not activity.wait(limit):
--- a/oriolepaddle/limits/ledger.py
+++ b/oriolepaddle/limits/ledger.py
@@ -7,11 +7,11 @@
 from oriolepaddle.config.model import ObjectKind, Organisation
 from oriolepaddle.limits.account import Account
 from oriolepaddle.limits.claims import ClaimBook
-from oriolepaddle.limits.rendezvous import rank_instances
 from oriolepaddle.limits.rosters import RosterBook
 from oriolepaddle.limits.settings import LimitSettings
 from oriolepaddle.limits.weights import WeightHistory
 from oriolepaddle.membership import MembershipView
+from oriolepaddle.membership.rendezvous import rank_instances
 from oriolepaddle.platform import InstanceList, InstanceState
 
 __all__ = ["Ledger"]
@@ -128,7 +128,7 @@
         key = (organisation_id, data_centre)
         ranked = self._ranked.get(key)
         if ranked is None:
-            ranked = rank_instances(organisation_id, names)
+            ranked = list(rank_instances(names, organisation_id))
             self._ranked[key] = ranked
         return ranked
 
