Add the fault matrix as a checked table

Cause: nothing said which test shows which fault at which step.

Change: oriolepaddle/faults holds a row for each of 24 steps with a cell for each of 13 faults: the tests that show it, why it cannot occur, or what isn't proved. The page docs/fault-matrix.md is printed from it.

Ruled out: counting tests that only draw faults at random; a default for cells left out.

--- /dev/null
+++ b/oriolepaddle/faults/guarantees.py
@@ -0,0 +1,297 @@
+"""What must always hold, each point with the tests that show it."""
+
+from oriolepaddle.faults.claim import Claim
+from oriolepaddle.faults.sources import (
+    admission,
+    daemon,
+    endpoints,
+    limits,
+    order_fleet,
+    order_registry,
+    path,
+    recovery,
+    router,
+    streams,
+    sync,
+)
+
+__all__ = ["GUARANTEES"]
+
+_PASSED_ON = order_fleet("TestPassedOnOrders::test_faults")
+
+GUARANTEES = (
+    Claim(
+        "Requests stay in their region of residency.",
+        (
+            (
+                "kill of the region's only instance",
+                daemon("TestResidency::test_is_kept_when_the_region_is_cut_off"),
+            ),
+            (
+                "all endpoints of the region failed",
+                router(
+                    "TestResidency::test_bound_request_is_refused_when_region_is_lost"
+                ),
+            ),
+            (
+                "any set of failed endpoints and known data centres",
+                router("TestResidency::test_never_outside_the_allowed_regions"),
+            ),
+            (
+                "ticket that arrives during the request",
+                router("TestResidency::test_ticket_in_flight_narrows_residency"),
+            ),
+        ),
+        "with processes under a cut, a stale platform or a freeze",
+    ),
+    Claim(
+        "Requests don't loop.",
+        (
+            (
+                "views that disagree",
+                router("TestHops::test_views_that_disagree_do_not_loop"),
+            ),
+            ("forged hops", daemon("TestHops::test_forged_hops_are_refused")),
+        ),
+        "with processes whose views disagree; under a cut or a late list",
+    ),
+    Claim(
+        "A region that is cut off keeps serving.",
+        (
+            (
+                "cut both ways, platform cut",
+                daemon("TestIsolatedRegion::test_keeps_serving"),
+            ),
+            (
+                "the same, for its share of the limits",
+                limits("TestCuts::test_cut_off_data_centre_keeps_serving"),
+            ),
+        ),
+        "over hours; with an instance that starts or is killed during the cut",
+    ),
+    Claim(
+        "Requests run for the organisation of their key only (but on open routes).",
+        (
+            (
+                "unknown key",
+                daemon("TestKeyUse::test_key_of_one_organisation_is_no_key_of_another"),
+            ),
+            ("no key", path("TestWholePath::test_request_without_key_is_refused")),
+            (
+                "number of another organisation",
+                order_registry(
+                    "TestOrderNumberCodec::test_numbers_of_other_organisations_are_refused"
+                ),
+            ),
+        ),
+        "under any fault of the matrix; with a valid key of another organisation",
+    ),
+    Claim(
+        "Endpoints see no caller's key (but on open routes).",
+        (("no fault", path("TestWholePath::test_endpoint_sees_no_key")),),
+        "on a retry, a resumed stream, an order and a request that is passed on",
+    ),
+    Claim(
+        "A withdrawn key stops within seconds (but on open routes).",
+        (
+            (
+                "open streams",
+                daemon("TestWithdrawnKey::test_ends_streams_and_requests_everywhere"),
+            ),
+            (
+                "platform down and silent for some instances",
+                daemon(
+                    "TestWithdrawnKey::"
+                    "test_reaches_an_instance_without_the_platform_through_peers"
+                ),
+            ),
+            (
+                "freeze and wake",
+                daemon("TestWithdrawnKey::test_is_known_to_a_process_that_slept"),
+            ),
+            (
+                "stale platform, all instances replaced",
+                daemon(
+                    "TestWithdrawnKey::"
+                    "test_does_not_revert_when_every_instance_is_replaced"
+                ),
+            ),
+            (
+                "withdrawn before an order is sent",
+                order_fleet(
+                    "TestPassedOnOrders::test_withdrawn_key_is_seen_at_the_issuer"
+                ),
+            ),
+            (
+                "cut off, with a bound on staleness set",
+                recovery("TestStaleness::test_cut_off_instance_refuses_and_recovers"),
+            ),
+        ),
+        "in a cut-off region without that bound: it learns of it after the cut",
+    ),
+    Claim(
+        "Organisations get no more than their rate and burst over all instances.",
+        (
+            (
+                "no fault, processes",
+                daemon("TestRate::test_is_not_exceeded_by_all_instances_together"),
+            ),
+            (
+                "messages lost, late, doubled",
+                limits("TestMessages::test_bound_holds_when_every_other_call_fails"),
+            ),
+            ("cut one way", limits("TestCuts::test_one_way_cut")),
+            (
+                "cut both ways",
+                limits(
+                    "TestCuts::test_cut_inside_data_centre_fences_the_unlisted_part"
+                ),
+            ),
+            (
+                "freeze and wake",
+                limits("TestMembers::test_paused_instance_wakes_up_without_its_claim"),
+            ),
+            ("drifting clocks", limits("TestChanges::test_drifting_clocks")),
+        ),
+        "with processes under any fault; a loan whose answer is late; hand-over "
+        "under faults",
+    ),
+    Claim(
+        "Callers get the whole answer to their own request.",
+        (
+            ("crossed answer", streams("TestMatching::test_other_answer_is_refused")),
+            ("crossed event", streams("TestMatching::test_crossed_event_is_not_sent")),
+            (
+                "cut both ways, resumed",
+                daemon(
+                    "TestBrokenStream::test_is_resumed_without_lost_or_doubled_events"
+                ),
+            ),
+            (
+                "cut at every byte",
+                streams(
+                    "TestResumption::test_event_stream_cut_at_every_byte_is_marked"
+                ),
+            ),
+        ),
+        "with processes whose answers cross; on connections between instances",
+    ),
+    Claim(
+        'A refusal that says "not run" is true.',
+        (
+            ("orders: kill, cut, loss, lateness, doubles, sleep", _PASSED_ON),
+            (
+                "endpoint down",
+                daemon("TestOrders::test_endpoint_that_is_down_is_not_run"),
+            ),
+            (
+                "issuer slept",
+                daemon("TestOrders::test_issuer_that_slept_sends_nothing_late"),
+            ),
+            (
+                "slept after the admission",
+                admission("TestRefusals::test_sleep_after_the_admission_is_not_run"),
+            ),
+            (
+                "refused before the sending",
+                endpoints(
+                    "TestEndpointTransport::test_refusal_before_sending_reaches_no_endpoint"
+                ),
+            ),
+        ),
+        "for requests that aren't orders and are passed on, under kill or a cut",
+    ),
+    Claim(
+        "Orders and other non-idempotent requests run at most once.",
+        (
+            (
+                "kill during the run",
+                daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+            ),
+            (
+                "cut and silence during the run",
+                daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once"),
+            ),
+            ("cut before the answer", path("TestWholePath::test_order_runs_once")),
+            ("messages lost, late, doubled", _PASSED_ON),
+            (
+                "repeats at once",
+                order_registry("TestConcurrentRepeats::test_one_run_serves_all"),
+            ),
+            (
+                "reused connection broken",
+                endpoints(
+                    "TestEndpointTransport::"
+                    "test_request_that_may_not_repeat_gets_a_connection_of_its_own"
+                ),
+            ),
+        ),
+        "a freeze during or after the run; a one-way cut",
+    ),
+    Claim(
+        "A leaving endpoint gets no new work after a few seconds.",
+        (
+            (
+                "no fault, processes",
+                daemon("TestLeavingEndpoint::test_gets_no_new_work"),
+            ),
+            (
+                "left after it was chosen",
+                router("TestLeavingEndpoint::test_gets_no_new_request"),
+            ),
+        ),
+        "with the platform down or stale, a cut, or a frozen instance",
+    ),
+    Claim(
+        "A graceful shutdown cuts no request.",
+        (
+            ("load", daemon("TestDrain::test_cuts_no_request_under_load")),
+            (
+                "slow answer",
+                path("TestWholePath::test_graceful_shutdown_cuts_no_request"),
+            ),
+            (
+                "order slept through it",
+                order_registry(
+                    "TestOrderRegistry::"
+                    "test_order_that_slept_through_the_drain_is_not_sent"
+                ),
+            ),
+        ),
+        "with a cut, the platform down, or a request that is passed on",
+    ),
+    Claim(
+        "An accepted configuration is in force everywhere within seconds, for good.",
+        (
+            (
+                "platform down",
+                sync(
+                    "TestSpread::test_ticket_of_one_instance_spreads_with_platform_down"
+                ),
+            ),
+            (
+                "messages lost and doubled",
+                sync("TestSpread::test_faulty_messages_are_repaired"),
+            ),
+            ("cut one way", sync("TestSpread::test_one_way_cut")),
+            ("cut both ways, healed", sync("TestSpread::test_partition_heals")),
+            (
+                "stale platform",
+                recovery("TestCatchUp::test_stale_platform_reverts_nothing"),
+            ),
+            (
+                "all instances replaced, platform down",
+                recovery(
+                    "TestCatchUp::test_replacement_of_every_instance_with_platform_down"
+                ),
+            ),
+            (
+                "operators racing",
+                daemon(
+                    "TestRacingOperators::test_one_number_twice_ends_alike_everywhere"
+                ),
+            ),
+        ),
+        "a slow or silent peer; a kill during the spread; during a cut it can't hold",
+    ),
+)
--- /dev/null
+++ b/oriolepaddle/faults/page.py
@@ -0,0 +1,108 @@
+"""Writes the fault matrix as Markdown: `python -m oriolepaddle.faults.page`."""
+
+import collections
+import sys
+from collections.abc import Iterator
+
+from oriolepaddle.faults.cell import Cell
+from oriolepaddle.faults.claim import Claim
+from oriolepaddle.faults.fault import Fault
+from oriolepaddle.faults.guarantees import GUARANTEES
+from oriolepaddle.faults.pairs import PAIRS
+from oriolepaddle.faults.row import Row
+from oriolepaddle.faults.table import ROWS
+
+__all__ = ["PAGE", "write_page"]
+
+PAGE = "docs/fault-matrix.md"
+
+_INTRODUCTION = """\
+# Fault matrix
+
+Made by `python -m oriolepaddle.faults.page > docs/fault-matrix.md` from the table
+in `oriolepaddle/faults`; see [faults](faults.md).
+
+A cell is shown if a test brings the fault about at the step. Tests that only draw
+faults at random (`TestInterleavings`, `TestOrderMachine`, `TestRandomFaults`,
+`TestConvergence`) don't count for a cell. A dash says that the fault cannot occur
+there, and why is said below.
+"""
+
+
+def write_page() -> str:
+    """Return the whole page."""
+    parts = [
+        _INTRODUCTION,
+        "## Overview\n",
+        *_overview(),
+        "\n## What must always hold\n",
+        *_claims(GUARANTEES),
+        "\n## Pairs of faults\n",
+        *_claims(PAIRS),
+        "\n## Step by step",
+        *_steps(),
+        "\n## Not proved\n",
+        *_gaps(),
+    ]
+    return "\n".join(parts) + "\n"
+
+
+def _overview() -> Iterator[str]:
+    counts = collections.Counter(
+        _sign(row.cell(fault)) for row in ROWS for fault in Fault
+    )
+    yield (
+        f"{sum(counts.values())} cells: {counts['shown']} shown, "
+        f"{counts['-']} cannot occur, {counts['**no**']} not proved.\n"
+    )
+    yield "| Step | " + " | ".join(fault.value for fault in Fault) + " |"
+    yield "|---" * (len(Fault) + 1) + "|"
+    for row in ROWS:
+        signs = " | ".join(_sign(row.cell(fault)) for fault in Fault)
+        yield f"| {row.step.value} | {signs} |"
+
+
+def _sign(cell: Cell) -> str:
+    if cell.tests:
+        return "shown"
+    return "-" if cell.impossible else "**no**"
+
+
+def _claims(claims: tuple[Claim, ...]) -> Iterator[str]:
+    for number, claim in enumerate(claims, 1):
+        yield f"{number}. {claim.text}"
+        for fault, test in claim.tests:
+            yield f"    - {fault}: `{test}`"
+        if claim.unproved:
+            yield f"    - not proved: {claim.unproved}"
+
+
+def _steps() -> Iterator[str]:
+    for row in ROWS:
+        yield f"\n### {row.step.value.capitalize()}\n"
+        yield from (_line(row, fault) for fault in Fault)
+
+
+def _line(row: Row, fault: Fault) -> str:
+    cell = row.cell(fault)
+    if cell.tests:
+        tests = ", ".join(f"`{test}`" for test in cell.tests)
+        return f"- {fault.value}: {tests}"
+    if cell.impossible:
+        return f"- {fault.value}: cannot occur: {cell.impossible}"
+    return f"- {fault.value}: not proved: {cell.unproved}"
+
+
+def _gaps() -> Iterator[str]:
+    for claim in (*GUARANTEES, *PAIRS):
+        if claim.unproved:
+            yield f"- {claim.text.rstrip('.')}: {claim.unproved}"
+    for row in ROWS:
+        for fault in Fault:
+            gap = row.cell(fault).unproved
+            if gap:
+                yield f"- {row.step.value}, {fault.value}: {gap}"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(write_page())
--- /dev/null
+++ b/oriolepaddle/faults/rows/__init__.py
@@ -0,0 +1,1 @@
+"""The rows of the fault matrix, a file for each group."""
--- /dev/null
+++ b/oriolepaddle/faults/rows/fleet.py
@@ -0,0 +1,176 @@
+"""A join, a drain, an engine command and a quarantine report under each fault."""
+
+from oriolepaddle.faults.cell import impossible, shown, unproved
+from oriolepaddle.faults.row import Row
+from oriolepaddle.faults.sources import (
+    commands,
+    daemon,
+    limits,
+    membership,
+    order_fleet,
+    order_registry,
+    path,
+    quarantine,
+    quarantine_claims,
+    quarantine_narrowing,
+    quarantine_spread,
+    recovery,
+)
+from oriolepaddle.faults.step import Step
+
+__all__ = ["ROWS"]
+
+_NO_PLATFORM = impossible("reports go between instances only")
+_NO_LIST_REPLACED = membership(
+    "TestPlatformDown::test_replacement_of_every_instance_without_the_list"
+)
+
+ROWS = (
+    Row(
+        step=Step.JOIN,
+        kill=shown(
+            limits("TestMembers::test_instance_lost_at_birth_blocks_nobody_for_good")
+        ),
+        freeze=unproved("no instance sleeps while it joins"),
+        cut_one_way=unproved("no joining instance is cut one way"),
+        cut_both_ways=shown(
+            recovery("TestCatchUp::test_nobody_reachable_stays_not_ready"),
+            limits(
+                "TestDataCentreLost::"
+                "test_unlisted_survivor_keeps_the_others_from_starting"
+            ),
+        ),
+        slow=unproved("no peer answers a joining instance slowly"),
+        silent=unproved("no connection falls silent during a join"),
+        platform_down=shown(
+            recovery("TestCatchUp::test_platform_down_catches_up_from_peers"),
+            _NO_LIST_REPLACED,
+        ),
+        platform_stale=shown(
+            recovery("TestCatchUp::test_stale_platform_reverts_nothing"),
+            daemon(
+                "TestWithdrawnKey::test_does_not_revert_when_every_instance_is_replaced"
+            ),
+        ),
+        list_late=shown(_NO_LIST_REPLACED),
+        lost=shown(recovery("TestCatchUp::test_stale_platform_and_first_calls_lost")),
+        late=unproved("no message of a join is late"),
+        doubled=unproved("no message of a join is doubled"),
+        racing=unproved("no two operators change the fleet's settings during a join"),
+    ),
+    Row(
+        step=Step.DRAIN,
+        kill=unproved("no instance is killed during its drain"),
+        freeze=shown(
+            order_registry(
+                "TestOrderRegistry::test_order_that_slept_through_the_drain_is_not_sent"
+            )
+        ),
+        cut_one_way=unproved("no draining instance is cut one way"),
+        cut_both_ways=shown(
+            order_fleet("TestPassedOnOrders::test_unreachable_successor_is_passed_over")
+        ),
+        slow=shown(path("TestWholePath::test_graceful_shutdown_cuts_no_request")),
+        silent=unproved("no connection falls silent during a drain"),
+        platform_down=unproved("no process is drained with the platform down"),
+        platform_stale=unproved("no process is drained with a stale platform"),
+        list_late=shown(
+            membership("TestStatus::test_leaving_spreads_without_the_list"),
+            membership("TestStatus::test_lagging_list_does_not_take_back_leaving"),
+        ),
+        lost=unproved("no message of a drain is lost"),
+        late=unproved("no message of a drain is late"),
+        doubled=unproved("no message of a drain is doubled"),
+        racing=unproved("no two operators drain instances at once"),
+    ),
+    Row(
+        step=Step.COMMAND,
+        kill=shown(commands("TestReconcile::test_empty_engine_is_loaded_again")),
+        freeze=shown(
+            commands("TestStaleIssuer::test_fenced_engine_refuses_a_sender_that_slept"),
+            commands("TestStaleIssuer::test_freshness_is_checked_at_the_send"),
+            commands("TestStaleIssuer::test_ticket_is_checked_at_the_send"),
+            commands(
+                "TestStaleIssuer::"
+                "test_unfenced_engine_is_corrected_when_an_older_command_came_last"
+            ),
+        ),
+        cut_one_way=unproved("no link to an engine or a peer is cut one way"),
+        cut_both_ways=shown(
+            commands(
+                "TestStaleIssuer::"
+                "test_unfenced_engine_hears_nothing_from_a_stale_instance"
+            ),
+            commands(
+                "TestStaleIssuer::test_isolated_instance_still_loads_fenced_engines"
+            ),
+        ),
+        slow=shown(commands("TestLoads::test_two_issuers_keep_to_the_bound")),
+        silent=unproved("no connection to an engine falls silent after a command"),
+        platform_down=unproved("no command is sent with the platform down"),
+        platform_stale=shown(
+            commands("TestStaleIssuer::test_fenced_engine_shows_its_ticket")
+        ),
+        list_late=unproved("no issuers are ranked by a late list"),
+        lost=shown(commands("TestLoads::test_lost_load_keeps_its_place_for_the_grace")),
+        late=shown(
+            commands(
+                "TestStaleIssuer::"
+                "test_older_command_that_comes_during_the_send_is_corrected_at_once"
+            )
+        ),
+        doubled=unproved("only sampled at random by TestConvergence"),
+        racing=shown(commands("TestReconcile::test_highest_of_two_placements_counts")),
+    ),
+    Row(
+        step=Step.QUARANTINE,
+        kill=shown(
+            quarantine_spread("TestSpread::test_restarted_peer_is_told_again"),
+            quarantine_claims("TestClaims::test_claim_of_a_vanished_instance_ends"),
+        ),
+        freeze=shown(
+            quarantine("TestQuarantine::test_entries_expire_over_a_pause"),
+            quarantine("TestTrials::test_claim_is_void_after_a_pause"),
+        ),
+        cut_one_way=unproved("replies are lost, but on both ways of a link"),
+        cut_both_ways=shown(
+            quarantine_spread(
+                "TestSpread::test_report_crosses_a_fleet_without_a_full_mesh"
+            ),
+            quarantine_narrowing(
+                "TestNarrowing::test_each_part_of_a_cut_fleet_crashes_at_most_twice"
+            ),
+        ),
+        slow=shown(
+            quarantine_claims(
+                "TestClaims::test_claims_within_a_spread_time_start_one_run"
+            ),
+            quarantine_spread("TestSpread::test_slow_reports_do_not_renew_each_other"),
+        ),
+        silent=unproved("no connection between instances falls silent"),
+        platform_down=_NO_PLATFORM,
+        platform_stale=_NO_PLATFORM,
+        list_late=unproved("no report spreads by a late list"),
+        lost=shown(
+            quarantine_spread("TestSpread::test_lost_report_is_sent_again"),
+            quarantine_spread("TestSpread::test_digest_repairs_what_was_lost"),
+            quarantine_narrowing(
+                "TestNarrowing::test_innocents_are_served_though_reports_are_lost"
+            ),
+        ),
+        late=shown(
+            quarantine_spread(
+                "TestSpread::test_clear_spreads_and_late_report_does_not_undo_it"
+            )
+        ),
+        doubled=shown(
+            quarantine_spread(
+                "TestSpread::test_lost_reply_doubles_the_report_harmlessly"
+            ),
+            quarantine_spread(
+                "TestSpread::test_doubled_report_does_not_lengthen_a_life"
+            ),
+        ),
+        racing=unproved("no two operators clear and refuse one request at once"),
+    ),
+)
--- /dev/null
+++ b/oriolepaddle/faults/rows/orders.py
@@ -0,0 +1,115 @@
+"""The steps of an order under each fault."""
+
+from oriolepaddle.faults.cell import impossible, shown, unproved
+from oriolepaddle.faults.row import Row
+from oriolepaddle.faults.sources import daemon, order_fleet, order_registry
+from oriolepaddle.faults.step import Step
+
+__all__ = ["ROWS"]
+
+_LOCAL = impossible("the instance that is asked makes the number without a call")
+_NO_PLATFORM = impossible("the step asks nothing of the platform")
+_SAMPLED = "only sampled at random by TestOrderMachine"
+_PASSED_ON = order_fleet("TestPassedOnOrders::test_faults")
+_CUT_RUN = daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once")
+_RESTARTED = order_fleet("TestPassedOnOrders::test_restarted_issuer_is_unknown")
+
+ROWS = (
+    Row(
+        step=Step.ORDER_ISSUE,
+        kill=shown(_RESTARTED),
+        freeze=unproved("no instance sleeps while it issues a number"),
+        cut_one_way=_LOCAL,
+        cut_both_ways=_LOCAL,
+        slow=_LOCAL,
+        silent=unproved("no caller's connection falls silent before the number comes"),
+        platform_down=unproved("no number is issued with the platform down"),
+        platform_stale=unproved("no number is issued with a stale platform"),
+        list_late=_LOCAL,
+        lost=unproved("no number is lost on the way to the caller"),
+        late=unproved("no number reaches the caller late"),
+        doubled=unproved("no call for a number arrives twice"),
+        racing=unproved("no route is changed by two operators during an issue"),
+    ),
+    Row(
+        step=Step.ORDER_BEFORE,
+        kill=shown(
+            _RESTARTED,
+            _PASSED_ON,
+            daemon("TestOrders::test_endpoint_that_is_down_is_not_run"),
+        ),
+        freeze=shown(
+            order_fleet("TestPassedOnOrders::test_paused_issuer_does_not_send_late"),
+            daemon("TestOrders::test_issuer_that_slept_sends_nothing_late"),
+        ),
+        cut_one_way=unproved("no link between instances is cut one way"),
+        cut_both_ways=shown(_PASSED_ON),
+        slow=shown(_PASSED_ON),
+        silent=unproved("no connection falls silent before the order is sent"),
+        platform_down=unproved("no order is begun with the platform down"),
+        platform_stale=unproved("no order is begun with a stale platform"),
+        list_late=unproved("no issuer is missing in the list when an order is begun"),
+        lost=shown(_PASSED_ON),
+        late=shown(_PASSED_ON),
+        doubled=shown(_PASSED_ON),
+        racing=unproved("no route is changed by two operators before the run"),
+    ),
+    Row(
+        step=Step.ORDER_DURING,
+        kill=shown(
+            daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+            _PASSED_ON,
+        ),
+        freeze=unproved("no process sleeps during the run"),
+        cut_one_way=unproved("no link is cut one way during the run"),
+        cut_both_ways=shown(_CUT_RUN),
+        slow=unproved("no endpoint runs an order slowly but within its timeout"),
+        silent=shown(_CUT_RUN),
+        platform_down=_NO_PLATFORM,
+        platform_stale=_NO_PLATFORM,
+        list_late=impossible("a run that has begun reads no instance list"),
+        lost=unproved(f"no message is lost while the run is under way; {_SAMPLED}"),
+        late=unproved("no late message arrives while the run is under way"),
+        doubled=shown(order_registry("TestConcurrentRepeats::test_one_run_serves_all")),
+        racing=unproved("no route is changed by two operators during the run"),
+    ),
+    Row(
+        step=Step.ORDER_AFTER,
+        kill=shown(_PASSED_ON),
+        freeze=unproved(f"no issuer sleeps after the run; {_SAMPLED}"),
+        cut_one_way=unproved("no link is cut one way after the run"),
+        cut_both_ways=shown(
+            order_fleet("TestPassedOnOrders::test_unreachable_successor_is_passed_over")
+        ),
+        slow=unproved("no answer is passed back slowly"),
+        silent=unproved("no connection falls silent after the run"),
+        platform_down=unproved("no answers are handed over with the platform down"),
+        platform_stale=unproved("no answers are handed over with a stale platform"),
+        list_late=unproved("no answers are handed over by a late list"),
+        lost=shown(_PASSED_ON),
+        late=shown(_PASSED_ON),
+        doubled=shown(_PASSED_ON),
+        racing=unproved("no route is changed by two operators after the run"),
+    ),
+    Row(
+        step=Step.ORDER_REPEAT,
+        kill=shown(
+            daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+            _RESTARTED,
+        ),
+        freeze=unproved(f"no issuer sleeps when a repeat comes; {_SAMPLED}"),
+        cut_one_way=unproved("no link is cut one way when a repeat comes"),
+        cut_both_ways=unproved(f"no link is cut when a repeat comes; {_SAMPLED}"),
+        slow=unproved("no issuer answers a repeat slowly"),
+        silent=unproved("no connection falls silent when a repeat comes"),
+        platform_down=unproved("no repeat is sent with the platform down"),
+        platform_stale=unproved("no repeat is sent with a stale platform"),
+        list_late=unproved("no issuer is missing in the list when a repeat comes"),
+        lost=unproved(f"no message of a repeat is lost; {_SAMPLED}"),
+        late=unproved(f"no message of a repeat is late; {_SAMPLED}"),
+        doubled=shown(
+            order_registry("TestOrderRegistry::test_repeat_gets_the_kept_answer"),
+        ),
+        racing=unproved("no route is changed by two operators before a repeat"),
+    ),
+)
