--- a/experiments/overhead/processes.py
+++ b/experiments/overhead/processes.py
@@ -153,11 +153,11 @@
 
 
 def _drain_in_background(process: subprocess.Popen) -> None:
-    def drain() -> None:
+    def _drain() -> None:
         for _ in process.stderr:
             pass
 
-    threading.Thread(target=drain, daemon=True).start()
+    threading.Thread(target=_drain, daemon=True).start()
 
 
 def _stop(process: subprocess.Popen) -> None:
--- a/oriolepaddle/daemon/fleet.py
+++ b/oriolepaddle/daemon/fleet.py
@@ -75,14 +75,7 @@
             generator,
             settings.serve_without_catch_up,
         )
-        self._reader = PlatformReader(
-            clock,
-            HttpConfigurationService(settings.platform_address),
-            self.sync.published,
-            self.rejections,
-            self.staleness,
-            generator,
-        )
+        self._reader = self._make_reader(settings, clock, generator)
         self.sync.follow(self._reader)
         self._list_reader = InstanceListReader(
             clock,
@@ -93,6 +86,18 @@
         listeners.peers.register(MEMBERSHIP_SERVICE, MembershipHandler(self.membership))
         listeners.peers.register(CONFIGURATION_SERVICE, self.sync.handler)
 
+    def _make_reader(
+        self, settings: Settings, clock: Clock, generator: random.Random
+    ) -> PlatformReader:
+        return PlatformReader(
+            clock,
+            HttpConfigurationService(settings.platform_address),
+            self.sync.published,
+            self.rejections,
+            self.staleness,
+            generator,
+        )
+
     def start(self) -> None:
         """Begin to read the platform and to speak with peers."""
         self._list_reader.start()
--- a/oriolepaddle/daemon/upkeep.py
+++ b/oriolepaddle/daemon/upkeep.py
@@ -106,11 +106,11 @@
         thread.start()
 
     def _repeat(self, name: str, interval: timedelta, step: Callable[[], None]) -> None:
-        def run() -> None:
+        def _run() -> None:
             while not self._clock.wait(self._stopping, interval):
                 try:
                     step()
                 except Exception:  # noqa: BLE001 - one failure must not end the task
                     logger.exception("{} failed", name)
 
-        self._start(name, run)
+        self._start(name, _run)
--- a/oriolepaddle/demo/steps.py
+++ b/oriolepaddle/demo/steps.py
@@ -194,11 +194,11 @@
         caller = self._callers["vinabaer"]
         address = self._fleet.address("s2")
 
-        def call() -> None:
+        def _call() -> None:
             while not stopping.is_set():
                 results.append(caller.chat(address, "oriole-answers", "hello"))
 
-        threads = [threading.Thread(target=call) for _ in range(4)]
+        threads = [threading.Thread(target=_call) for _ in range(4)]
         for thread in threads:
             thread.start()
         self._wait_until(lambda: len(results) > 20)
--- a/oriolepaddle/endpoints/control.py
+++ b/oriolepaddle/endpoints/control.py
@@ -85,18 +85,27 @@
         self._body = bytearray()
 
     def before_send(self) -> None:
+        """Check the command again; see `AnswerSink.before_send`."""
         self._recheck()
 
     def on_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Keep the status; see `AnswerSink.on_head`."""
         self._status = status
 
     def on_data(self, data: bytes) -> None:
+        """Keep a part of the body; see `AnswerSink.on_data`."""
         self._body += data
 
     def check(self) -> None:
-        return
+        """Go on; the call's own limits end it."""
 
     def parse(self) -> dict:
+        """Return the answer's JSON.
+
+        Raises:
+            EndpointRefusedError: The engine holds a newer ticket.
+            EndpointFailedError: It answered with an error or no JSON.
+        """
         if self._status == FENCED_STATUS:
             raise EndpointRefusedError("the engine holds a newer ticket")
         if self._status != 200:
--- a/oriolepaddle/gateway/order_exchange.py
+++ b/oriolepaddle/gateway/order_exchange.py
@@ -90,10 +90,10 @@
         )
 
     def _make_recheck(self, order: OrderRequest) -> Callable[[], None]:
-        def recheck() -> None:
+        def _recheck() -> None:
             self._runner.check(order)
 
-        return recheck
+        return _recheck
 
 
 def _make_order_request(request: CallerRequest) -> OrderRequest:
--- a/oriolepaddle/gateway/order_runner.py
+++ b/oriolepaddle/gateway/order_runner.py
@@ -56,13 +56,13 @@
         routing = self._make_routing(request, organisation)
         endpoint = self._choose(routing)
 
-        def check_again() -> None:
+        def _check_again() -> None:
             recheck()
             self._find_organisation(request)
             if not self._parts.router.is_allowed(endpoint.id, routing):
                 raise EndpointRefusedError(f"{endpoint.id} may not run it any more")
 
-        collector = AnswerCollector(request.request_id, check_again)
+        collector = AnswerCollector(request.request_id, _check_again)
         handle = self._parts.router.started(routing, endpoint)
         is_failed = True
         try:
--- a/oriolepaddle/limits/drawing.py
+++ b/oriolepaddle/limits/drawing.py
@@ -117,8 +117,8 @@
         return reply
 
     def _part(self, peer: str, number: int, tokens: float) -> ReservationPart:
-        def settle(used: float) -> None:
+        def _settle(used: float) -> None:
             if used < tokens:
                 self._settlements.add(peer, number, used)
 
-        return ReservationPart(tokens=tokens, settle=settle)
+        return ReservationPart(tokens=tokens, settle=_settle)
--- a/oriolepaddle/limits/fixed.py
+++ b/oriolepaddle/limits/fixed.py
@@ -40,12 +40,12 @@
                 code=ErrorCode.RATE_LIMITED,
             )
 
-        def settle(used: float) -> None:
+        def _settle(used: float) -> None:
             with self._lock:
                 bucket.advance(self._clock.monotonic_s())
                 bucket.settle(debit, used)
 
-        return SharedReservation([ReservationPart(tokens, settle)], bucket.charge)
+        return SharedReservation([ReservationPart(tokens, _settle)], bucket.charge)
 
     def _bucket(self, organisation: Organisation) -> Bucket:
         bucket = self._buckets.get(organisation.id)
--- a/oriolepaddle/limits/shared.py
+++ b/oriolepaddle/limits/shared.py
@@ -1,5 +1,6 @@
 """The limiter that shares each organisation's tokens over the fleet."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
@@ -199,21 +200,21 @@
         debit = account.bucket.take(own)
         return [ReservationPart(own, self._settler(account, debit))]
 
-    def _settler(self, account: Account, debit: BucketDebit):
-        def settle(used: float) -> None:
+    def _settler(self, account: Account, debit: BucketDebit) -> Callable[[float], None]:
+        def _settle(used: float) -> None:
             with self._ledger.lock:
                 account.advance(self._ledger.refresh())
                 account.bucket.settle(debit, used)
 
-        return settle
+        return _settle
 
-    def _charger(self, account: Account):
-        def charge(tokens: float) -> None:
+    def _charger(self, account: Account) -> Callable[[float], None]:
+        def _charge(tokens: float) -> None:
             with self._ledger.lock:
                 account.advance(self._ledger.refresh())
                 account.bucket.charge(tokens)
 
-        return charge
+        return _charge
 
     def _note_drawn(self, account: Account, tokens: float, missing: float) -> None:
         with self._ledger.lock:
--- a/oriolepaddle/settings/options.py
+++ b/oriolepaddle/settings/options.py
@@ -18,15 +18,15 @@
 def add_options(function: Callable[[Settings], None]) -> Callable[..., None]:
     """Return a command that takes each setting and calls `function`."""
 
-    def command(**values: object) -> None:
+    def _command(**values: object) -> None:
         function(Settings(**values))
 
     parameters = [_make_parameter(field) for field in attrs.fields(Settings)]
-    command.__signature__ = inspect.Signature(parameters)
-    command.__annotations__ = {item.name: item.annotation for item in parameters}
-    command.__doc__ = function.__doc__
-    command.__name__ = function.__name__
-    return command
+    _command.__signature__ = inspect.Signature(parameters)
+    _command.__annotations__ = {item.name: item.annotation for item in parameters}
+    _command.__doc__ = function.__doc__
+    _command.__name__ = function.__name__
+    return _command
 
 
 def _make_parameter(field: attrs.Attribute) -> inspect.Parameter:
--- a/oriolepaddle/standins/relay.py
+++ b/oriolepaddle/standins/relay.py
@@ -174,6 +174,7 @@
         self.is_forgotten = False
 
     def reset(self) -> None:
+        """Reset both ends."""
         for end in (self.caller, self.callee):
             if end is None:
                 continue
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -203,9 +203,11 @@
     """A connection that its server knows of while it is served."""
 
     def setup(self) -> None:
+        """Wrap the socket and let the server know of it."""
         super().setup()
         self.server.add(self)
 
     def finish(self) -> None:
+        """Let the server forget the connection."""
         self.server._forget(self)
         super().finish()
