--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -282,3 +282,22 @@
             return found
         threading.Event().wait(POLL_INTERVAL_S)
     raise AssertionError(f"not true within {timeout_s} s")
+
+
+def issue(daemon):
+    status, body = daemon.ask("POST", "/v1/orders", {"route": "visit-desk"})
+    assert status == 201, body
+    return json.loads(body)["order"]
+
+
+def send_order(daemon, number, order, key=KEY):
+    headers = {"Idempotency-Key": number}
+    path = "/services/visit-desk/book"
+    try:
+        return daemon.ask("POST", path, order, key=key, headers=headers)
+    except (http.client.HTTPException, OSError):
+        return None
+
+
+def count_runs(fleet, order):
+    return fleet.desk.runs.get(json.dumps(order).encode(), 0)
--- a/oriolepaddle/daemon/tests/test_faults.py
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -12,8 +12,11 @@
     OTHER_KEY,
     Fleet,
     await_true,
+    count_runs,
+    issue,
     make_chat,
     make_organisation,
+    send_order,
 )
 from oriolepaddle.standins import RelayMode, make_object as make
 
@@ -154,86 +157,6 @@
         with pytest.raises((HTTPException, OSError)):
             stream.read()
 
-    def test_its_order_is_not_run_again_elsewhere(self, running):
-        n1, n2 = running.daemons["n1"], running.daemons["n2"]
-        number = issue(n1)
-        order = {"stay": "family-10"}
-        running.desk.hold.clear()
-        caller = threading.Thread(target=send_order, args=(n1, number, order))
-        caller.start()
-        await_true(lambda: count_runs(running, order) == 1)
-        n1.kill()
-        running.desk.hold.set()
-        caller.join()
-        answer = send_order(n2, number, order)
-        assert json.loads(answer[1])["error"]["outcome"] == "unknown"
-        assert count_runs(running, order) == 1
-
-
-def issue(daemon):
-    status, body = daemon.ask("POST", "/v1/orders", {"route": "visit-desk"})
-    assert status == 201, body
-    return json.loads(body)["order"]
-
-
-def send_order(daemon, number, order, key=KEY):
-    headers = {"Idempotency-Key": number}
-    path = "/services/visit-desk/book"
-    try:
-        return daemon.ask("POST", path, order, key=key, headers=headers)
-    except (HTTPException, OSError):
-        return None
-
-
-def count_runs(fleet, order):
-    return fleet.desk.runs.get(json.dumps(order).encode(), 0)
-
-
-class TestOrders:
-    @pytest.mark.parametrize("mode", [RelayMode.CUT, RelayMode.FORGET])
-    def test_cut_during_the_run_is_unknown_and_run_once(self, fleet, mode):
-        fleet.publish([make("route", "visit-desk", kind="service", first_byte_s=1)])
-        fleet.start(n1="nordur-a", n2="nordur-a", s1="sudur-a")
-        n1, n2 = fleet.daemons["n1"], fleet.daemons["n2"]
-        number = issue(n1)
-        order = {"stay": "family-11"}
-        fleet.desk.hold.clear()
-        answers = []
-        caller = threading.Thread(
-            target=lambda: answers.append(send_order(n1, number, order))
-        )
-        caller.start()
-        await_true(lambda: count_runs(fleet, order) == 1)
-        fleet.desk_link.set_mode(mode)
-        caller.join()
-        fleet.desk.hold.set()
-        fleet.desk_link.set_mode(RelayMode.PASS)
-        answers += [send_order(daemon, number, order) for daemon in (n1, n2, n1)]
-        outcomes = {json.loads(body)["error"]["outcome"] for _, body in answers}
-        assert outcomes == {"unknown"}
-        assert count_runs(fleet, order) == 1
-
-    def test_endpoint_that_is_down_is_not_run(self, running):
-        number = issue(running.daemons["n1"])
-        running.desk.close()
-        running.desk_link.close()
-        order = {"stay": "family-12"}
-        _, body = send_order(running.daemons["n1"], number, order)
-        assert json.loads(body)["error"]["outcome"] == "not run"
-        assert count_runs(running, order) == 0
-
-    def test_issuer_that_slept_sends_nothing_late(self, running):
-        n1, n2 = running.daemons["n1"], running.daemons["n2"]
-        number = issue(n1)
-        n1.freeze()
-        order = {"stay": "family-13"}
-        answer = send_order(n2, number, order)
-        n1.wake()
-        outcome = json.loads(answer[1])["error"]["outcome"]
-        runs = count_runs(running, order)
-        assert runs <= 1
-        assert outcome == "unknown" or runs == 0
-
 
 class TestSilentConnection:
     def test_is_found_and_the_request_repeated_elsewhere(self, fleet):
--- a/oriolepaddle/faults/guarantees.py
+++ b/oriolepaddle/faults/guarantees.py
@@ -6,6 +6,7 @@
     daemon,
     endpoints,
     limits,
+    order_faults,
     order_fleet,
     order_registry,
     path,
@@ -191,11 +192,11 @@
             ("orders: kill, cut, loss, lateness, doubles, sleep", _PASSED_ON),
             (
                 "endpoint down",
-                daemon("TestOrders::test_endpoint_that_is_down_is_not_run"),
+                order_faults("TestOrders::test_endpoint_that_is_down_is_not_run"),
             ),
             (
                 "issuer slept",
-                daemon("TestOrders::test_issuer_that_slept_sends_nothing_late"),
+                order_faults("TestOrders::test_issuer_that_slept_sends_nothing_late"),
             ),
             (
                 "slept after the admission",
@@ -215,11 +216,15 @@
         (
             (
                 "kill during the run",
-                daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+                order_faults(
+                    "TestOrders::test_killed_issuers_order_is_not_run_again_elsewhere"
+                ),
             ),
             (
                 "cut and silence during the run",
-                daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once"),
+                order_faults(
+                    "TestOrders::test_cut_during_the_run_is_unknown_and_run_once"
+                ),
             ),
             ("cut before the answer", path("TestWholePath::test_order_runs_once")),
             ("messages lost, late, doubled", _PASSED_ON),
--- a/oriolepaddle/faults/rows/orders.py
+++ b/oriolepaddle/faults/rows/orders.py
@@ -2,7 +2,7 @@
 
 from oriolepaddle.faults.cell import impossible, shown, unproved
 from oriolepaddle.faults.row import Row
-from oriolepaddle.faults.sources import daemon, order_fleet, order_registry
+from oriolepaddle.faults.sources import order_faults, order_fleet, order_registry
 from oriolepaddle.faults.step import Step
 
 __all__ = ["ROWS"]
@@ -11,7 +11,7 @@
 _NO_PLATFORM = impossible("the step asks nothing of the platform")
 _SAMPLED = "only sampled at random by TestOrderMachine"
 _PASSED_ON = order_fleet("TestPassedOnOrders::test_faults")
-_CUT_RUN = daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once")
+_CUT_RUN = order_faults("TestOrders::test_cut_during_the_run_is_unknown_and_run_once")
 _RESTARTED = order_fleet("TestPassedOnOrders::test_restarted_issuer_is_unknown")
 
 ROWS = (
@@ -36,11 +36,11 @@
         kill=shown(
             _RESTARTED,
             _PASSED_ON,
-            daemon("TestOrders::test_endpoint_that_is_down_is_not_run"),
+            order_faults("TestOrders::test_endpoint_that_is_down_is_not_run"),
         ),
         freeze=shown(
             order_fleet("TestPassedOnOrders::test_paused_issuer_does_not_send_late"),
-            daemon("TestOrders::test_issuer_that_slept_sends_nothing_late"),
+            order_faults("TestOrders::test_issuer_that_slept_sends_nothing_late"),
         ),
         cut_one_way=unproved("no link between instances is cut one way"),
         cut_both_ways=shown(_PASSED_ON),
@@ -57,7 +57,9 @@
     Row(
         step=Step.ORDER_DURING,
         kill=shown(
-            daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+            order_faults(
+                "TestOrders::test_killed_issuers_order_is_not_run_again_elsewhere"
+            ),
             _PASSED_ON,
         ),
         freeze=unproved("no process sleeps during the run"),
@@ -94,7 +96,9 @@
     Row(
         step=Step.ORDER_REPEAT,
         kill=shown(
-            daemon("TestKilledInstance::test_its_order_is_not_run_again_elsewhere"),
+            order_faults(
+                "TestOrders::test_killed_issuers_order_is_not_run_again_elsewhere"
+            ),
             _RESTARTED,
         ),
         freeze=unproved(f"no issuer sleeps when a repeat comes; {_SAMPLED}"),
--- a/oriolepaddle/faults/rows/requests.py
+++ b/oriolepaddle/faults/rows/requests.py
@@ -6,6 +6,7 @@
     admission,
     daemon,
     endpoints,
+    order_faults,
     path,
     recovery,
     router,
@@ -96,7 +97,7 @@
         step=Step.SEND,
         kill=shown(
             endpoints("TestEndpointTransport::test_closed_endpoint_is_not_run"),
-            daemon("TestOrders::test_endpoint_that_is_down_is_not_run"),
+            order_faults("TestOrders::test_endpoint_that_is_down_is_not_run"),
         ),
         freeze=unproved("no instance sleeps between its last check and the sending"),
         cut_one_way=unproved("no link to an endpoint is cut one way"),
@@ -124,14 +125,14 @@
         freeze=unproved("no instance sleeps while it waits for the first byte"),
         cut_one_way=unproved("no link to an endpoint is cut one way"),
         cut_both_ways=shown(
-            daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once")
+            order_faults("TestOrders::test_cut_during_the_run_is_unknown_and_run_once")
         ),
         slow=unproved("no first byte comes late but within its timeout"),
         silent=shown(
             daemon(
                 "TestSilentConnection::test_is_found_and_the_request_repeated_elsewhere"
             ),
-            daemon("TestOrders::test_cut_during_the_run_is_unknown_and_run_once"),
+            order_faults("TestOrders::test_cut_during_the_run_is_unknown_and_run_once"),
         ),
         platform_down=_NO_PLATFORM,
         platform_stale=_NO_PLATFORM,
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -9,6 +9,7 @@
     "limits",
     "membership",
     "merge",
+    "order_faults",
     "order_fleet",
     "order_registry",
     "path",
@@ -44,6 +45,7 @@
 limits = _Source("limits/tests/test_faults.py")
 membership = _Source("membership/tests/test_membership.py")
 merge = _Source("config/tests/test_merge.py")
+order_faults = _Source("daemon/tests/test_order_faults.py")
 order_fleet = _Source("orders/tests/test_fleet.py")
 order_registry = _Source("orders/tests/test_registry.py")
 path = _Source("daemon/tests/test_path.py")
