Let operators allow a cold start; log each answer

Cause: the limiter's cold start needs an operator's word, which no call took. Change: a call of the administration API and of oriolectl; one log line for each answered request.

--- a/oriolepaddle/ctl/commands.py
+++ b/oriolepaddle/ctl/commands.py
@@ -142,6 +142,17 @@
         print_document(found, as_json)
 
 
+@app.command("allow-cold-start")
+def allow_cold_start(
+    address: Address = DEFAULT_ADDRESS, token: Token = "", as_json: Json = False
+) -> None:
+    """Say that no unlisted instance of the data centre is running."""
+    with _report_failures():
+        client = OperatorClient(address, token)
+        found = client.call("POST", "/v1/limits/allow-cold-start", b"")
+        print_document(found, as_json)
+
+
 @quarantine_app.command("list")
 def list_quarantine(
     address: Address = DEFAULT_ADDRESS, token: Token = "", as_json: Json = False
--- a/oriolepaddle/daemon/administration.py
+++ b/oriolepaddle/daemon/administration.py
@@ -167,6 +167,10 @@
         """Begin a graceful shutdown."""
         self._draining.set()
 
+    def allow_cold_start(self) -> None:
+        """Take the operator's word that no unlisted instance runs here."""
+        self._serving.limiter.allow_cold_start()
+
     def write_metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
         return self._serving.metrics.write()
--- a/oriolepaddle/daemon/tests/test_path.py
+++ b/oriolepaddle/daemon/tests/test_path.py
@@ -98,6 +98,17 @@
         for engine in fleet.engines.values():
             engine.faults.cut_after_tokens = None
 
+    def test_callers_are_told_which_instances_to_use(self, fleet):
+        status, body = fleet.daemons["n1"].ask("GET", "/v1/instances", key=None)
+        document = json.loads(body)
+        assert status == 200
+        assert {found["id"] for found in document["instances"]} <= {"n1", "n2"}
+        assert document["instances"]
+        assert document["valid_for_s"] > 0
+        path = "/v1/instances?data_centre=sudur-a"
+        _, body = fleet.daemons["n1"].ask("GET", path, key=None)
+        assert [found["id"] for found in json.loads(body)["instances"]] == ["s1"]
+
     def test_operators_see_the_fleet(self, fleet):
         daemon = fleet.daemons["n1"]
         status = daemon.operate("GET", "/v1/status")
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -85,6 +85,13 @@
         finally:
             if reservation is not None:
                 reservation.settle(self._count_used())
+        logger.info(
+            "answered route {} at {} with {} bytes after {} tries",
+            self._request.route.id,
+            self._target,
+            self._relay.bytes_written,
+            self._attempt,
+        )
 
     def _reserve(self) -> Reservation | None:
         request = self._request
--- a/oriolepaddle/operators/administration.py
+++ b/oriolepaddle/operators/administration.py
@@ -60,6 +60,10 @@
         """Begin a graceful shutdown."""
         ...
 
+    def allow_cold_start(self) -> None:
+        """Take the operator's word that no unlisted instance runs here."""
+        ...
+
     def write_metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
         ...
--- a/oriolepaddle/operators/application.py
+++ b/oriolepaddle/operators/application.py
@@ -39,6 +39,7 @@
     ("/v1/quarantine/<fingerprint>", "DELETE", "clear"),
     ("/v1/tickets/check", "POST", "check_ticket"),
     ("/v1/drain", "POST", "drain"),
+    ("/v1/limits/allow-cold-start", "POST", "cold_start"),
 )
 
 
@@ -151,6 +152,10 @@
         document = {"number": ticket.number, "objects": len(ticket.entries)}
         writer.answer_json(200, document)
 
+    def _answer_cold_start(self, request: Request, writer: AnswerWriter) -> None:
+        self._administration.allow_cold_start()
+        writer.answer_json(202, {"allowed": True})
+
     def _answer_drain(self, request: Request, writer: AnswerWriter) -> None:
         writer.answer_json(202, {"draining": True})
         self._administration.start_drain()
--- a/oriolepaddle/operators/tests/test_application.py
+++ b/oriolepaddle/operators/tests/test_application.py
@@ -14,6 +14,7 @@
 class FakeAdministration:
     def __init__(self):
         self.drains = 0
+        self.cold_starts = 0
 
     def status(self):
         return StatusReport("n1", "nordur-a", 1, False, False, 7, 3, 0, 2, 0, 1.5)
@@ -30,6 +31,9 @@
     def start_drain(self):
         self.drains += 1
 
+    def allow_cold_start(self):
+        self.cold_starts += 1
+
     def write_metrics(self):
         return b"oriolepaddle_requests_total 0\n"
 
@@ -84,6 +88,10 @@
         assert ask("POST", "/v1/drain").status == 202
         assert administration.drains == 1
 
+    def test_cold_start_is_allowed_by_a_post_only(self, ask, administration):
+        assert ask("POST", "/v1/limits/allow-cold-start").status == 202
+        assert administration.cold_starts == 1
+
     @pytest.mark.parametrize(
         ("method", "path", "data", "token", "code"),
         [
