--- /dev/null
+++ b/experiments/capacity/cpu.py
@@ -0,0 +1,30 @@
+"""Readers of processor time."""
+
+import time
+from typing import Protocol
+
+__all__ = ["CpuTimeReader", "ProcessCpuTime", "ThreadCpuTime"]
+
+
+class CpuTimeReader(Protocol):
+    """Reads the processor time spent so far."""
+
+    def read_s(self) -> float:
+        """Return seconds of processor time."""
+        ...
+
+
+class ProcessCpuTime:
+    """Reads the processor time of all threads of this process."""
+
+    def read_s(self) -> float:
+        """Return seconds of processor time."""
+        return time.process_time()
+
+
+class ThreadCpuTime:
+    """Reads the processor time of the calling thread alone."""
+
+    def read_s(self) -> float:
+        """Return seconds of processor time."""
+        return time.thread_time()
--- /dev/null
+++ b/experiments/capacity/fit.py
@@ -0,0 +1,36 @@
+"""Straight lines through measured costs."""
+
+from collections.abc import Sequence
+
+import attrs
+import numpy as np
+
+__all__ = ["Line", "fit_line"]
+
+
+@attrs.frozen
+class Line:
+    """A cost that grows evenly with a size.
+
+    Attributes:
+        base: The cost at size 0.
+        slope: The cost of one more.
+    """
+
+    base: float
+    slope: float
+
+    def at(self, size: float) -> float:
+        """Return the cost at a size."""
+        return self.base + self.slope * size
+
+
+def fit_line(sizes: Sequence[float], costs: Sequence[float]) -> Line:
+    """Return the line of least squares through costs.
+
+    Args:
+        sizes: Shape (n,), n at least 2.
+        costs: Shape (n,), in any one unit.
+    """
+    slope, base = np.polyfit(sizes, costs, 1)
+    return Line(float(base), float(slope))
