Project the load of one instance from measured slopes

Cause: the size aimed for needs figures for each task. Change: series over the real classes, a projection, and `measure_cost` taken out of the printing of experiments.limits so that it can be called; what it prints stays the same.

--- /dev/null
+++ b/experiments/capacity/limits.py
@@ -0,0 +1,86 @@
+"""What shared limits cost, by `experiments.limits`."""
+
+from experiments.capacity.cpu import CpuTimeReader
+from experiments.capacity.series import Series, measure_memory_bytes, measure_us
+from experiments.limits.cost import CostCase, InstanceCost, measure_cost
+from experiments.limits.fleet import Fleet
+from oriolepaddle.config import Entry
+from oriolepaddle.config.model import DataCentre, ObjectKind, Organisation
+from oriolepaddle.limits import LimitSettings, SharedTokenLimiter
+
+__all__ = ["measure_limits"]
+
+CENTRES = 3
+SIZE = 8
+REQUESTS_PER_S = 21.0
+ORGANISATIONS = (100, 400, 1_300)
+HELD = (100, 1_000, 4_000)
+TIMES = 200
+START_S = 180.0
+COLUMNS = {
+    "limit_bytes": ("limits' bytes a second", "B/s", "bytes_per_s", 1.0),
+    "limit_calls": ("limits' calls a second", "1/s", "calls_per_s", 1.0),
+    "limit_share": ("limits' processor time", "us/s", "core_share", 1e6),
+}
+
+
+def measure_limits(cpu: CpuTimeReader) -> dict[str, Series]:
+    """Return the series against the organisations with traffic."""
+    costs = [
+        measure_cost(CostCase(CENTRES, SIZE, organisations, REQUESTS_PER_S))
+        for organisations in ORGANISATIONS
+    ]
+    found = {
+        name: Series(
+            task,
+            "active organisations",
+            unit,
+            ORGANISATIONS,
+            tuple(_read(cost, field) * factor for cost in costs),
+        )
+        for name, (task, unit, field, factor) in COLUMNS.items()
+    }
+    steps = (
+        ("reserve", "reserve and settle", "us", lambda n: _reserve_us(cpu, n)),
+        ("limit_memory", "memory of the limiter", "B", _measure_memory_bytes),
+    )
+    for name, task, unit, cost in steps:
+        found[name] = Series.measure(task, "active organisations", unit, HELD, cost)
+    return found
+
+
+def _reserve_us(cpu: CpuTimeReader, count: int) -> float:
+    limiter, organisations = _make_limiter(count)
+    _use_all(limiter, organisations)
+
+    def reserve(number: int) -> None:
+        limiter.reserve(organisations[number % count], 1_156.0).settle(1_000.0)
+
+    return measure_us(cpu, reserve, TIMES)
+
+
+def _measure_memory_bytes(count: int) -> float:
+    limiter, organisations = _make_limiter(count)
+    return measure_memory_bytes(lambda: _use_all(limiter, organisations))
+
+
+def _use_all(limiter: SharedTokenLimiter, organisations: list[Organisation]) -> None:
+    for organisation in organisations:
+        limiter.reserve(organisation, 1_156.0).settle(1_000.0)
+
+
+def _make_limiter(count: int) -> tuple[SharedTokenLimiter, list[Organisation]]:
+    """Return the limiter of a fleet of one instance."""
+    organisations = [Organisation(f"o-{n}", 1e9, 1e9) for n in range(count)]
+    entries = [Entry(ObjectKind.DATA_CENTRE, "dc0", 1, DataCentre("dc0", region="r0"))]
+    entries += [
+        Entry(ObjectKind.ORGANISATION, item.id, 1, item) for item in organisations
+    ]
+    fleet = Fleet(LimitSettings(), tuple(entries))
+    fleet.start("instance-0", "dc0")
+    fleet.run(START_S, step_s=1.0)
+    return fleet.nodes["instance-0"].limiter, organisations
+
+
+def _read(cost: InstanceCost, field: str) -> float:
+    return float(getattr(cost, field))
--- a/experiments/limits/cost.py
+++ b/experiments/limits/cost.py
@@ -17,7 +17,7 @@
 from oriolepaddle.errors import RefusedError
 from oriolepaddle.limits import LimitSettings
 
-__all__ = ["print_costs"]
+__all__ = ["CostCase", "InstanceCost", "measure_cost", "print_costs"]
 
 SECONDS = 20.0
 WARM_UP_S = 20.0
@@ -43,6 +43,21 @@
     requests_per_s: float
 
 
+@attrs.frozen
+class InstanceCost:
+    """What the limiter costs each instance of a fleet.
+
+    Attributes:
+        bytes_per_s: Bytes that it sends.
+        calls_per_s: Calls between all instances, for each of them.
+        core_share: Processor time as a part of one core.
+    """
+
+    bytes_per_s: float
+    calls_per_s: float
+    core_share: float
+
+
 CASES = (
     CostCase(centres=3, size=2, organisations=1, requests_per_s=0.1),
     CostCase(centres=3, size=8, organisations=1, requests_per_s=0.1),
@@ -64,6 +79,17 @@
 
 
 def _print_case(case: CostCase) -> None:
+    cost = measure_cost(case)
+    print(
+        f"{case.centres * case.size:>9} {case.organisations:>13} "
+        f"{case.requests_per_s:>10} {cost.bytes_per_s:>7.0f} "
+        f"{cost.calls_per_s:>8.2f} {100 * cost.core_share:>6.2f}%",
+        flush=True,
+    )
+
+
+def measure_cost(case: CostCase) -> InstanceCost:
+    """Run a fleet and return what its limiters cost."""
     instances = {
         f"c{centre}i{index}": f"c{centre}"
         for centre in range(case.centres)
@@ -87,12 +113,10 @@
     _run(fleet, organisations, waiting, WARM_UP_S, WARM_UP_S + SECONDS)
     spent_s = time.process_time() - started_s
     each = len(instances) * SECONDS
-    sent = sum(fleet.network.sent_bytes.values()) / each
-    print(
-        f"{len(instances):>9} {case.organisations:>13} {case.requests_per_s:>10} "
-        f"{sent:>7.0f} {(fleet.network.calls - calls) / each:>8.2f} "
-        f"{100 * spent_s / each:>6.2f}%",
-        flush=True,
+    return InstanceCost(
+        bytes_per_s=sum(fleet.network.sent_bytes.values()) / each,
+        calls_per_s=(fleet.network.calls - calls) / each,
+        core_share=spent_s / each,
     )
 
 
