--- a/experiments/capacity/configuration.py
+++ b/experiments/capacity/configuration.py
@@ -63,6 +63,7 @@
     ]
 
     def merge(number: int) -> None:
+        """Parse and merge one ticket."""
         state.merge(parse_ticket(tickets[number]).entries)
 
     return measure_us(cpu, merge, TIMES)
--- a/experiments/capacity/engines.py
+++ b/experiments/capacity/engines.py
@@ -56,6 +56,7 @@
     router = make_router(ManualClock(), make_config(endpoints))
 
     def report(number: int) -> None:
+        """Take in one report."""
         name = f"{DATA_CENTRE}-e{number % endpoints}"
         router.load_reported(LoadReport(name, running=4, queued=0))
 
@@ -88,6 +89,7 @@
         checker = HealthChecker()
 
         def poll(number: int) -> None:
+            """Ask the stand-in a number of times."""
             for _ in range(polls):
                 checker.check(engine.address)
 
--- a/experiments/capacity/limits.py
+++ b/experiments/capacity/limits.py
@@ -54,6 +54,7 @@
     _use_all(limiter, organisations)
 
     def reserve(number: int) -> None:
+        """Reserve for one organisation and settle."""
         limiter.reserve(organisations[number % count], 1_156.0).settle(1_000.0)
 
     return measure_us(cpu, reserve, TIMES)
--- a/experiments/capacity/membership.py
+++ b/experiments/capacity/membership.py
@@ -74,6 +74,7 @@
     """Return the bytes of one instance; the list itself is shared by all."""
 
     def build() -> Fleet:
+        """Run a fleet and return it."""
         fleet = Fleet(instances, MEMORY_SIZES[instances])
         fleet.events.run_until(WARM_UP_S)
         return fleet
--- a/experiments/capacity/traffic.py
+++ b/experiments/capacity/traffic.py
@@ -92,6 +92,7 @@
     admission = Admission(clock, lambda: router.concurrency_limit(ROUTE.id))
 
     def admit(number: int) -> None:
+        """Admit one request."""
         deadline_s = clock.monotonic_s() + 100.0
         admission.enter(ORGANISATION.id, 1.0, 1_000, 227, deadline_s).release()
 
@@ -137,6 +138,7 @@
     quarantine = Quarantine(ManualClock(), QuarantineSettings(), identity)
 
     def check(number: int) -> None:
+        """Check one request and run it."""
         fingerprint = make_fingerprint("POST", "/v1/chat/completions", body)
         quarantine.check(fingerprint)
         quarantine.may_start(fingerprint, "e")
@@ -151,6 +153,7 @@
         policy.succeeded(f"organisation-{number}", "e")
 
     def decide(number: int) -> None:
+        """Decide after one failure."""
         name = f"organisation-{number % organisations}"
         error = EndpointFailedError("broke off")
         policy.decide(Failure(error, 1, name, "e", True, 0, 1e9, False))
@@ -165,6 +168,7 @@
     authenticator, metrics = Authenticator(config), GatewayMetrics()
 
     def relay(number: int) -> None:
+        """Relay one answer."""
         relay = AnswerRelay(
             SystemClock(),
             request,
