--- a/oriolepaddle/daemon/engine_monitor.py
+++ b/oriolepaddle/daemon/engine_monitor.py
@@ -30,18 +30,12 @@
         self._data_centre = data_centre
         self._parts = parts
         self._asked_at_s: dict[str, float] = {}
+        self._endpoints: list[Endpoint] = []
+        self._digest: int | None = None
 
     def run(self) -> None:
         """Ask the endpoint that has waited longest, if it is due."""
-        endpoints = [
-            endpoint
-            for endpoint in self._config.endpoints()
-            if endpoint.data_centre == self._data_centre
-        ]
-        names = {endpoint.id for endpoint in endpoints}
-        self._asked_at_s = {
-            name: at_s for name, at_s in self._asked_at_s.items() if name in names
-        }
+        endpoints = self._find_endpoints()
         if not endpoints:
             return
         oldest = min(endpoints, key=self._find_asked_at_s)
@@ -51,6 +45,21 @@
             self._asked_at_s[oldest.id] = now_s
             self._check(oldest)
 
+    def _find_endpoints(self) -> list[Endpoint]:
+        digest = self._config.digest
+        if digest != self._digest:
+            self._digest = digest
+            self._endpoints = [
+                endpoint
+                for endpoint in self._config.endpoints()
+                if endpoint.data_centre == self._data_centre
+            ]
+            names = {endpoint.id for endpoint in self._endpoints}
+            self._asked_at_s = {
+                name: at_s for name, at_s in self._asked_at_s.items() if name in names
+            }
+        return self._endpoints
+
     def _find_asked_at_s(self, endpoint: Endpoint) -> float:
         return self._asked_at_s.get(endpoint.id, float("-inf"))
 
--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -13,6 +13,7 @@
 from oriolepaddle.gateway import Authenticator, CallerApplication, Exchanger
 from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gateway.admissions import RouteAdmissions
+from oriolepaddle.gateway.advisor import InstanceAdvisor
 from oriolepaddle.gateway.forwarder import Forwarder
 from oriolepaddle.gateway.forwarding import ForwardingSigner
 from oriolepaddle.gateway.order_exchange import OrderExchange
@@ -120,7 +121,8 @@
         return CallerApplication(
             parser,
             Exchanger(parts, orders),
-            self._fleet.membership,
+            InstanceAdvisor(self._fleet.membership, self.limiter, self._fleet.config),
+            parts.authenticator,
             self._settings.data_centre,
             self.metrics,
         )
--- a/oriolepaddle/gateway/application.py
+++ b/oriolepaddle/gateway/application.py
@@ -3,17 +3,19 @@
 from loguru import logger
 from werkzeug.wrappers import Request
 
+from oriolepaddle.config.keys import digest_key
+from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import OriolepaddleError
+from oriolepaddle.gateway.advisor import InstanceAdvisor
+from oriolepaddle.gateway.authenticator import Authenticator
 from oriolepaddle.gateway.exchanger import Exchanger
-from oriolepaddle.gateway.forwarder import InstanceFinder
+from oriolepaddle.gateway.keys import find_presented_key
 from oriolepaddle.gateway.parser import ORDERS_PATH, RequestParser
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.web import AnswerWriter
 
 __all__ = ["CallerApplication"]
 
-SUGGESTED_INSTANCES = 3
-
 
 class CallerApplication:
     """The callers' interface; an `Application`.
@@ -21,7 +23,8 @@
     Args:
         parser: Parses requests.
         exchanger: Serves them.
-        finder: Tells which instances callers may use.
+        advisor: Tells which instances callers may use.
+        authenticator: Tells whose key a caller shows.
         data_centre: The data centre of this instance.
         metrics: Counts each reason for which a request ended without answer.
     """
@@ -30,13 +33,15 @@
         self,
         parser: RequestParser,
         exchanger: Exchanger,
-        finder: InstanceFinder,
+        advisor: InstanceAdvisor,
+        authenticator: Authenticator,
         data_centre: str,
         metrics: GatewayMetrics,
     ) -> None:
         self._parser = parser
         self._exchanger = exchanger
-        self._finder = finder
+        self._advisor = advisor
+        self._authenticator = authenticator
         self._data_centre = data_centre
         self._metrics = metrics
 
@@ -64,7 +69,7 @@
 
     def _answer_instances(self, request: Request, writer: AnswerWriter) -> None:
         data_centre = request.args.get("data_centre", self._data_centre)
-        found = self._finder.suggest_instances(data_centre, SUGGESTED_INSTANCES)
+        found = self._advisor.advise(data_centre, self._find_organisation(request))
         document = {
             "instances": [
                 {
@@ -77,3 +82,9 @@
             "valid_for_s": found.valid_for.total_seconds(),
         }
         writer.answer_json(200, document)
+
+    def _find_organisation(self, request: Request) -> Organisation | None:
+        presented = find_presented_key(request)
+        if presented is None:
+            return None
+        return self._authenticator.find_caller(digest_key(presented)).organisation
--- /dev/null
+++ b/oriolepaddle/gateway/tests/test_advisor.py
@@ -0,0 +1,53 @@
+import json
+
+import pytest
+
+from oriolepaddle.config import ConfigState, parse_ticket
+from oriolepaddle.gateway.advisor import InstanceAdvisor
+from oriolepaddle.membership import Suggestion
+from oriolepaddle.platform import Instance
+from oriolepaddle.standins import make_object
+
+
+class FakeFinder:
+    def suggest_instances(self, place, count):
+        names = [f"n{number}" for number in range(8)][:count]
+        return Suggestion(tuple(Instance(name, place, "", "") for name in names))
+
+
+class FakeHomes:
+    def __init__(self, home):
+        self._home = home
+
+    def home(self, organisation_id):
+        return self._home
+
+
+@pytest.fixture
+def config():
+    config = ConfigState()
+    rates = {"small": 1, "large": 50, "rest": 949}
+    objects = [
+        make_object("organisation", name, rate_tokens_per_s=rate, burst_tokens=10)
+        for name, rate in rates.items()
+    ]
+    config.merge(parse_ticket(json.dumps({"number": 1, "objects": objects})).entries)
+    return config
+
+
+def advise(config, organisation, home="n6"):
+    advisor = InstanceAdvisor(FakeFinder(), FakeHomes(home), config)
+    known = config.organisation(organisation) if organisation else None
+    return [item.id for item in advisor.advise("nordur-a", known).instances]
+
+
+class TestInstanceAdvisor:
+    def test_small_organisation_is_sent_to_its_home(self, config):
+        assert advise(config, "small") == ["n6", "n0", "n1"]
+
+    @pytest.mark.parametrize("organisation", ["large", None])
+    def test_others_are_spread_by_size(self, config, organisation):
+        assert advise(config, organisation) == ["n0", "n1", "n2"]
+
+    def test_home_that_may_not_be_used_is_left_out(self, config):
+        assert advise(config, "small", home="gone") == ["n0", "n1", "n2"]
