Charge answers that tell no tokens; keep deadlines from failing endpoints

Cause, found by reading the exchange as a newcomer: a whole answer without its token count was charged as free; a request's own deadline marked its endpoint as failed; a request that was passed on after a local try was checked against the old endpoint; a suspect could ask for its turn without a pause; a cut answer was logged as answered; the benchmark measured refusals, since its instance was not listed and held no share of any rate. Change: each mended; a type for passed deadlines; the benchmark lists its instance and says when a load was not held.

--- a/experiments/capacity/limits.py
+++ b/experiments/capacity/limits.py
@@ -18,7 +18,12 @@
 TIMES = 200
 START_S = 180.0
 COLUMNS = {
-    "limit_bytes": ("limits' bytes a second", "B/s", "bytes_per_s", 1.0),
+    "limit_bytes": (
+        "limits' bytes a second, callers at home",
+        "B/s",
+        "bytes_per_s",
+        1.0,
+    ),
     "limit_calls": ("limits' calls a second", "1/s", "calls_per_s", 1.0),
     "limit_share": ("limits' processor time", "us/s", "core_share", 1e6),
 }
@@ -27,7 +32,9 @@
 def measure_limits(cpu: CpuTimeReader) -> dict[str, Series]:
     """Return the series against the organisations with traffic."""
     costs = [
-        measure_cost(CostCase(CENTRES, SIZE, organisations, REQUESTS_PER_S))
+        measure_cost(
+            CostCase(CENTRES, SIZE, organisations, REQUESTS_PER_S, is_at_home=True)
+        )
         for organisations in ORGANISATIONS
     ]
     found = {
--- a/experiments/overhead/__main__.py
+++ b/experiments/overhead/__main__.py
@@ -111,6 +111,8 @@
 
 
 def _print_targets(console: Console, row: Row) -> None:
+    if row.gateway.refused or row.gateway.cut:
+        console.print(f"{row.factor:g} x node: not held, requests were refused or cut")
     added = {
         "first byte": ("first_byte_us", FIRST_BYTE_TARGET_MS),
         "token": ("token_delay_us", TOKEN_TARGET_MS),
--- a/experiments/overhead/processes.py
+++ b/experiments/overhead/processes.py
@@ -1,17 +1,21 @@
 """The processes of the measurement."""
 
 import contextlib
+import http.client
+import json
 import os
 import re
 import signal
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 
 import attrs
 
 from oriolepaddle.errors import EndpointUnreachableError
+from oriolepaddle.platform import Instance
 from oriolepaddle.standins import (
     PlatformStandin,
     TicketPublisher,
@@ -25,7 +29,10 @@
 SECRET = "a secret of the benchmark"
 STOP_TIMEOUT_S = 10
 _ENGINE_LINE = re.compile(r"listening on (\S+)")
-_GATEWAY_LINE = re.compile(r"serves callers on port (\d+)")
+_GATEWAY_LINE = re.compile(r"(serves callers on port \d+, peers on port \d+)")
+_PORT = re.compile(r"port (\d+)")
+START_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.1
 
 
 @attrs.frozen
@@ -105,14 +112,33 @@
     environment = {f"ORIOLEPADDLE_{name}": value for name, value in settings.items()}
     process = _start("oriolepaddle.daemon", ["serve"], environment, None)
     try:
-        port = _await(process.stderr, _GATEWAY_LINE)
+        caller, peer = _PORT.findall(_await(process.stderr, _GATEWAY_LINE))
         _drain_in_background(process)
-        yield Gateway(f"127.0.0.1:{port}", KEY, process.pid)
+        address = f"127.0.0.1:{caller}"
+        instance = Instance("n1", "nordur-a", address, f"127.0.0.1:{peer}")
+        platform.set_instances((instance,))
+        _await_tokens(address)
+        yield Gateway(address, KEY, process.pid)
     finally:
         _stop(process)
         platform.close()
 
 
+def _await_tokens(address: str) -> None:
+    # An instance that starts has no share of any rate yet.
+    for _ in range(int(START_TIMEOUT_S / POLL_INTERVAL_S)):
+        connection = http.client.HTTPConnection(address)
+        body = json.dumps({"model": "oriole-answers", "prompt": "?", "max_tokens": 1})
+        headers = {"Authorization": f"Bearer {KEY}"}
+        connection.request("POST", "/v1/completions", body, headers)
+        status = connection.getresponse().status
+        connection.close()
+        if status == 200:
+            return
+        time.sleep(POLL_INTERVAL_S)
+    raise EndpointUnreachableError("the gateway gave no answer in time")
+
+
 def _make_objects(engines: tuple[str, ...]) -> list[dict]:
     objects = [
         make_object("data_centre", "nordur-a", region="nordur"),
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -10,6 +10,7 @@
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.errors import (
     AnswerTruncatedError,
+    EndpointDeadlineError,
     EndpointFailedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
@@ -143,7 +144,7 @@
         request = self._request
         outcome = Outcome.UNKNOWN if self._is_sent else Outcome.NOT_RUN
         if now_s >= request.deadline_s:
-            raise EndpointTimeoutError("the deadline passed", outcome=outcome)
+            raise EndpointDeadlineError("the deadline passed", outcome=outcome)
         quiet_s = now_s - self._last_byte_s
         if not self._status and quiet_s > request.first_byte_timeout_s:
             raise EndpointTimeoutError(
@@ -159,7 +160,7 @@
         if not self._is_sent:
             return EndpointUnreachableError(f"no connection: {text}")
         if number == pycurl.E_OPERATION_TIMEDOUT:
-            return EndpointTimeoutError(text)
+            return EndpointDeadlineError(text)
         if number in _CUT_SHORT and self._status:
             return AnswerTruncatedError(text)
         return EndpointFailedError(text)
--- a/oriolepaddle/endpoints/tests/test_transport.py
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -8,6 +8,7 @@
 from oriolepaddle.endpoints import EndpointRequest, EndpointTransport
 from oriolepaddle.errors import (
     AnswerTruncatedError,
+    EndpointDeadlineError,
     EndpointError,
     EndpointFailedError,
     EndpointTimeoutError,
@@ -126,6 +127,12 @@
         with pytest.raises(EndpointTimeoutError):
             transport.run(engine.address, request, CollectingSink())
 
+    def test_deadline_says_nothing_of_the_endpoint(self, transport, engine, clock):
+        engine.faults.silent_after_tokens = 1
+        request = make_request(clock, deadline_s=clock.monotonic_s() + 0.3)
+        with pytest.raises(EndpointDeadlineError):
+            transport.run(engine.address, request, CollectingSink())
+
     def test_closed_endpoint_is_not_run(self, transport, engine, clock):
         engine.close()
         with pytest.raises(EndpointUnreachableError) as caught:
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -10,7 +10,7 @@
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.endpoints.watchdog import ExchangeWatchdog
-from oriolepaddle.errors import EndpointTimeoutError, Outcome
+from oriolepaddle.errors import EndpointDeadlineError, Outcome
 
 __all__ = ["EndpointTransport"]
 
@@ -52,7 +52,7 @@
         """
         left_s = request.deadline_s - self._clock.monotonic_s()
         if left_s <= 0:
-            raise EndpointTimeoutError(
+            raise EndpointDeadlineError(
                 "the deadline passed before the request was sent",
                 outcome=Outcome.NOT_RUN,
             )
--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -4,6 +4,7 @@
 from oriolepaddle.errors.code import ErrorCode
 from oriolepaddle.errors.endpoint import (
     CommandWithheldError,
+    EndpointDeadlineError,
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
@@ -39,6 +40,7 @@
     "AnswerTruncatedError",
     "AuthenticationError",
     "CommandWithheldError",
+    "EndpointDeadlineError",
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
--- a/oriolepaddle/errors/endpoint.py
+++ b/oriolepaddle/errors/endpoint.py
@@ -4,6 +4,7 @@
 from oriolepaddle.errors.code import ErrorCode
 
 __all__ = [
+    "EndpointDeadlineError",
     "CommandWithheldError",
     "EndpointError",
     "EndpointFailedError",
@@ -37,6 +38,10 @@
     default_code = ErrorCode.ENDPOINT_TIMEOUT
 
 
+class EndpointDeadlineError(EndpointTimeoutError):
+    """The request's own deadline passed, whatever the endpoint did."""
+
+
 class EndpointFailedError(EndpointError):
     """The connection broke after the request was sent."""
 
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -11,6 +11,7 @@
 from oriolepaddle.errors import (
     AnswerTruncatedError,
     AuthenticationError,
+    EndpointDeadlineError,
     EndpointError,
     EndpointRefusedError,
     EndpointTimeoutError,
@@ -24,7 +25,11 @@
 from oriolepaddle.gateway.crashes import gather_evidence
 from oriolepaddle.gateway.parts import ServingParts
 from oriolepaddle.gateway.relay import RESUME_HEADER, AnswerRelay
-from oriolepaddle.gateway.start import find_startable, make_routing_request
+from oriolepaddle.gateway.start import (
+    find_startable,
+    make_routing_request,
+    wait_for_turn,
+)
 from oriolepaddle.limits import Reservation
 from oriolepaddle.quarantine import make_fingerprint
 from oriolepaddle.quarantine.run import Run
@@ -85,13 +90,6 @@
         finally:
             if reservation is not None:
                 reservation.settle(self._count_used())
-        logger.info(
-            "answered route {} at {} with {} bytes after {} tries",
-            self._request.route.id,
-            self._target,
-            self._relay.bytes_written,
-            self._attempt,
-        )
 
     def _reserve(self) -> Reservation | None:
         request = self._request
@@ -113,6 +111,7 @@
         while True:
             try:
                 self._try_once()
+                self._log_answer()
                 return
             except OriolepaddleError as error:
                 if error.outcome is not Outcome.NOT_RUN:
@@ -121,6 +120,15 @@
                     self._fail(error)
                     return
 
+    def _log_answer(self) -> None:
+        logger.info(
+            "answered route {} at {} with {} bytes after {} tries",
+            self._request.route.id,
+            self._target,
+            self._relay.bytes_written,
+            self._attempt,
+        )
+
     def _try_once(self) -> None:
         if self._is_resuming and self._endpoint is not None:
             # Only the engine that began an answer can go on with it.
@@ -152,6 +160,7 @@
                 if error.code is not ErrorCode.OVERLOADED:
                     raise
                 # It became a suspect meanwhile and asks for its turn again.
+                wait_for_turn(parts, self._routing, error.retry_after or timedelta(0))
                 continue
             self._send(endpoint, run)
             return
@@ -174,6 +183,7 @@
 
     def _forward(self, data_centre: str) -> None:
         self._target = data_centre
+        self._endpoint = None
         self._parts.metrics.forwards.labels(data_centre).inc()
         self._relay.begin(lambda: None)
         # It is passed on once, whatever becomes of it there.
@@ -244,6 +254,8 @@
         if evidence is not None:
             run.crashed(evidence)
         is_down = isinstance(error, (EndpointTimeoutError, EndpointUnreachableError))
+        # A deadline that passed says nothing of the endpoint.
+        is_down = is_down and not isinstance(error, EndpointDeadlineError)
         if is_down or (evidence is not None and evidence.is_crash):
             self._parts.router.endpoint_failed(endpoint.id)
 
--- a/oriolepaddle/gateway/relay.py
+++ b/oriolepaddle/gateway/relay.py
@@ -170,13 +170,19 @@
             logger.debug("caller left before the error: {}", write_error)
 
     def count_output_tokens(self) -> int:
-        """Return the tokens of the answer, as far as it says."""
+        """Return the tokens of the answer.
+
+        A stream counts one for each event. A whole answer that does not tell
+        its tokens counts as all that it was allowed, never as free.
+        """
         if self._head.is_event_stream:
             return self.resume_offset
+        if not self._buffer:
+            return 0
         try:
             return int(json.loads(self._buffer)["usage"]["completion_tokens"])
         except (ValueError, KeyError, TypeError):
-            return 0
+            return self._request.output_tokens
 
     def _complete_stream(self) -> None:
         held_back = self._body.finish()
--- a/oriolepaddle/gateway/start.py
+++ b/oriolepaddle/gateway/start.py
@@ -1,6 +1,7 @@
 """Finding the endpoint at which a request may start now."""
 
 import threading
+from datetime import timedelta
 
 import attrs
 
@@ -8,10 +9,12 @@
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.parts import ServingParts
-from oriolepaddle.quarantine import StartAction, StartAdvice
+from oriolepaddle.quarantine import StartAction
 from oriolepaddle.routing import RoutingRequest, hash_prompt
 
-__all__ = ["find_startable", "make_routing_request"]
+__all__ = ["find_startable", "make_routing_request", "wait_for_turn"]
+
+MIN_WAIT = timedelta(milliseconds=10)
 
 
 def make_routing_request(
@@ -67,7 +70,7 @@
             if advice.action is not StartAction.WAIT:
                 return endpoint
         if advice.action is StartAction.WAIT:
-            _wait(parts, routing, advice)
+            wait_for_turn(parts, routing, advice.delay)
             continue
         avoided |= {endpoint.id}
 
@@ -91,11 +94,19 @@
     raise RefusedError("no endpoint here may run it now", code=ErrorCode.NO_ENDPOINT)
 
 
-def _wait(parts: ServingParts, routing: RoutingRequest, advice: StartAdvice) -> None:
+def wait_for_turn(
+    parts: ServingParts, routing: RoutingRequest, delay: timedelta
+) -> None:
+    """Wait until a suspect may ask again for its turn.
+
+    Raises:
+        RefusedError: Its deadline comes first; it was not run.
+    """
+    delay = max(delay, MIN_WAIT)
     left_s = routing.deadline_s - parts.clock.monotonic_s()
-    if left_s <= advice.delay.total_seconds():
+    if left_s <= delay.total_seconds():
         raise RefusedError(
             "the request may not start before its deadline",
             code=ErrorCode.DEADLINE_UNREACHABLE,
         )
-    parts.clock.wait(threading.Event(), advice.delay)
+    parts.clock.wait(threading.Event(), delay)
--- a/oriolepaddle/gateway/tests/test_relay.py
+++ b/oriolepaddle/gateway/tests/test_relay.py
@@ -76,6 +76,21 @@
         relay.complete()
         assert writer.data == b"half and half"
 
+    @pytest.mark.parametrize(
+        ("body", "tokens"),
+        [
+            (b'{"usage": {"completion_tokens": 3}}', 3),
+            (b'{"choices": []}', 50),
+            (b"no JSON", 50),
+            (b"", 0),
+        ],
+    )
+    def test_that_tells_no_tokens_is_not_free(self, make_relay, body, tokens):
+        relay = make_relay(output_tokens=50)
+        relay.on_head(200, (OWN_ID,))
+        relay.on_data(body)
+        assert relay.count_output_tokens() == tokens
+
     def test_of_another_request_is_refused(self, make_relay, writer):
         with pytest.raises(AnswerMismatchedError):
             make_relay().on_head(200, (("X-Request-Id", "another"),))
