Parse the usual event of one line without a search

Cause: at a node's share p95 to the first byte was 7.9 ms above calling the engine directly; the relay spent 13.3 us of 16.6 on cutting each chunk into events. Ruled out: background tasks and the histogram (2.4 us). Change: a chunk that is one event of one line is taken as it is.

--- a/oriolepaddle/streams/parser.py
+++ b/oriolepaddle/streams/parser.py
@@ -12,6 +12,8 @@
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _LONGEST_BLANK_LINE = 4
+_DATA = b"data: "
+_END = b"\n\n"
 
 
 class SseParser:
@@ -35,6 +37,11 @@
             AnswerMalformedError: An event is larger than the bound; those
                 before it were yielded.
         """
+        if not self._buffer and _is_one_line(chunk):
+            # Nearly all chunks of an engine are one event of one line.
+            self._check_size(len(chunk))
+            yield SseEvent(chunk, chunk[len(_DATA) : -len(_END)], "", "", True)
+            return
         self._buffer += chunk
         search_from = max(0, self._scanned - _LONGEST_BLANK_LINE)
         while match := _BLANK_LINE.search(self._buffer, search_from):
@@ -76,3 +83,13 @@
             raise AnswerMalformedError(
                 f"an event is larger than {self._max_event_bytes} bytes"
             )
+
+
+def _is_one_line(chunk: bytes) -> bool:
+    first_line_end = chunk.find(b"\n")
+    return (
+        first_line_end == len(chunk) - len(_END)
+        and chunk.startswith(_DATA)
+        and chunk.endswith(_END)
+        and b"\r" not in chunk
+    )
