--- a/oriolepaddle/daemon/engine_monitor.py
+++ b/oriolepaddle/daemon/engine_monitor.py
@@ -32,6 +32,7 @@
         self._asked_at_s: dict[str, float] = {}
         self._endpoints: list[Endpoint] = []
         self._digest: int | None = None
+        self._cache_read: dict[str, tuple[int | None, int]] = {}
 
     def run(self) -> None:
         """Ask the endpoint that has waited longest, if it is due."""
@@ -82,3 +83,15 @@
             )
         )
         self._parts.admissions.capacity_changed()
+        self._read_cache(endpoint)
+
+    def _read_cache(self, endpoint: Endpoint) -> None:
+        epoch, after = self._cache_read.get(endpoint.id, (None, 0))
+        read = self._parts.health.read_cache_events
+        found = read(endpoint.id, endpoint.address, after)
+        if found.epoch is not None and found.epoch != epoch:
+            # A new life counts from one again.
+            found = read(endpoint.id, endpoint.address, 0)
+        for events in found.events:
+            self._parts.router.cache_events(events)
+            self._cache_read[endpoint.id] = (events.epoch, events.sequence)
--- a/oriolepaddle/endpoints/health.py
+++ b/oriolepaddle/endpoints/health.py
@@ -7,7 +7,9 @@
 import attrs
 import pycurl
 
-__all__ = ["EndpointAnswer", "HealthChecker"]
+from oriolepaddle.routing import CacheEvents
+
+__all__ = ["CacheReading", "EndpointAnswer", "HealthChecker"]
 
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 ANSWER_TIMEOUT = timedelta(milliseconds=800)
@@ -34,6 +36,19 @@
     cached_tokens: int = 0
 
 
+@attrs.frozen
+class CacheReading:
+    """What an engine publishes of its prefix cache.
+
+    Attributes:
+        epoch: The engine's life, or None if it publishes nothing.
+        events: The changes, oldest first; early ones may be missing.
+    """
+
+    epoch: int | None = None
+    events: tuple[CacheEvents, ...] = ()
+
+
 class HealthChecker:
     """Calls `GET /load` of an endpoint on a new connection each time.
 
@@ -58,24 +73,55 @@
             self._incarnations[address] = answer.incarnation
         return answer
 
-    def _ask(self, address: str) -> EndpointAnswer:
-        buffer = BytesIO()
-        curl = pycurl.Curl()
-        curl.setopt(pycurl.URL, f"http://{address}/load")
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
-        curl.setopt(pycurl.TIMEOUT_MS, _to_ms(ANSWER_TIMEOUT))
-        curl.setopt(pycurl.WRITEDATA, buffer)
+    def read_cache_events(
+        self, endpoint: str, address: str, after: int
+    ) -> CacheReading:
+        """Return an engine's changes of its prefix cache; empty if it has none.
+
+        Args:
+            endpoint: The endpoint's id.
+            address: `host:port` of the endpoint.
+            after: The last sequence number that was taken in.
+        """
+        found = _get(address, f"/cache/events?after={after}")
+        if found.status != 200:
+            return CacheReading()
         try:
-            curl.perform()
-            status = curl.getinfo(pycurl.RESPONSE_CODE)
-        except pycurl.error as error:
-            is_silent = error.args[0] == pycurl.E_OPERATION_TIMEDOUT
-            return EndpointAnswer(is_up=False, is_refused=not is_silent)
-        finally:
-            curl.close()
-        return _parse(status, buffer.getvalue())
+            return _parse_cache_events(endpoint, json.loads(found.body))
+        except (ValueError, KeyError, TypeError):
+            return CacheReading()
+
+    def _ask(self, address: str) -> EndpointAnswer:
+        found = _get(address, "/load")
+        if found.status:
+            return _parse(found.status, found.body)
+        return EndpointAnswer(is_up=False, is_refused=not found.is_silent)
+
+
+@attrs.frozen
+class _Answer:
+    status: int = 0
+    body: bytes = b""
+    is_silent: bool = False
+
+
+def _get(address: str, path: str) -> _Answer:
+    buffer = BytesIO()
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f"http://{address}{path}")
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
+    curl.setopt(pycurl.TIMEOUT_MS, _to_ms(ANSWER_TIMEOUT))
+    curl.setopt(pycurl.WRITEDATA, buffer)
+    try:
+        curl.perform()
+        return _Answer(curl.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue())
+    except pycurl.error as error:
+        is_silent = error.args[0] == pycurl.E_OPERATION_TIMEDOUT
+        return _Answer(is_silent=is_silent)
+    finally:
+        curl.close()
 
 
 def _parse(status: int, body: bytes) -> EndpointAnswer:
@@ -94,5 +140,20 @@
         return EndpointAnswer(is_up=True)
 
 
+def _parse_cache_events(endpoint: str, document: dict) -> CacheReading:
+    events = tuple(
+        CacheEvents(
+            endpoint=endpoint,
+            epoch=int(document["epoch"]),
+            sequence=int(batch["sequence"]),
+            stored=tuple(int(block, 16) for block in batch["stored"]),
+            evicted=tuple(int(block, 16) for block in batch["evicted"]),
+            age_s=float(batch["age_s"]),
+        )
+        for batch in document["batches"]
+    )
+    return CacheReading(int(document["epoch"]), events)
+
+
 def _to_ms(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
--- a/oriolepaddle/standins/engine.py
+++ b/oriolepaddle/standins/engine.py
@@ -12,6 +12,7 @@
 from oriolepaddle.clock import Clock, SystemClock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.standins.engine_control import EngineControlStandin
+from oriolepaddle.standins.prefix_cache import PrefixCacheStandin
 from oriolepaddle.web import AnswerWriter, HttpServer, ServerLimits
 
 __all__ = ["EngineFaults", "EngineStandin", "ReceivedRequest"]
@@ -75,6 +76,7 @@
         prefill_s: float = 0.0,
     ) -> None:
         self.name = name
+        self._clock = clock or SystemClock()
         self.faults = EngineFaults()
         self.token_interval_s = token_interval_s
         self.prefill_s = prefill_s
@@ -83,8 +85,9 @@
         self.crashes = 0
         self.resumed = 0
         self.control = EngineControlStandin()
+        self.cache = PrefixCacheStandin(self._clock, epoch=0)
+        self.cached_blocks = 0
         self.cancelled = 0
-        self._clock = clock or SystemClock()
         self._lock = threading.Lock()
         self._closing = threading.Event()
         self._server = HttpServer(
@@ -111,6 +114,10 @@
         if request.path == "/load":
             writer.answer_json(200, self._describe_load())
             return
+        if request.path == "/cache/events":
+            after = request.args.get("after", 0, int)
+            writer.answer_json(200, self.cache.describe(after))
+            return
         if request.path.startswith("/engine/"):
             self.control.handle(request, writer)
             return
@@ -120,6 +127,7 @@
         self._record(request)
         self._check_crash(request)
         document = json.loads(request.get_data())
+        self.cached_blocks += self.cache.use(_read_prompt(document))
         with self._lock:
             self.running += 1
         try:
@@ -136,6 +144,7 @@
         self.crashes += 1
         self._server.drop_connections()
         self.control = EngineControlStandin(self.control.is_fenced)
+        self.cache = PrefixCacheStandin(self._clock, epoch=self.crashes)
 
     def _describe_load(self) -> dict[str, Any]:
         return {
@@ -236,3 +245,10 @@
             "choices": [{"index": 0, "delta": {"content": f"{number} "}}],
         }
         return b"data: " + json.dumps(document).encode() + b"\n\n"
+
+
+def _read_prompt(document: dict[str, Any]) -> str:
+    messages = document.get("messages")
+    if messages is None:
+        return str(document.get("prompt", ""))
+    return "\n".join(f"{item['role']}: {item['content']}" for item in messages)
