--- a/oriolepaddle/standins/platform.py
+++ b/oriolepaddle/standins/platform.py
@@ -51,6 +51,7 @@
 
     @is_stale.setter
     def is_stale(self, value: bool) -> None:
+        """Hide what is published from now on, or show everything again."""
         with self._changed:
             self._stale_values = list(self._values) if value else None
             self._changed.notify_all()
