Honour the stall setting on hops, and drop what nothing used

Cause, found by reading the whole change: the forwarder had a stall limit of its own beside the setting; a hop hashed the prompt a second time and wrote the 'no further hop' rule again; the server set private fields of the writer; two members had no caller. Change: the setting is passed in (the default is the same 15 s); one function keeps a request here; the writer's fields are public; the two are gone. Conclusion: behaviour is the same at the default settings.

--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -101,7 +101,12 @@
             transport=transport,
             health=HealthChecker(),
             forwarder=Forwarder(
-                settings.instance, clock, self._fleet.membership, transport, signer
+                settings.instance,
+                clock,
+                self._fleet.membership,
+                transport,
+                signer,
+                settings.stall_timeout_s,
             ),
             authenticator=Authenticator(config),
             staleness=self._fleet.staleness,
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -27,6 +27,7 @@
 from oriolepaddle.gateway.relay import RESUME_HEADER, AnswerRelay
 from oriolepaddle.gateway.start import (
     find_startable,
+    keep_here,
     make_routing_request,
     wait_for_turn,
 )
@@ -187,7 +188,7 @@
         self._parts.metrics.forwards.labels(data_centre).inc()
         self._relay.begin(lambda: None)
         # It is passed on once, whatever becomes of it there.
-        self._routing = make_routing_request(self._request, was_forwarded=True)
+        self._routing = keep_here(self._routing)
         self._parts.forwarder.forward(self._request, data_centre, self._relay)
 
     def _send(self, endpoint: Endpoint, run: Run) -> None:
--- a/oriolepaddle/gateway/forwarder.py
+++ b/oriolepaddle/gateway/forwarder.py
@@ -12,8 +12,6 @@
 
 __all__ = ["Forwarder", "InstanceFinder"]
 
-STALL_TIMEOUT_S = 15.0
-
 
 class InstanceFinder(Protocol):
     """Tells which instances serve a data centre."""
@@ -37,6 +35,7 @@
         finder: Finds the other instance.
         transport: Reaches it.
         signer: Signs the request.
+        stall_timeout_s: Seconds without a byte after which an answer fails.
     """
 
     def __init__(
@@ -46,12 +45,14 @@
         finder: InstanceFinder,
         transport: EndpointTransport,
         signer: ForwardingSigner,
+        stall_timeout_s: float,
     ) -> None:
         self._instance = instance
         self._clock = clock
         self._finder = finder
         self._transport = transport
         self._signer = signer
+        self._stall_timeout_s = stall_timeout_s
 
     def forward(
         self, request: CallerRequest, data_centre: str, relay: AnswerRelay
@@ -91,6 +92,6 @@
             body=request.body,
             is_idempotent=request.is_idempotent,
             first_byte_timeout_s=request.route.first_byte_s,
-            stall_timeout_s=STALL_TIMEOUT_S,
+            stall_timeout_s=self._stall_timeout_s,
             deadline_s=request.deadline_s,
         )
--- a/oriolepaddle/gateway/start.py
+++ b/oriolepaddle/gateway/start.py
@@ -12,23 +12,13 @@
 from oriolepaddle.quarantine import StartAction
 from oriolepaddle.routing import RoutingRequest, hash_prompt
 
-__all__ = ["find_startable", "make_routing_request", "wait_for_turn"]
+__all__ = ["find_startable", "keep_here", "make_routing_request", "wait_for_turn"]
 
 MIN_WAIT = timedelta(milliseconds=10)
 
 
-def make_routing_request(
-    request: CallerRequest, was_forwarded: bool = False
-) -> RoutingRequest:
-    """Return what routing needs to know of a request.
-
-    Args:
-        request: The request.
-        was_forwarded: Whether this instance has passed it on before.
-    """
-    hops = request.hops
-    if was_forwarded and not hops:
-        hops = ("self",)
+def make_routing_request(request: CallerRequest) -> RoutingRequest:
+    """Return what routing needs to know of a request."""
     return RoutingRequest(
         id=request.id,
         route=request.route,
@@ -37,10 +27,15 @@
         output_tokens=request.output_tokens,
         prefix_hashes=hash_prompt(request.prompt_text),
         deadline_s=request.deadline_s,
-        hops=hops,
+        hops=request.hops,
     )
 
 
+def keep_here(routing: RoutingRequest) -> RoutingRequest:
+    """Return a request that is not passed on from here any more."""
+    return attrs.evolve(routing, hops=routing.hops or ("self",))
+
+
 def find_startable(
     parts: ServingParts,
     routing: RoutingRequest,
@@ -81,7 +76,7 @@
     excluded: frozenset[str],
     failed: frozenset[str],
 ) -> Endpoint:
-    local = attrs.evolve(routing, hops=routing.hops or ("self",))
+    local = keep_here(routing)
     for names in (excluded, failed, frozenset()):
         try:
             chosen = parts.router.choose(
--- a/oriolepaddle/limits/settings.py
+++ b/oriolepaddle/limits/settings.py
@@ -55,11 +55,6 @@
         """Seconds that a lender counts a loan for, from when it answered."""
         return self.loan.total_seconds()
 
-    @property
-    def borrowed_s(self) -> float:
-        """Seconds that a borrower counts a loan for, from before it asked."""
-        return self.loan.total_seconds() * (1 - 3 * self.max_clock_drift)
-
     @property
     def release_s(self) -> float:
         """Seconds after which a vanished instance has surely stopped minting."""
--- a/oriolepaddle/standins/platform.py
+++ b/oriolepaddle/standins/platform.py
@@ -11,7 +11,6 @@
 from oriolepaddle.platform import (
     ClientRecord,
     Instance,
-    InstanceState,
     ServiceValue,
 )
 from oriolepaddle.web import AnswerWriter, HttpServer
@@ -91,17 +90,6 @@
             self._instances_revision += 1
             self._changed.notify_all()
 
-    def mark_leaving(self, instance: str) -> None:
-        """List an instance as leaving."""
-        self.set_instances(
-            tuple(
-                attrs.evolve(item, state=InstanceState.LEAVING)
-                if item.id == instance
-                else item
-                for item in self._instances
-            )
-        )
-
     def set_clients(self, clients: tuple[ClientRecord, ...]) -> None:
         """Publish the client directory."""
         self._clients = clients
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -131,8 +131,8 @@
             writer.keep_alive = False
             raise MalformedRequestError("the request line or headers are malformed")
         writer.keep_alive = not self.close_connection and not self.server.is_draining
-        writer._is_head = self.command == "HEAD"
-        writer._is_chunked_allowed = self.request_version >= "HTTP/1.1"
+        writer.is_head = self.command == "HEAD"
+        writer.is_chunked_allowed = self.request_version >= "HTTP/1.1"
         if self.headers.get("Expect", "").lower() == "100-continue":
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._reader.allow(
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -21,21 +21,18 @@
     Args:
         connection: The caller's socket.
         write_timeout: The longest time for one write.
+
+    Attributes:
         is_head: Whether the request's method is HEAD, so that no body is sent.
         is_chunked_allowed: Whether the caller speaks HTTP/1.1.
+        keep_alive: Whether the connection is used again.
     """
 
-    def __init__(
-        self,
-        connection: socket.socket,
-        write_timeout: timedelta,
-        is_head: bool = False,
-        is_chunked_allowed: bool = True,
-    ) -> None:
+    def __init__(self, connection: socket.socket, write_timeout: timedelta) -> None:
         self._connection = connection
         self._write_timeout_s = write_timeout.total_seconds()
-        self._is_head = is_head
-        self._is_chunked_allowed = is_chunked_allowed
+        self.is_head = False
+        self.is_chunked_allowed = True
         self._is_chunked = False
         self.keep_alive = True
         self.is_started = False
@@ -59,7 +56,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         if length is not None:
             lines.append(f"Content-Length: {length}")
-        elif self._is_chunked_allowed:
+        elif self.is_chunked_allowed:
             self._is_chunked = True
             lines.append("Transfer-Encoding: chunked")
         else:
@@ -74,7 +71,7 @@
         Raises:
             OSError: The caller is gone or does not read.
         """
-        if not data or self._is_head:
+        if not data or self.is_head:
             return
         self.body_bytes += len(data)
         if self._is_chunked:
@@ -83,7 +80,7 @@
 
     def finish(self) -> None:
         """End the body."""
-        if self._is_chunked and not self._is_head:
+        if self._is_chunked and not self.is_head:
             self._send(b"0\r\n\r\n")
         self.is_finished = True
 
