Move the published services' formats to oriolepaddle/publication

The name platform is needed for the adapter towards the users' platform; what the folder held are the formats of the product's own configuration service, instance list and client directory.

--- a/experiments/_platform_model.py
+++ b/experiments/_platform_model.py
@@ -9,7 +9,7 @@
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.config.prefix_reader import PrefixReader
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform import ServiceReading, ServiceValue
+from oriolepaddle.publication import ServiceReading, ServiceValue
 
 __all__ = ["Events", "ModelPlatform", "PlatformTask", "PlatformView"]
 
--- a/experiments/_spread_model.py
+++ b/experiments/_spread_model.py
@@ -30,7 +30,7 @@
 from oriolepaddle.membership import LoadSummary, Membership, MembershipHandler
 from oriolepaddle.peers import PeerIdentity, PeerService
 from oriolepaddle.peers.gen_py.configuration.ttypes import PushReply
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 __all__ = ["Fleet", "Node"]
 
--- a/experiments/commands/simulation.py
+++ b/experiments/commands/simulation.py
@@ -17,7 +17,7 @@
 from oriolepaddle.config import ConfigState, Entry
 from oriolepaddle.config.model import Endpoint, ObjectKind, Placement
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 __all__ = ["Run", "simulate"]
 
--- a/experiments/limits/fleet.py
+++ b/experiments/limits/fleet.py
@@ -9,7 +9,7 @@
 from oriolepaddle.config import ConfigState, Entry
 from oriolepaddle.limits import LimitSettings, SharedTokenLimiter
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 __all__ = ["Fleet", "FleetView", "Node"]
 
--- a/experiments/orders/measurement.py
+++ b/experiments/orders/measurement.py
@@ -24,7 +24,7 @@
 )
 from oriolepaddle.orders.limits import LEDGER_BYTES, RECORD_BYTES
 from oriolepaddle.peers import PeerIdentity, PeerService
-from oriolepaddle.platform import InstanceList
+from oriolepaddle.publication import InstanceList
 
 __all__ = ["Cost", "make_answer", "measure_costs", "measure_record_bytes"]
 
--- a/experiments/overhead/processes.py
+++ b/experiments/overhead/processes.py
@@ -15,7 +15,7 @@
 import attrs
 
 from oriolepaddle.errors import EndpointUnreachableError
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 from oriolepaddle.standins import (
     PlatformStandin,
     TicketPublisher,
--- a/oriolepaddle/commands/issuer.py
+++ b/oriolepaddle/commands/issuer.py
@@ -25,7 +25,7 @@
 )
 from oriolepaddle.membership import MembershipView
 from oriolepaddle.membership.rendezvous import rank_instances
-from oriolepaddle.platform import InstanceState
+from oriolepaddle.publication import InstanceState
 
 __all__ = ["CommandIssuer"]
 
--- a/oriolepaddle/commands/tests/engines.py
+++ b/oriolepaddle/commands/tests/engines.py
@@ -15,7 +15,7 @@
     EndpointUnreachableError,
 )
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 PLACE = "nordur-a"
 EXECUTOR = ThreadPoolExecutor(1)
--- a/oriolepaddle/config/neighbours.py
+++ b/oriolepaddle/config/neighbours.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from oriolepaddle.membership.links import LinkChoice
-from oriolepaddle.platform import InstanceList
+from oriolepaddle.publication import InstanceList
 
 __all__ = ["Neighbours"]
 
--- a/oriolepaddle/config/platform_reader.py
+++ b/oriolepaddle/config/platform_reader.py
@@ -17,7 +17,7 @@
 from oriolepaddle.config.snapshot import SnapshotAssembler, parse_shard
 from oriolepaddle.config.staleness import StalenessGuard
 from oriolepaddle.errors import TicketError
-from oriolepaddle.platform import ConfigurationService, ServiceValue
+from oriolepaddle.publication import ConfigurationService, ServiceValue
 
 __all__ = ["PlatformReader", "SNAPSHOT_PREFIX", "TICKET_PREFIX"]
 
--- a/oriolepaddle/config/prefix_reader.py
+++ b/oriolepaddle/config/prefix_reader.py
@@ -7,7 +7,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.backoff import Backoff
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform import ConfigurationService, ServiceReading, ServiceValue
+from oriolepaddle.publication import ConfigurationService, ServiceReading, ServiceValue
 
 __all__ = ["PrefixReader"]
 
--- a/oriolepaddle/config/tests/fleet.py
+++ b/oriolepaddle/config/tests/fleet.py
@@ -17,7 +17,7 @@
 from oriolepaddle.membership import Membership, MembershipHandler
 from oriolepaddle.membership.tests.network import Network
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import (
+from oriolepaddle.publication import (
     Instance,
     InstanceList,
     ServiceReading,
--- a/oriolepaddle/config/tests/test_threads.py
+++ b/oriolepaddle/config/tests/test_threads.py
@@ -14,7 +14,7 @@
 from oriolepaddle.config.tests.fleet import Platform, make_ticket
 from oriolepaddle.membership import MEMBERSHIP_SERVICE, Membership, MembershipHandler
 from oriolepaddle.peers import PeerIdentity, PeerPool, PeerServer
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 WAIT_S = 60
 
--- a/oriolepaddle/daemon/fleet.py
+++ b/oriolepaddle/daemon/fleet.py
@@ -16,7 +16,7 @@
 from oriolepaddle.membership.membership import Membership
 from oriolepaddle.membership.wire import MEMBERSHIP_SERVICE
 from oriolepaddle.peers import PeerIdentity, PeerPool
-from oriolepaddle.platform.http import (
+from oriolepaddle.publication.http import (
     HttpConfigurationService,
     HttpInstanceListService,
 )
--- a/oriolepaddle/daemon/instance_list.py
+++ b/oriolepaddle/daemon/instance_list.py
@@ -10,7 +10,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.backoff import Backoff
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform import InstanceList, InstanceListService
+from oriolepaddle.publication import InstanceList, InstanceListService
 
 __all__ = ["InstanceListReader"]
 
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -5,7 +5,7 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.peers import PeerIdentity, PeerServer
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 from oriolepaddle.settings import Settings
 from oriolepaddle.web import HttpServer, ServerLimits
 from oriolepaddle.web.unready import UnreadyApplication
--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -22,7 +22,7 @@
 from oriolepaddle.gateway.parts import ServingParts
 from oriolepaddle.limits import LIMITS_SERVICE, LimitSettings, SharedTokenLimiter
 from oriolepaddle.metrics import GatewayMetrics
-from oriolepaddle.platform import InstanceState
+from oriolepaddle.publication import InstanceState
 from oriolepaddle.quarantine import (
     QUARANTINE_SERVICE,
     Quarantine,
--- a/oriolepaddle/daemon/tests/fleet.py
+++ b/oriolepaddle/daemon/tests/fleet.py
@@ -10,7 +10,7 @@
 import threading
 
 from oriolepaddle.config import parse_ticket
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 from oriolepaddle.standins import (
     EngineStandin,
     PlatformStandin,
--- a/oriolepaddle/demo/fleet.py
+++ b/oriolepaddle/demo/fleet.py
@@ -8,7 +8,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.daemon import GatewayInstance
 from oriolepaddle.errors import PeerUnavailableError
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 from oriolepaddle.settings import Settings
 from oriolepaddle.standins import (
     EngineStandin,
--- a/oriolepaddle/endpoints/control.py
+++ b/oriolepaddle/endpoints/control.py
@@ -22,7 +22,7 @@
 
 
 class HttpEngineControl:
-    """Speaks with engines as `docs/platform.md` describes; an `EngineControl`.
+    """Speaks with engines as `docs/publication.md` describes; an `EngineControl`.
 
     Args:
         clock: Bounds the calls.
--- a/oriolepaddle/gateway/advisor.py
+++ b/oriolepaddle/gateway/advisor.py
@@ -6,7 +6,7 @@
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.gateway.forwarder import InstanceFinder
 from oriolepaddle.membership import Suggestion
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 
 __all__ = ["HomeFinder", "InstanceAdvisor"]
 
--- a/oriolepaddle/gateway/tests/test_advisor.py
+++ b/oriolepaddle/gateway/tests/test_advisor.py
@@ -5,7 +5,7 @@
 from oriolepaddle.config import ConfigState, parse_ticket
 from oriolepaddle.gateway.advisor import InstanceAdvisor
 from oriolepaddle.membership import Suggestion
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 from oriolepaddle.standins import make_object
 
 
--- a/oriolepaddle/limits/claims.py
+++ b/oriolepaddle/limits/claims.py
@@ -15,7 +15,7 @@
     RenewReply,
     RenewRequest,
 )
-from oriolepaddle.platform import InstanceList
+from oriolepaddle.publication import InstanceList
 
 __all__ = ["ClaimBook"]
 
--- a/oriolepaddle/limits/ledger.py
+++ b/oriolepaddle/limits/ledger.py
@@ -12,7 +12,7 @@
 from oriolepaddle.limits.weights import WeightHistory
 from oriolepaddle.membership import MembershipView
 from oriolepaddle.membership.rendezvous import rank_instances
-from oriolepaddle.platform import InstanceList, InstanceState
+from oriolepaddle.publication import InstanceList, InstanceState
 
 __all__ = ["Ledger"]
 
--- a/oriolepaddle/limits/listing.py
+++ b/oriolepaddle/limits/listing.py
@@ -5,7 +5,7 @@
 import attrs
 
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import InstanceList
+from oriolepaddle.publication import InstanceList
 
 __all__ = ["ListReading", "Listing"]
 
--- a/oriolepaddle/limits/rosters.py
+++ b/oriolepaddle/limits/rosters.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from oriolepaddle.peers.gen_py.limits.ttypes import Roster
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 
 __all__ = ["RosterBook"]
 
--- a/oriolepaddle/limits/tests/test_claims.py
+++ b/oriolepaddle/limits/tests/test_claims.py
@@ -7,7 +7,7 @@
 from oriolepaddle.limits.member import Member
 from oriolepaddle.peers import PeerIdentity
 from oriolepaddle.peers.gen_py.limits.ttypes import RenewRequest
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 SETTINGS = LimitSettings()
 TABLES = frozenset([7])
--- a/oriolepaddle/limits/tests/test_wire.py
+++ b/oriolepaddle/limits/tests/test_wire.py
@@ -10,7 +10,7 @@
 from oriolepaddle.limits import LIMITS_SERVICE, SharedTokenLimiter
 from oriolepaddle.limits.tests.scenario import ORGANISATION, SETTINGS, make_entry
 from oriolepaddle.peers import PeerIdentity, PeerPool, PeerServer
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 SECRET = b"secret"
 NAMES = ("a1", "a2")
--- a/oriolepaddle/membership/member.py
+++ b/oriolepaddle/membership/member.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from oriolepaddle.platform import Instance, InstanceState
+from oriolepaddle.publication import Instance, InstanceState
 
 __all__ = ["Member", "MemberStatus"]
 
--- a/oriolepaddle/membership/membership.py
+++ b/oriolepaddle/membership/membership.py
@@ -22,7 +22,7 @@
 from oriolepaddle.membership.wire import MEMBERSHIP_SERVICE
 from oriolepaddle.peers import PeerCaller, PeerIdentity
 from oriolepaddle.peers.gen_py.membership.ttypes import Heartbeat
-from oriolepaddle.platform import Instance, InstanceList, InstanceState
+from oriolepaddle.publication import Instance, InstanceList, InstanceState
 
 __all__ = ["ConfigDigest", "Membership"]
 
--- a/oriolepaddle/membership/suggestion.py
+++ b/oriolepaddle/membership/suggestion.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 
 __all__ = ["SUGGESTION_LIFE", "Suggestion", "order_by_size"]
 
--- a/oriolepaddle/membership/table.py
+++ b/oriolepaddle/membership/table.py
@@ -5,7 +5,7 @@
 import attrs
 
 from oriolepaddle.membership.member import Member
-from oriolepaddle.platform import Instance, InstanceList, InstanceState
+from oriolepaddle.publication import Instance, InstanceList, InstanceState
 
 __all__ = ["MemberTable", "RECORD_LIFE_S"]
 
--- a/oriolepaddle/membership/tests/test_membership.py
+++ b/oriolepaddle/membership/tests/test_membership.py
@@ -15,7 +15,7 @@
 from oriolepaddle.membership.table import MemberTable
 from oriolepaddle.membership.tests.network import Network
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList, InstanceState
+from oriolepaddle.publication import Instance, InstanceList, InstanceState
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 STEP = timedelta(milliseconds=500)
--- a/oriolepaddle/membership/view.py
+++ b/oriolepaddle/membership/view.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 __all__ = ["MembershipView"]
 
--- a/oriolepaddle/membership/wire.py
+++ b/oriolepaddle/membership/wire.py
@@ -7,7 +7,7 @@
 from oriolepaddle.peers import PeerService
 from oriolepaddle.peers.gen_py.membership import Membership
 from oriolepaddle.peers.gen_py.membership.ttypes import LoadRecord, MemberRecord
-from oriolepaddle.platform import Instance, InstanceState
+from oriolepaddle.publication import Instance, InstanceState
 
 __all__ = [
     "MEMBERSHIP_SERVICE",
--- a/oriolepaddle/orders/tests/fleet.py
+++ b/oriolepaddle/orders/tests/fleet.py
@@ -30,7 +30,7 @@
     OrderRequest,
 )
 from oriolepaddle.peers import PeerIdentity
-from oriolepaddle.platform import Instance, InstanceList
+from oriolepaddle.publication import Instance, InstanceList
 
 LIFETIME = timedelta(minutes=10)
 PATIENCE_S = 30.0
--- a/oriolepaddle/platform/__init__.py
+++ b/oriolepaddle/publication/__init__.py
@@ -1,13 +1,13 @@
 """The platform's services, which can only be read and watched."""
 
-from oriolepaddle.platform.directory import ClientRecord
-from oriolepaddle.platform.instance import Instance, InstanceList, InstanceState
-from oriolepaddle.platform.services import (
+from oriolepaddle.publication.directory import ClientRecord
+from oriolepaddle.publication.instance import Instance, InstanceList, InstanceState
+from oriolepaddle.publication.services import (
     ClientDirectory,
     ConfigurationService,
     InstanceListService,
 )
-from oriolepaddle.platform.value import ServiceReading, ServiceValue
+from oriolepaddle.publication.value import ServiceReading, ServiceValue
 
 __all__ = [
     "ClientDirectory",
--- a/oriolepaddle/platform/http.py
+++ b/oriolepaddle/publication/http.py
@@ -1,4 +1,4 @@
-"""The platform's services over HTTP; `docs/platform.md` has the formats."""
+"""The platform's services over HTTP; `docs/publication.md` has the formats."""
 
 import json
 import threading
@@ -13,9 +13,9 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform.directory import ClientRecord
-from oriolepaddle.platform.instance import Instance, InstanceList
-from oriolepaddle.platform.value import ServiceReading, ServiceValue
+from oriolepaddle.publication.directory import ClientRecord
+from oriolepaddle.publication.instance import Instance, InstanceList
+from oriolepaddle.publication.value import ServiceReading, ServiceValue
 
 __all__ = ["HttpClientDirectory", "HttpConfigurationService", "HttpInstanceListService"]
 
--- a/oriolepaddle/platform/services.py
+++ b/oriolepaddle/publication/services.py
@@ -3,9 +3,9 @@
 from datetime import timedelta
 from typing import Protocol
 
-from oriolepaddle.platform.directory import ClientRecord
-from oriolepaddle.platform.instance import InstanceList
-from oriolepaddle.platform.value import ServiceReading
+from oriolepaddle.publication.directory import ClientRecord
+from oriolepaddle.publication.instance import InstanceList
+from oriolepaddle.publication.value import ServiceReading
 
 __all__ = ["ClientDirectory", "ConfigurationService", "InstanceListService"]
 
--- a/oriolepaddle/platform/tests/test_http.py
+++ b/oriolepaddle/publication/tests/test_http.py
@@ -7,8 +7,8 @@
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.config import parse_ticket
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform import ClientRecord, Instance
-from oriolepaddle.platform.http import (
+from oriolepaddle.publication import ClientRecord, Instance
+from oriolepaddle.publication.http import (
     HttpClientDirectory,
     HttpConfigurationService,
     HttpInstanceListService,
--- a/oriolepaddle/settings/seeds.py
+++ b/oriolepaddle/settings/seeds.py
@@ -3,7 +3,7 @@
 import re
 
 from oriolepaddle.errors import SettingsError
-from oriolepaddle.platform import Instance
+from oriolepaddle.publication import Instance
 
 __all__ = ["parse_seeds"]
 
--- a/oriolepaddle/standins/platform.py
+++ b/oriolepaddle/standins/platform.py
@@ -8,7 +8,7 @@
 from oriolepaddle.clock import Clock, SystemClock
 from oriolepaddle.config import Ticket, write_ticket
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.platform import (
+from oriolepaddle.publication import (
     ClientRecord,
     Instance,
     ServiceValue,
