--- /dev/null
+++ b/oriolepaddle/catalog/catalog.py
@@ -0,0 +1,235 @@
+"""What this instance knows of routes, keys and endpoints."""
+
+import threading
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.catalog.document import ConfigDocument
+from oriolepaddle.catalog.endpoint import EndpointState, RegisteredEndpoint
+from oriolepaddle.catalog.source import CatalogChange, CatalogReading
+from oriolepaddle.clock import Clock
+from oriolepaddle.logs import log_event
+
+__all__ = ["Catalog"]
+
+RETURN_GRACE = timedelta(seconds=2.2)
+"""How long endpoints whose entries lapsed during an outage are kept after it;
+live ones are back within about two seconds of the store's return."""
+
+
+class Catalog:
+    """The newest document, the endpoints and the evacuated data centres.
+
+    The document only ever goes to higher versions. Thread-safe; readers get
+    immutable values.
+
+    Args:
+        clock: Tells the age of what is known.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._document: ConfigDocument | None = None
+        self._endpoints: dict[str, RegisteredEndpoint] = {}
+        self._lapsing: dict[str, float] = {}
+        self._evacuated: dict[str, str] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.revision = 0
+        self._confirmed_s: float | None = None
+        self._lapse_until_s = float("-inf")
+
+    @property
+    def document(self) -> ConfigDocument | None:
+        """The configuration in force, or None before the first was read."""
+        return self._document
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self._document.version if self._document else 0
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
+    def age_s(self) -> float:
+        """Return the seconds since what is known was surely all there was."""
+        confirmed_s = self._confirmed_s
+        if confirmed_s is None:
+            return float("inf")
+        return self._clock.monotonic_s() - confirmed_s
+
+    @property
+    def confirmed_s(self) -> float | None:
+        """Monotonic time of which this knowledge is complete, or None."""
+        return self._confirmed_s
+
+    def confirm(self, asked_at_s: float, revision: int) -> None:
+        """Note that an answer to a question of `asked_at_s` brought no news.
+
+        Args:
+            asked_at_s: Monotonic time just before the question was sent.
+            revision: What the answer was complete up to; later knowledge is
+                needed for it to count.
+        """
+        with self._lock:
+            if revision > self.revision:
+                return
+            if self._confirmed_s is None or asked_at_s > self._confirmed_s:
+                self._confirmed_s = asked_at_s
+
+    def confirm_version(self, asked_at_s: float, version: int) -> None:
+        """Note that a version was the newest at a moment, by a peer's word.
+
+        Args:
+            asked_at_s: Monotonic time of this instance.
+            version: The version that was in force then.
+        """
+        with self._lock:
+            if version > self.version:
+                return
+            if self._confirmed_s is None or asked_at_s > self._confirmed_s:
+                self._confirmed_s = asked_at_s
+
+    def apply(self, reading: CatalogReading, asked_at_s: float) -> None:
+        """Take in what was read.
+
+        Args:
+            reading: The result of a call.
+            asked_at_s: Monotonic time just before the call.
+        """
+        with self._lock:
+            if reading.is_whole:
+                self._drop_missing(reading.changes)
+            for change in reading.changes:
+                self._apply_change(change)
+            self.revision = max(self.revision, reading.revision)
+        self.confirm(asked_at_s, reading.revision)
+        if reading.changes:
+            self._notify()
+
+    def note_return(self) -> None:
+        """Note that the store is back after an outage.
+
+        Entries that vanished meanwhile are kept until live endpoints have had
+        the time to register again.
+        """
+        self._lapse_until_s = self._clock.monotonic_s() + RETURN_GRACE.total_seconds()
+
+    def endpoints(self) -> tuple[RegisteredEndpoint, ...]:
+        """Return the endpoints that are registered."""
+        with self._lock:
+            self._expire()
+            return tuple(self._endpoints.values())
+
+    def endpoint(self, endpoint_id: str) -> RegisteredEndpoint | None:
+        """Return an endpoint, or None if it is not registered."""
+        return self._endpoints.get(endpoint_id)
+
+    def may_send(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether an endpoint may get new work at this moment."""
+        held = self._endpoints.get(endpoint.id)
+        if held is None or held.incarnation != endpoint.incarnation:
+            return False
+        if held.address != endpoint.address or held.service != endpoint.service:
+            return False
+        if held.state is not EndpointState.READY:
+            return False
+        return held.data_centre not in self._evacuated.values()
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether a data centre is to get no work."""
+        return data_centre in self._evacuated.values()
+
+    def forget_life(self, endpoint: RegisteredEndpoint) -> None:
+        """Drop an endpoint whose address turned out to be another's."""
+        with self._lock:
+            held = self._endpoints.get(endpoint.id)
+            if held is not None and held.incarnation == endpoint.incarnation:
+                del self._endpoints[endpoint.id]
+        log_event("endpoint_replaced", endpoint=endpoint.id, address=endpoint.address)
+        self._notify()
+
+    def _apply_change(self, change: CatalogChange) -> None:
+        if change.is_removed:
+            self._remove(change.key)
+        elif change.document is not None:
+            self._adopt(change.document)
+        elif change.evacuated is not None:
+            self._evacuated = self._evacuated | {change.key: change.evacuated}
+            log_event("data_centre_evacuated", data_centre=change.evacuated)
+        elif change.endpoint is not None:
+            self._register(change.key, change.endpoint)
+
+    def _adopt(self, document: ConfigDocument) -> None:
+        held = self.version
+        if document.version <= held:
+            return
+        self._document = document
+        log_event("configuration_adopted", version=document.version, replaced=held)
+
+    def _register(self, key: str, endpoint: RegisteredEndpoint) -> None:
+        held = self._endpoints.get(endpoint.id)
+        if held is not None and endpoint.started_at_ms < held.started_at_ms:
+            return
+        self._lapsing.pop(endpoint.id, None)
+        self._endpoints[endpoint.id] = endpoint
+        if held is None or _is_news(held, endpoint):
+            log_event(
+                "endpoint_registered",
+                endpoint=endpoint.id,
+                life=endpoint.started_at_ms,
+                service=endpoint.service,
+                address=endpoint.address,
+                data_centre=endpoint.data_centre,
+                state=endpoint.state.value,
+            )
+
+    def _remove(self, key: str) -> None:
+        evacuated = self._evacuated.get(key)
+        if evacuated is not None:
+            self._evacuated = {
+                name: value for name, value in self._evacuated.items() if name != key
+            }
+            log_event("data_centre_returned", data_centre=evacuated)
+            return
+        endpoint_id = key.rpartition("/")[2]
+        held = self._endpoints.get(endpoint_id)
+        if held is None:
+            return
+        now_s = self._clock.monotonic_s()
+        if now_s < self._lapse_until_s and held.state is EndpointState.READY:
+            self._lapsing[endpoint_id] = self._lapse_until_s
+            return
+        self._drop(endpoint_id)
+
+    def _drop(self, endpoint_id: str) -> None:
+        self._lapsing.pop(endpoint_id, None)
+        if self._endpoints.pop(endpoint_id, None) is not None:
+            log_event("endpoint_gone", endpoint=endpoint_id)
+
+    def _drop_missing(self, changes: Iterable[CatalogChange]) -> None:
+        present = {change.key for change in changes}
+        for key in [key for key in self._evacuated if key not in present]:
+            self._remove(key)
+        ids = {change.endpoint.id for change in changes if change.endpoint}
+        for endpoint_id in [name for name in self._endpoints if name not in ids]:
+            self._remove(endpoint_id)
+
+    def _expire(self) -> None:
+        if not self._lapsing:
+            return
+        now_s = self._clock.monotonic_s()
+        for name in [name for name, until in self._lapsing.items() if now_s >= until]:
+            self._drop(name)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _is_news(held: RegisteredEndpoint, new: RegisteredEndpoint) -> bool:
+    return attrs.evolve(held, cold_until_s=0.0) != attrs.evolve(new, cold_until_s=0.0)
--- /dev/null
+++ b/oriolepaddle/catalog/follower.py
@@ -0,0 +1,112 @@
+"""Following the store, so that the catalog stays current."""
+
+import random
+import threading
+from datetime import timedelta
+
+from oriolepaddle.catalog.catalog import Catalog
+from oriolepaddle.catalog.source import CatalogSource, HistoryGoneError
+from oriolepaddle.clock import Clock
+from oriolepaddle.config.backoff import Backoff
+from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.logs import log_event
+
+__all__ = ["CatalogFollower"]
+
+WATCH_TIMEOUT = timedelta(seconds=1)
+"""Short, as a waiting watch proves nothing of the time at which it waits."""
+PAUSE = timedelta(milliseconds=250)
+"""Between two calls, so that endpoints' heartbeats are read in batches."""
+SHORTEST_BACKOFF = timedelta(milliseconds=100)
+LONGEST_BACKOFF = timedelta(milliseconds=800)
+"""Bounds after failures; below the time in which changes must be in force."""
+OUTAGE = timedelta(seconds=1)
+"""Failures for this long may have made endpoints' entries lapse."""
+
+
+class CatalogFollower:
+    """Reads all, then watches, on one thread.
+
+    Args:
+        clock: The time.
+        source: The store.
+        catalog: Takes what is read.
+        generator: Draws the jitter.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        source: CatalogSource,
+        catalog: Catalog,
+        generator: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._source = source
+        self._catalog = catalog
+        self._backoff = Backoff(generator, SHORTEST_BACKOFF, LONGEST_BACKOFF)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._follow, name="catalog", daemon=True
+        )
+        self._revision: int | None = None
+        self._failing_since_s: float | None = None
+        self.calls = 0
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop; a waiting call is left to its timeout."""
+        self._stopping.set()
+
+    def step(self) -> None:
+        """Make one call and take in its result.
+
+        Raises:
+            PlatformUnavailableError: There was no answer.
+        """
+        asked_at_s = self._clock.monotonic_s()
+        self.calls += 1
+        try:
+            if self._revision is None:
+                reading = self._source.read()
+            else:
+                reading = self._source.watch(self._revision, WATCH_TIMEOUT)
+        except HistoryGoneError:
+            log_event("store_history_gone", revision=self._revision)
+            self._revision = None
+            raise
+        self._note_success()
+        self._catalog.apply(reading, asked_at_s)
+        self._revision = reading.revision
+
+    def _follow(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self.step()
+                pause = PAUSE
+            except PlatformUnavailableError as error:
+                self._note_failure(error)
+                pause = self._backoff.draw()
+            self._clock.wait(self._stopping, pause)
+
+    def _note_success(self) -> None:
+        self._backoff.reset()
+        since_s = self._failing_since_s
+        if since_s is None:
+            return
+        self._failing_since_s = None
+        outage_s = self._clock.monotonic_s() - since_s
+        log_event("store_regained", after_s=round(outage_s, 3))
+        if outage_s > OUTAGE.total_seconds():
+            self._catalog.note_return()
+
+    def _note_failure(self, error: PlatformUnavailableError) -> None:
+        if isinstance(error, HistoryGoneError) or self._failing_since_s is not None:
+            return
+        self._failing_since_s = self._clock.monotonic_s()
+        log_event(
+            "store_lost", reason=error.message, knowledge_age_s=self._catalog.age_s()
+        )
--- a/oriolepaddle/daemon/__main__.py
+++ b/oriolepaddle/daemon/__main__.py
@@ -9,10 +9,11 @@
 from loguru import logger
 
 from oriolepaddle.clock import SystemClock
+from oriolepaddle.daemon.edge_instance import EdgeInstance
 from oriolepaddle.daemon.instance import GatewayInstance
-from oriolepaddle.daemon.logs import set_up_logs
+from oriolepaddle.daemon.logs import set_up_event_logs, set_up_logs
 from oriolepaddle.errors import SettingsError
-from oriolepaddle.settings import Settings, add_options, check_settings
+from oriolepaddle.settings import EdgeSettings, Settings, add_options, check_settings
 
 __all__ = ["app", "main"]
 
@@ -35,6 +36,24 @@
     instance.stop()
 
 
+def serve_edge(settings: EdgeSettings) -> None:
+    """Serve by one published document until a signal asks to stop."""
+    _check(settings)
+    clock = SystemClock()
+    writer = set_up_event_logs(settings.log_level, clock, settings.max_log_lines_per_s)
+    instance = EdgeInstance(settings, clock)
+    stopping = instance.drain_requested
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    signal.signal(signal.SIGHUP, lambda *_: instance.reload())
+    instance.start()
+    stopping.wait()
+    instance.stop()
+    writer.close()
+    # Threads that wait for the platform or for idle callers are not waited for.
+    os._exit(0)
+
+
 def _request_stop(stopping: threading.Event) -> None:
     if stopping.is_set():
         # A second signal does not wait for requests in flight.
@@ -53,7 +72,7 @@
     app()
 
 
-def _check(settings: Settings) -> None:
+def _check(settings: Settings | EdgeSettings) -> None:
     try:
         check_settings(settings)
     except SettingsError as error:
@@ -62,6 +81,7 @@
 
 
 app.command("serve")(add_options(serve))
+app.command("serve-edge")(add_options(serve_edge, EdgeSettings))
 app.command("check")(add_options(check))
 
 if __name__ == "__main__":
--- /dev/null
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -0,0 +1,247 @@
+"""An instance that one published document configures."""
+
+import random
+import secrets
+import threading
+from datetime import timedelta
+
+from oriolepaddle.catalog import Catalog, CatalogFollower
+from oriolepaddle.clock import Clock
+from oriolepaddle.config.model import Organisation
+from oriolepaddle.daemon.addresses import split_address
+from oriolepaddle.daemon.document_exchange import DocumentExchange
+from oriolepaddle.edge import EdgeApplication, EdgeParts, InstanceResolver
+from oriolepaddle.edge.allowance import RetryAllowance
+from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.edge.resolver import EntryInstance
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.gateway.activity import Activity
+from oriolepaddle.gossip import Announcer, LocalState, RegionLoads, Roster
+from oriolepaddle.limits import GrantingLimiter
+from oriolepaddle.logs import log_event
+from oriolepaddle.metrics import GatewayMetrics
+from oriolepaddle.placement import Placer
+from oriolepaddle.platform import (
+    DirectoryApplication,
+    PlatformProtocol,
+    PlatformStore,
+    ReadinessApplication,
+)
+from oriolepaddle.settings import EdgeSettings, parse_regions
+from oriolepaddle.web import Application, HttpServer, ServerLimits
+
+__all__ = ["EdgeInstance"]
+
+INSPECTION_INTERVAL = timedelta(milliseconds=150)
+"""How often a caller that left is looked for; the endpoint is to stop its work
+within half a second."""
+PEER_IDLE = timedelta(seconds=20)
+SERVER_IDLE = timedelta(seconds=60)
+SMALL_SERVER_CONNECTIONS = 32
+WARM_UP = timedelta(seconds=1)
+"""Time to hear the other instances before callers are sent here."""
+DRAIN_POLL = timedelta(milliseconds=50)
+MIN_DRAIN = timedelta(seconds=4)
+"""Callers keep an address for some seconds; until then they are served."""
+MICROSECONDS_PER_S = 1_000_000
+
+
+class EdgeInstance:
+    """Puts the parts together, starts and stops them.
+
+    Args:
+        settings: Checked settings.
+        clock: The clock of all parts.
+    """
+
+    def __init__(self, settings: EdgeSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._generator = random.Random(secrets.randbits(64))
+        self._started_s = clock.monotonic_s()
+        self._leaving_since_s: float | None = None
+        self.drain_requested = threading.Event()
+        regions = parse_regions(settings.regions)
+        own = EntryInstance(
+            settings.instance,
+            regions[settings.data_centre],
+            settings.data_centre,
+            settings.caller_address,
+            settings.size,
+        )
+        self.catalog = Catalog(clock)
+        self.roster = Roster(clock, own, regions)
+        self._store = PlatformStore(settings.platform_address, clock)
+        self._follower = CatalogFollower(
+            clock, self._store, self.catalog, self._generator
+        )
+        self._documents = DocumentExchange(clock, self.catalog, self._store)
+        self.metrics = GatewayMetrics()
+        self.parts = self._make_parts()
+        self._announcer = self._make_announcer()
+        self._servers = self._make_servers()
+
+    def start(self) -> None:
+        """Follow the store, hear the others and serve callers."""
+        self._follower.start()
+        self._documents.start()
+        self._announcer.start()
+        for server in self._servers:
+            server.start()
+        log_event(
+            "instance_started",
+            instance=self._settings.instance,
+            data_centre=self._settings.data_centre,
+            callers=self._settings.caller_address,
+            store=self._settings.platform_address,
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        if self._leaving_since_s is not None or self.catalog.document is None:
+            return False
+        age_s = self.catalog.age_s()
+        is_fresh = age_s < self._settings.max_knowledge_age_s
+        up_s = self._clock.monotonic_s() - self._started_s
+        ready = is_fresh and up_s >= WARM_UP.total_seconds()
+        if ready != self.roster.is_own_ready:
+            self.roster.is_own_ready = ready
+            log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
+        return ready
+
+    def stop(self) -> None:
+        """Serve on until callers know of other instances, then end."""
+        settings = self._settings
+        started_s = self._clock.monotonic_s()
+        self._leaving_since_s = started_s
+        self.roster.is_own_ready = False
+        activity = self.parts.activity
+        log_event("drain_started", in_flight=activity.count)
+        self._servers[0].is_draining = True
+        while True:
+            elapsed_s = self._clock.monotonic_s() - started_s
+            is_idle = activity.count == 0 and elapsed_s >= MIN_DRAIN.total_seconds()
+            if is_idle or elapsed_s >= settings.drain_limit_s:
+                break
+            self._clock.wait(threading.Event(), DRAIN_POLL)
+        self._announcer.stop()
+        self._follower.stop()
+        log_event("instance_stopped", in_flight=activity.count, after_s=elapsed_s)
+
+    def reload(self) -> None:
+        """Note a request to read the settings again.
+
+        The settings come with the process's environment, which does not
+        change while it lives; nothing that is open is touched.
+        """
+        log_event("reload_requested", version=self.catalog.version)
+
+    def _is_refusing(self) -> bool:
+        since_s = self._leaving_since_s
+        if since_s is None:
+            return False
+        return self._clock.monotonic_s() - since_s > self._settings.drain_refuse_s
+
+    def _make_parts(self) -> EdgeParts:
+        settings = self._settings
+        clock = self._clock
+        roster = self.roster
+        own_region = roster.own.region
+        placer = Placer(
+            clock,
+            self.catalog,
+            lambda name: roster.region_of(name) == own_region,
+            roster.is_owner,
+        )
+        round_trip_s = 2 * settings.region_delay_ms / 1000
+        connect = timedelta(seconds=settings.connect_timeout_s)
+        return EdgeParts(
+            clock=clock,
+            catalog=self.catalog,
+            protocol=PlatformProtocol(settings.instance),
+            placer=placer,
+            regions=RegionLoads(clock, roster, round_trip_s, self._generator),
+            limiter=GrantingLimiter(clock, roster.find_share, self._find_organisation),
+            allowance=RetryAllowance(
+                clock,
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window_s,
+                roster.count,
+            ),
+            crashes=CrashRegister(clock),
+            transport=EndpointTransport(
+                clock,
+                connect,
+                timedelta(seconds=settings.max_idle_s),
+                INSPECTION_INTERVAL,
+            ),
+            peer_transport=EndpointTransport(
+                clock, connect, PEER_IDLE, INSPECTION_INTERVAL
+            ),
+            activity=Activity(clock),
+            metrics=self.metrics,
+            region=own_region,
+            max_knowledge_age=timedelta(seconds=settings.max_knowledge_age_s),
+            is_refusing=self._is_refusing,
+        )
+
+    def _find_organisation(self, name: str) -> Organisation | None:
+        document = self.catalog.document
+        for item in document.organisations.values() if document else ():
+            if item.id == name:
+                return item.organisation
+        return None
+
+    def _make_announcer(self) -> Announcer:
+        settings = self._settings
+        host = split_address(settings.peer_address)[0]
+        seeds = [item.strip() for item in settings.seeds.split(",") if item.strip()]
+        state = LocalState(
+            catalog=self.catalog,
+            placer=self.parts.placer,
+            limiter=self.parts.limiter,
+            crashes=self.parts.crashes,
+            is_ready=self.is_ready,
+            is_leaving=lambda: self._leaving_since_s is not None,
+        )
+        return Announcer(
+            self._clock,
+            self.roster,
+            state,
+            (host, settings.gossip_port),
+            tuple((split_address(item)[0], settings.gossip_port) for item in seeds),
+            settings.peer_secret.encode(),
+            int(self._clock.now().timestamp() * MICROSECONDS_PER_S),
+            settings.peer_address,
+            self._documents.ask,
+        )
+
+    def _make_servers(self) -> list[HttpServer]:
+        settings = self._settings
+        readiness = ReadinessApplication(self.is_ready, self.metrics.write)
+        resolver = InstanceResolver(self.catalog, self.roster)
+        directory = DirectoryApplication(resolver)
+        peers = self._documents.wrap(EdgeApplication(self.parts, is_peer_side=True))
+        small = SMALL_SERVER_CONNECTIONS
+        most = settings.max_connections
+        servers = [
+            self._listen(
+                settings.caller_address, EdgeApplication(self.parts), most, "caller"
+            ),
+            self._listen(settings.directory_address, directory, most, "directory"),
+            self._listen(settings.peer_address, peers, most, "peer"),
+            self._listen(settings.readiness_address, readiness, small, "readiness"),
+        ]
+        if settings.metrics_address:
+            servers.append(
+                self._listen(settings.metrics_address, readiness, small, "metrics")
+            )
+        return servers
+
+    def _listen(
+        self, address: str, application: Application, most: int, name: str
+    ) -> HttpServer:
+        host, port = split_address(address)
+        limits = ServerLimits(max_connections=most, idle_timeout=SERVER_IDLE)
+        return HttpServer(host, port, application, self._clock, limits, name=name)
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.daemon.addresses import split_address
 from oriolepaddle.peers import PeerIdentity, PeerServer
 from oriolepaddle.publication import Instance
 from oriolepaddle.settings import Settings
@@ -32,7 +33,7 @@
     ) -> None:
         self._settings = settings
         limits = make_server_limits(settings)
-        host, port = _split(settings.caller_address)
+        host, port = split_address(settings.caller_address)
         self.callers = HttpServer(
             host,
             port,
@@ -42,7 +43,7 @@
             _make_tls(settings.caller_tls_certificate, settings.caller_tls_key),
             name="caller",
         )
-        host, port = _split(settings.operator_address)
+        host, port = split_address(settings.operator_address)
         self.operators = HttpServer(
             host,
             port,
@@ -52,7 +53,7 @@
             _make_tls(settings.operator_tls_certificate, settings.operator_tls_key),
             name="operator",
         )
-        host, port = _split(settings.peer_address)
+        host, port = split_address(settings.peer_address)
         secret = settings.peer_secret.encode()
         self.peers = PeerServer(host, port, identity, secret)
 
@@ -89,10 +90,5 @@
     return context
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _join(address: str, port: int) -> str:
     return f"{address.rpartition(':')[0]}:{port}"
--- a/oriolepaddle/daemon/logs.py
+++ b/oriolepaddle/daemon/logs.py
@@ -4,7 +4,10 @@
 
 from loguru import logger
 
-__all__ = ["set_up_logs"]
+from oriolepaddle.clock import Clock
+from oriolepaddle.logs import BoundedLogWriter
+
+__all__ = ["set_up_event_logs", "set_up_logs"]
 
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message} {extra}"
 
@@ -21,3 +24,19 @@
         logger.add(sys.stderr, level=level, serialize=True)
     else:
         logger.add(sys.stderr, level=level, format=TEXT_FORMAT, colorize=False)
+
+
+def set_up_event_logs(
+    level: str, clock: Clock, max_lines_per_s: int
+) -> BoundedLogWriter:
+    """Send logs as JSON lines to standard output, without ever waiting for it.
+
+    Args:
+        level: The least level that is logged.
+        clock: The time.
+        max_lines_per_s: Lines written in one second.
+    """
+    writer = BoundedLogWriter(sys.stdout, clock, max_lines_per_s)
+    logger.remove()
+    logger.add(writer, level=level, format="{message}")
+    return writer
--- /dev/null
+++ b/oriolepaddle/edge/__init__.py
@@ -0,0 +1,18 @@
+"""Serving callers on routes that are selected by host and path."""
+
+from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
+from oriolepaddle.edge.application import EdgeApplication
+from oriolepaddle.edge.parts import EdgeParts
+from oriolepaddle.edge.protocol import EdgeProtocol
+from oriolepaddle.edge.request import EdgeRequest
+from oriolepaddle.edge.resolver import InstanceResolver
+
+__all__ = [
+    "AnswerKind",
+    "EdgeApplication",
+    "EdgeParts",
+    "EdgeProtocol",
+    "EdgeRequest",
+    "EndpointAnswer",
+    "InstanceResolver",
+]
--- /dev/null
+++ b/oriolepaddle/edge/admission.py
@@ -0,0 +1,97 @@
+"""What a request must pass before it is placed."""
+
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.catalog import ConfigDocument, HostRoute, RatedOrganisation
+from oriolepaddle.config import digest_key
+from oriolepaddle.edge.parts import EdgeParts
+from oriolepaddle.edge.request import EdgeRequest
+from oriolepaddle.errors import AuthenticationError, ErrorCode, RefusedError
+
+__all__ = ["Admitted", "admit", "check_knowledge"]
+
+RETURN_AFTER = timedelta(milliseconds=300)
+"""The pause of callers that are refused as this instance is not ready."""
+
+
+@attrs.frozen
+class Admitted:
+    """A request with what the configuration says of it.
+
+    Attributes:
+        version: The version of the configuration.
+        route: The route.
+        service: The service that is to run it.
+        organisation: For whom it runs; None on open routes and where no keys
+            are needed.
+    """
+
+    version: int
+    route: HostRoute
+    service: str
+    organisation: RatedOrganisation | None
+
+    @property
+    def residency(self) -> tuple[tuple[str, ...], ...]:
+        """Sets of regions that each bind the request if not empty."""
+        held = self.organisation
+        own = held.organisation.residency if held else ()
+        return (self.route.residency, own)
+
+    def allows_region(self, region: str) -> bool:
+        """Return whether the request may be served in a region."""
+        return all(not regions or region in regions for regions in self.residency)
+
+
+def admit(parts: EdgeParts, request: EdgeRequest) -> Admitted:
+    """Return the request with its route and organisation.
+
+    Raises:
+        RefusedError: No configuration is known, it is too old, or no route
+            serves the request.
+        AuthenticationError: The request shows no valid key.
+    """
+    document = parts.catalog.document
+    if document is None:
+        raise RefusedError(
+            "no configuration is known yet",
+            code=ErrorCode.NOT_READY,
+            retry_after=RETURN_AFTER,
+        )
+    route = document.find_route(request.host, request.path)
+    if route is None:
+        check_knowledge(parts)
+        raise RefusedError("no route serves this path", code=ErrorCode.ROUTE_UNKNOWN)
+    organisation = None
+    if document.needs_keys and not route.open:
+        check_knowledge(parts)
+        organisation = _authenticate(document, request)
+    return Admitted(
+        document.version, route, route.pick_service(request.id), organisation
+    )
+
+
+def check_knowledge(parts: EdgeParts) -> None:
+    """Check that a withdrawn key would be known.
+
+    Raises:
+        RefusedError: The store, or a peer that reads it, was not heard lately.
+    """
+    age_s = parts.catalog.age_s()
+    if age_s > parts.max_knowledge_age.total_seconds():
+        raise RefusedError(
+            f"the configuration was last confirmed {age_s:.2f} s ago",
+            code=ErrorCode.NOT_READY,
+            retry_after=RETURN_AFTER,
+        )
+
+
+def _authenticate(document: ConfigDocument, request: EdgeRequest) -> RatedOrganisation:
+    if request.key is None:
+        raise AuthenticationError("this route needs a key", code=ErrorCode.KEY_MISSING)
+    organisation = document.organisations.get(digest_key(request.key))
+    if organisation is None:
+        raise AuthenticationError("the key is unknown or withdrawn")
+    return organisation
--- /dev/null
+++ b/oriolepaddle/edge/parts.py
@@ -0,0 +1,60 @@
+"""What exchanges work with."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.catalog import Catalog
+from oriolepaddle.clock import Clock
+from oriolepaddle.edge.allowance import RetryAllowance
+from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.edge.protocol import EdgeProtocol
+from oriolepaddle.edge.regions import RegionChooser
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.gateway.activity import Activity
+from oriolepaddle.limits import TokenLimiter
+from oriolepaddle.metrics import GatewayMetrics
+from oriolepaddle.placement import Placer
+
+__all__ = ["EdgeParts"]
+
+
+@attrs.frozen
+class EdgeParts:
+    """The collaborators of each exchange.
+
+    Attributes:
+        clock: The time.
+        catalog: Routes, keys and endpoints.
+        protocol: The names on the wire.
+        placer: Chooses endpoints of this region.
+        regions: Chooses instances of other regions.
+        limiter: Holds organisations to their rate.
+        allowance: Bounds repeats.
+        crashes: Requests that crash endpoints.
+        transport: Reaches endpoints.
+        peer_transport: Reaches other instances.
+        activity: Requests in flight.
+        metrics: Counters and histograms.
+        region: This instance's region.
+        max_knowledge_age: The age of the catalog above which requests with a
+            key are refused.
+        is_refusing: Whether new requests are to go elsewhere.
+    """
+
+    clock: Clock
+    catalog: Catalog
+    protocol: EdgeProtocol
+    placer: Placer
+    regions: RegionChooser
+    limiter: TokenLimiter
+    allowance: RetryAllowance
+    crashes: CrashRegister
+    transport: EndpointTransport
+    peer_transport: EndpointTransport
+    activity: Activity
+    metrics: GatewayMetrics
+    region: str
+    max_knowledge_age: timedelta
+    is_refusing: Callable[[], bool]
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -9,7 +9,7 @@
 from oriolepaddle.endpoints.handles import HandlePool
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
-from oriolepaddle.endpoints.watchdog import ExchangeWatchdog
+from oriolepaddle.endpoints.watchdog import DEFAULT_INTERVAL, ExchangeWatchdog
 from oriolepaddle.errors import EndpointDeadlineError, Outcome
 
 __all__ = ["EndpointTransport"]
@@ -23,6 +23,7 @@
         connect_timeout: The longest time to make a connection.
         max_connection_idle: The age at which an idle connection is not used
             again, since something between the ends may have forgotten it.
+        inspection_interval: How often a running try is inspected.
     """
 
     def __init__(
@@ -30,11 +31,12 @@
         clock: Clock,
         connect_timeout: timedelta = timedelta(seconds=1),
         max_connection_idle: timedelta = timedelta(seconds=20),
+        inspection_interval: timedelta = DEFAULT_INTERVAL,
     ) -> None:
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._handles = HandlePool(clock, max_connection_idle)
-        self._watchdog = ExchangeWatchdog(clock)
+        self._watchdog = ExchangeWatchdog(clock, inspection_interval)
 
     def run(self, address: str, request: EndpointRequest, sink: AnswerSink) -> None:
         """Send a request and hand its answer to `sink`.
@@ -93,7 +95,7 @@
         handle.setopt(pycurl.TCP_KEEPIDLE, 5)
         handle.setopt(pycurl.TCP_KEEPINTVL, 5)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(self._connect_timeout))
-        if not request.is_idempotent:
+        if request.needs_fresh_connection:
             # A reused connection may have been closed meanwhile, which would
             # leave the outcome unknown for nothing.
             handle.setopt(pycurl.FRESH_CONNECT, 1)
@@ -106,7 +108,9 @@
             handle.setopt(pycurl.POSTFIELDS, request.body)
             handle.setopt(pycurl.CUSTOMREQUEST, request.method)
         headers = [f"{name}: {value}" for name, value in request.headers]
-        headers += [f"X-Request-Id: {request.id}", "Expect:"]
+        if request.id:
+            headers.append(f"X-Request-Id: {request.id}")
+        headers.append("Expect:")
         handle.setopt(pycurl.HTTPHEADER, headers)
 
 
--- a/oriolepaddle/endpoints/watchdog.py
+++ b/oriolepaddle/endpoints/watchdog.py
@@ -6,9 +6,9 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.exchange import CurlExchange
 
-__all__ = ["ExchangeWatchdog"]
+__all__ = ["DEFAULT_INTERVAL", "ExchangeWatchdog"]
 
-INTERVAL = timedelta(milliseconds=250)
+DEFAULT_INTERVAL = timedelta(milliseconds=250)
 
 
 class ExchangeWatchdog:
@@ -19,10 +19,12 @@
 
     Args:
         clock: Paces the inspections.
+        interval: The time between two inspections of an exchange.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, interval: timedelta = DEFAULT_INTERVAL) -> None:
         self._clock = clock
+        self._interval = interval
         self._lock = threading.Lock()
         self._exchanges: set[CurlExchange] = set()
         self._stopping = threading.Event()
@@ -47,7 +49,7 @@
         self._thread.join()
 
     def _run(self) -> None:
-        while not self._clock.wait(self._stopping, INTERVAL):
+        while not self._clock.wait(self._stopping, self._interval):
             with self._lock:
                 exchanges = list(self._exchanges)
             for exchange in exchanges:
--- a/oriolepaddle/limits/__init__.py
+++ b/oriolepaddle/limits/__init__.py
@@ -1,5 +1,6 @@
 """Rate and burst of each organisation, counted over the whole fleet."""
 
+from oriolepaddle.limits.granting import GrantingLimiter, TokenNeed
 from oriolepaddle.limits.limiter import Reservation, TokenLimiter
 from oriolepaddle.limits.link import LIMITS_SERVICE
 from oriolepaddle.limits.settings import LimitSettings
@@ -8,9 +9,11 @@
 
 __all__ = [
     "LIMITS_SERVICE",
+    "GrantingLimiter",
     "LimitSettings",
     "LimitSnapshot",
     "Reservation",
     "SharedTokenLimiter",
     "TokenLimiter",
+    "TokenNeed",
 ]
--- /dev/null
+++ b/oriolepaddle/peers/gen_py/gossip/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/oriolepaddle/placement/__init__.py
@@ -0,0 +1,17 @@
+"""The choice of the endpoint that answers first."""
+
+from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.job import Job, PromptPart
+from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.placer import Placer
+from oriolepaddle.placement.run import PlacedRun
+
+__all__ = [
+    "Choice",
+    "EndpointLoad",
+    "Job",
+    "PeerLoad",
+    "PlacedRun",
+    "Placer",
+    "PromptPart",
+]
--- /dev/null
+++ b/oriolepaddle/placement/choice.py
@@ -0,0 +1,22 @@
+"""A placed request."""
+
+import attrs
+
+from oriolepaddle.catalog import RegisteredEndpoint
+
+__all__ = ["Choice"]
+
+
+@attrs.frozen
+class Choice:
+    """An endpoint with what is expected of it.
+
+    Attributes:
+        endpoint: The endpoint.
+        expected_s: Seconds until the first byte.
+        uncached_tokens: Tokens of the prompt that it will have to read.
+    """
+
+    endpoint: RegisteredEndpoint
+    expected_s: float
+    uncached_tokens: int
--- /dev/null
+++ b/oriolepaddle/placement/load.py
@@ -0,0 +1,144 @@
+"""What one instance knows of an endpoint's load."""
+
+import attrs
+
+from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
+from oriolepaddle.placement.cold_start import ColdStartBucket
+from oriolepaddle.placement.job import Job
+from oriolepaddle.placement.prefix_history import PrefixHistory
+
+__all__ = ["EndpointLoad", "PeerLoad"]
+
+PREFILL_TOKENS_PER_S = 90_000.0
+"""Speed of reading prompts before it is learned; the correction scales it."""
+ENGINE_BASE_S = 0.02
+"""Time to a first event without any prompt: a step and the way there and back."""
+FIRST_SERVICE_S = 0.08
+"""Time of a plain request before it is learned."""
+FIRST_STREAM_S = 2.0
+"""Time that a stream holds its slot before it is learned."""
+LEARNING_WEIGHT = 0.15
+MIN_SAMPLE_TOKENS = 500
+MIN_CORRECTION, MAX_CORRECTION = 0.3, 8.0
+FAILURE_WEIGHT = 0.25
+FAILURE_COST_S = 1.5
+"""Time that a certain failure is taken to cost the caller."""
+FIRST_BLOCK_S, MAX_BLOCK_S = 0.4, 3.0
+"""Pauses after an endpoint could not be reached; doubled at each failure."""
+PEER_LOAD_MEMORY_S = 1.5
+"""Age at which a peer's word on its own load counts no longer."""
+MEMORY_PART = 0.92
+"""Part of an engine's memory above which it begins to preempt runs."""
+
+
+@attrs.frozen
+class PeerLoad:
+    """What another instance has running at an endpoint.
+
+    Attributes:
+        running: Its requests there.
+        prefill_tokens: Tokens of their prompts that are still to be read.
+        memory_tokens: Tokens of memory that they may hold.
+    """
+
+    running: int
+    prefill_tokens: int
+    memory_tokens: int = 0
+
+
+class EndpointLoad:
+    """The state of one life of an endpoint; the placer holds its lock.
+
+    Args:
+        endpoint: The endpoint.
+        service: Its service.
+        now_s: Monotonic seconds.
+    """
+
+    def __init__(
+        self, endpoint: RegisteredEndpoint, service: EndpointService, now_s: float
+    ) -> None:
+        self.endpoint = endpoint
+        self.service = service
+        self.running = 0
+        self.prefill_tokens = 0
+        self.memory_tokens = 0
+        engine = service.engine
+        self.slots = engine.slots if engine else endpoint.slots
+        self.history = PrefixHistory(engine.cache_tokens if engine else 0)
+        self.cold = ColdStartBucket(service.cold_requests_per_s, now_s)
+        self._peers: dict[str, tuple[float, PeerLoad]] = {}
+        self._correction = 1.0
+        self._service_s = FIRST_STREAM_S if engine else FIRST_SERVICE_S
+        self._failure_rate = 0.0
+        self._blocked_until_s = 0.0
+        self._block_s = 0.0
+
+    def is_blocked(self, now_s: float) -> bool:
+        """Return whether it is left alone after it could not be reached."""
+        return now_s < self._blocked_until_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether it bears only the rate of a cold start."""
+        return now_s < self.endpoint.cold_until_s
+
+    def set_peer(self, name: str, load: PeerLoad, now_s: float) -> None:
+        """Take in what another instance says of its own requests."""
+        self._peers[name] = (now_s, load)
+
+    def total(self, now_s: float) -> PeerLoad:
+        """Return the load from all instances of which is known."""
+        running, prefill, memory = self.running, self.prefill_tokens, self.memory_tokens
+        for heard_s, load in self._peers.values():
+            if now_s - heard_s < PEER_LOAD_MEMORY_S:
+                running += load.running
+                prefill += load.prefill_tokens
+                memory += load.memory_tokens
+        return PeerLoad(running, prefill, memory)
+
+    def expect_s(self, job: Job, uncached_tokens: int, now_s: float) -> float:
+        """Return the seconds until the first byte if a request is sent now."""
+        total = self.total(now_s)
+        excess = max(0, total.running + 1 - self.slots)
+        waiting_s = excess * self._service_s / self.slots
+        if self.service.engine is None:
+            return waiting_s + self._service_s
+        unread = total.prefill_tokens + uncached_tokens
+        prefill_s = unread / PREFILL_TOKENS_PER_S * self._correction
+        capacity = self.service.engine.cache_tokens * MEMORY_PART
+        over = total.memory_tokens + job.memory_tokens - capacity
+        memory_s = max(0.0, over / capacity) * self._service_s
+        return ENGINE_BASE_S + waiting_s + prefill_s + memory_s
+
+    def penalty_s(self) -> float:
+        """Return what its failures are expected to cost."""
+        return self._failure_rate * FAILURE_COST_S
+
+    def learn_first_byte(self, elapsed_s: float, unread_tokens: int) -> None:
+        """Learn the speed of prefill.
+
+        Args:
+            elapsed_s: Seconds from sending to the first event.
+            unread_tokens: Tokens that stood before that event at the sending.
+        """
+        if unread_tokens < MIN_SAMPLE_TOKENS:
+            return
+        ratio = (elapsed_s - ENGINE_BASE_S) / (unread_tokens / PREFILL_TOKENS_PER_S)
+        ratio = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
+        self._correction += LEARNING_WEIGHT * (ratio - self._correction)
+
+    def learn_service(self, elapsed_s: float) -> None:
+        """Learn how long a request holds its slot."""
+        self._service_s += LEARNING_WEIGHT * (elapsed_s - self._service_s)
+
+    def succeed(self) -> None:
+        """Note an answer."""
+        self._failure_rate *= 1 - FAILURE_WEIGHT
+        self._block_s = 0.0
+
+    def fail(self, now_s: float, is_unreachable: bool) -> None:
+        """Note a failure; one that cannot be reached is left alone for a while."""
+        self._failure_rate += FAILURE_WEIGHT * (1 - self._failure_rate)
+        if is_unreachable:
+            self._block_s = min(max(FIRST_BLOCK_S, self._block_s * 2), MAX_BLOCK_S)
+            self._blocked_until_s = now_s + self._block_s
--- /dev/null
+++ b/oriolepaddle/placement/placer.py
@@ -0,0 +1,172 @@
+"""Choosing an endpoint of this instance's region.
+
+The load that this answers: long prompts with shared beginnings, more than the
+engines of a region can read at its peak. Reading prompts is what binds, so
+requests go where the least is left to read before their first event, and what
+could not begin in time is refused at once.
+"""
+
+import threading
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import xxhash
+
+from oriolepaddle.catalog import Catalog, EndpointService, RegisteredEndpoint
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.job import Job
+from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.run import PlacedRun
+
+__all__ = ["Placer"]
+
+HOME_BONUS_S = 0.06
+"""Time by which the endpoint that a prompt's shared beginning hashes to is
+preferred, so that instances that do not know of each other's requests read it
+at the same endpoint."""
+HASH_RANGE = 2**64
+RETURN_AFTER = timedelta(milliseconds=300)
+"""A refused caller's pause: about the time in which a queue gets shorter."""
+
+
+class Placer:
+    """Knows the endpoints' load and chooses among them; thread-safe.
+
+    Args:
+        clock: The time.
+        catalog: The endpoints.
+        is_local: Whether a data centre stands in this instance's region.
+        may_start_cold: Whether this instance is the one that sends to a cold
+            endpoint, so that the instances together keep to its rate.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        is_local: Callable[[str], bool],
+        may_start_cold: Callable[[str], bool] = lambda endpoint_id: True,
+    ) -> None:
+        self._clock = clock
+        self._catalog = catalog
+        self._is_local = is_local
+        self._may_start_cold = may_start_cold
+        self._lock = threading.Lock()
+        self._loads: dict[str, EndpointLoad] = {}
+
+    def choose(self, job: Job, excluded: Iterable[str] = ()) -> Choice:
+        """Return the endpoint that is expected to answer first.
+
+        Args:
+            job: The request.
+            excluded: Lives of endpoints that failed it already.
+
+        Raises:
+            RefusedError: No endpoint may run it (`NO_ENDPOINT`), or none would
+                begin within its patience (`OVERLOADED`).
+        """
+        excluded = frozenset(excluded)
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            choices = [
+                self._weigh(load, job, now_s)
+                for load in self._list_loads(job.service, now_s)
+                if load.endpoint.incarnation not in excluded
+            ]
+        if not choices:
+            raise RefusedError(
+                f"no endpoint of {job.service} can run the request now",
+                code=ErrorCode.NO_ENDPOINT,
+                retry_after=RETURN_AFTER,
+            )
+        _, choice = min(choices, key=lambda item: item[0])
+        if choice.expected_s > job.patience_s:
+            raise RefusedError(
+                f"{job.service} would begin the answer in {choice.expected_s:.2f} s, "
+                f"later than {job.patience_s:.2f} s",
+                code=ErrorCode.OVERLOADED,
+                retry_after=RETURN_AFTER,
+            )
+        return choice
+
+    def start(self, choice: Choice, job: Job) -> PlacedRun:
+        """Note that a request is now sent to its endpoint."""
+        with self._lock:
+            load = self._find_load(choice.endpoint, self._clock.monotonic_s())
+        return PlacedRun(self._clock, self._lock, load, choice, job)
+
+    def own_loads(self) -> dict[str, PeerLoad]:
+        """Return what this instance has running, by the endpoint's id."""
+        with self._lock:
+            return {
+                load.endpoint.id: PeerLoad(
+                    load.running, load.prefill_tokens, load.memory_tokens
+                )
+                for load in self._loads.values()
+                if load.running
+            }
+
+    def apply_peer(self, name: str, loads: dict[str, PeerLoad]) -> None:
+        """Take in what another instance of the region has running."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for load in self._loads.values():
+                held = loads.get(load.endpoint.id, PeerLoad(0, 0))
+                load.set_peer(name, held, now_s)
+
+    def estimate_s(self, service: str, tokens: int) -> float | None:
+        """Return the seconds to a first byte for a prompt that is not cached.
+
+        Returns:
+            None if no endpoint of this region can run it.
+        """
+        job = Job(service, input_tokens=tokens)
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            waits = [
+                load.expect_s(job, tokens, now_s) + load.penalty_s()
+                for load in self._list_loads(service, now_s)
+            ]
+        return min(waits, default=None)
+
+    def _weigh(
+        self, load: EndpointLoad, job: Job, now_s: float
+    ) -> tuple[float, Choice]:
+        uncached = max(0, job.input_tokens - load.history.count_cached(job.parts))
+        expected_s = load.expect_s(job, uncached, now_s)
+        cost_s = expected_s + load.penalty_s()
+        if len(job.parts) > 1:
+            cost_s -= HOME_BONUS_S * _rank(load.endpoint.id, job.parts[-2].id)
+        return cost_s, Choice(load.endpoint, expected_s, uncached)
+
+    def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
+        loads = [
+            self._find_load(endpoint, now_s)
+            for endpoint in self._catalog.endpoints()
+            if endpoint.service == service
+            and self._is_local(endpoint.data_centre)
+            and self._catalog.may_send(endpoint)
+        ]
+        usable = [load for load in loads if self._is_usable(load, now_s)]
+        return [load for load in usable if not load.is_blocked(now_s)] or usable
+
+    def _is_usable(self, load: EndpointLoad, now_s: float) -> bool:
+        if not load.is_cold(now_s):
+            return True
+        return self._may_start_cold(load.endpoint.id) and load.cold.is_open(now_s)
+
+    def _find_load(self, endpoint: RegisteredEndpoint, now_s: float) -> EndpointLoad:
+        held = self._loads.get(endpoint.id)
+        if held is None or held.endpoint.incarnation != endpoint.incarnation:
+            document = self._catalog.document
+            services = document.services if document else {}
+            service = services.get(endpoint.service, EndpointService(endpoint.service))
+            held = self._loads[endpoint.id] = EndpointLoad(endpoint, service, now_s)
+        held.endpoint = endpoint
+        return held
+
+
+def _rank(endpoint_id: str, part_id: str) -> float:
+    return xxhash.xxh3_64_intdigest(f"{endpoint_id}|{part_id}".encode()) / HASH_RANGE
--- /dev/null
+++ b/oriolepaddle/placement/run.py
@@ -0,0 +1,76 @@
+"""A request while it runs at an endpoint."""
+
+import threading
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.job import Job
+from oriolepaddle.placement.load import EndpointLoad
+
+__all__ = ["PlacedRun"]
+
+
+class PlacedRun:
+    """The placer's account of one run.
+
+    Args:
+        clock: The time.
+        lock: The placer's lock.
+        load: The endpoint's load.
+        choice: The placement.
+        job: The request.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        lock: threading.Lock,
+        load: EndpointLoad,
+        choice: Choice,
+        job: Job,
+    ) -> None:
+        self._clock = clock
+        self._lock = lock
+        self._load = load
+        self._job = job
+        self._started_s = clock.monotonic_s()
+        self._uncached = choice.uncached_tokens
+        self._has_begun = False
+        with lock:
+            self._unread = load.total(self._started_s).prefill_tokens + self._uncached
+            load.running += 1
+            load.prefill_tokens += self._uncached
+            load.memory_tokens += job.memory_tokens
+            load.history.record(job.parts)
+            if load.is_cold(self._started_s):
+                load.cold.take(self._started_s)
+
+    def begin(self) -> None:
+        """Note the first byte of the answer; later calls do nothing."""
+        if self._has_begun:
+            return
+        elapsed_s = self._clock.monotonic_s() - self._started_s
+        with self._lock:
+            self._has_begun = True
+            self._load.prefill_tokens -= self._uncached
+            self._load.learn_first_byte(elapsed_s, self._unread)
+
+    def end(self) -> None:
+        """Note the end of the run, whatever it was."""
+        with self._lock:
+            self._load.running -= 1
+            self._load.memory_tokens -= self._job.memory_tokens
+            if not self._has_begun:
+                self._load.prefill_tokens -= self._uncached
+
+    def succeed(self) -> None:
+        """Note a whole answer."""
+        elapsed_s = self._clock.monotonic_s() - self._started_s
+        with self._lock:
+            self._load.succeed()
+            self._load.learn_service(elapsed_s)
+
+    def fail(self, is_unreachable: bool) -> None:
+        """Note a failure of the endpoint."""
+        with self._lock:
+            self._load.fail(self._clock.monotonic_s(), is_unreachable)
--- /dev/null
+++ b/oriolepaddle/platform/__init__.py
@@ -0,0 +1,12 @@
+"""The adapter to the users' platform; nothing outside knows its names."""
+
+from oriolepaddle.platform.directory import DirectoryApplication, ReadinessApplication
+from oriolepaddle.platform.protocol import PlatformProtocol
+from oriolepaddle.platform.store import PlatformStore
+
+__all__ = [
+    "DirectoryApplication",
+    "PlatformProtocol",
+    "PlatformStore",
+    "ReadinessApplication",
+]
--- /dev/null
+++ b/oriolepaddle/platform/document.py
@@ -0,0 +1,150 @@
+"""Decoding the published configuration."""
+
+import json
+from datetime import timedelta
+from typing import Any
+
+from oriolepaddle.catalog import (
+    CallerLimits,
+    ConfigDocument,
+    EndpointService,
+    EngineProfile,
+    HostRoute,
+    RatedOrganisation,
+    RepeatRule,
+    ServiceWeight,
+)
+from oriolepaddle.config import digest_key
+from oriolepaddle.config.model import Organisation
+from oriolepaddle.errors import PlatformUnavailableError
+
+__all__ = ["decode_document"]
+
+TOKEN_UNIT = "token_count"
+STREAM = "stream"
+SAFE = "safe"
+
+
+def decode_document(text: bytes) -> ConfigDocument:
+    """Return the configuration that a published document holds.
+
+    Raises:
+        PlatformUnavailableError: It cannot be understood.
+    """
+    try:
+        fields = json.loads(text)
+        return _decode(fields, text)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise PlatformUnavailableError(
+            f"the published configuration is not understood: {error!r}"
+        ) from error
+
+
+def _decode(fields: dict[str, Any], text: bytes) -> ConfigDocument:
+    routes: dict[str, list[HostRoute]] = {}
+    for item in fields.get("routes", ()):
+        route = _decode_route(item)
+        routes.setdefault(route.host, []).append(route)
+    organisations = {}
+    for item in fields.get("tenants", ()):
+        organisation = _decode_organisation(item)
+        for key in item.get("apiKeys", ()):
+            organisations[digest_key(key)] = organisation
+    services = [_decode_service(item) for item in fields.get("services", ())]
+    return ConfigDocument(
+        version=int(fields["version"]),
+        routes={
+            host: tuple(sorted(held, key=lambda item: -len(item.path_prefix)))
+            for host, held in routes.items()
+        },
+        services={service.name: service for service in services},
+        organisations=organisations,
+        limits=_decode_limits(fields.get("limits") or {}),
+        source=text,
+    )
+
+
+def _decode_route(item: dict[str, Any]) -> HostRoute:
+    kind = item["kind"]
+    services = tuple(
+        ServiceWeight(part["service"], float(part["weight"]))
+        for part in item.get("split") or ()
+    )
+    gap_ms = item.get("gapTargetMs")
+    return HostRoute(
+        name=item.get("name", item["pathPrefix"]),
+        host=item["host"].lower(),
+        path_prefix=item["pathPrefix"],
+        services=services or (ServiceWeight(item["service"]),),
+        repeat_rule=_find_repeat_rule(kind, bool(item.get("resumable"))),
+        is_stream=kind == STREAM,
+        # Named a timeout: it bounds how long the caller is kept waiting.
+        timeout=_to_duration(item["timeoutMs"]),
+        # Not an objective of the gateway: what an answer must keep to be on time.
+        target=_to_duration(item.get("sloMs") or item["timeoutMs"]),
+        longest_gap=_to_duration(gap_ms) if gap_ms else None,
+        priority=int(item.get("priority") or 0),
+        # Counts endpoints, the first included, and not repeats.
+        max_attempts=max(1, int(item.get("maxAttempts") or 1)),
+        open=bool(item.get("public")),
+        residency=tuple(item.get("homeRegions") or ()),
+    )
+
+
+def _find_repeat_rule(kind: str, is_resumable: bool) -> RepeatRule:
+    if kind == STREAM:
+        return RepeatRule.RESUMABLE if is_resumable else RepeatRule.ONCE
+    return RepeatRule.IDEMPOTENT if kind == SAFE else RepeatRule.ONCE
+
+
+def _decode_service(item: dict[str, Any]) -> EndpointService:
+    engine = item.get("engine")
+    profile = None
+    if engine:
+        profile = EngineProfile(
+            slots=int(engine["slots"]),
+            # Holds running requests and cached prefixes together.
+            cache_tokens=int(engine["kvCapacity"]),
+        )
+    return EndpointService(
+        name=item["name"],
+        health_path=item.get("healthPath", "/health"),
+        # Shared by all callers of one endpoint.
+        max_connections=int(item.get("maxConns") or 0),
+        cold_requests_per_s=float(item.get("coldPerS") or 0.0),
+        engine=profile,
+    )
+
+
+def _decode_organisation(item: dict[str, Any]) -> RatedOrganisation:
+    rate = float(item.get("ratePerS") or 0.0)
+    priority = item.get("priority")
+    return RatedOrganisation(
+        organisation=Organisation(
+            id=item["name"],
+            rate_tokens_per_s=rate,
+            burst_tokens=float(item.get("burst") or rate),
+            residency=tuple(item.get("homeRegions") or ()),
+        ),
+        priority=None if priority is None else int(priority),
+        is_token_rated=item.get("unit") == TOKEN_UNIT,
+        plain_tokens=int(item.get("plainTokens") or 1),
+    )
+
+
+def _decode_limits(item: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(item.get("maxHeaderBytes") or default.max_header_bytes),
+        max_body_bytes=int(item.get("maxBodyBytes") or default.max_body_bytes),
+        header_timeout=_to_duration(item["headerTimeoutMs"])
+        if item.get("headerTimeoutMs")
+        else default.header_timeout,
+        idle_timeout=_to_duration(item["idleTimeoutMs"])
+        if item.get("idleTimeoutMs")
+        else default.idle_timeout,
+    )
+
+
+def _to_duration(milliseconds: float) -> timedelta:
+    return timedelta(milliseconds=float(milliseconds))
--- /dev/null
+++ b/oriolepaddle/platform/names.py
@@ -0,0 +1,48 @@
+"""Names on the wire that more than one module of the adapter uses."""
+
+REQUEST_ID = "X-Oriolepaddle-Request-Id"
+DEADLINE_MS = "X-Oriolepaddle-Deadline-Ms"
+EXPECT_INSTANCE = "X-Oriolepaddle-Expect-Instance"
+TENANT = "X-Oriolepaddle-Tenant"
+LAST_EVENT_ID = "Last-Event-Id"
+MODEL = "X-Oriolepaddle-Model"
+TOKEN_COUNT = "X-Oriolepaddle-Token-Count"
+PROMPT_PREFIX = "X-Oriolepaddle-Prompt-Prefix"
+LENGTH_HINT = "X-Oriolepaddle-Length-Hint"
+URGENCY = "X-Oriolepaddle-Urgency"
+SEAL = "X-Oriolepaddle-Server-Seal"
+NOT_RUN = "X-Oriolepaddle-Not-Run"
+LOAD = "X-Oriolepaddle-Server-Load"
+INSTANCE = "X-Oriolepaddle-Instance"
+
+RESERVED = frozenset(
+    name.lower()
+    for name in (
+        TENANT,
+        EXPECT_INSTANCE,
+        URGENCY,
+        "X-Oriolepaddle-Expect-Version",
+        "X-Oriolepaddle-Hold",
+        "X-Oriolepaddle-Pin-Ms",
+        "X-Oriolepaddle-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+"""Header fields that only the gateway may set towards endpoints."""
+CONNECTION_FIELDS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+"""Header fields that concern one connection only."""
--- /dev/null
+++ b/oriolepaddle/platform/protocol.py
@@ -0,0 +1,186 @@
+"""HTTP messages of callers, endpoints and peers; an `EdgeProtocol`."""
+
+from werkzeug.wrappers import Request
+
+from oriolepaddle.catalog import RegisteredEndpoint
+from oriolepaddle.edge import AnswerKind, EdgeRequest, EndpointAnswer
+from oriolepaddle.errors import MalformedRequestError
+from oriolepaddle.placement import PromptPart
+from oriolepaddle.platform import names
+
+__all__ = ["PlatformProtocol"]
+
+KEY_SCHEME = "token "
+HOPS = "X-Request-Hops"
+AGE_MS = "X-Request-Age-Ms"
+EVENT_STREAM = "text/event-stream"
+MISDIRECTED = 421
+MILLISECONDS_PER_S = 1000
+_SET_ANEW = frozenset(
+    name.lower()
+    for name in (
+        names.DEADLINE_MS,
+        names.LAST_EVENT_ID,
+        "authorization",
+        HOPS,
+        AGE_MS,
+        "X-Request-Id",
+    )
+)
+_DROPPED = names.CONNECTION_FIELDS | names.RESERVED | _SET_ANEW
+_DROPPED_OF_ANSWERS = names.CONNECTION_FIELDS | {names.LOAD.lower()}
+
+
+class PlatformProtocol:
+    """The names on the wire.
+
+    Args:
+        instance: This instance's id, for requests that it passes on.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+
+    def read_request(self, request: Request, arrived_s: float) -> EdgeRequest:
+        """Return a caller's request; see `EdgeProtocol.read_request`."""
+        headers = request.headers
+        target = request.environ["RAW_URI"]
+        counts = _read_numbers(headers.get(names.TOKEN_COUNT))
+        deadline_ms = _read_numbers(headers.get(names.DEADLINE_MS))
+        age_ms = _read_numbers(headers.get(AGE_MS))
+        hops = headers.get(HOPS, "")
+        if hops and age_ms:
+            arrived_s -= age_ms[0] / MILLISECONDS_PER_S
+        return EdgeRequest(
+            id=headers.get(names.REQUEST_ID, ""),
+            method=request.method,
+            host=headers.get("Host", "").lower(),
+            path=target.partition("?")[0],
+            target=target,
+            headers=tuple(
+                (name, value)
+                for name, value in headers.items()
+                if name.lower() not in _DROPPED
+            ),
+            body=request.get_data(),
+            key=_read_key(headers.get("Authorization")),
+            arrived_s=arrived_s,
+            patience_s=deadline_ms[0] / MILLISECONDS_PER_S if deadline_ms else None,
+            parts=_read_parts(headers.get(names.PROMPT_PREFIX)),
+            input_tokens=int(counts[0]) if counts else 0,
+            output_tokens=int(counts[1]) if len(counts) > 1 else 0,
+            has_token_counts=bool(counts),
+            last_event_id=headers.get(names.LAST_EVENT_ID),
+            hops=tuple(hops.split(",")) if hops else (),
+        )
+
+    def write_endpoint_headers(
+        self,
+        request: EdgeRequest,
+        endpoint: RegisteredEndpoint,
+        organisation: str | None,
+        left_s: float,
+        last_event_id: str | None,
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the fields for an endpoint; see `EdgeProtocol`."""
+        headers = [
+            *request.headers,
+            (names.DEADLINE_MS, _write_ms(left_s)),
+            # The id of a life in the list of endpoints, not of a machine.
+            (names.EXPECT_INSTANCE, endpoint.id),
+        ]
+        if organisation is not None:
+            headers.append((names.TENANT, organisation))
+        if last_event_id is not None:
+            headers.append((names.LAST_EVENT_ID, last_event_id))
+        return tuple(headers)
+
+    def write_peer_headers(
+        self, request: EdgeRequest, left_s: float, last_event_id: str | None
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the fields for another instance; see `EdgeProtocol`."""
+        patience_s = request.patience_s
+        age_s = patience_s - left_s if patience_s is not None else 0.0
+        headers = [
+            *request.headers,
+            (HOPS, ",".join((*request.hops, self._instance))),
+            (AGE_MS, _write_ms(age_s)),
+        ]
+        if patience_s is not None:
+            headers.append((names.DEADLINE_MS, _write_ms(patience_s)))
+        if request.key is not None:
+            headers.append(("Authorization", f"Token {request.key}"))
+        if last_event_id is not None:
+            headers.append((names.LAST_EVENT_ID, last_event_id))
+        return tuple(headers)
+
+    def read_answer(
+        self, request_id: str, status: int, headers: tuple[tuple[str, str], ...]
+    ) -> EndpointAnswer:
+        """Return the head of an answer; see `EdgeProtocol.read_answer`."""
+        fields = {name.lower(): value for name, value in headers}
+        return EndpointAnswer(
+            kind=_find_kind(request_id, status, fields),
+            status=status,
+            headers=tuple(
+                (name, value)
+                for name, value in headers
+                if name.lower() not in _DROPPED_OF_ANSWERS
+            ),
+            is_stream=fields.get("content-type", "").startswith(EVENT_STREAM),
+            load=_read_load(fields.get(names.LOAD.lower())),
+        )
+
+
+def _find_kind(request_id: str, status: int, fields: dict[str, str]) -> AnswerKind:
+    if names.NOT_RUN.lower() in fields:
+        return AnswerKind.NOT_RUN
+    if status == MISDIRECTED:
+        return AnswerKind.OTHER_ENDPOINT
+    if request_id and fields.get(names.REQUEST_ID.lower()) != request_id:
+        return AnswerKind.FOREIGN
+    is_success = 200 <= status < 300
+    if is_success and names.SEAL.lower() not in fields:
+        return AnswerKind.FOREIGN
+    return AnswerKind.RAN
+
+
+def _read_key(value: str | None) -> str | None:
+    if value is None or not value.lower().startswith(KEY_SCHEME):
+        return None
+    return value[len(KEY_SCHEME) :].strip()
+
+
+def _read_numbers(value: str | None) -> list[float]:
+    if value is None:
+        return []
+    try:
+        numbers = [float(item) for item in value.split(",")]
+    except ValueError as error:
+        raise MalformedRequestError(f"{value!r} is no list of numbers") from error
+    if any(not 0 <= number < float("inf") for number in numbers):
+        raise MalformedRequestError(f"{value!r} is out of range")
+    return numbers
+
+
+def _read_parts(value: str | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for item in value.split(","):
+        name, _, tokens = item.strip().partition(":")
+        if not tokens.isdigit():
+            raise MalformedRequestError(f"{item!r} is no part of a prompt")
+        parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(value: str | None) -> tuple[int, int] | None:
+    numbers = (value or "").split(",")
+    if len(numbers) < 2 or not all(item.strip().isdigit() for item in numbers[:2]):
+        return None
+    return int(numbers[0]), int(numbers[1])
+
+
+def _write_ms(duration_s: float) -> str:
+    return str(max(1, int(duration_s * MILLISECONDS_PER_S)))
--- /dev/null
+++ b/oriolepaddle/platform/store.py
@@ -0,0 +1,132 @@
+"""Reading the platform's store; a `CatalogSource`."""
+
+import base64
+import binascii
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+from oriolepaddle.catalog import CatalogChange, CatalogReading, HistoryGoneError
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.logs import log_event
+from oriolepaddle.platform.document import decode_document
+from oriolepaddle.platform.registration import decode_endpoint
+from oriolepaddle.publication.client import PlatformClient, parse_json
+
+__all__ = ["PlatformStore"]
+
+READ_TIMEOUT = timedelta(seconds=1.5)
+"""Above the slowest answers of a store that is slow and not down."""
+EVERYTHING = ""
+"""The prefix of all keys: one watch serves the configuration and endpoints."""
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+ENDPOINT_PREFIX = "servers/"
+HISTORY_GONE = 410
+OK = 200
+
+
+class PlatformStore:
+    """The store as a source of documents and endpoints.
+
+    Args:
+        address: `IP:port` of the store.
+        clock: The time of readings.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._client = PlatformClient(address, READ_TIMEOUT)
+        self._clock = clock
+        self._unreadable: set[str] = set()
+
+    def read(self) -> CatalogReading:
+        """Return all items; see `CatalogSource.read`."""
+        changes: list[CatalogChange] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = {"pathPrefix": EVERYTHING}
+            if after:
+                query["after"] = after
+            page = self._get("/kv-range", query)
+            items = page.get("items") or []
+            changes += self._decode(items)
+            # Pages are read one after the other: what changes meanwhile is
+            # watched from the first page's revision on.
+            revision = page["currentRev"] if revision is None else revision
+            if not page.get("truncated") or not items:
+                return CatalogReading(tuple(changes), int(revision), is_whole=True)
+            after = items[-1]["key"]
+
+    def watch(self, revision: int, timeout: timedelta) -> CatalogReading:
+        """Wait for changes; see `CatalogSource.watch`."""
+        query = {
+            "pathPrefix": EVERYTHING,
+            "after": revision,
+            "waitMs": int(timeout.total_seconds() * 1000),
+        }
+        document = self._get("/kv-watch", query, timeout)
+        changes = tuple(self._decode(document.get("events") or []))
+        return CatalogReading(changes, int(document["currentRev"]))
+
+    def decode_document_change(self, text: bytes) -> CatalogChange:
+        """Return the change that a document from a peer makes.
+
+        Raises:
+            PlatformUnavailableError: It cannot be understood.
+        """
+        return CatalogChange(CONFIGURATION_KEY, document=decode_document(text))
+
+    def _get(
+        self, path: str, query: dict[str, Any], wait: timedelta = timedelta(0)
+    ) -> dict[str, Any]:
+        status, body = self._client.fetch(path, query, wait)
+        if status == HISTORY_GONE:
+            raise HistoryGoneError(f"{path}: the history is gone")
+        if status != OK:
+            raise PlatformUnavailableError(f"{path} answered with status {status}")
+        document = parse_json(path, body)
+        if not isinstance(document, dict) or "currentRev" not in document:
+            raise PlatformUnavailableError(f"{path} answered without a revision")
+        return document
+
+    def _decode(self, items: list[dict[str, Any]]) -> Iterator[CatalogChange]:
+        for item in items:
+            key = item.get("key", "")
+            try:
+                change = self._decode_item(key, item)
+            except PlatformUnavailableError as error:
+                self._tell_once(key, error)
+                continue
+            if change is not None:
+                yield change
+
+    def _decode_item(self, key: str, item: dict[str, Any]) -> CatalogChange | None:
+        # Named after a burial: the key was deleted.
+        if item.get("tombstone"):
+            return CatalogChange(key, is_removed=True)
+        if key.startswith(EVACUATION_PREFIX):
+            return CatalogChange(key, evacuated=key.removeprefix(EVACUATION_PREFIX))
+        if key == CONFIGURATION_KEY:
+            return self.decode_document_change(_decode_value(item))
+        if key.startswith(ENDPOINT_PREFIX):
+            endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
+            endpoint = decode_endpoint(
+                endpoint_id, _decode_value(item), self._clock.monotonic_s()
+            )
+            return CatalogChange(key, endpoint=endpoint)
+        return None
+
+    def _tell_once(self, key: str, error: PlatformUnavailableError) -> None:
+        if key in self._unreadable:
+            return
+        self._unreadable.add(key)
+        log_event("store_entry_unreadable", key=key, reason=error.message)
+
+
+def _decode_value(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item["value"], validate=True)
+    except (KeyError, TypeError, binascii.Error, ValueError) as error:
+        raise PlatformUnavailableError(f"no readable value: {error!r}") from error
--- a/oriolepaddle/publication/http.py
+++ b/oriolepaddle/publication/http.py
@@ -1,83 +1,20 @@
 """The platform's services over HTTP; `docs/publication.md` has the formats."""
 
-import json
-import threading
 from datetime import timedelta
-from io import BytesIO
 from typing import Any
-from urllib.parse import urlencode
 
 import cattrs
-import pycurl
 from cattrs.errors import BaseValidationError
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.publication.client import PlatformClient
 from oriolepaddle.publication.directory import ClientRecord
 from oriolepaddle.publication.instance import Instance, InstanceList
 from oriolepaddle.publication.value import ServiceReading, ServiceValue
 
 __all__ = ["HttpClientDirectory", "HttpConfigurationService", "HttpInstanceListService"]
 
-CONNECT_TIMEOUT = timedelta(seconds=2)
-READ_TIMEOUT = timedelta(seconds=10)
-MAX_ANSWER_BYTES = 16_000_000
-
-
-class _PlatformClient:
-    """Connections to one service of the platform, one for each call at a time."""
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._lock = threading.Lock()
-        self._idle: list[pycurl.Curl] = []
-
-    def get(self, path: str, wait: timedelta = timedelta(0), **query: Any) -> Any:
-        """Return the JSON of one call.
-
-        Raises:
-            PlatformUnavailableError: No answer, or one that is not understood.
-        """
-        query["wait_ms"] = int(wait.total_seconds() * 1000)
-        url = f"http://{self._address}{path}?{urlencode(query)}"
-        status, body = self._fetch(url, wait + READ_TIMEOUT)
-        if status != 200:
-            raise PlatformUnavailableError(f"{path} answered with status {status}")
-        try:
-            return json.loads(body)
-        except ValueError as error:
-            raise PlatformUnavailableError(f"{path} answered no JSON") from error
-
-    def _fetch(self, url: str, timeout: timedelta) -> tuple[int, bytes]:
-        buffer = BytesIO()
-        curl = self._take()
-        curl.setopt(pycurl.URL, url)
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
-        curl.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
-        curl.setopt(pycurl.TIMEOUT_MS, _to_ms(timeout))
-        curl.setopt(pycurl.WRITEDATA, buffer)
-        try:
-            curl.perform()
-        except pycurl.error as error:
-            curl.close()
-            raise PlatformUnavailableError(
-                f"the platform at {self._address} did not answer: {error.args[1]}"
-            ) from error
-        status = curl.getinfo(pycurl.RESPONSE_CODE)
-        with self._lock:
-            self._idle.append(curl)
-        return status, buffer.getvalue()
-
-    def _take(self) -> pycurl.Curl:
-        # A waiting watch holds its connection, so calls must not share one.
-        with self._lock:
-            curl = self._idle.pop() if self._idle else pycurl.Curl()
-        curl.reset()
-        return curl
-
 
 class HttpConfigurationService:
     """The configuration service; a `ConfigurationService`.
@@ -87,7 +24,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._client = _PlatformClient(address)
+        self._client = PlatformClient(address)
 
     def read(self, prefix: str, after_revision: int = 0) -> ServiceReading:
         """Return the values below `prefix` written after a revision."""
@@ -119,7 +56,7 @@
     """
 
     def __init__(self, address: str, clock: Clock) -> None:
-        self._client = _PlatformClient(address)
+        self._client = PlatformClient(address)
         self._clock = clock
 
     def watch(self, after_revision: int, timeout: timedelta) -> InstanceList:
@@ -145,7 +82,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._client = _PlatformClient(address)
+        self._client = PlatformClient(address)
 
     def read(self) -> tuple[ClientRecord, ...]:
         """Return all clients."""
@@ -164,10 +101,6 @@
         ) from error
 
 
-def _to_ms(duration: timedelta) -> int:
-    return int(duration.total_seconds() * 1000)
-
-
 _converter = cattrs.Converter()
 _converter.register_structure_hook(
     ServiceValue,
--- a/oriolepaddle/settings/__init__.py
+++ b/oriolepaddle/settings/__init__.py
@@ -1,7 +1,15 @@
 """Settings, written in flags and environment variables."""
 
 from oriolepaddle.settings.check import check_settings, find_problems
+from oriolepaddle.settings.edge import EdgeSettings, parse_regions
 from oriolepaddle.settings.options import add_options
 from oriolepaddle.settings.settings import Settings
 
-__all__ = ["Settings", "add_options", "check_settings", "find_problems"]
+__all__ = [
+    "EdgeSettings",
+    "Settings",
+    "add_options",
+    "check_settings",
+    "find_problems",
+    "parse_regions",
+]
--- a/oriolepaddle/settings/check.py
+++ b/oriolepaddle/settings/check.py
@@ -7,6 +7,7 @@
 import attrs
 
 from oriolepaddle.errors import SettingsError
+from oriolepaddle.settings.edge import EdgeSettings, parse_regions
 from oriolepaddle.settings.field import Rule, find_rule
 from oriolepaddle.settings.seeds import parse_seeds
 from oriolepaddle.settings.settings import Settings
@@ -14,7 +15,7 @@
 __all__ = ["check_settings", "find_problems"]
 
 
-def check_settings(settings: Settings) -> None:
+def check_settings(settings: Settings | EdgeSettings) -> None:
     """Check every setting.
 
     Raises:
@@ -26,19 +27,36 @@
         raise SettingsError("\n".join(problems))
 
 
-def find_problems(settings: Settings) -> list[str]:
+def find_problems(settings: Settings | EdgeSettings) -> list[str]:
     """Return a line for each setting that is missing or out of range."""
+    problems = _find_field_problems(settings)
+    if isinstance(settings, EdgeSettings):
+        return problems + _find_region_problems(settings)
+    problems += _find_seed_problems(settings)
+    problems += _find_tls_problems(settings)
+    return problems
+
+
+def _find_field_problems(settings: Settings | EdgeSettings) -> list[str]:
     problems = []
-    for field in attrs.fields(Settings):
+    for field in attrs.fields(type(settings)):
         problem = _find_problem(find_rule(field), getattr(settings, field.name))
         if problem is not None:
             flag = field.name.replace("_", "-")
             problems.append(f"--{flag} {problem}")
-    problems += _find_seed_problems(settings)
-    problems += _find_tls_problems(settings)
     return problems
 
 
+def _find_region_problems(settings: EdgeSettings) -> list[str]:
+    try:
+        regions = parse_regions(settings.regions)
+    except SettingsError as error:
+        return [error.message]
+    if settings.data_centre in regions:
+        return []
+    return [f"--regions does not name the data centre {settings.data_centre!r}"]
+
+
 def _find_seed_problems(settings: Settings) -> list[str]:
     try:
         parse_seeds(settings.seeds)
--- a/oriolepaddle/settings/options.py
+++ b/oriolepaddle/settings/options.py
@@ -2,7 +2,7 @@
 
 import inspect
 from collections.abc import Callable
-from typing import Annotated
+from typing import Annotated, Any
 
 import attrs
 import typer
@@ -15,13 +15,20 @@
 ENVIRONMENT_PREFIX = "ORIOLEPADDLE_"
 
 
-def add_options(function: Callable[[Settings], None]) -> Callable[..., None]:
-    """Return a command that takes each setting and calls `function`."""
+def add_options(
+    function: Callable[[Any], None], settings_class: type = Settings
+) -> Callable[..., None]:
+    """Return a command that takes each setting and calls `function`.
+
+    Args:
+        function: Called with the settings.
+        settings_class: An attrs class whose fields `setting` made.
+    """
 
     def _command(**values: object) -> None:
-        function(Settings(**values))
+        function(settings_class(**values))
 
-    parameters = [_make_parameter(field) for field in attrs.fields(Settings)]
+    parameters = [_make_parameter(field) for field in attrs.fields(settings_class)]
     _command.__signature__ = inspect.Signature(parameters)
     _command.__annotations__ = {item.name: item.annotation for item in parameters}
     _command.__doc__ = function.__doc__
