--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -67,11 +67,12 @@
         self._deadline_s = float("inf")
         self._excluded: set[str] = set()
         self._tries = 0
-        self._runs = 0
+        self._runs = request.earlier_runs
         self._target = ""
         self._expected_s = 0.0
         self._first_byte_s: float | None = None
         self._may_leave = not request.hops
+        self._has_repeat = False
         self._last_uncertain: OriolepaddleError | None = None
 
     def run(self) -> None:
@@ -100,9 +101,13 @@
         try:
             self._run_tries()
         finally:
-            if reservation is not None and not self._runs:
+            if reservation is not None and not self._has_run:
                 reservation.release()
 
+    @property
+    def _has_run(self) -> bool:
+        return self._runs > self._request.earlier_runs
+
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request with what decided it."""
         admitted = self._admitted
@@ -246,10 +251,12 @@
         if answer is not None and answer.status >= SERVER_ERROR:
             error = EndpointFailedError(f"answered with status {answer.status}")
             self._runs += 1
-            may_repeat = self._may_repeat(error)
+            is_repeated = self._may_repeat(error) and self._take_repeat()
             self._runs -= 1
-            if may_repeat:
+            if is_repeated:
+                self._has_repeat = True
                 raise error
+        # The endpoint's own failure is an answer like any other.
         sink.complete()
 
     def _send_to_peer(self, peer: PeerChoice, job: Job) -> None:
@@ -263,7 +270,7 @@
         sink = self._make_sink(None, lambda: None)
         left_s = self._deadline_s - parts.clock.monotonic_s()
         headers = parts.protocol.write_peer_headers(
-            self._request, left_s, self._splitter.last_id
+            self._request, left_s, self._splitter.last_id, self._runs
         )
         try:
             parts.peer_transport.run(peer.address, self._wrap(headers), sink)
@@ -374,13 +381,17 @@
     def _prepare_repeat(self, error: OriolepaddleError) -> bool:
         is_allowed = self._may_repeat(error)
         if is_allowed and not isinstance(error, EndpointUnreachableError):
-            is_allowed = self._parts.allowance.take(self._admitted.service)
+            is_allowed = self._has_repeat or self._take_repeat()
+        self._has_repeat = False
         if is_allowed:
             self._splitter.drop_partial()
         action = "repeat" if is_allowed else "give_up"
         self._parts.metrics.retries.labels(action, error.code.code).inc()
         return is_allowed
 
+    def _take_repeat(self) -> bool:
+        return self._parts.allowance.take(self._admitted.service)
+
     def _may_repeat(self, error: OriolepaddleError) -> bool:
         if not isinstance(error, _REPEATABLE) or self._tries >= MAX_TRIES:
             return False
--- a/oriolepaddle/edge/request.py
+++ b/oriolepaddle/edge/request.py
@@ -30,6 +30,7 @@
         has_token_counts: Whether the caller told them.
         last_event_id: The last event that the caller has, or None.
         hops: Instances that passed it on.
+        earlier_runs: Endpoints that may have run it before it was passed on.
     """
 
     id: str
@@ -48,7 +49,8 @@
     has_token_counts: bool = False
     last_event_id: str | None = None
     hops: tuple[str, ...] = ()
+    earlier_runs: int = 0
 
     def without_hops(self) -> "EdgeRequest":
         """Return the request as one that came from a caller."""
-        return attrs.evolve(self, hops=())
+        return attrs.evolve(self, hops=(), earlier_runs=0)
--- a/oriolepaddle/limits/granting.py
+++ b/oriolepaddle/limits/granting.py
@@ -45,21 +45,23 @@
 
 
 class _Account:
-    def __init__(self, organisation: Organisation, now_s: float) -> None:
+    def __init__(self, organisation: Organisation, accrues_from_s: float) -> None:
         self.organisation = organisation
-        self.minted = Bucket(now_s)
-        self.granted = Bucket(now_s)
+        self.minted = Bucket(accrues_from_s)
+        self.granted = Bucket(accrues_from_s)
         self.demand_per_s = 0.0
         self.largest = 0.0
         self._asked = 0.0
-        self._measured_s = now_s
+        self._measured_s: float | None = None
 
     def advance(self, now_s: float, share: float) -> None:
         held = self.organisation
         rate, burst = held.rate_tokens_per_s, held.burst_tokens
-        self.minted.advance(now_s)
         self.minted.resize(rate * share, burst * share)
+        self.minted.advance(now_s)
         self.granted.resize(0.0, burst)
+        if self._measured_s is None:
+            self._measured_s = now_s
         elapsed_s = now_s - self._measured_s
         if elapsed_s >= DEMAND_INTERVAL_S:
             measured = self._asked / elapsed_s
@@ -105,6 +107,9 @@
         self._find_organisation = find_organisation
         self._lock = threading.Lock()
         self._accounts: dict[str, _Account] = {}
+        # Nothing is held at the start of a life, as an earlier one may have
+        # used it; tokens accrue from then on, asked for or not.
+        self._started_s = clock.monotonic_s()
 
     def reserve(self, organisation: Organisation, tokens: float) -> SharedReservation:
         """Set tokens aside for a request; see `TokenLimiter.reserve`."""
@@ -160,7 +165,8 @@
         now_s = self._clock.monotonic_s()
         account = self._accounts.get(organisation.id)
         if account is None:
-            account = self._accounts[organisation.id] = _Account(organisation, now_s)
+            account = _Account(organisation, self._started_s)
+            self._accounts[organisation.id] = account
         account.organisation = self._find_organisation(organisation.id) or organisation
         account.advance(now_s, self._find_share())
         return account
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -13,6 +13,7 @@
 KEY_SCHEME = "token "
 HOPS = "X-Request-Hops"
 AGE_MS = "X-Request-Age-Ms"
+RUNS = "X-Request-Runs"
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 MILLISECONDS_PER_S = 1000
@@ -24,6 +25,7 @@
         "authorization",
         HOPS,
         AGE_MS,
+        RUNS,
         "X-Request-Id",
     )
 )
@@ -72,6 +74,7 @@
             has_token_counts=bool(counts),
             last_event_id=headers.get(names.LAST_EVENT_ID),
             hops=tuple(hops.split(",")) if hops else (),
+            earlier_runs=int(sum(_read_numbers(headers.get(RUNS)))),
         )
 
     def write_endpoint_headers(
@@ -96,7 +99,7 @@
         return tuple(headers)
 
     def write_peer_headers(
-        self, request: EdgeRequest, left_s: float, last_event_id: str | None
+        self, request: EdgeRequest, left_s: float, last_event_id: str | None, runs: int
     ) -> tuple[tuple[str, str], ...]:
         """Return the fields for another instance; see `EdgeProtocol`."""
         patience_s = request.patience_s
@@ -105,6 +108,7 @@
             *request.headers,
             (HOPS, ",".join((*request.hops, self._instance))),
             (AGE_MS, _write_ms(age_s)),
+            (RUNS, str(runs)),
         ]
         if patience_s is not None:
             headers.append((names.DEADLINE_MS, _write_ms(patience_s)))
