Answer unknown for orders that are refused unseen; let broken streams wait for their turn

Causes: the limiter, the staleness check and the drain refused a repeated order as not run before its issuer was asked; a resumed stream asked the quarantine once and did not wait when the health check had met the cut.

--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One request from its admission to the end of its answer."""
 
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 from loguru import logger
@@ -30,6 +31,7 @@
     keep_here,
     make_routing_request,
     wait_for_turn,
+    wait_to_resume,
 )
 from oriolepaddle.limits import Reservation
 from oriolepaddle.quarantine import make_fingerprint
@@ -132,11 +134,8 @@
 
     def _try_once(self) -> None:
         if self._is_resuming and self._endpoint is not None:
-            # Only the engine that began an answer can go on with it.
             self._attempt += 1
-            endpoint = self._endpoint
-            run = self._parts.quarantine.started(self._fingerprint, endpoint.id)
-            self._send(endpoint, run)
+            self._start_and_send(self._find_resuming(self._endpoint))
             return
         decision = self._parts.router.choose(self._routing)
         self._attempt += 1
@@ -145,16 +144,24 @@
             return
         slot = self._enter()
         try:
-            self._start_and_send()
+            self._start_and_send(self._find_startable)
         finally:
             slot.release()
 
-    def _start_and_send(self) -> None:
+    def _find_startable(self) -> Endpoint:
+        return find_startable(
+            self._parts, self._routing, self._fingerprint, self._excluded
+        )
+
+    def _find_resuming(self, endpoint: Endpoint) -> Callable[[], Endpoint]:
+        return lambda: wait_to_resume(
+            self._parts, self._routing, self._fingerprint, endpoint
+        )
+
+    def _start_and_send(self, find: Callable[[], Endpoint]) -> None:
         parts = self._parts
         while True:
-            endpoint = find_startable(
-                parts, self._routing, self._fingerprint, self._excluded
-            )
+            endpoint = find()
             try:
                 run = parts.quarantine.started(self._fingerprint, endpoint.id)
             except RefusedError as error:
--- a/oriolepaddle/gateway/exchanger.py
+++ b/oriolepaddle/gateway/exchanger.py
@@ -1,6 +1,6 @@
 """Serving parsed requests."""
 
-from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.errors import ErrorCode, OrderError, Outcome, RefusedError
 from oriolepaddle.gateway.caller_request import CallerRequest
 from oriolepaddle.gateway.exchange import Exchange
 from oriolepaddle.gateway.order_exchange import OrderExchange
@@ -9,6 +9,9 @@
 
 __all__ = ["Exchanger"]
 
+_REFUSED_UNSEEN = (ErrorCode.RATE_LIMITED, ErrorCode.NOT_READY, ErrorCode.DRAINING)
+"""Codes of refusals that are decided without a look at the order."""
+
 
 class Exchanger:
     """Serves each request on the thread of its caller.
@@ -29,14 +32,32 @@
             OriolepaddleError: It was refused or failed before its answer began.
             OSError: The caller is gone.
         """
+        if request.order_number is not None and not request.is_idempotent:
+            self._serve_order(request, writer)
+            return
         with self._parts.activity.enter():
             self._check_staleness(request)
-            if request.order_number is not None and not request.is_idempotent:
-                self._orders.run(request, writer)
-            else:
-                Exchange(self._parts, request, writer).run()
+            Exchange(self._parts, request, writer).run()
             self._parts.metrics.requests.labels(request.route.id).inc()
 
+    def _serve_order(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        try:
+            with self._parts.activity.enter():
+                self._check_staleness(request)
+                with self._orders.reserve(request):
+                    self._orders.run(request, writer)
+                self._parts.metrics.requests.labels(request.route.id).inc()
+        except RefusedError as error:
+            if error.code not in _REFUSED_UNSEEN or self._orders.is_unused(request):
+                raise
+            # Refused before anybody was asked what became of the order: an
+            # earlier sending of it may have run.
+            raise OrderError(
+                f"the order may have run: {error.message}",
+                outcome=Outcome.UNKNOWN,
+                retry_after=error.retry_after,
+            ) from error
+
     def issue_order(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Answer with a new order number.
 
--- a/oriolepaddle/gateway/order_exchange.py
+++ b/oriolepaddle/gateway/order_exchange.py
@@ -1,7 +1,8 @@
 """Orders: non-idempotent requests with a number that makes repeats safe."""
 
+import contextlib
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -60,25 +61,41 @@
         """
         number = request.order_number or ""
         parsed = self._registry.parse(number, request.organisation_id)
-        reservation = None
-        if request.organisation is not None:
-            reservation = self._parts.limiter.reserve(
-                request.organisation, ORDER_TOKENS
-            )
-        try:
-            order = _make_order_request(request)
-            if self._registry.is_own(parsed):
-                answer = self._run_here(number, order)
-            else:
-                answer = self._forwarder.forward(number, order)
-        finally:
-            if reservation is not None:
-                reservation.settle(ORDER_TOKENS)
+        order = _make_order_request(request)
+        if self._registry.is_own(parsed):
+            answer = self._run_here(number, order)
+        else:
+            answer = self._forwarder.forward(number, order)
         headers = [*answer.headers, ("X-Request-Id", request.id)]
         writer.start(answer.status, headers, len(answer.body))
         writer.write(answer.body)
         writer.finish()
 
+    @contextlib.contextmanager
+    def reserve(self, request: CallerRequest) -> Iterator[None]:
+        """Set an order's tokens aside while it runs.
+
+        Raises:
+            RefusedError: The organisation has used its rate; nothing was asked
+                of what became of the order.
+        """
+        if request.organisation is None:
+            yield
+            return
+        reservation = self._parts.limiter.reserve(request.organisation, ORDER_TOKENS)
+        try:
+            yield
+        finally:
+            reservation.settle(ORDER_TOKENS)
+
+    def is_unused(self, request: CallerRequest) -> bool:
+        """Return whether it is certain that no sending of an order has run."""
+        number = request.order_number or ""
+        parsed = self._registry.parse(number, request.organisation_id)
+        return self._registry.is_own(parsed) and not self._registry.is_used(
+            number, request.organisation_id
+        )
+
     def _run_here(self, number: str, order: OrderRequest) -> OrderAnswer:
         recheck = self._make_recheck(order)
         return self._registry.run(
--- a/oriolepaddle/gateway/start.py
+++ b/oriolepaddle/gateway/start.py
@@ -12,7 +12,13 @@
 from oriolepaddle.quarantine import StartAction
 from oriolepaddle.routing import RoutingRequest, hash_prompt
 
-__all__ = ["find_startable", "keep_here", "make_routing_request", "wait_for_turn"]
+__all__ = [
+    "find_startable",
+    "keep_here",
+    "make_routing_request",
+    "wait_for_turn",
+    "wait_to_resume",
+]
 
 MIN_WAIT = timedelta(milliseconds=10)
 
@@ -70,6 +76,27 @@
         avoided |= {endpoint.id}
 
 
+def wait_to_resume(
+    parts: ServingParts,
+    routing: RoutingRequest,
+    fingerprint: bytes,
+    endpoint: Endpoint,
+) -> Endpoint:
+    """Return an endpoint once a broken stream may go on there.
+
+    Only the engine that began an answer can go on with it, so a request that
+    became a suspect when the stream broke waits for its turn at that engine.
+
+    Raises:
+        RefusedError: The request is in quarantine, or its deadline comes first.
+    """
+    while True:
+        advice = parts.quarantine.may_start(fingerprint, endpoint.id, is_only=True)
+        if advice.action is not StartAction.WAIT:
+            return endpoint
+        wait_for_turn(parts, routing, advice.delay)
+
+
 def _choose(
     parts: ServingParts,
     routing: RoutingRequest,
--- /dev/null
+++ b/oriolepaddle/gateway/tests/test_start.py
@@ -0,0 +1,55 @@
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.config.model import Endpoint, Route, RouteKind
+from oriolepaddle.errors import RefusedError
+from oriolepaddle.gateway.start import wait_to_resume
+from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.quarantine import Quarantine, QuarantineSettings
+from oriolepaddle.quarantine.tests.fleet import make_evidence
+from oriolepaddle.routing import RoutingRequest
+
+FINGERPRINT = b"f" * 16
+ENGINE = Endpoint("e1", "nordur-a", "127.0.0.1:1", ("oriole-answers",))
+
+
+class WaitingClock(ManualClock):
+    """Moves by itself when it is waited for."""
+
+    def wait(self, event, timeout):
+        self.advance(timeout)
+        return event.is_set()
+
+
+def make_routing(deadline_s):
+    route = Route("oriole-answers", RouteKind.MODEL)
+    return RoutingRequest("r1", route, None, 10, 10, (), deadline_s)
+
+
+class TestBrokenStream:
+    """A stream that broke while its engine did not answer its health check."""
+
+    @pytest.fixture
+    def parts(self):
+        clock = WaitingClock()
+        identity = PeerIdentity("n1", 1, "nordur-a")
+        quarantine = Quarantine(clock, QuarantineSettings(), identity)
+        quarantine.started(FINGERPRINT, ENGINE.id).crashed(make_evidence())
+        return SimpleNamespace(clock=clock, quarantine=quarantine)
+
+    def test_may_not_go_on_at_once(self, parts):
+        with pytest.raises(RefusedError):
+            parts.quarantine.started(FINGERPRINT, ENGINE.id)
+
+    def test_goes_on_at_its_engine_when_it_is_its_turn(self, parts):
+        found = wait_to_resume(parts, make_routing(60.0), FINGERPRINT, ENGINE)
+        assert found is ENGINE
+        parts.quarantine.started(FINGERPRINT, found.id)
+
+    def test_does_not_wait_beyond_its_deadline(self, parts):
+        with pytest.raises(RefusedError):
+            wait_to_resume(parts, make_routing(0.0), FINGERPRINT, ENGINE)
+        assert parts.clock.monotonic_s() < timedelta(seconds=1).total_seconds()
--- a/oriolepaddle/orders/registry.py
+++ b/oriolepaddle/orders/registry.py
@@ -112,6 +112,16 @@
         """Return whether this very process issued a number."""
         return number.issuer == self._identity and number.life == self._life
 
+    def is_used(self, number: str, organisation: str) -> bool:
+        """Return whether an order of this process may have been sent already."""
+        parsed = self._codec.parse(number, organisation)
+        with self._lock:
+            try:
+                return self._lookup(parsed, organisation, b"") is not None
+            except OriolepaddleError:
+                # The number was used for some request, or is forgotten.
+                return True
+
     def run(
         self,
         number: str,
