--- a/oriolepaddle/daemon/document_exchange.py
+++ b/oriolepaddle/daemon/document_exchange.py
@@ -35,11 +35,17 @@
         self._catalog = catalog
         self._store = store
         self._asked: queue.Queue[str] = queue.Queue(MAX_WAITING)
+        self._stopping = threading.Event()
 
     def start(self) -> None:
         """Begin to fetch what is asked for."""
         threading.Thread(target=self._run, name="documents", daemon=True).start()
 
+    def stop(self) -> None:
+        """Fetch nothing more."""
+        self._stopping.set()
+        self.ask("")
+
     def ask(self, peer_address: str) -> None:
         """Fetch the document of an instance that has a newer one."""
         try:
@@ -52,8 +58,10 @@
         return _DocumentApplication(self._catalog, application)
 
     def _run(self) -> None:
-        while True:
+        while not self._stopping.is_set():
             address = self._asked.get()
+            if not address:
+                continue
             try:
                 self._fetch(address)
             except PlatformUnavailableError as error:
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -128,6 +128,16 @@
         self._follower.stop()
         log_event("instance_stopped", in_flight=activity.count, after_s=elapsed_s)
 
+    def close(self) -> None:
+        """Close every listener and connection, after `stop` or in place of it."""
+        self._announcer.stop()
+        self._follower.stop()
+        self._documents.stop()
+        for server in self._servers:
+            server.close()
+        self.parts.transport.close()
+        self.parts.peer_transport.close()
+
     def reload(self) -> None:
         """Note a request to read the settings again.
 
--- /dev/null
+++ b/oriolepaddle/daemon/tests/edge_fleet.py
@@ -0,0 +1,169 @@
+"""Edge instances in one process against stand-ins of store and runners."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import socket
+import time
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.daemon.edge_instance import EdgeInstance
+from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
+from oriolepaddle.settings import EdgeSettings
+
+KEY = "key-of-norddal"
+OTHER_KEY = "key-of-sudurvik"
+HOST = "desk.example"
+ENGINES, DESK = "engines", "desk"
+REGIONS = {"nordur-a": "nordur", "sudur-a": "sudur"}
+CONDITION_S = 8.0
+_hosts = itertools.count(10)
+_ids = itertools.count(1)
+
+
+def make_route(name, prefix, kind, service, **changes):
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 5000,
+        "sloMs": 600,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+    } | changes
+
+
+def make_document(version=1, **changes):
+    return {
+        "version": version,
+        "routes": [
+            make_route("read", "/read/", "safe", DESK),
+            make_route("book", "/book/", "unsafe", DESK, maxAttempts=1),
+            make_route("ask", "/ask/", "stream", ENGINES, maxAttempts=1),
+            make_route("chat", "/chat/", "stream", ENGINES, resumable=True),
+            make_route("open", "/open/", "safe", DESK, public=True),
+            make_route("home", "/home/", "safe", DESK, homeRegions=["sudur"]),
+        ],
+        "services": [
+            {"name": DESK, "healthPath": "/health"},
+            {"name": ENGINES, "engine": {"slots": 8, "kvCapacity": 300_000}},
+        ],
+        "tenants": [
+            {"name": "norddal", "apiKeys": [KEY]},
+            {"name": "sudurvik", "apiKeys": [OTHER_KEY]},
+        ],
+        "limits": {"idleTimeoutMs": 15_000},
+    } | changes
+
+
+def await_true(condition, within_s=CONDITION_S):
+    deadline_s = time.monotonic() + within_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(0.01)
+    raise AssertionError("the condition was not met in time")
+
+
+def find_port(host, kind):
+    with socket.socket(socket.AF_INET, kind) as found:
+        found.bind((host, 0))
+        return found.getsockname()[1]
+
+
+class EdgeFleet:
+    """A store, runners and instances; the instances differ in loopback address."""
+
+    def __init__(self):
+        self.store = StoreStandin()
+        self.store.start()
+        self.runners = {}
+        self.instances = {}
+        self.settings = {}
+        self.gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        self.publish(make_document())
+
+    def publish(self, document):
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def add_runner(self, name, service, zone="nordur-a", events=0):
+        runner = RunnerStandin(name, service, zone, events)
+        runner.start()
+        self.runners[name] = runner
+        self.register(name)
+        return runner
+
+    def register(self, name):
+        self.store.put(f"servers/{name}", self.runners[name].describe())
+
+    def add_instance(self, name, data_centre="nordur-a", **changes):
+        host = f"127.0.0.{next(_hosts) % 200 + 2}"
+        addresses = {
+            f"{side}_address": f"{host}:{find_port(host, socket.SOCK_STREAM)}"
+            for side in ("caller", "directory", "peer", "readiness")
+        }
+        seeds = ",".join(item.peer_address for item in self.settings.values())
+        values = {
+            "instance": name,
+            "data_centre": data_centre,
+            "regions": json.dumps(REGIONS),
+            "gossip_port": self.gossip_port,
+            "platform_address": self.store.address,
+            "peer_secret": "a secret of the test fleet",
+            "seeds": seeds,
+        }
+        settings = EdgeSettings(**(values | addresses | changes))
+        instance = EdgeInstance(settings, SystemClock())
+        instance.start()
+        self.settings[name] = settings
+        self.instances[name] = instance
+        return instance
+
+    def await_ready(self):
+        services = len({runner.id for runner in self.runners.values()})
+        for instance in self.instances.values():
+            await_true(instance.is_ready)
+            await_true(lambda i=instance: len(i.catalog.endpoints()) == services)
+            everyone = len(self.instances)
+            await_true(
+                lambda i=instance, n=everyone: len(i.roster.entry_instances()) == n
+            )
+
+    def connect(self, name):
+        host, port = self.settings[name].caller_address.split(":")
+        return http.client.HTTPConnection(host, int(port), timeout=10)
+
+    def send(self, name, path, method="GET", body=b"", key=KEY, **fields):
+        headers = {
+            "Host": HOST,
+            "X-Oriolepaddle-Request-Id": f"{next(_ids):016x}",
+            "X-Oriolepaddle-Deadline-Ms": "4000",
+        }
+        if key:
+            headers["Authorization"] = f"Token {key}"
+        headers |= {field.replace("_", "-"): value for field, value in fields.items()}
+        connection = self.connect(name)
+        connection.request(method, path, body, headers)
+        return connection.getresponse()
+
+    def ask(self, name, path, **options):
+        response = self.send(name, path, **options)
+        return response.status, response.read()
+
+    def resolve(self, name, region):
+        host, port = self.settings[name].directory_address.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        connection.request("GET", f"/resolve?name={HOST}&region={region}")
+        return json.loads(connection.getresponse().read())["addresses"]
+
+    def close(self):
+        for runner in self.runners.values():
+            with contextlib.suppress(OSError):
+                runner.stop()
+        self.store.stop()
+        for instance in self.instances.values():
+            instance.close()
--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -0,0 +1,279 @@
+import threading
+import time
+
+import pytest
+
+from oriolepaddle.daemon.tests.edge_fleet import (
+    DESK,
+    ENGINES,
+    OTHER_KEY,
+    EdgeFleet,
+    await_true,
+    make_document,
+    make_route,
+)
+from oriolepaddle.platform.standins import RunnerAct, StoreMode
+
+
+@pytest.fixture
+def fleet():
+    fleet = EdgeFleet()
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def single(fleet):
+    fleet.add_runner("d1", DESK)
+    fleet.add_runner("d2", DESK)
+    fleet.add_runner("e1", ENGINES, events=5)
+    fleet.add_runner("e2", ENGINES, events=5)
+    fleet.add_instance("n1")
+    fleet.await_ready()
+    return fleet
+
+
+def count_runs(fleet, *names):
+    return sum(len(fleet.runners[name].received) for name in names)
+
+
+class TestPlainRequest:
+    def test_is_answered_unchanged(self, single):
+        status, body = single.ask("n1", "/read/x?y=%20", method="POST", body=b"hello")
+        assert (status, body) == (200, b"done hello")
+        found = single.runners["d1"].received + single.runners["d2"].received
+        assert [(item.method, item.target) for item in found] == [
+            ("POST", "/read/x?y=%20")
+        ]
+
+    def test_runs_for_the_organisation_and_without_the_key(self, single):
+        single.ask("n1", "/book/1", method="POST", X_Oriolepaddle_Tenant="forged")
+        headers = (single.runners["d1"].received + single.runners["d2"].received)[
+            0
+        ].headers
+        assert headers["x-oriolepaddle-tenant"] == "norddal"
+        assert "authorization" not in headers
+
+    def test_does_not_pass_on_what_only_the_gateway_sets(self, single):
+        single.ask("n1", "/book/1", method="POST", X_Oriolepaddle_Hold="h", Kv_From="x")
+        headers = (single.runners["d1"].received + single.runners["d2"].received)[
+            0
+        ].headers
+        assert not {"x-oriolepaddle-hold", "kv-from"} & set(headers)
+
+    def test_hands_on_no_more_time_than_is_left(self, single):
+        single.ask("n1", "/read/1", X_Oriolepaddle_Deadline_Ms="700")
+        headers = (single.runners["d1"].received + single.runners["d2"].received)[
+            0
+        ].headers
+        assert 0 < int(headers["x-oriolepaddle-deadline-ms"]) <= 700
+
+
+class TestRefusal:
+    @pytest.mark.parametrize(
+        ("path", "key", "expected"),
+        [
+            ("/none/1", None, 404),
+            ("/read/1", None, 401),
+            ("/read/1", "wrong", 401),
+            ("/open/1", None, 200),
+        ],
+    )
+    def test_tells_why(self, single, path, key, expected):
+        assert single.ask("n1", path, key=key)[0] == expected
+
+    def test_of_all_endpoints_is_not_run(self, single):
+        for name in ("d1", "d2"):
+            single.runners[name].acts.extend([RunnerAct.SHED] * 4)
+        response = single.send("n1", "/book/1", method="POST")
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+
+
+class TestRepeats:
+    @pytest.mark.parametrize(
+        "act",
+        [RunnerAct.RESET, RunnerAct.ERROR, RunnerAct.FOREIGN, RunnerAct.UNSEALED],
+    )
+    def test_idempotent_request_goes_to_another_endpoint(self, single, act):
+        for name in ("d1", "d2"):
+            single.runners[name].acts.append(act)
+        single.runners["d2"].acts.clear()
+        statuses = {single.ask("n1", "/read/1")[0] for _ in range(3)}
+        assert statuses == {200}
+
+    @pytest.mark.parametrize("act", [RunnerAct.RESET, RunnerAct.FOREIGN])
+    def test_order_is_not_sent_again(self, single, act):
+        for name in ("d1", "d2"):
+            single.runners[name].acts.append(act)
+        status, _ = single.ask("n1", "/book/1", method="POST")
+        assert status == 502
+        assert count_runs(single, "d1", "d2") == 1
+
+    def test_order_that_was_not_run_goes_to_another_endpoint(self, single):
+        single.runners["d1"].acts.append(RunnerAct.SHED)
+        single.runners["d2"].acts.append(RunnerAct.SHED)
+        single.runners["d2"].acts.clear()
+        assert single.ask("n1", "/book/1", method="POST")[0] == 200
+
+    def test_endpoints_own_failure_is_passed_on(self, single):
+        for name in ("d1", "d2"):
+            single.runners[name].acts.append(RunnerAct.ERROR)
+        response = single.send("n1", "/book/1", method="POST")
+        assert (response.status, response.read()) == (500, b"failed")
+        assert response.headers["X-Oriolepaddle-Server-Seal"]
+
+
+class TestStream:
+    def test_keeps_every_event(self, single):
+        status, body = single.ask("n1", "/ask/1", method="POST")
+        assert status == 200
+        assert body.count(b"\n\n") == 5
+
+    def test_that_broke_off_goes_on_at_another_endpoint(self, single):
+        single.runners["e1"].acts.append(RunnerAct.CUT_EVENT)
+        single.runners["e2"].acts.append(RunnerAct.CUT_EVENT)
+        single.runners["e2"].acts.clear()
+        bodies = {single.ask("n1", "/chat/1", method="POST")[1] for _ in range(3)}
+        expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+        assert bodies == {expected}
+
+    def test_that_cannot_go_on_is_visibly_cut(self, single):
+        for name in ("e1", "e2"):
+            single.runners[name].acts.append(RunnerAct.CUT_EVENT)
+        response = single.send("n1", "/ask/1", method="POST")
+        with pytest.raises(Exception, match="IncompleteRead"):
+            response.read()
+
+    def test_of_a_caller_that_left_ends_at_its_endpoint(self, single):
+        for name in ("e1", "e2"):
+            single.runners[name].pause_s = 0.1
+            single.runners[name].events = 40
+        response = single.send("n1", "/ask/1", method="POST")
+        response.readline()
+        response.close()
+        await_true(
+            lambda: sum(single.runners[name].left for name in ("e1", "e2")) == 1, 2
+        )
+
+
+class TestConfiguration:
+    def test_withdrawn_key_stops_working(self, single):
+        document = make_document(2)
+        document["tenants"][0]["apiKeys"] = []
+        single.publish(document)
+        await_true(lambda: single.ask("n1", "/read/1")[0] == 401)
+        assert single.ask("n1", "/read/1", key=OTHER_KEY)[0] == 200
+
+    def test_never_goes_back(self, single):
+        single.publish(make_document(5, routes=[]))
+        await_true(lambda: single.ask("n1", "/read/1")[0] == 404)
+        single.publish(make_document(4))
+        time.sleep(0.6)
+        assert single.ask("n1", "/read/1")[0] == 404
+
+    def test_too_old_refuses_keys_and_serves_open_routes(self, fleet):
+        fleet.add_runner("d1", DESK)
+        instance = fleet.add_instance("n1", max_knowledge_age_s=1.6)
+        fleet.await_ready()
+        fleet.store.mode = StoreMode.BUSY
+        await_true(lambda: fleet.ask("n1", "/read/1")[0] == 503)
+        assert not instance.is_ready()
+        assert fleet.ask("n1", "/open/1", key=None)[0] == 200
+        fleet.store.mode = StoreMode.SERVING
+        await_true(lambda: fleet.ask("n1", "/read/1")[0] == 200)
+
+    def test_survives_lost_history(self, single):
+        single.store.forget_history()
+        single.publish(make_document(3, routes=[]))
+        single.store.forget_history()
+        await_true(lambda: single.ask("n1", "/read/1")[0] == 404)
+
+
+class TestEndpoints:
+    def test_leaving_one_gets_no_work(self, single):
+        single.runners["d1"].state = "draining"
+        single.register("d1")
+        catalog = single.instances["n1"].catalog
+        await_true(lambda: catalog.endpoint("d1").state.value == "leaving")
+        before = count_runs(single, "d1")
+        for _ in range(6):
+            assert single.ask("n1", "/read/1")[0] == 200
+        assert count_runs(single, "d1") == before
+
+    def test_evacuated_data_centre_gets_no_work(self, single):
+        single.store.put("op/evacuate/nordur-a", b"{}")
+        await_true(lambda: single.ask("n1", "/read/1")[0] == 503)
+        single.store.delete("op/evacuate/nordur-a")
+        await_true(lambda: single.ask("n1", "/read/1")[0] == 200)
+
+    def test_reused_address_is_not_taken_for_the_endpoint(self, single):
+        runner = single.runners["d1"]
+        runner.id = "another"
+        for _ in range(6):
+            assert single.ask("n1", "/read/1")[0] == 200
+        assert not runner.received
+
+
+class TestRegions:
+    @pytest.fixture
+    def pair(self, fleet):
+        fleet.add_runner("dn", DESK, "nordur-a")
+        fleet.add_runner("ds", DESK, "sudur-a")
+        fleet.add_instance("n1", "nordur-a")
+        fleet.add_instance("s1", "sudur-a")
+        fleet.await_ready()
+        return fleet
+
+    def test_request_is_served_at_home(self, pair):
+        await_true(lambda: pair.ask("n1", "/home/1")[0] == 200)
+        assert not pair.runners["dn"].received
+        assert pair.runners["ds"].received
+
+    def test_passed_on_answer_is_whole(self, pair):
+        await_true(lambda: pair.ask("n1", "/home/1")[0] == 200)
+        response = pair.send("n1", "/home/2", method="POST", body=b"hello")
+        assert (response.status, response.read()) == (200, b"done hello")
+        assert response.headers["X-Oriolepaddle-Server-Seal"]
+
+    def test_caller_cannot_pose_as_an_instance(self, pair):
+        status, _ = pair.ask("n1", "/home/1", X_Request_Hops="n9")
+        await_true(lambda: pair.ask("n1", "/home/1", X_Request_Hops="n9")[0] == 200)
+
+    def test_directory_names_the_callers_region(self, pair):
+        near = pair.settings["n1"].caller_address
+        await_true(lambda: pair.resolve("s1", "nordur") == [near])
+
+    def test_other_region_serves_when_the_own_has_no_endpoint(self, pair):
+        pair.store.delete("servers/dn")
+        await_true(lambda: pair.instances["n1"].catalog.endpoint("dn") is None)
+        assert pair.ask("n1", "/read/1")[0] == 200
+
+
+class TestPeers:
+    def test_cut_off_instance_learns_from_a_peer(self, fleet):
+        fleet.add_runner("d1", DESK)
+        fleet.add_instance("n1")
+        cut = fleet.add_instance("n2", platform_address="127.0.0.1:1")
+        await_true(fleet.instances["n1"].is_ready)
+        await_true(cut.is_ready)
+        route = make_route("read", "/late/", "safe", DESK)
+        fleet.publish(make_document(2, routes=[route]))
+        await_true(lambda: cut.catalog.version == 2)
+        document = make_document(3, routes=[route])
+        document["tenants"][0]["apiKeys"] = []
+        fleet.publish(document)
+        await_true(lambda: fleet.ask("n2", "/late/1")[0] == 401)
+
+
+class TestDrain:
+    def test_serves_on_and_closes_connections(self, single):
+        instance = single.instances["n1"]
+        stopping = threading.Thread(target=instance.stop)
+        stopping.start()
+        await_true(lambda: not instance.is_ready())
+        response = single.send("n1", "/read/1")
+        assert response.status == 200
+        assert response.headers["Connection"] == "close"
+        stopping.join(10)
+        assert not stopping.is_alive()
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -84,8 +84,12 @@
 
     def stop(self) -> None:
         """Tell the others a last time and end."""
+        if self._stopping.is_set():
+            return
         self._send_round()
         self._stopping.set()
+        # A datagram to itself wakes the receiving thread.
+        self._socket.sendto(b"", self._socket.getsockname())
 
     def _send(self) -> None:
         while not self._stopping.is_set():
@@ -176,6 +180,8 @@
         while not self._stopping.is_set():
             try:
                 datagram, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                if self._stopping.is_set():
+                    break
                 heard = read_announcement(datagram, self._secret)
             except MalformedRequestError as error:
                 self._unreadable += 1
@@ -187,6 +193,7 @@
                 log_event("datagram_not_received", reason=str(error))
                 continue
             self._take(heard, address)
+        self._socket.close()
 
     def _take(self, heard: Announcement, address: tuple[str, int]) -> None:
         roster = self._roster
--- /dev/null
+++ b/oriolepaddle/platform/standins/runner.py
@@ -0,0 +1,179 @@
+"""A stand-in for a runner that does what each request was told to meet."""
+
+import enum
+import json
+import threading
+from collections import deque
+
+import attrs
+from werkzeug.wrappers import Request
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.platform import names
+from oriolepaddle.web import AnswerWriter, HttpServer
+
+__all__ = ["ReceivedRequest", "RunnerAct", "RunnerStandin"]
+
+SEAL_VALUE = "3e1b.07"
+SILENCE_S = 5.0
+
+
+class RunnerAct(enum.StrEnum):
+    """What a runner does with a request."""
+
+    ANSWER = "answer"
+    SHED = "shed"
+    ERROR = "error"
+    RESET = "reset"
+    FOREIGN = "foreign"
+    UNSEALED = "unsealed"
+    CUT_EVENT = "cut event"
+    SILENT = "silent"
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """A request as the runner got it.
+
+    Attributes:
+        method: The HTTP method.
+        target: The path and query.
+        headers: Header fields by lower-case name.
+        body: The body.
+        act: What the runner did with it.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    act: RunnerAct
+
+    @property
+    def has_run(self) -> bool:
+        """Whether the runner began to work on it."""
+        return self.act is not RunnerAct.SHED
+
+
+class RunnerStandin:
+    """Answers with `events` events or a body, unless `acts` say else.
+
+    Attributes:
+        acts: What to do with the next requests; answers when it is empty.
+        received: The requests that were read.
+        events: Events of a stream; 0 for a plain body.
+        pause_s: Seconds before each event, or before a plain answer.
+        left: Requests whose caller left before the end.
+    """
+
+    def __init__(
+        self,
+        runner_id: str,
+        service: str,
+        zone: str,
+        events: int = 0,
+        host: str = "127.0.0.1",
+    ) -> None:
+        self.id = runner_id
+        self.acts: deque[RunnerAct] = deque()
+        self.received: list[ReceivedRequest] = []
+        self.events = events
+        self.pause_s = 0.0
+        self.left = 0
+        self.state = "ready"
+        self.cold_ms = 0
+        self._service = service
+        self._zone = zone
+        self._sequence = 0
+        self._server = HttpServer(host, 0, self, SystemClock(), name=runner_id)
+        self.address = f"{host}:{self._server.port}"
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Break off every request and end."""
+        self._server.drop_connections()
+        self._server.close()
+
+    def describe(self) -> bytes:
+        """Return what it writes into the store."""
+        self._sequence += 1
+        fields = {
+            "service": self._service,
+            "address": self.address,
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 6,
+            "state": self.state,
+            "coldLeftMs": self.cold_ms,
+            "seq": self._sequence,
+            "born": 1_788_000_000_000,
+        }
+        return json.dumps(fields).encode()
+
+    def handle(self, request: Request, writer: AnswerWriter) -> None:
+        """Answer one request; see `Application.handle`."""
+        act = self.acts.popleft() if self.acts else RunnerAct.ANSWER
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        expected = headers.get(names.EXPECT_INSTANCE.lower())
+        if expected is not None and expected != self.id:
+            writer.answer(421, b"", "text/plain", [(names.INSTANCE, self.id)])
+            return
+        body = request.get_data()
+        target = request.environ["RAW_URI"]
+        self.received.append(
+            ReceivedRequest(request.method, target, headers, body, act)
+        )
+        if act is RunnerAct.SILENT:
+            threading.Event().wait(SILENCE_S)
+        if act in (RunnerAct.RESET, RunnerAct.SILENT):
+            raise ConnectionResetError("the runner breaks off")
+        if act is RunnerAct.SHED:
+            writer.answer(503, b"", "text/plain", [(names.NOT_RUN, "1")])
+            return
+        try:
+            self._answer(request, writer, act)
+        except OSError:
+            self.left += 1
+            raise
+
+    def _answer(self, request: Request, writer: AnswerWriter, act: RunnerAct) -> None:
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if act is RunnerAct.FOREIGN:
+            request_id = "another"
+        fields = [(names.REQUEST_ID, request_id), (names.LOAD, "1,0,6")]
+        if act is not RunnerAct.UNSEALED:
+            fields.append((names.SEAL, f"{SEAL_VALUE}.{self.id}"))
+        if act is RunnerAct.ERROR:
+            writer.answer(500, b"failed", "text/plain", fields)
+        elif self.events:
+            self._stream(request, writer, act, fields)
+        else:
+            self._pause(writer)
+            writer.answer(200, b"done " + request.get_data(), "text/plain", fields)
+
+    def _stream(
+        self,
+        request: Request,
+        writer: AnswerWriter,
+        act: RunnerAct,
+        fields: list[tuple[str, str]],
+    ) -> None:
+        first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
+        writer.start(200, [("Content-Type", "text/event-stream"), *fields])
+        for number in range(first, self.events + 1):
+            self._pause(writer)
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if act is RunnerAct.CUT_EVENT and number == first + 2:
+                writer.write(event[:7])
+                raise ConnectionResetError("the runner breaks off")
+            writer.write(event)
+        writer.finish()
+
+    def _pause(self, writer: AnswerWriter) -> None:
+        if self.pause_s:
+            threading.Event().wait(self.pause_s)
+        if writer.is_abandoned():
+            raise ConnectionResetError("the caller left")
