--- a/oriolepaddle/catalog/__init__.py
+++ b/oriolepaddle/catalog/__init__.py
@@ -9,6 +9,7 @@
 from oriolepaddle.catalog.host_route import HostRoute, RepeatRule, ServiceWeight
 from oriolepaddle.catalog.organisation import RatedOrganisation
 from oriolepaddle.catalog.service import EndpointService
+from oriolepaddle.catalog.snapshot import CatalogSnapshot
 from oriolepaddle.catalog.source import (
     CatalogChange,
     CatalogReading,
@@ -22,6 +23,7 @@
     "CatalogChange",
     "CatalogFollower",
     "CatalogReading",
+    "CatalogSnapshot",
     "CatalogSource",
     "ConfigDocument",
     "EndpointService",
--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -5,9 +5,11 @@
 from datetime import timedelta
 
 import attrs
+import xxhash
 
 from oriolepaddle.catalog.document import ConfigDocument
 from oriolepaddle.catalog.endpoint import EndpointState, RegisteredEndpoint
+from oriolepaddle.catalog.snapshot import CatalogSnapshot
 from oriolepaddle.catalog.source import CatalogChange, CatalogReading
 from oriolepaddle.clock import Clock
 from oriolepaddle.logs import log_event
@@ -153,6 +155,58 @@
         log_event("endpoint_replaced", endpoint=endpoint.id, address=endpoint.address)
         self._notify()
 
+    def snapshot(self) -> CatalogSnapshot:
+        """Return the endpoints and evacuations, for other instances."""
+        with self._lock:
+            self._expire()
+            now_s = self._clock.monotonic_s()
+            return CatalogSnapshot(
+                endpoints=tuple(
+                    attrs.evolve(item, cold_until_s=max(0, item.cold_until_s - now_s))
+                    for item in self._endpoints.values()
+                ),
+                evacuated=dict(self._evacuated),
+            )
+
+    def adopt(self, snapshot: CatalogSnapshot) -> None:
+        """Replace the endpoints and evacuations by another instance's.
+
+        Args:
+            snapshot: What an instance with fresher knowledge holds.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            held = self._endpoints
+            self._endpoints = {}
+            for item in snapshot.endpoints:
+                cold_until_s = now_s + item.cold_until_s if item.cold_until_s else 0.0
+                known = held.get(item.id)
+                if known is not None and known.started_at_ms > item.started_at_ms:
+                    item = known
+                else:
+                    item = attrs.evolve(item, cold_until_s=cold_until_s)
+                if known is None or _is_news(known, item):
+                    _log_registered(item)
+                self._endpoints[item.id] = item
+            for name in held.keys() - self._endpoints.keys():
+                log_event("endpoint_gone", endpoint=name)
+            self._evacuated = dict(snapshot.evacuated)
+            self._lapsing.clear()
+        self._notify()
+
+    def digest(self) -> int:
+        """Return a number that is equal for equal endpoints and evacuations."""
+        with self._lock:
+            self._expire()
+            now_s = self._clock.monotonic_s()
+            texts = sorted(
+                f"{item.incarnation}/{item.state}/{item.address}"
+                f"/{item.service}/{now_s < item.cold_until_s}"
+                for item in self._endpoints.values()
+            )
+            texts += sorted(self._evacuated.values())
+        return xxhash.xxh3_64_intdigest("|".join(texts).encode()) >> 1
+
     def _apply_change(self, change: CatalogChange) -> None:
         if change.is_removed:
             self._remove(change.key)
@@ -178,15 +232,7 @@
         self._lapsing.pop(endpoint.id, None)
         self._endpoints[endpoint.id] = endpoint
         if held is None or _is_news(held, endpoint):
-            log_event(
-                "endpoint_registered",
-                endpoint=endpoint.id,
-                life=endpoint.started_at_ms,
-                service=endpoint.service,
-                address=endpoint.address,
-                data_centre=endpoint.data_centre,
-                state=endpoint.state.value,
-            )
+            _log_registered(endpoint)
 
     def _remove(self, key: str) -> None:
         evacuated = self._evacuated.get(key)
@@ -233,3 +279,15 @@
 
 def _is_news(held: RegisteredEndpoint, new: RegisteredEndpoint) -> bool:
     return attrs.evolve(held, cold_until_s=0.0) != attrs.evolve(new, cold_until_s=0.0)
+
+
+def _log_registered(endpoint: RegisteredEndpoint) -> None:
+    log_event(
+        "endpoint_registered",
+        endpoint=endpoint.id,
+        life=endpoint.started_at_ms,
+        service=endpoint.service,
+        address=endpoint.address,
+        data_centre=endpoint.data_centre,
+        state=endpoint.state.value,
+    )
--- a/oriolepaddle/catalog/follower.py
+++ b/oriolepaddle/catalog/follower.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 from oriolepaddle.catalog.catalog import Catalog
@@ -20,6 +21,7 @@
 SHORTEST_BACKOFF = timedelta(milliseconds=100)
 LONGEST_BACKOFF = timedelta(milliseconds=800)
 """Bounds after failures; below the time in which changes must be in force."""
+IDLE_POLL = timedelta(milliseconds=200)
 OUTAGE = timedelta(seconds=1)
 """Failures for this long may have made endpoints' entries lapse."""
 
@@ -32,6 +34,8 @@
         source: The store.
         catalog: Takes what is read.
         generator: Draws the jitter.
+        should_follow: Whether the store is to be read now; others' word serves
+            while it is not.
     """
 
     def __init__(
@@ -40,7 +44,9 @@
         source: CatalogSource,
         catalog: Catalog,
         generator: random.Random,
+        should_follow: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._should_follow = should_follow
         self._clock = clock
         self._source = source
         self._catalog = catalog
@@ -84,6 +90,11 @@
 
     def _follow(self) -> None:
         while not self._stopping.is_set():
+            if not self._should_follow():
+                # What was read is replaced by others' word and read anew.
+                self._revision = None
+                self._clock.wait(self._stopping, IDLE_POLL)
+                continue
             try:
                 self.step()
                 pause = PAUSE
--- /dev/null
+++ b/oriolepaddle/daemon/catalog_exchange.py
@@ -0,0 +1,131 @@
+"""Handing the catalog to instances that do not read the store."""
+
+import queue
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+import cattrs
+from cattrs.errors import BaseValidationError
+from werkzeug.wrappers import Request
+
+from oriolepaddle.catalog import Catalog, CatalogReading, CatalogSnapshot
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.logs import log_event
+from oriolepaddle.platform import PlatformStore
+from oriolepaddle.publication.client import PlatformClient, parse_json
+from oriolepaddle.web import AnswerWriter, Application
+
+__all__ = ["CatalogExchange"]
+
+DOCUMENT_PATH = "/peers/document"
+SNAPSHOT_PATH = "/peers/catalog"
+FETCH_TIMEOUT = timedelta(seconds=1)
+MAX_WAITING = 4
+NO_CONTENT = 204
+OK = 200
+
+
+class CatalogExchange:
+    """Fetches what peers know better and serves what is known here.
+
+    Args:
+        clock: The time.
+        catalog: What is known.
+        store: Decodes documents.
+        follows_store: Whether this instance reads the store itself now.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        store: PlatformStore,
+        follows_store: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._catalog = catalog
+        self._store = store
+        self._follows_store = follows_store
+        self._asked: queue.Queue[str] = queue.Queue(MAX_WAITING)
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin to fetch what is asked for."""
+        threading.Thread(target=self._run, name="catalog-fetch", daemon=True).start()
+
+    def stop(self) -> None:
+        """Fetch nothing more."""
+        self._stopping.set()
+        self.ask("")
+
+    def ask(self, peer_address: str) -> None:
+        """Fetch the catalog of an instance that knows more."""
+        try:
+            self._asked.put_nowait(peer_address)
+        except queue.Full:
+            # The same is asked for again with the next announcement.
+            return
+
+    def wrap(self, application: Application) -> Application:
+        """Return an application that serves the catalog beside another."""
+        return _CatalogApplication(self._catalog, application)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            address = self._asked.get()
+            if not address:
+                continue
+            try:
+                self._fetch(address)
+            except PlatformUnavailableError as error:
+                log_event("catalog_not_fetched", peer=address, reason=error.message)
+
+    def _fetch(self, address: str) -> None:
+        client = PlatformClient(address, FETCH_TIMEOUT)
+        held = self._catalog.version
+        status, body = client.fetch(DOCUMENT_PATH, {"above": held})
+        if status == OK:
+            change = self._store.decode_document_change(body)
+            reading = CatalogReading((change,), 0)
+            # A peer's document proves nothing of what is in force now.
+            self._catalog.apply(reading, float("-inf"))
+        if not self._follows_store():
+            status, body = client.fetch(SNAPSHOT_PATH, {})
+            if status == OK:
+                self._catalog.adopt(_read_snapshot(body))
+        log_event("catalog_fetched", peer=address, version=self._catalog.version)
+
+
+class _CatalogApplication:
+    def __init__(self, catalog: Catalog, application: Application) -> None:
+        self._catalog = catalog
+        self._application = application
+
+    def handle(self, request: Request, writer: AnswerWriter) -> None:
+        """Answer one request; see `Application.handle`."""
+        if request.path == SNAPSHOT_PATH:
+            snapshot = cattrs.unstructure(self._catalog.snapshot())
+            writer.answer_json(OK, snapshot)
+        elif request.path == DOCUMENT_PATH:
+            self._answer_document(request, writer)
+        else:
+            self._application.handle(request, writer)
+
+    def _answer_document(self, request: Request, writer: AnswerWriter) -> None:
+        document = self._catalog.document
+        above = request.args.get("above", 0, type=int)
+        if document is None or document.version <= above:
+            writer.answer(NO_CONTENT, b"", "application/json")
+            return
+        writer.answer(OK, document.source, "application/json")
+
+
+def _read_snapshot(body: bytes) -> CatalogSnapshot:
+    try:
+        return cattrs.structure(parse_json(SNAPSHOT_PATH, body), CatalogSnapshot)
+    except (BaseValidationError, ValueError, TypeError, KeyError) as error:
+        raise PlatformUnavailableError(
+            f"a peer's catalog is not understood: {error}"
+        ) from error
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -9,15 +9,23 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.daemon.addresses import split_address
-from oriolepaddle.daemon.document_exchange import DocumentExchange
+from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.edge import EdgeApplication, EdgeParts, InstanceResolver
 from oriolepaddle.edge.allowance import RetryAllowance
 from oriolepaddle.edge.crash_register import CrashRegister
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.gateway.activity import Activity
-from oriolepaddle.gossip import Announcer, LocalState, RegionLoads, Roster
-from oriolepaddle.limits import GrantingLimiter
+from oriolepaddle.gossip import (
+    Announcer,
+    Delegations,
+    LocalState,
+    RegionLoads,
+    RegionWork,
+    Roster,
+    TokenDraws,
+)
+from oriolepaddle.limits import GrantingLimiter, PooledLimiter
 from oriolepaddle.logs import log_event
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.placement import Placer
@@ -40,6 +48,9 @@
 SMALL_SERVER_CONNECTIONS = 32
 WARM_UP = timedelta(seconds=1)
 """Time to hear the other instances before callers are sent here."""
+FALLBACK_AGE = timedelta(seconds=2.8)
+"""Age of what hubs pass on above which an instance reads the store itself; they
+pass it on within two seconds or so."""
 DRAIN_POLL = timedelta(milliseconds=50)
 MIN_DRAIN = timedelta(seconds=4)
 """Callers keep an address for some seconds; until then they are served."""
@@ -60,6 +71,7 @@
         self._generator = random.Random(secrets.randbits(64))
         self._started_s = clock.monotonic_s()
         self._leaving_since_s: float | None = None
+        self._was_ready = False
         self.drain_requested = threading.Event()
         regions = parse_regions(settings.regions)
         own = EntryInstance(
@@ -70,12 +82,16 @@
             settings.size,
         )
         self.catalog = Catalog(clock)
-        self.roster = Roster(clock, own, regions)
+        incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
+        self.roster = Roster(clock, own, incarnation, settings.peer_address, regions)
+        self._delegations = Delegations(clock, settings.instance)
         self._store = PlatformStore(settings.platform_address, clock)
         self._follower = CatalogFollower(
-            clock, self._store, self.catalog, self._generator
+            clock, self._store, self.catalog, self._generator, self._follows_store
+        )
+        self._exchange = CatalogExchange(
+            clock, self.catalog, self._store, self._follows_store
         )
-        self._documents = DocumentExchange(clock, self.catalog, self._store)
         self.metrics = GatewayMetrics()
         self.parts = self._make_parts()
         self._announcer = self._make_announcer()
@@ -84,7 +100,7 @@
     def start(self) -> None:
         """Follow the store, hear the others and serve callers."""
         self._follower.start()
-        self._documents.start()
+        self._exchange.start()
         self._announcer.start()
         for server in self._servers:
             server.start()
@@ -100,21 +116,28 @@
         """Return whether callers may be sent here."""
         if self._leaving_since_s is not None or self.catalog.document is None:
             return False
-        age_s = self.catalog.age_s()
-        is_fresh = age_s < self._settings.max_knowledge_age_s
+        is_fresh = self.catalog.age_s() < self._settings.max_knowledge_age_s
         up_s = self._clock.monotonic_s() - self._started_s
-        ready = is_fresh and up_s >= WARM_UP.total_seconds()
-        if ready != self.roster.is_own_ready:
-            self.roster.is_own_ready = ready
+        return is_fresh and up_s >= WARM_UP.total_seconds()
+
+    def _refresh(self) -> None:
+        ready = self.is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            age_s = round(self.catalog.age_s(), 3)
             log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
-        return ready
+        self.roster.set_own(ready, self._leaving_since_s is not None)
+
+    def _follows_store(self) -> bool:
+        is_old = self.catalog.age_s() > FALLBACK_AGE.total_seconds()
+        return is_old or self.roster.is_hub()
 
     def stop(self) -> None:
         """Serve on until callers know of other instances, then end."""
         settings = self._settings
         started_s = self._clock.monotonic_s()
         self._leaving_since_s = started_s
-        self.roster.is_own_ready = False
+        self._refresh()
         activity = self.parts.activity
         log_event("drain_started", in_flight=activity.count)
         self._servers[0].is_draining = True
@@ -132,7 +155,7 @@
         """Close every listener and connection, after `stop` or in place of it."""
         self._announcer.stop()
         self._follower.stop()
-        self._documents.stop()
+        self._exchange.stop()
         for server in self._servers:
             server.close()
         self.parts.transport.close()
@@ -165,13 +188,18 @@
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect = timedelta(seconds=settings.connect_timeout_s)
+        self._pool = GrantingLimiter(clock, self._find_share, self._find_organisation)
+        self._draws = TokenDraws(
+            clock, roster, self._pool, self._find_organisation, settings.gossip_port
+        )
+        self._loads = RegionLoads(clock, roster, round_trip_s, self._generator)
         return EdgeParts(
             clock=clock,
             catalog=self.catalog,
             protocol=PlatformProtocol(settings.instance),
             placer=placer,
-            regions=RegionLoads(clock, roster, round_trip_s, self._generator),
-            limiter=GrantingLimiter(clock, roster.find_share, self._find_organisation),
+            regions=self._loads,
+            limiter=PooledLimiter(self._pool, self._draws),
             allowance=RetryAllowance(
                 clock,
                 settings.retry_ratio,
@@ -196,6 +224,9 @@
             is_refusing=self._is_refusing,
         )
 
+    def _find_share(self) -> float:
+        return self._delegations.count() / self.roster.count()
+
     def _find_organisation(self, name: str) -> Organisation | None:
         document = self.catalog.document
         for item in document.organisations.values() if document else ():
@@ -210,21 +241,22 @@
         state = LocalState(
             catalog=self.catalog,
             placer=self.parts.placer,
-            limiter=self.parts.limiter,
+            work=RegionWork(self._clock, self.parts.placer),
+            loads=self._loads,
+            limiter=self._pool,
+            draws=self._draws,
+            delegations=self._delegations,
             crashes=self.parts.crashes,
-            is_ready=self.is_ready,
-            is_leaving=lambda: self._leaving_since_s is not None,
+            fetch=self._exchange.ask,
         )
         return Announcer(
             self._clock,
             self.roster,
             state,
             (host, settings.gossip_port),
-            tuple((split_address(item)[0], settings.gossip_port) for item in seeds),
+            tuple(split_address(item)[0] for item in seeds),
             settings.peer_secret.encode(),
-            int(self._clock.now().timestamp() * MICROSECONDS_PER_S),
-            settings.peer_address,
-            self._documents.ask,
+            self._refresh,
         )
 
     def _make_servers(self) -> list[HttpServer]:
@@ -232,7 +264,7 @@
         readiness = ReadinessApplication(self.is_ready, self.metrics.write)
         resolver = InstanceResolver(self.catalog, self.roster)
         directory = DirectoryApplication(resolver)
-        peers = self._documents.wrap(EdgeApplication(self.parts, is_peer_side=True))
+        peers = self._exchange.wrap(EdgeApplication(self.parts, is_peer_side=True))
         small = SMALL_SERVER_CONNECTIONS
         most = settings.max_connections
         servers = [
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -1,53 +1,51 @@
 """Sending and receiving announcements."""
 
-import socket
 import threading
 from collections.abc import Callable
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.errors import MalformedRequestError
-from oriolepaddle.gossip.codec import read_announcement, write_announcement
+from oriolepaddle.edge.resolver import EntryInstance
+from oriolepaddle.gossip.composer import (
+    MICROSECONDS_PER_S,
+    AnnouncementComposer,
+    Contact,
+    add_grants,
+)
+from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
-from oriolepaddle.gossip.peer import GossipPeer
-from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
 from oriolepaddle.gossip.roster import Roster
-from oriolepaddle.gossip.tokens import TokenExchange
-from oriolepaddle.logs import log_event
+from oriolepaddle.gossip.socket import Address, DatagramSocket
+from oriolepaddle.limits import TokenNeed
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
     Announcement,
-    CrashRecord,
-    EndpointWork,
-    PeerAddress,
-    ServiceWait,
+    Datagram,
+    InstanceRecord,
 )
-from oriolepaddle.placement import PeerLoad
 
 __all__ = ["Announcer"]
 
-INTERVAL = timedelta(milliseconds=250)
-"""Between two datagrams to each peer."""
+SHORTEST_INTERVAL_S = 0.25
+LONGEST_INTERVAL_S = 0.5
+INTERVAL_FOR_EACH_MEMBER_S = 0.02
+"""The interval grows with the region, so that a hub's work does not."""
 SILENT_INTERVAL_S = 1.0
-"""Between two datagrams to a peer that does not answer."""
-MAX_DATAGRAM_BYTES = 60_000
-MAX_KNOWN_PEERS = 64
-MICROSECONDS_PER_S = 1_000_000
+"""Between two datagrams to an instance that does not answer."""
+MAX_SILENT = 6
+"""Silent instances that are tried in one round."""
 
 
 class Announcer:
-    """One thread sends to each peer in turn, another receives.
+    """Members tell their hubs, hubs answer them and tell other regions' hubs.
 
     Args:
         clock: The time.
         roster: The instances.
         state: What is announced.
-        address: `host, port` to bind.
-        seeds: Datagram addresses to begin with.
+        address: `host, port` to bind for datagrams.
+        seeds: Addresses of instances to begin with.
         secret: Shared by all instances.
-        incarnation: This life of the instance.
-        peer_address: Where this instance serves other instances.
-        fetch_document: Called with the peer address of an instance that has a
-            newer configuration.
+        refresh: Called before each round, to note this instance's own state.
     """
 
     def __init__(
@@ -55,188 +53,218 @@
         clock: Clock,
         roster: Roster,
         state: LocalState,
-        address: tuple[str, int],
-        seeds: tuple[tuple[str, int], ...],
+        address: Address,
+        seeds: tuple[str, ...],
         secret: bytes,
-        incarnation: int,
-        peer_address: str,
-        fetch_document: Callable[[str], None],
+        refresh: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._roster = roster
         self._state = state
-        self._seeds = tuple(seed for seed in seeds if seed != address)
-        self._secret = secret
-        self._incarnation = incarnation
-        self._peer_address = peer_address
-        self._fetch_document = fetch_document
-        self._tokens = TokenExchange(state.limiter, roster)
-        self._stopping = threading.Event()
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind(address)
         self._port = address[1]
-        self._unreadable = 0
+        self._seeds = tuple(host for host in seeds if host != address[0])
+        self._refresh = refresh
+        self._composer = AnnouncementComposer(clock, roster, state)
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._contacts: dict[str, Contact] = {}
+        self._socket = DatagramSocket(address, secret, self._take)
+        state.draws.socket = self._socket
 
     def start(self) -> None:
         """Begin to send and receive."""
-        for name, run in (("gossip-in", self._receive), ("gossip-out", self._send)):
-            threading.Thread(target=run, name=name, daemon=True).start()
+        self._socket.start()
+        threading.Thread(target=self._run, name="gossip", daemon=True).start()
 
     def stop(self) -> None:
         """Tell the others a last time and end."""
         if self._stopping.is_set():
             return
-        self._send_round()
         self._stopping.set()
-        # A datagram to itself wakes the receiving thread.
-        self._socket.sendto(b"", self._socket.getsockname())
+        self._send_round()
+        self._socket.close()
 
-    def _send(self) -> None:
+    def _run(self) -> None:
         while not self._stopping.is_set():
             self._send_round()
-            self._clock.wait(self._stopping, INTERVAL)
+            self._clock.wait(self._stopping, timedelta(seconds=self._interval_s()))
+
+    def _interval_s(self) -> float:
+        wanted_s = INTERVAL_FOR_EACH_MEMBER_S * self._roster.count_region()
+        return min(max(wanted_s, SHORTEST_INTERVAL_S), LONGEST_INTERVAL_S)
 
     def _send_round(self) -> None:
-        peers = self._roster.peers()
+        self._refresh()
+        roster = self._roster
+        own = roster.own
+        if (hub := roster.token_hub()) is not None and hub.id == own.id:
+            if self._state.delegations.may_delegate(own.id):
+                self._state.delegations.accept(own.id, self._clock.monotonic_s())
+        receivers = [item for item in roster.hubs() if item.id != own.id]
+        if roster.is_hub():
+            for region in roster.regions() - {own.region}:
+                receivers += roster.hubs(region)
+            receivers += self._list_silent()
+        for receiver in receivers:
+            self._send(receiver)
+        self._send_to_seeds()
+
+    def _list_silent(self) -> list[RosterEntry]:
+        alive = {item.id for item in self._roster.alive()}
         now_s = self._clock.monotonic_s()
-        common = self._compose(peers)
-        known = {peer.gossip_address for peer in peers.values()}
-        for peer in peers.values():
-            is_silent = now_s - peer.heard_s > SILENT_INTERVAL_S
-            if is_silent and now_s - peer.sent_s < SILENT_INTERVAL_S:
-                continue
-            peer.sent_s = now_s
-            self._address(common, peer, now_s, is_silent)
-            self._send_to(common, peer.gossip_address)
-        common.echo_us = common.held_us = common.grants = None
-        for seed in self._seeds:
-            if seed not in known:
-                self._send_to(common, seed)
-
-    def _address(
-        self, common: Announcement, peer: GossipPeer, composed_s: float, is_silent: bool
-    ) -> None:
-        heard = peer.announcement
-        # Measured to a moment before the knowledge's age was read, so that a
-        # pause since then cannot make the knowledge look fresher.
-        held_s = composed_s - peer.heard_s
-        is_later = held_s >= 0
-        common.echo_us = heard.sent_at_us if is_later else None
-        common.held_us = _to_us(held_s) if is_later else None
-        common.grants = None if is_silent else self._tokens.give(heard)
-
-    def _send_to(self, announcement: Announcement, address: tuple[str, int]) -> None:
-        announcement.sent_at_us = _to_us(self._clock.monotonic_s())
-        datagram = write_announcement(announcement, self._secret)
-        try:
-            self._socket.sendto(datagram, address)
-        except OSError as error:
-            log_event("datagram_not_sent", address=address[0], reason=str(error))
-
-    def _compose(self, peers: dict[str, GossipPeer]) -> Announcement:
-        state = self._state
-        own = self._roster.own
-        age_s = state.catalog.age_s()
-        return Announcement(
-            instance=own.id,
-            incarnation=self._incarnation,
-            data_centre=own.data_centre,
-            caller_address=own.address,
-            peer_address=self._peer_address,
-            size_thousandths=int(own.size * 1000),
-            is_ready=state.is_ready(),
-            is_leaving=state.is_leaving(),
-            sent_at_us=0,
-            version=state.catalog.version,
-            knowledge_age_us=None if age_s == float("inf") else _to_us(age_s),
-            work=[
-                EndpointWork(
-                    name, load.running, load.prefill_tokens, load.memory_tokens
-                )
-                for name, load in state.placer.own_loads().items()
-            ],
-            waits=self._list_waits(),
-            balances=self._tokens.balances(),
-            crashes=[
-                CrashRecord(name, sorted(lives))
-                for name, lives in state.crashes.entries().items()
-            ],
-            peers=[
-                PeerAddress(name, peer.gossip_address[0])
-                for name, peer in list(peers.items())[:MAX_KNOWN_PEERS]
-            ],
-        )
+        due = [
+            item
+            for item in self._roster.entries()
+            if item.id not in alive
+            and now_s - self._contact(item.id).sent_s >= SILENT_INTERVAL_S
+        ]
+        return sorted(due, key=lambda item: self._contact(item.id).sent_s)[:MAX_SILENT]
 
-    def _list_waits(self) -> list[ServiceWait]:
-        document = self._state.catalog.document
-        waits = []
-        for name in document.services if document else ():
-            wait_s = self._state.placer.estimate_s(name, TYPICAL_PROMPT_TOKENS)
-            if wait_s is not None:
-                waits.append(ServiceWait(name, int(wait_s * 1000)))
-        return waits
+    def _send_to_seeds(self) -> None:
+        known = {_host(item.peer_address) for item in self._roster.alive()}
+        for host in self._seeds:
+            if host not in known:
+                announcement = self._composer.compose(None, Contact())
+                datagram = Datagram(announcement=announcement)
+                self._socket.send(datagram, (host, self._port))
 
-    def _receive(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                datagram, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                if self._stopping.is_set():
-                    break
-                heard = read_announcement(datagram, self._secret)
-            except MalformedRequestError as error:
-                self._unreadable += 1
-                log_event(
-                    "datagram_unreadable", reason=error.message, count=self._unreadable
-                )
-                continue
-            except OSError as error:
-                log_event("datagram_not_received", reason=str(error))
+    def _send(self, receiver: RosterEntry) -> None:
+        contact = self._contact(receiver.id)
+        announcement = self._composer.compose(receiver, contact)
+        if contact.balances and announcement.balances is not None:
+            add_grants(announcement, self._give(contact))
+        contact.sent_s = self._clock.monotonic_s()
+        address = (_host(receiver.peer_address), self._port)
+        self._socket.send(Datagram(announcement=announcement), address)
+
+    def _give(self, contact: Contact) -> dict[str, int]:
+        if self._clock.monotonic_s() - contact.heard_s > SILENT_INTERVAL_S:
+            return {}
+        wanted = {
+            item.organisation: TokenNeed(item.spare, item.wanted)
+            for item in contact.balances
+        }
+        return self._state.limiter.give(wanted, self._sum_spares())
+
+    def _sum_spares(self) -> dict[str, int]:
+        spares = {
+            name: need.spare for name, need in self._state.limiter.needs().items()
+        }
+        oldest_s = self._clock.monotonic_s() - SILENT_INTERVAL_S
+        with self._lock:
+            contacts = list(self._contacts.values())
+        for contact in contacts:
+            if contact.heard_s < oldest_s:
                 continue
-            self._take(heard, address)
-        self._socket.close()
+            for item in contact.balances:
+                held = spares.get(item.organisation, 0)
+                spares[item.organisation] = held + item.spare
+        return spares
 
-    def _take(self, heard: Announcement, address: tuple[str, int]) -> None:
-        roster = self._roster
-        if heard.instance == roster.own.id or not roster.note(heard, address):
+    def _contact(self, name: str) -> Contact:
+        with self._lock:
+            return self._contacts.setdefault(name, Contact())
+
+    def _take(self, datagram: Datagram, address: Address) -> None:
+        if datagram.announcement is not None:
+            self._take_announcement(datagram.announcement, address)
+        elif datagram.draw is not None:
+            self._state.draws.answer(datagram.draw, address)
+        elif datagram.reply is not None:
+            self._state.draws.receive(datagram.reply)
+
+    def _take_announcement(self, heard: Announcement, address: Address) -> None:
+        sender = heard.sender
+        if sender.instance == self._roster.own.id:
             return
-        state = self._state
-        self._tokens.receive(heard.grants or [])
+        contact = self._contact(sender.instance)
+        order = (sender.incarnation, heard.sent_at_us)
+        if order <= (contact.incarnation, contact.sent_at_us):
+            # Overtaken, repeated or of an earlier life.
+            return
+        is_new = sender.incarnation != contact.incarnation
+        contact.incarnation, contact.sent_at_us = order
+        contact.heard_s = self._clock.monotonic_s()
+        contact.balances = heard.balances or []
+        self._note_instances(heard)
         self._confirm(heard)
-        state.crashes.merge(
-            {item.fingerprint: frozenset(item.lives) for item in heard.crashes or ()}
+        self._take_state(heard)
+        entry = self._read_record(sender)
+        is_near = entry.instance.region == self._roster.own.region
+        hubs = {item.id for item in self._roster.hubs()}
+        is_member = is_near and entry.id not in hubs
+        if is_new or (is_member and self._roster.own.id in hubs):
+            self._send(entry)
+
+    def _note_instances(self, heard: Announcement) -> None:
+        self._roster.note(self._read_record(heard.sender))
+        for record in heard.members or ():
+            self._roster.note(self._read_record(record))
+        self._roster.note_counts(heard.counts or {})
+
+    def _read_record(self, record: InstanceRecord) -> RosterEntry:
+        instance = EntryInstance(
+            record.instance,
+            self._roster.region_of(record.data_centre),
+            record.data_centre,
+            record.caller_address,
+            record.size_thousandths / 1000,
+        )
+        return RosterEntry(
+            instance,
+            record.incarnation,
+            record.peer_address,
+            record.is_ready,
+            record.is_leaving,
+            self._clock.monotonic_s() - record.age_ms / 1000,
         )
-        own = roster.own
-        if roster.region_of(heard.data_centre) == own.region:
-            loads = {
-                item.endpoint: PeerLoad(
-                    item.running, item.prefill_tokens, item.memory_tokens
-                )
-                for item in heard.work or ()
-            }
-            state.placer.apply_peer(heard.instance, loads)
-        self._greet(heard)
 
     def _confirm(self, heard: Announcement) -> None:
-        catalog = self._state.catalog
-        if heard.version > catalog.version:
-            self._fetch_document(heard.peer_address)
+        state = self._state
+        if heard.version > state.catalog.version:
+            state.fetch(heard.sender.peer_address)
             return
-        if heard.echo_us is None or heard.knowledge_age_us is None:
+        if heard.echo_us is None or heard.held_us is None:
             return
-        # The peer sent this after it had this instance's datagram: a lower
-        # bound of its sending time in this instance's own clock, which no
+        # The sender had this instance's datagram when it sent this one: a lower
+        # bound of the sending time in this instance's own clock, which no
         # datagram that was held up can make too late.
-        sent_us = heard.echo_us + heard.held_us
-        confirmed_s = (sent_us - heard.knowledge_age_us) / MICROSECONDS_PER_S
-        catalog.confirm_version(confirmed_s, heard.version)
+        sent_s = (heard.echo_us + heard.held_us) / MICROSECONDS_PER_S
+        if heard.delegates:
+            state.delegations.accept(heard.sender.instance, sent_s)
+        if heard.knowledge_age_us is None:
+            return
+        confirmed_s = sent_s - heard.knowledge_age_us / MICROSECONDS_PER_S
+        held_s = state.catalog.confirmed_s
+        is_fresher = held_s is None or confirmed_s > held_s
+        digest = heard.catalog_digest
+        if is_fresher and digest is not None and digest != state.catalog.digest():
+            state.fetch(heard.sender.peer_address)
+        state.catalog.confirm_version(confirmed_s, heard.version)
 
-    def _greet(self, heard: Announcement) -> None:
-        known = self._roster.peers()
-        for item in heard.peers or ():
-            if item.instance not in known and item.instance != self._roster.own.id:
-                announcement = self._compose(known)
-                self._send_to(announcement, (item.address, self._port))
+    def _take_state(self, heard: Announcement) -> None:
+        state = self._state
+        state.limiter.receive(
+            {item.organisation: item.tokens for item in heard.grants or ()}
+        )
+        state.crashes.merge(
+            {item.fingerprint: frozenset(item.lives) for item in heard.crashes or ()}
+        )
+        own = self._roster.own.region
+        heard_s = self._clock.monotonic_s()
+        for item in heard.waits or ():
+            if item.region != own:
+                wait_s = item.wait_ms / 1000
+                state.loads.note_wait(item.region, item.service_name, wait_s, heard_s)
+        if self._roster.region_of(heard.sender.data_centre) != own:
+            return
+        if heard.work is None:
+            return
+        if self._roster.is_hub():
+            state.work.note_member(heard.sender.instance, heard.work)
+        else:
+            state.work.note_others(heard.work)
 
 
-def _to_us(duration_s: float) -> int:
-    return int(duration_s * MICROSECONDS_PER_S)
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
--- a/oriolepaddle/gossip/codec.py
+++ b/oriolepaddle/gossip/codec.py
@@ -1,4 +1,4 @@
-"""Announcements as datagrams: thrift's compact form after a digest."""
+"""Datagrams: thrift's compact form after a digest."""
 
 import hmac
 
@@ -7,37 +7,37 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from oriolepaddle.errors import MalformedRequestError
-from oriolepaddle.peers.gen_py.gossip.ttypes import Announcement
+from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram
 
-__all__ = ["read_announcement", "write_announcement"]
+__all__ = ["read_datagram", "write_datagram"]
 
 DIGEST_BYTES = 16
 
 
-def write_announcement(announcement: Announcement, secret: bytes) -> bytes:
-    """Return a datagram."""
+def write_datagram(datagram: Datagram, secret: bytes) -> bytes:
+    """Return the bytes of a datagram."""
     buffer = TMemoryBuffer()
-    announcement.write(TCompactProtocol(buffer))
+    datagram.write(TCompactProtocol(buffer))
     payload = buffer.getvalue()
     return _sign(payload, secret) + payload
 
 
-def read_announcement(datagram: bytes, secret: bytes) -> Announcement:
-    """Return the announcement of a datagram.
+def read_datagram(data: bytes, secret: bytes) -> Datagram:
+    """Return the datagram that an instance with the secret sent.
 
     Raises:
         MalformedRequestError: It is not one of an instance with the secret.
     """
-    digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
+    digest, payload = data[:DIGEST_BYTES], data[DIGEST_BYTES:]
     if not hmac.compare_digest(digest, _sign(payload, secret)):
         raise MalformedRequestError("a datagram without the fleet's secret")
-    announcement = Announcement()
+    datagram = Datagram()
     try:
-        announcement.read(TCompactProtocol(TMemoryBuffer(payload)))
-        announcement.validate()
+        datagram.read(TCompactProtocol(TMemoryBuffer(payload)))
+        datagram.validate()
     except (TException, EOFError, UnicodeDecodeError, ValueError) as error:
         raise MalformedRequestError(f"an unreadable datagram: {error}") from error
-    return announcement
+    return datagram
 
 
 def _sign(payload: bytes, secret: bytes) -> bytes:
--- /dev/null
+++ b/oriolepaddle/gossip/composer.py
@@ -0,0 +1,191 @@
+"""Composing announcements for hubs, members and other regions."""
+
+import attrs
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.gossip.entry import RosterEntry
+from oriolepaddle.gossip.local import LocalState
+from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
+from oriolepaddle.gossip.roster import Roster
+from oriolepaddle.peers.gen_py.gossip.ttypes import (
+    Announcement,
+    CrashRecord,
+    InstanceRecord,
+    RegionWait,
+    TokenBalance,
+    TokenGrant,
+)
+
+__all__ = ["AnnouncementComposer", "Contact", "to_us"]
+
+MICROSECONDS_PER_S = 1_000_000
+MEMBERS_INTERVAL_S = 0.9
+"""Between two lists of instances to one receiver."""
+FOREIGN_MEMBERS = 4
+"""Instances of each other region that members are told: enough to pass requests
+on to."""
+MAX_CRASHES = 20
+MAX_AGE_MS = 2**31 - 1
+
+
+@attrs.define
+class Contact:
+    """The exchange of datagrams with one instance.
+
+    Attributes:
+        incarnation: Its life.
+        sent_at_us: Its clock in its last announcement.
+        heard_s: Monotonic time at which that came.
+        balances: What it said of its tokens.
+        members_sent_s: When it was last sent a list of instances.
+        sent_s: When it was last sent anything.
+    """
+
+    incarnation: int = 0
+    sent_at_us: int = 0
+    heard_s: float = float("-inf")
+    balances: list[TokenBalance] = attrs.Factory(list)
+    members_sent_s: float = float("-inf")
+    sent_s: float = float("-inf")
+
+
+class AnnouncementComposer:
+    """Writes what each receiver needs and no more.
+
+    Args:
+        clock: The time.
+        roster: The instances.
+        state: What is announced.
+    """
+
+    def __init__(self, clock: Clock, roster: Roster, state: LocalState) -> None:
+        self._clock = clock
+        self._roster = roster
+        self._state = state
+
+    def compose(self, receiver: RosterEntry | None, contact: Contact) -> Announcement:
+        """Return the announcement for a receiver, or for one not yet known."""
+        announcement = self._begin(contact)
+        if receiver is None:
+            announcement.members = self._list_members(None)
+            return announcement
+        is_near = receiver.instance.region == self._roster.own.region
+        near_hubs = {item.id for item in self._roster.hubs()}
+        if is_near and receiver.id in near_hubs:
+            announcement.work = self._state.work.own()
+            self._add_delegation(announcement, receiver)
+        elif is_near:
+            announcement.work = self._state.work.sum_others(receiver.id)
+        if self._roster.own.id in near_hubs:
+            self._add_hub_state(announcement, receiver, contact, is_near)
+        return announcement
+
+    def _begin(self, contact: Contact) -> Announcement:
+        # The moment comes before the knowledge's age is read, and the version
+        # after it: a pause in between makes the knowledge look older.
+        now_s = self._clock.monotonic_s()
+        age_s = self._state.catalog.age_s()
+        held_s = now_s - contact.heard_s
+        has_echo = contact.sent_at_us > 0 and held_s >= 0
+        return Announcement(
+            sender=_write_record(self._roster.own_entry(), now_s),
+            sent_at_us=to_us(now_s),
+            echo_us=contact.sent_at_us if has_echo else None,
+            held_us=to_us(held_s) if has_echo else None,
+            version=self._state.catalog.version,
+            knowledge_age_us=None if age_s == float("inf") else to_us(age_s),
+            delegates=False,
+            crashes=[
+                CrashRecord(name, sorted(lives))
+                for name, lives in list(self._state.crashes.entries().items())[
+                    -MAX_CRASHES:
+                ]
+            ],
+        )
+
+    def _add_delegation(
+        self, announcement: Announcement, receiver: RosterEntry
+    ) -> None:
+        chosen = self._roster.token_hub()
+        is_chosen = chosen is not None and chosen.id == receiver.id
+        announcement.delegates = is_chosen and self._state.delegations.may_delegate(
+            receiver.id
+        )
+
+    def _add_hub_state(
+        self,
+        announcement: Announcement,
+        receiver: RosterEntry,
+        contact: Contact,
+        is_near: bool,
+    ) -> None:
+        state = self._state
+        announcement.waits = self._list_waits(is_near)
+        announcement.catalog_digest = state.catalog.digest()
+        region = receiver.instance.region
+        if receiver.id in {item.id for item in self._roster.hubs(region)}:
+            announcement.balances = [
+                TokenBalance(name, need.spare, need.wanted)
+                for name, need in state.limiter.needs().items()
+            ]
+        now_s = self._clock.monotonic_s()
+        if now_s - contact.members_sent_s >= MEMBERS_INTERVAL_S:
+            contact.members_sent_s = now_s
+            announcement.members = self._list_members(is_near)
+            announcement.counts = self._roster.counts()
+
+    def _list_waits(self, with_others: bool) -> list[RegionWait]:
+        state = self._state
+        own = self._roster.own.region
+        document = state.catalog.document
+        waits = []
+        for name in document.services if document else ():
+            wait_s = state.placer.estimate_s(name, TYPICAL_PROMPT_TOKENS)
+            if wait_s is not None:
+                waits.append(RegionWait(own, name, int(wait_s * 1000)))
+        if with_others:
+            waits += [
+                RegionWait(region, service, int(wait_s * 1000))
+                for region, service, wait_s in state.loads.waits()
+                if region != own
+            ]
+        return waits
+
+    def _list_members(self, is_near: bool | None) -> list[InstanceRecord]:
+        own = self._roster.own.region
+        now_s = self._clock.monotonic_s()
+        listed = []
+        foreign: dict[str, int] = {}
+        for item in [self._roster.own_entry(), *self._roster.alive()]:
+            region = item.instance.region
+            if region != own and is_near is not None:
+                foreign[region] = foreign.get(region, 0) + 1
+                if not is_near or foreign[region] > FOREIGN_MEMBERS:
+                    continue
+            listed.append(_write_record(item, now_s))
+        return listed
+
+
+def add_grants(announcement: Announcement, grants: dict[str, int]) -> None:
+    """Add tokens that the receiver is given."""
+    announcement.grants = [TokenGrant(name, tokens) for name, tokens in grants.items()]
+
+
+def to_us(duration_s: float) -> int:
+    """Return seconds as whole microseconds."""
+    return int(duration_s * MICROSECONDS_PER_S)
+
+
+def _write_record(entry: RosterEntry, now_s: float) -> InstanceRecord:
+    age_ms = min(MAX_AGE_MS, max(0, int((now_s - entry.heard_s) * 1000)))
+    return InstanceRecord(
+        instance=entry.id,
+        incarnation=entry.incarnation,
+        data_centre=entry.instance.data_centre,
+        caller_address=entry.instance.address,
+        peer_address=entry.peer_address,
+        size_thousandths=int(entry.instance.size * 1000),
+        is_ready=entry.is_ready,
+        is_leaving=entry.is_leaving,
+        age_ms=age_ms,
+    )
--- /dev/null
+++ b/oriolepaddle/gossip/entry.py
@@ -0,0 +1,34 @@
+"""What is known of another instance."""
+
+import attrs
+
+from oriolepaddle.edge.resolver import EntryInstance
+
+__all__ = ["RosterEntry"]
+
+
+@attrs.frozen
+class RosterEntry:
+    """An instance in one of its lives.
+
+    Attributes:
+        instance: How callers see it.
+        incarnation: The life.
+        peer_address: `host:port` at which it serves other instances.
+        is_ready: Whether callers may be sent there.
+        is_leaving: Whether it is about to end.
+        heard_s: Monotonic time at which it was heard, directly or through
+            others.
+    """
+
+    instance: EntryInstance
+    incarnation: int
+    peer_address: str
+    is_ready: bool
+    is_leaving: bool
+    heard_s: float
+
+    @property
+    def id(self) -> str:
+        """The instance's id."""
+        return self.instance.id
--- a/oriolepaddle/gossip/local.py
+++ b/oriolepaddle/gossip/local.py
@@ -6,6 +6,10 @@
 
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.gossip.delegations import Delegations
+from oriolepaddle.gossip.draws import TokenDraws
+from oriolepaddle.gossip.region_loads import RegionLoads
+from oriolepaddle.gossip.work import RegionWork
 from oriolepaddle.limits import GrantingLimiter
 from oriolepaddle.placement import Placer
 
@@ -18,16 +22,22 @@
 
     Attributes:
         catalog: Its version and the age of its knowledge.
-        placer: Work at the endpoints.
-        limiter: Tokens.
+        placer: The wait of this region.
+        work: Work at the endpoints.
+        loads: The waits of other regions.
+        limiter: Tokens that are pooled here.
+        draws: Draws of tokens.
+        delegations: Who mints whose part.
         crashes: Requests that crash endpoints.
-        is_ready: Whether callers may be sent here.
-        is_leaving: Whether this instance is about to end.
+        fetch: Called with the peer address of an instance that knows more.
     """
 
     catalog: Catalog
     placer: Placer
+    work: RegionWork
+    loads: RegionLoads
     limiter: GrantingLimiter
+    draws: TokenDraws
+    delegations: Delegations
     crashes: CrashRegister
-    is_ready: Callable[[], bool]
-    is_leaving: Callable[[], bool]
+    fetch: Callable[[str], None]
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -1,17 +1,19 @@
-"""The load of other regions, as their instances tell it."""
+"""The load of other regions, as their hubs tell it."""
 
 import random
 import threading
+from datetime import timedelta
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.gossip.roster import Roster
-from oriolepaddle.peers.gen_py.gossip.ttypes import Announcement
 
 __all__ = ["TYPICAL_PROMPT_TOKENS", "RegionLoads"]
 
 TYPICAL_PROMPT_TOKENS = 2000
-"""The prompt for which instances announce a wait."""
+"""The prompt for which a wait is announced."""
+WAIT_MEMORY = timedelta(seconds=2)
+"""Age at which an announced wait counts no longer."""
 SENT_MEMORY_S = 0.6
 """Time for which a request sent away is not in what its region announces."""
 SENT_COST_S = 0.02
@@ -40,33 +42,58 @@
         self._round_trip_s = round_trip_s
         self._generator = generator
         self._lock = threading.Lock()
+        self._waits: dict[tuple[str, str], tuple[float, float]] = {}
         self._sent: dict[tuple[str, str], list[float]] = {}
 
+    def note_wait(
+        self, region: str, service: str, wait_s: float, heard_s: float
+    ) -> None:
+        """Take in the wait of a region.
+
+        Args:
+            region: The region.
+            service: The service.
+            wait_s: Seconds to the first byte for a typical request.
+            heard_s: Monotonic time at which it held.
+        """
+        with self._lock:
+            held = self._waits.get((region, service))
+            if held is None or held[0] <= heard_s:
+                self._waits[(region, service)] = (heard_s, wait_s)
+
+    def waits(self) -> list[tuple[str, str, float]]:
+        """Return region, service and wait in seconds of what is fresh."""
+        oldest_s = self._clock.monotonic_s() - WAIT_MEMORY.total_seconds()
+        with self._lock:
+            return [
+                (region, service, wait_s)
+                for (region, service), (heard_s, wait_s) in self._waits.items()
+                if heard_s >= oldest_s
+            ]
+
     def choose(
         self, service: str, tokens: int, residency: tuple[tuple[str, ...], ...]
     ) -> PeerChoice | None:
         """Return an instance of the best region; see `RegionChooser`."""
         own = self._roster.own.region
-        by_region: dict[str, list[tuple[float, Announcement]]] = {}
-        for heard in self._roster.alive():
-            region = self._roster.region_of(heard.data_centre)
-            if region == own or not heard.is_ready or heard.is_leaving:
+        ready: dict[str, list] = {}
+        for item in self._roster.alive():
+            if item.is_ready and not item.is_leaving:
+                ready.setdefault(item.instance.region, []).append(item)
+        best: tuple[float, str] | None = None
+        for region, name, wait_s in self.waits():
+            if name != service or region == own or region not in ready:
                 continue
             if any(regions and region not in regions for regions in residency):
                 continue
-            wait_s = _find_wait_s(heard, service)
-            if wait_s is not None:
-                by_region.setdefault(region, []).append((wait_s, heard))
-        best: tuple[float, str] | None = None
-        for region, held in by_region.items():
-            wait_s = max(item[0] for item in held)
             wait_s += self._round_trip_s + self._count_sent(region, service)
             if best is None or wait_s < best[0]:
                 best = (wait_s, region)
         if best is None:
             return None
-        _, heard = self._generator.choice(by_region[best[1]])
-        return PeerChoice(heard.instance, best[1], heard.peer_address, best[0])
+        weights = [item.instance.size for item in ready[best[1]]]
+        found = self._generator.choices(ready[best[1]], weights)[0]
+        return PeerChoice(found.id, best[1], found.peer_address, best[0])
 
     def note_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Note a request that is sent away; see `RegionChooser`."""
@@ -80,10 +107,3 @@
             sent = [at for at in self._sent.get((region, service), ()) if at > oldest_s]
             self._sent[(region, service)] = sent
         return SENT_COST_S * len(sent)
-
-
-def _find_wait_s(heard: Announcement, service: str) -> float | None:
-    for item in heard.waits or ():
-        if item.service_name == service:
-            return item.wait_ms / 1000
-    return None
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -1,20 +1,24 @@
-"""The instances of the fleet as this one hears them."""
+"""The instances of the fleet as this one hears of them."""
 
 import threading
 from datetime import timedelta
 
+import attrs
 import xxhash
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.edge.resolver import EntryInstance
-from oriolepaddle.gossip.peer import GossipPeer
+from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.logs import log_event
-from oriolepaddle.peers.gen_py.gossip.ttypes import Announcement
 
-__all__ = ["Roster"]
+__all__ = ["HUBS_PER_REGION", "Roster"]
 
-ALIVE_FOR = timedelta(seconds=1.5)
-"""Silence after which an instance is not named to callers: six datagrams."""
+HUBS_PER_REGION = 2
+"""Instances of a region that the others tell their state; two, so that one may
+be lost unnoticed."""
+ALIVE_FOR = timedelta(seconds=2)
+"""Silence after which an instance is not named to callers; several datagrams,
+passed on once."""
 COUNTED_FOR = timedelta(seconds=60)
 """Silence for which an instance still counts as one that may be minting, cut
 off from here."""
@@ -26,138 +30,186 @@
     Args:
         clock: The time.
         own: This instance.
+        incarnation: Its life.
+        peer_address: Where it serves other instances.
         regions: The region of each data centre.
     """
 
     def __init__(
-        self, clock: Clock, own: EntryInstance, regions: dict[str, str]
+        self,
+        clock: Clock,
+        own: EntryInstance,
+        incarnation: int,
+        peer_address: str,
+        regions: dict[str, str],
     ) -> None:
         self._clock = clock
-        self._own = own
+        self._own = RosterEntry(own, incarnation, peer_address, False, False, 0.0)
         self._regions = regions
         self._lock = threading.Lock()
-        self._peers: dict[str, GossipPeer] = {}
+        self._entries: dict[str, RosterEntry] = {}
         self._silent: set[str] = set()
-        self.is_own_ready = False
+        self._told_counts: dict[str, tuple[float, int]] = {}
 
     @property
     def own(self) -> EntryInstance:
-        """This instance."""
-        return self._own
+        """This instance as callers see it."""
+        return self._own.instance
 
-    def note(self, heard: Announcement, address: tuple[str, int]) -> bool:
-        """Take in an announcement; return whether it is news.
+    def own_entry(self) -> RosterEntry:
+        """Return this instance's entry."""
+        return attrs.evolve(self._own, heard_s=self._clock.monotonic_s())
 
-        A datagram that was overtaken, repeated or sent by an earlier life
-        counts for nothing.
-        """
-        now_s = self._clock.monotonic_s()
+    def set_own(self, is_ready: bool, is_leaving: bool) -> None:
+        """Note this instance's state."""
+        self._own = attrs.evolve(self._own, is_ready=is_ready, is_leaving=is_leaving)
+
+    def note(self, entry: RosterEntry) -> None:
+        """Take in what was heard of an instance; earlier word is dropped."""
+        if entry.id == self._own.id:
+            return
         with self._lock:
-            peer = self._peers.setdefault(heard.instance, GossipPeer(address))
-            held = peer.announcement
-            if held is not None and _order(held) >= _order(heard):
-                return False
-            peer.announcement = heard
-            peer.gossip_address = address
-            peer.heard_s = now_s
-            is_new = held is None or held.incarnation != heard.incarnation
-            was_silent = heard.instance in self._silent
-            self._silent.discard(heard.instance)
+            held = self._entries.get(entry.id)
+            if held is not None and _order(held) >= _order(entry):
+                return
+            self._entries[entry.id] = entry
+            is_new = held is None or held.incarnation != entry.incarnation
+            is_alive = entry.heard_s >= self._oldest_s()
+            was_silent = is_alive and entry.id in self._silent
+            if is_alive:
+                self._silent.discard(entry.id)
         if is_new or was_silent:
-            log_event("instance_heard", instance=heard.instance, life=heard.incarnation)
-        return True
+            log_event(
+                "instance_heard",
+                instance=entry.id,
+                life=entry.incarnation,
+                data_centre=entry.instance.data_centre,
+                age_s=round(self._clock.monotonic_s() - entry.heard_s, 3),
+            )
+
+    def note_counts(self, counts: dict[str, int]) -> None:
+        """Take in how many instances another one counts in each data centre."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for name, count in counts.items():
+                held_s, held = self._told_counts.get(name, (0.0, 0))
+                if count >= held or now_s - held_s > COUNTED_FOR.total_seconds():
+                    self._told_counts[name] = (now_s, count)
 
-    def peers(self) -> dict[str, GossipPeer]:
-        """Return the other instances that were ever heard."""
+    def entries(self) -> list[RosterEntry]:
+        """Return the others that were ever heard of."""
         with self._lock:
-            return dict(self._peers)
+            return list(self._entries.values())
 
-    def alive(self) -> list[Announcement]:
-        """Return the last words of the others that were heard of late."""
-        now_s = self._clock.monotonic_s()
-        oldest_s = now_s - ALIVE_FOR.total_seconds()
+    def alive(self) -> list[RosterEntry]:
+        """Return the others that were heard of late."""
+        oldest_s = self._oldest_s()
         with self._lock:
-            alive = [peer for peer in self._peers.values() if peer.heard_s >= oldest_s]
             self._note_silence(oldest_s)
-        return [peer.announcement for peer in alive if peer.announcement]
+            return [item for item in self._entries.values() if item.heard_s >= oldest_s]
 
     def entry_instances(self) -> list[EntryInstance]:
         """Return the instances that callers may use; see `LiveInstances`."""
-        found = [self._own] if self.is_own_ready else []
-        for heard in self.alive():
-            if heard.is_ready and not heard.is_leaving:
-                found.append(self.describe(heard))
-        return found
-
-    def describe(self, heard: Announcement) -> EntryInstance:
-        """Return an instance as callers see it."""
-        return EntryInstance(
-            id=heard.instance,
-            region=self._regions.get(heard.data_centre, heard.data_centre),
-            data_centre=heard.data_centre,
-            address=heard.caller_address,
-            size=heard.size_thousandths / 1000,
-        )
+        return [
+            item.instance
+            for item in (self._own, *self.alive())
+            if item.is_ready and not item.is_leaving
+        ]
+
+    def hubs(self, region: str | None = None) -> list[RosterEntry]:
+        """Return the hubs of a region, the first one first.
+
+        The largest instances are chosen, as hubs have the most to do.
+
+        Args:
+            region: The region; None for this instance's own.
+        """
+        region = region or self.own.region
+        members = [item for item in self.alive() if item.instance.region == region]
+        if region == self.own.region:
+            members.append(self.own_entry())
+        staying = [item for item in members if not item.is_leaving] or members
+        return sorted(staying, key=_rank)[:HUBS_PER_REGION]
+
+    def token_hub(self) -> RosterEntry | None:
+        """Return the hub that mints this instance's part of each rate."""
+        hubs = self.hubs()
+        if not hubs:
+            return None
+        own = self._own.id
+        for hub in hubs:
+            if hub.id == own:
+                return hub
+        return hubs[xxhash.xxh3_64_intdigest(own.encode()) % len(hubs)]
+
+    def is_hub(self) -> bool:
+        """Return whether this instance is a hub of its region."""
+        return any(item.id == self._own.id for item in self.hubs())
 
     def region_of(self, data_centre: str) -> str:
         """Return the region of a data centre."""
         return self._regions.get(data_centre, data_centre)
 
-    def find_share(self) -> float:
-        """Return this instance's safe part of what all instances share.
-
-        Instances that fell silent count on, as they may be cut off and alive.
-        A data centre of which nobody was heard counts as the fullest one.
-        """
-        return 1 / self.count()
+    def regions(self) -> set[str]:
+        """Return all regions."""
+        return set(self._regions.values())
 
     def count(self) -> int:
-        """Return how many instances there may be, this one included."""
-        counts = self._count_by_data_centre()
+        """Return how many instances there may be, this one included.
+
+        Those that fell silent count on, as they may be cut off and alive. A
+        data centre of which nobody was heard counts as the fullest one.
+        """
+        counts = self.counts()
         fullest = max(counts.values(), default=1)
         return sum(counts.get(name) or fullest for name in self._regions)
 
+    def counts(self) -> dict[str, int]:
+        """Return how many instances there may be in each data centre."""
+        oldest_s = self._clock.monotonic_s() - COUNTED_FOR.total_seconds()
+        counts = {self.own.data_centre: 1}
+        with self._lock:
+            for item in self._entries.values():
+                if item.heard_s >= oldest_s:
+                    name = item.instance.data_centre
+                    counts[name] = counts.get(name, 0) + 1
+            for name, (told_s, count) in self._told_counts.items():
+                if told_s >= oldest_s:
+                    counts[name] = max(count, counts.get(name, 0))
+        return counts
+
     def count_region(self) -> int:
-        """Return how many instances of this region there may be."""
-        counts = self._count_by_data_centre()
-        own = self.region_of(self._own.data_centre)
-        return max(
-            1, sum(n for name, n in counts.items() if self.region_of(name) == own)
-        )
+        """Return how many instances of this region were heard of late."""
+        region = self.own.region
+        return 1 + sum(item.instance.region == region for item in self.alive())
 
     def is_owner(self, name: str) -> bool:
         """Return whether this instance is its region's only one for a task."""
-        own_region = self.region_of(self._own.data_centre)
+        region = self.own.region
         ids = [self._own.id] + [
-            heard.instance
-            for heard in self.alive()
-            if self.region_of(heard.data_centre) == own_region and not heard.is_leaving
+            item.id
+            for item in self.alive()
+            if item.instance.region == region and not item.is_leaving
         ]
-        return _find_owner(name, ids) == self._own.id
 
-    def _count_by_data_centre(self) -> dict[str, int]:
-        oldest_s = self._clock.monotonic_s() - COUNTED_FOR.total_seconds()
-        counts = {self._own.data_centre: 1}
-        with self._lock:
-            for peer in self._peers.values():
-                if peer.announcement is None or peer.heard_s < oldest_s:
-                    continue
-                name = peer.announcement.data_centre
-                counts[name] = counts.get(name, 0) + 1
-        return counts
+        def _weigh(item: str) -> int:
+            return xxhash.xxh3_64_intdigest(f"{name}|{item}".encode())
+
+        return max(ids, key=_weigh) == self._own.id
+
+    def _oldest_s(self) -> float:
+        return self._clock.monotonic_s() - ALIVE_FOR.total_seconds()
 
     def _note_silence(self, oldest_s: float) -> None:
-        for name, peer in self._peers.items():
-            if peer.heard_s < oldest_s and name not in self._silent:
+        for name, item in self._entries.items():
+            if item.heard_s < oldest_s and name not in self._silent:
                 self._silent.add(name)
                 log_event("instance_silent", instance=name)
 
 
-def _order(heard: Announcement) -> tuple[int, int]:
-    return heard.incarnation, heard.sent_at_us
+def _order(entry: RosterEntry) -> tuple[int, float]:
+    return entry.incarnation, entry.heard_s
 
 
-def _find_owner(name: str, ids: list[str]) -> str:
-    return max(
-        ids, key=lambda item: xxhash.xxh3_64_intdigest(f"{name}|{item}".encode())
-    )
+def _rank(entry: RosterEntry) -> tuple[float, str]:
+    return -entry.instance.size, entry.id
--- a/oriolepaddle/limits/__init__.py
+++ b/oriolepaddle/limits/__init__.py
@@ -3,6 +3,7 @@
 from oriolepaddle.limits.granting import GrantingLimiter, TokenNeed
 from oriolepaddle.limits.limiter import Reservation, TokenLimiter
 from oriolepaddle.limits.link import LIMITS_SERVICE
+from oriolepaddle.limits.pooled import PooledLimiter, TokenPool
 from oriolepaddle.limits.settings import LimitSettings
 from oriolepaddle.limits.shared import SharedTokenLimiter
 from oriolepaddle.limits.snapshot import LimitSnapshot
@@ -12,8 +13,10 @@
     "GrantingLimiter",
     "LimitSettings",
     "LimitSnapshot",
+    "PooledLimiter",
     "Reservation",
     "SharedTokenLimiter",
     "TokenLimiter",
     "TokenNeed",
+    "TokenPool",
 ]
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -17,9 +17,174 @@
 all_structs = []
 
 
+class InstanceRecord(object):
+    """
+    What is known of an instance in one of its lives.
+
+    Attributes:
+     - instance
+     - incarnation
+     - data_centre
+     - caller_address
+     - peer_address
+     - size_thousandths
+     - is_ready
+     - is_leaving
+     - age_ms: Milliseconds since the instance itself was heard.
+
+    """
+
+
+    def __init__(self, instance=None, incarnation=None, data_centre=None, caller_address=None, peer_address=None, size_thousandths=None, is_ready=None, is_leaving=None, age_ms=None,):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.caller_address = caller_address
+        self.peer_address = peer_address
+        self.size_thousandths = size_thousandths
+        self.is_ready = is_ready
+        self.is_leaving = is_leaving
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.size_thousandths = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('InstanceRecord')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 3)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.size_thousandths is not None:
+            oprot.writeFieldBegin('size_thousandths', TType.I32, 6)
+            oprot.writeI32(self.size_thousandths)
+            oprot.writeFieldEnd()
+        if self.is_ready is not None:
+            oprot.writeFieldBegin('is_ready', TType.BOOL, 7)
+            oprot.writeBool(self.is_ready)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 8)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 9)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.caller_address is None:
+            raise TProtocolException(message='Required field caller_address is unset!')
+        if self.peer_address is None:
+            raise TProtocolException(message='Required field peer_address is unset!')
+        if self.size_thousandths is None:
+            raise TProtocolException(message='Required field size_thousandths is unset!')
+        if self.is_ready is None:
+            raise TProtocolException(message='Required field is_ready is unset!')
+        if self.is_leaving is None:
+            raise TProtocolException(message='Required field is_leaving is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointWork(object):
     """
-    What one instance has running at an endpoint of its region.
+    What runs at an endpoint by requests of one or more instances.
 
     Attributes:
      - endpoint
@@ -117,18 +282,20 @@
         return not (self == other)
 
 
-class ServiceWait(object):
+class RegionWait(object):
     """
-    The wait that a request would meet in the sender's region.
+    The wait that a request would meet in a region.
 
     Attributes:
+     - region
      - service_name
      - wait_ms
 
     """
 
 
-    def __init__(self, service_name=None, wait_ms=None,):
+    def __init__(self, region=None, service_name=None, wait_ms=None,):
+        self.region = region
         self.service_name = service_name
         self.wait_ms = wait_ms
 
@@ -143,10 +310,15 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.wait_ms = iprot.readI32()
                 else:
@@ -160,19 +332,25 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ServiceWait')
+        oprot.writeStructBegin('RegionWait')
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 1)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
-            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.region is None:
+            raise TProtocolException(message='Required field region is unset!')
         if self.service_name is None:
             raise TProtocolException(message='Required field service_name is unset!')
         if self.wait_ms is None:
@@ -434,128 +612,46 @@
         return not (self == other)
 
 
-class PeerAddress(object):
-    """
-    An instance that the sender has heard of late.
-
-    Attributes:
-     - instance
-     - address
-
-    """
-
-
-    def __init__(self, instance=None, address=None,):
-        self.instance = instance
-        self.address = address
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('PeerAddress')
-        if self.instance is not None:
-            oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
-            oprot.writeFieldEnd()
-        if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 2)
-            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.instance is None:
-            raise TProtocolException(message='Required field instance is unset!')
-        if self.address is None:
-            raise TProtocolException(message='Required field address is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Announcement(object):
     """
-    One datagram from one instance to another.
+    What an instance tells another several times a second.
 
     Attributes:
-     - instance
-     - incarnation
-     - data_centre
-     - caller_address
-     - peer_address
-     - size_thousandths
-     - is_ready
-     - is_leaving
+     - sender
      - sent_at_us: The sender's clock, in microseconds.
-     - echo_us: The receiver's clock in the last datagram that the sender had from it.
-     - held_us: Microseconds from that datagram's arrival to this one's sending.
+     - echo_us: The receiver's clock in the last announcement that the sender had from it.
+     - held_us: Microseconds from that announcement's arrival to this one's sending.
      - version
      - knowledge_age_us: Age of the sender's knowledge of the configuration; absent if it has none.
+     - catalog_digest
+     - delegates: Whether the receiver may mint the sender's part of each rate.
      - work
      - waits
      - balances
      - grants
      - crashes
-     - peers
+     - members
+     - counts: Instances that there may be, by data centre.
 
     """
 
 
-    def __init__(self, instance=None, incarnation=None, data_centre=None, caller_address=None, peer_address=None, size_thousandths=None, is_ready=None, is_leaving=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, work=None, waits=None, balances=None, grants=None, crashes=None, peers=None,):
-        self.instance = instance
-        self.incarnation = incarnation
-        self.data_centre = data_centre
-        self.caller_address = caller_address
-        self.peer_address = peer_address
-        self.size_thousandths = size_thousandths
-        self.is_ready = is_ready
-        self.is_leaving = is_leaving
+    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, crashes=None, members=None, counts=None,):
+        self.sender = sender
         self.sent_at_us = sent_at_us
         self.echo_us = echo_us
         self.held_us = held_us
         self.version = version
         self.knowledge_age_us = knowledge_age_us
+        self.catalog_digest = catalog_digest
+        self.delegates = delegates
         self.work = work
         self.waits = waits
         self.balances = balances
         self.grants = grants
         self.crashes = crashes
-        self.peers = peers
+        self.members = members
+        self.counts = counts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -567,71 +663,47 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.sender = InstanceRecord()
+                    self.sender.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                    self.sent_at_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.echo_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.held_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.STRING:
-                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.size_thousandths = iprot.readI32()
+                if ftype == TType.I64:
+                    self.knowledge_age_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.BOOL:
-                    self.is_ready = iprot.readBool()
+                if ftype == TType.I64:
+                    self.catalog_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.BOOL:
-                    self.is_leaving = iprot.readBool()
+                    self.delegates = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.I64:
-                    self.sent_at_us = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I64:
-                    self.echo_us = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.I64:
-                    self.held_us = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.I64:
-                    self.knowledge_age_us = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 14:
                 if ftype == TType.LIST:
                     self.work = []
                     (_etype10, _size7) = iprot.readListBegin()
@@ -642,18 +714,18 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 15:
+            elif fid == 10:
                 if ftype == TType.LIST:
                     self.waits = []
                     (_etype16, _size13) = iprot.readListBegin()
                     for _i17 in range(_size13):
-                        _elem18 = ServiceWait()
+                        _elem18 = RegionWait()
                         _elem18.read(iprot)
                         self.waits.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
+            elif fid == 11:
                 if ftype == TType.LIST:
                     self.balances = []
                     (_etype22, _size19) = iprot.readListBegin()
@@ -664,7 +736,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 17:
+            elif fid == 12:
                 if ftype == TType.LIST:
                     self.grants = []
                     (_etype28, _size25) = iprot.readListBegin()
@@ -675,7 +747,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 18:
+            elif fid == 13:
                 if ftype == TType.LIST:
                     self.crashes = []
                     (_etype34, _size31) = iprot.readListBegin()
@@ -686,17 +758,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 19:
+            elif fid == 14:
                 if ftype == TType.LIST:
-                    self.peers = []
+                    self.members = []
                     (_etype40, _size37) = iprot.readListBegin()
                     for _i41 in range(_size37):
-                        _elem42 = PeerAddress()
+                        _elem42 = InstanceRecord()
                         _elem42.read(iprot)
-                        self.peers.append(_elem42)
+                        self.members.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.MAP:
+                    self.counts = {}
+                    (_ktype44, _vtype45, _size43) = iprot.readMapBegin()
+                    for _i47 in range(_size43):
+                        _key48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val49 = iprot.readI32()
+                        self.counts[_key48] = _val49
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -707,124 +790,187 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Announcement')
-        if self.instance is not None:
-            oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 3)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
-            oprot.writeFieldEnd()
-        if self.caller_address is not None:
-            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
-            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
-            oprot.writeFieldEnd()
-        if self.peer_address is not None:
-            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
-            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
-            oprot.writeFieldEnd()
-        if self.size_thousandths is not None:
-            oprot.writeFieldBegin('size_thousandths', TType.I32, 6)
-            oprot.writeI32(self.size_thousandths)
-            oprot.writeFieldEnd()
-        if self.is_ready is not None:
-            oprot.writeFieldBegin('is_ready', TType.BOOL, 7)
-            oprot.writeBool(self.is_ready)
-            oprot.writeFieldEnd()
-        if self.is_leaving is not None:
-            oprot.writeFieldBegin('is_leaving', TType.BOOL, 8)
-            oprot.writeBool(self.is_leaving)
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
             oprot.writeFieldEnd()
         if self.sent_at_us is not None:
-            oprot.writeFieldBegin('sent_at_us', TType.I64, 9)
+            oprot.writeFieldBegin('sent_at_us', TType.I64, 2)
             oprot.writeI64(self.sent_at_us)
             oprot.writeFieldEnd()
         if self.echo_us is not None:
-            oprot.writeFieldBegin('echo_us', TType.I64, 10)
+            oprot.writeFieldBegin('echo_us', TType.I64, 3)
             oprot.writeI64(self.echo_us)
             oprot.writeFieldEnd()
         if self.held_us is not None:
-            oprot.writeFieldBegin('held_us', TType.I64, 11)
+            oprot.writeFieldBegin('held_us', TType.I64, 4)
             oprot.writeI64(self.held_us)
             oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 12)
+            oprot.writeFieldBegin('version', TType.I64, 5)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.knowledge_age_us is not None:
-            oprot.writeFieldBegin('knowledge_age_us', TType.I64, 13)
+            oprot.writeFieldBegin('knowledge_age_us', TType.I64, 6)
             oprot.writeI64(self.knowledge_age_us)
             oprot.writeFieldEnd()
+        if self.catalog_digest is not None:
+            oprot.writeFieldBegin('catalog_digest', TType.I64, 7)
+            oprot.writeI64(self.catalog_digest)
+            oprot.writeFieldEnd()
+        if self.delegates is not None:
+            oprot.writeFieldBegin('delegates', TType.BOOL, 8)
+            oprot.writeBool(self.delegates)
+            oprot.writeFieldEnd()
         if self.work is not None:
-            oprot.writeFieldBegin('work', TType.LIST, 14)
+            oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter43 in self.work:
-                iter43.write(oprot)
+            for iter50 in self.work:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
-            oprot.writeFieldBegin('waits', TType.LIST, 15)
+            oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter44 in self.waits:
-                iter44.write(oprot)
+            for iter51 in self.waits:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
-            oprot.writeFieldBegin('balances', TType.LIST, 16)
+            oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter45 in self.balances:
-                iter45.write(oprot)
+            for iter52 in self.balances:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
-            oprot.writeFieldBegin('grants', TType.LIST, 17)
+            oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter46 in self.grants:
-                iter46.write(oprot)
+            for iter53 in self.grants:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.LIST, 18)
+            oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter47 in self.crashes:
-                iter47.write(oprot)
+            for iter54 in self.crashes:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.peers is not None:
-            oprot.writeFieldBegin('peers', TType.LIST, 19)
-            oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter48 in self.peers:
-                iter48.write(oprot)
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter55 in self.members:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 15)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
+            for kiter56, viter57 in self.counts.items():
+                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
+                oprot.writeI32(viter57)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.instance is None:
-            raise TProtocolException(message='Required field instance is unset!')
-        if self.incarnation is None:
-            raise TProtocolException(message='Required field incarnation is unset!')
-        if self.data_centre is None:
-            raise TProtocolException(message='Required field data_centre is unset!')
-        if self.caller_address is None:
-            raise TProtocolException(message='Required field caller_address is unset!')
-        if self.peer_address is None:
-            raise TProtocolException(message='Required field peer_address is unset!')
-        if self.size_thousandths is None:
-            raise TProtocolException(message='Required field size_thousandths is unset!')
-        if self.is_ready is None:
-            raise TProtocolException(message='Required field is_ready is unset!')
-        if self.is_leaving is None:
-            raise TProtocolException(message='Required field is_leaving is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
         if self.sent_at_us is None:
             raise TProtocolException(message='Required field sent_at_us is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
+        if self.delegates is None:
+            raise TProtocolException(message='Required field delegates is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Draw(object):
+    """
+    A request for an organisation's tokens.
+
+    Attributes:
+     - number
+     - organisation
+     - tokens
+
+    """
+
+
+    def __init__(self, number=None, organisation=None, tokens=None,):
+        self.number = number
+        self.organisation = organisation
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Draw')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 3)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
         return
 
     def __repr__(self):
@@ -837,6 +983,190 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class DrawReply(object):
+    """
+    The answer to a draw; no tokens if there are too few.
+
+    Attributes:
+     - number
+     - tokens
+     - retry_after_ms
+
+    """
+
+
+    def __init__(self, number=None, tokens=None, retry_after_ms=None,):
+        self.number = number
+        self.tokens = tokens
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DrawReply')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 2)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 3)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.retry_after_ms is None:
+            raise TProtocolException(message='Required field retry_after_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Datagram(object):
+    """
+    One datagram; one field is set.
+
+    Attributes:
+     - announcement
+     - draw
+     - reply
+
+    """
+
+
+    def __init__(self, announcement=None, draw=None, reply=None,):
+        self.announcement = announcement
+        self.draw = draw
+        self.reply = reply
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.announcement = Announcement()
+                    self.announcement.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.draw = Draw()
+                    self.draw.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.reply = DrawReply()
+                    self.reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Datagram')
+        if self.announcement is not None:
+            oprot.writeFieldBegin('announcement', TType.STRUCT, 1)
+            self.announcement.write(oprot)
+            oprot.writeFieldEnd()
+        if self.draw is not None:
+            oprot.writeFieldBegin('draw', TType.STRUCT, 2)
+            self.draw.write(oprot)
+            oprot.writeFieldEnd()
+        if self.reply is not None:
+            oprot.writeFieldBegin('reply', TType.STRUCT, 3)
+            self.reply.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(InstanceRecord)
+InstanceRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'caller_address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'size_thousandths', None, None, ),  # 6
+    (7, TType.BOOL, 'is_ready', None, None, ),  # 7
+    (8, TType.BOOL, 'is_leaving', None, None, ),  # 8
+    (9, TType.I32, 'age_ms', None, None, ),  # 9
+)
 all_structs.append(EndpointWork)
 EndpointWork.thrift_spec = (
     None,  # 0
@@ -845,11 +1175,12 @@
     (3, TType.I32, 'prefill_tokens', None, None, ),  # 3
     (4, TType.I32, 'memory_tokens', None, None, ),  # 4
 )
-all_structs.append(ServiceWait)
-ServiceWait.thrift_spec = (
+all_structs.append(RegionWait)
+RegionWait.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+    (1, TType.STRING, 'region', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
 )
 all_structs.append(TokenBalance)
 TokenBalance.thrift_spec = (
@@ -870,34 +1201,45 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'lives', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
-all_structs.append(PeerAddress)
-PeerAddress.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
-)
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'caller_address', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
-    (6, TType.I32, 'size_thousandths', None, None, ),  # 6
-    (7, TType.BOOL, 'is_ready', None, None, ),  # 7
-    (8, TType.BOOL, 'is_leaving', None, None, ),  # 8
-    (9, TType.I64, 'sent_at_us', None, None, ),  # 9
-    (10, TType.I64, 'echo_us', None, None, ),  # 10
-    (11, TType.I64, 'held_us', None, None, ),  # 11
-    (12, TType.I64, 'version', None, None, ),  # 12
-    (13, TType.I64, 'knowledge_age_us', None, None, ),  # 13
-    (14, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 14
-    (15, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 15
-    (16, TType.LIST, 'balances', (TType.STRUCT, [TokenBalance, None], False), None, ),  # 16
-    (17, TType.LIST, 'grants', (TType.STRUCT, [TokenGrant, None], False), None, ),  # 17
-    (18, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 18
-    (19, TType.LIST, 'peers', (TType.STRUCT, [PeerAddress, None], False), None, ),  # 19
+    (1, TType.STRUCT, 'sender', [InstanceRecord, None], None, ),  # 1
+    (2, TType.I64, 'sent_at_us', None, None, ),  # 2
+    (3, TType.I64, 'echo_us', None, None, ),  # 3
+    (4, TType.I64, 'held_us', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.I64, 'knowledge_age_us', None, None, ),  # 6
+    (7, TType.I64, 'catalog_digest', None, None, ),  # 7
+    (8, TType.BOOL, 'delegates', None, None, ),  # 8
+    (9, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 9
+    (10, TType.LIST, 'waits', (TType.STRUCT, [RegionWait, None], False), None, ),  # 10
+    (11, TType.LIST, 'balances', (TType.STRUCT, [TokenBalance, None], False), None, ),  # 11
+    (12, TType.LIST, 'grants', (TType.STRUCT, [TokenGrant, None], False), None, ),  # 12
+    (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 13
+    (14, TType.LIST, 'members', (TType.STRUCT, [InstanceRecord, None], False), None, ),  # 14
+    (15, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 15
+)
+all_structs.append(Draw)
+Draw.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'tokens', None, None, ),  # 3
+)
+all_structs.append(DrawReply)
+DrawReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I64, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
+)
+all_structs.append(Datagram)
+Datagram.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'announcement', [Announcement, None], None, ),  # 1
+    (2, TType.STRUCT, 'draw', [Draw, None], None, ),  # 2
+    (3, TType.STRUCT, 'reply', [DrawReply, None], None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -1,6 +1,20 @@
 namespace py oriolepaddle.peers.gen_py.gossip
 
-/** What one instance has running at an endpoint of its region. */
+/** What is known of an instance in one of its lives. */
+struct InstanceRecord {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required string data_centre,
+  4: required string caller_address,
+  5: required string peer_address,
+  6: required i32 size_thousandths,
+  7: required bool is_ready,
+  8: required bool is_leaving,
+  /** Milliseconds since the instance itself was heard. */
+  9: required i32 age_ms,
+}
+
+/** What runs at an endpoint by requests of one or more instances. */
 struct EndpointWork {
   1: required string endpoint,
   2: required i32 running,
@@ -8,10 +22,11 @@
   4: required i32 memory_tokens,
 }
 
-/** The wait that a request would meet in the sender's region. */
-struct ServiceWait {
-  1: required string service_name,
-  2: required i32 wait_ms,
+/** The wait that a request would meet in a region. */
+struct RegionWait {
+  1: required string region,
+  2: required string service_name,
+  3: required i32 wait_ms,
 }
 
 /** What an instance holds and lacks of an organisation's tokens. */
@@ -33,35 +48,48 @@
   2: required list<string> lives,
 }
 
-/** An instance that the sender has heard of late. */
-struct PeerAddress {
-  1: required string instance,
-  2: required string address,
-}
-
-/** One datagram from one instance to another. */
+/** What an instance tells another several times a second. */
 struct Announcement {
-  1: required string instance,
-  2: required i64 incarnation,
-  3: required string data_centre,
-  4: required string caller_address,
-  5: required string peer_address,
-  6: required i32 size_thousandths,
-  7: required bool is_ready,
-  8: required bool is_leaving,
+  1: required InstanceRecord sender,
   /** The sender's clock, in microseconds. */
-  9: required i64 sent_at_us,
-  /** The receiver's clock in the last datagram that the sender had from it. */
-  10: optional i64 echo_us,
-  /** Microseconds from that datagram's arrival to this one's sending. */
-  11: optional i64 held_us,
-  12: required i64 version,
+  2: required i64 sent_at_us,
+  /** The receiver's clock in the last announcement that the sender had from it. */
+  3: optional i64 echo_us,
+  /** Microseconds from that announcement's arrival to this one's sending. */
+  4: optional i64 held_us,
+  5: required i64 version,
   /** Age of the sender's knowledge of the configuration; absent if it has none. */
-  13: optional i64 knowledge_age_us,
-  14: optional list<EndpointWork> work,
-  15: optional list<ServiceWait> waits,
-  16: optional list<TokenBalance> balances,
-  17: optional list<TokenGrant> grants,
-  18: optional list<CrashRecord> crashes,
-  19: optional list<PeerAddress> peers,
+  6: optional i64 knowledge_age_us,
+  7: optional i64 catalog_digest,
+  /** Whether the receiver may mint the sender's part of each rate. */
+  8: required bool delegates,
+  9: optional list<EndpointWork> work,
+  10: optional list<RegionWait> waits,
+  11: optional list<TokenBalance> balances,
+  12: optional list<TokenGrant> grants,
+  13: optional list<CrashRecord> crashes,
+  14: optional list<InstanceRecord> members,
+  /** Instances that there may be, by data centre. */
+  15: optional map<string, i32> counts,
+}
+
+/** A request for an organisation's tokens. */
+struct Draw {
+  1: required i64 number,
+  2: required string organisation,
+  3: required i64 tokens,
+}
+
+/** The answer to a draw; no tokens if there are too few. */
+struct DrawReply {
+  1: required i64 number,
+  2: required i64 tokens,
+  3: required i32 retry_after_ms,
+}
+
+/** One datagram; one field is set. */
+struct Datagram {
+  1: optional Announcement announcement,
+  2: optional Draw draw,
+  3: optional DrawReply reply,
 }
