--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -46,6 +46,8 @@
 PEER_IDLE = timedelta(seconds=20)
 SERVER_IDLE = timedelta(seconds=60)
 SMALL_SERVER_CONNECTIONS = 32
+ACCEPT_INTERVAL = timedelta(seconds=1)
+"""Long, as each of five listeners would wake an idle instance as often."""
 WARM_UP = timedelta(seconds=1)
 """Time to hear the other instances before callers are sent here."""
 FALLBACK_AGE = timedelta(seconds=2.8)
@@ -79,7 +81,7 @@
             regions[settings.data_centre],
             settings.data_centre,
             settings.caller_address,
-            settings.size,
+            settings.size * settings.cores,
         )
         self.catalog = Catalog(clock)
         incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
@@ -286,4 +288,12 @@
     ) -> HttpServer:
         host, port = split_address(address)
         limits = ServerLimits(max_connections=most, idle_timeout=SERVER_IDLE)
-        return HttpServer(host, port, application, self._clock, limits, name=name)
+        return HttpServer(
+            host,
+            port,
+            application,
+            self._clock,
+            limits,
+            name=name,
+            accept_interval=ACCEPT_INTERVAL,
+        )
--- a/oriolepaddle/endpoints/watchdog.py
+++ b/oriolepaddle/endpoints/watchdog.py
@@ -27,6 +27,7 @@
         self._interval = interval
         self._lock = threading.Lock()
         self._exchanges: set[CurlExchange] = set()
+        self._has_work = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="exchange-watchdog", daemon=True
@@ -37,19 +38,25 @@
         """Inspect an exchange from now on."""
         with self._lock:
             self._exchanges.add(exchange)
+            self._has_work.set()
 
     def remove(self, exchange: CurlExchange) -> None:
         """Inspect an exchange no longer."""
         with self._lock:
             self._exchanges.discard(exchange)
+            if not self._exchanges:
+                self._has_work.clear()
 
     def close(self) -> None:
         """Stop inspecting."""
         self._stopping.set()
+        self._has_work.set()
         self._thread.join()
 
     def _run(self) -> None:
         while not self._clock.wait(self._stopping, self._interval):
+            # An instance without requests in flight is not woken for nothing.
+            self._has_work.wait()
             with self._lock:
                 exchanges = list(self._exchanges)
             for exchange in exchanges:
--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_delegations.py
@@ -0,0 +1,77 @@
+from datetime import timedelta
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.gossip import Delegations
+from oriolepaddle.gossip.delegations import LEASE_S
+
+
+class TestDelegations:
+    def test_new_life_waits_for_an_earlier_ones_lease(self):
+        clock = ManualClock()
+        delegations = Delegations(clock, "m")
+        assert not delegations.may_delegate("h1")
+        clock.advance(timedelta(seconds=LEASE_S + 0.2))
+        assert delegations.may_delegate("h1")
+
+    def test_change_of_hub_waits_for_the_lease(self):
+        clock = ManualClock()
+        delegations = Delegations(clock, "m")
+        clock.advance(timedelta(seconds=2))
+        assert delegations.may_delegate("h1")
+        assert not delegations.may_delegate("h2")
+        clock.advance(timedelta(seconds=LEASE_S + 0.2))
+        assert delegations.may_delegate("h2")
+
+    def test_lease_counts_from_the_proven_moment(self):
+        clock = ManualClock()
+        hub = Delegations(clock, "h")
+        clock.advance(timedelta(seconds=10))
+        hub.accept("m", 10.0 - LEASE_S - 0.1)
+        assert hub.count() == 0
+        hub.accept("m", 10.0)
+        assert hub.count() == 1
+        clock.advance(timedelta(seconds=LEASE_S))
+        assert hub.count() == 0
+
+
+class DelegationMachine(RuleBasedStateMachine):
+    """A member whose datagrams to two hubs are delayed, lost and overtaken."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.member = Delegations(self.clock, "m")
+        self.hubs = {name: Delegations(self.clock, name) for name in ("h1", "h2")}
+        self.on_the_way = []
+
+    @rule(milliseconds=st.integers(1, 2000))
+    def pass_time(self, milliseconds):
+        self.clock.advance(timedelta(milliseconds=milliseconds))
+
+    @rule(hub=st.sampled_from(["h1", "h2"]))
+    def send(self, hub):
+        if self.member.may_delegate(hub):
+            self.on_the_way.append((hub, self.clock.monotonic_s()))
+
+    @rule(index=st.integers(0, 5))
+    def deliver(self, index):
+        if self.on_the_way:
+            hub, sent_s = self.on_the_way.pop(index % len(self.on_the_way))
+            self.hubs[hub].accept("m", sent_s)
+
+    @rule()
+    def restart(self):
+        self.member = Delegations(self.clock, "m")
+
+    @invariant()
+    def minted_once_at_most(self):
+        assert sum(hub.count() for hub in self.hubs.values()) <= 1
+
+
+TestDelegationSafety = DelegationMachine.TestCase
+TestDelegationSafety.settings = settings(
+    max_examples=100, stateful_step_count=50, derandomize=True, deadline=None
+)
--- /dev/null
+++ b/oriolepaddle/limits/tests/test_granting.py
@@ -0,0 +1,139 @@
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.config.model import Organisation
+from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
+from oriolepaddle.limits import GrantingLimiter, PooledLimiter, TokenNeed
+
+RATE, BURST = 1000.0, 2000.0
+ORGANISATION = Organisation("norddal", RATE, BURST)
+
+
+def make_limiter(clock, share=1.0):
+    return GrantingLimiter(clock, lambda: share, lambda name: ORGANISATION)
+
+
+class TestGrantingLimiter:
+    def test_begins_empty(self):
+        limiter = make_limiter(ManualClock())
+        with pytest.raises(RefusedError) as caught:
+            limiter.reserve(ORGANISATION, 1)
+        assert caught.value.code is ErrorCode.RATE_LIMITED
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    def test_accrues_from_the_start_of_its_life(self):
+        clock = ManualClock()
+        limiter = make_limiter(clock)
+        clock.advance(timedelta(seconds=1))
+        limiter.reserve(ORGANISATION, RATE)
+
+    def test_mints_its_share(self):
+        clock = ManualClock()
+        limiter = make_limiter(clock, share=0.25)
+        clock.advance(timedelta(seconds=60))
+        limiter.reserve(ORGANISATION, BURST / 4)
+        with pytest.raises(RefusedError):
+            limiter.reserve(ORGANISATION, 1)
+
+    def test_released_tokens_come_back(self):
+        clock = ManualClock()
+        limiter = make_limiter(clock)
+        clock.advance(timedelta(seconds=60))
+        limiter.reserve(ORGANISATION, BURST).release()
+        limiter.reserve(ORGANISATION, BURST)
+
+    def test_what_is_given_is_gone(self):
+        clock = ManualClock()
+        limiter = make_limiter(clock)
+        clock.advance(timedelta(seconds=60))
+        given = limiter.give({"norddal": TokenNeed(0, 500)}, {"norddal": 0})
+        assert given == {"norddal": 500}
+        with pytest.raises(RefusedError):
+            limiter.reserve(ORGANISATION, BURST - 499)
+
+
+class DryPool:
+    def is_own(self):
+        return False
+
+    def draw(self, organisation, tokens):
+        return timedelta(seconds=0.5)
+
+
+class FullPool(DryPool):
+    def draw(self, organisation, tokens):
+        return None
+
+
+class TestPooledLimiter:
+    def test_draws_what_it_lacks(self):
+        own = make_limiter(ManualClock(), share=0.0)
+        PooledLimiter(own, FullPool()).reserve(ORGANISATION, 100).settle(100)
+
+    def test_tells_when_the_pool_has_tokens(self):
+        own = make_limiter(ManualClock(), share=0.0)
+        with pytest.raises(RefusedError) as caught:
+            PooledLimiter(own, DryPool()).reserve(ORGANISATION, 100)
+        assert caught.value.retry_after == timedelta(seconds=0.5)
+
+    def test_keeps_drawn_tokens_of_a_request_that_did_not_run(self):
+        own = make_limiter(ManualClock(), share=0.0)
+        PooledLimiter(own, FullPool()).reserve(ORGANISATION, 100).release()
+        own.reserve(ORGANISATION, 100)
+
+
+class ConservationMachine(RuleBasedStateMachine):
+    """Instances that mint parts, spend, give and lose grants on the way."""
+
+    INSTANCES = 3
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.limiters = [
+            make_limiter(self.clock, 1 / self.INSTANCES) for _ in range(self.INSTANCES)
+        ]
+        self.on_the_way = []
+        self.spent = 0.0
+
+    @rule(milliseconds=st.integers(1, 3000))
+    def pass_time(self, milliseconds):
+        self.clock.advance(timedelta(milliseconds=milliseconds))
+
+    @rule(index=st.integers(0, 2), tokens=st.integers(1, 900))
+    def spend(self, index, tokens):
+        try:
+            self.limiters[index].reserve(ORGANISATION, tokens).settle(tokens)
+        except RefusedError:
+            return
+        self.spent += tokens
+
+    @rule(index=st.integers(0, 2), to=st.integers(0, 2), wanted=st.integers(1, 2000))
+    def give(self, index, to, wanted):
+        grants = self.limiters[index].give({"norddal": TokenNeed(0, wanted)}, {})
+        self.on_the_way.append((to, grants))
+
+    @rule(is_lost=st.booleans())
+    def deliver(self, is_lost):
+        if self.on_the_way:
+            to, grants = self.on_the_way.pop()
+            if not is_lost:
+                self.limiters[to].receive(grants)
+
+    @rule(index=st.integers(0, 2))
+    def restart(self, index):
+        self.limiters[index] = make_limiter(self.clock, 1 / self.INSTANCES)
+
+    @invariant()
+    def never_more_than_rate_and_burst(self):
+        assert self.spent <= RATE * self.clock.monotonic_s() + BURST
+
+
+TestConservation = ConservationMachine.TestCase
+TestConservation.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
--- a/oriolepaddle/platform/directory.py
+++ b/oriolepaddle/platform/directory.py
@@ -30,7 +30,9 @@
             writer.answer_json(404, {})
             return
         addresses = self._resolver.resolve(
-            request.args.get("name", ""), request.args.get("region", "")
+            request.args.get("name", ""),
+            request.args.get("region", ""),
+            request.remote_addr or "",
         )
         if not addresses:
             writer.answer_json(503, {"addresses": []})
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -24,6 +24,9 @@
     size: float = setting(
         1.0, "Capacity relative to other instances.", low=0.01, high=100
     )
+    cores: float = setting(
+        1.0, "Factor on the size: the processor's speed.", low=0.01, high=1000
+    )
     caller_address: str = setting(
         "", "IP:port to listen on for callers.", is_address=True
     )
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -41,6 +41,7 @@
         limits: The bounds on connections and requests.
         tls: The TLS context, or None for plain TCP.
         name: A name for threads and logs.
+        accept_interval: How soon the acceptor notices that it is to stop.
     """
 
     multithread = True
@@ -55,6 +56,7 @@
         limits: ServerLimits | None = None,
         tls: ssl.SSLContext | None = None,
         name: str = "http",
+        accept_interval: timedelta = ACCEPT_INTERVAL,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -68,6 +70,7 @@
         self.server_address = self._listener.getsockname()
         self.port = self.server_address[1]
         self._name = name
+        self._accept_interval = accept_interval
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
         self._free = threading.Semaphore(self.limits.max_connections)
         self._lock = threading.Lock()
@@ -121,12 +124,12 @@
     def _accept(self) -> None:
         poller = select.poll()
         poller.register(self._listener, select.POLLIN)
-        interval_ms = ACCEPT_INTERVAL.total_seconds() * 1000
+        interval_ms = self._accept_interval.total_seconds() * 1000
         while not self._is_stopping:
             if poller.poll(interval_ms):
                 self._accept_one()
         drop_new_connections(self._listener)
-        while poller.poll(interval_ms):
+        while poller.poll(ACCEPT_INTERVAL.total_seconds() * 1000):
             self._accept_one()
         self._listener.close()
 
