--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -67,7 +67,6 @@
         """Return the announcement for a receiver, or for one not yet known."""
         announcement = self._begin(contact)
         if receiver is None:
-            announcement.members = self._list_members(None)
             return announcement
         is_near = receiver.instance.region == self._roster.own.region
         near_hubs = {item.id for item in self._roster.hubs()}
@@ -76,8 +75,11 @@
             self._add_delegation(announcement, receiver)
         elif is_near:
             announcement.work = self._state.work.sum_others(receiver.id)
+        is_first = contact.members_sent_s == float("-inf")
         if self._roster.own.id in near_hubs:
-            self._add_hub_state(announcement, receiver, contact, is_near)
+            self._add_hub_state(announcement, receiver, is_near)
+        if is_first or self._roster.own.id in near_hubs:
+            self._add_members(announcement, contact, is_near)
         return announcement
 
     def _begin(self, contact: Contact) -> Announcement:
@@ -116,7 +118,6 @@
         self,
         announcement: Announcement,
         receiver: RosterEntry,
-        contact: Contact,
         is_near: bool,
     ) -> None:
         state = self._state
@@ -128,6 +129,10 @@
                 TokenBalance(name, need.spare, need.wanted)
                 for name, need in state.limiter.needs().items()
             ]
+
+    def _add_members(
+        self, announcement: Announcement, contact: Contact, is_near: bool
+    ) -> None:
         now_s = self._clock.monotonic_s()
         if now_s - contact.members_sent_s >= MEMBERS_INTERVAL_S:
             contact.members_sent_s = now_s
@@ -151,19 +156,21 @@
             ]
         return waits
 
-    def _list_members(self, is_near: bool | None) -> list[InstanceRecord]:
-        own = self._roster.own.region
+    def _list_members(self, is_near: bool) -> list[InstanceRecord]:
+        roster = self._roster
         now_s = self._clock.monotonic_s()
+        everyone = [roster.own_entry(), *roster.alive()]
         listed = []
-        foreign: dict[str, int] = {}
-        for item in [self._roster.own_entry(), *self._roster.alive()]:
-            region = item.instance.region
-            if region != own and is_near is not None:
-                foreign[region] = foreign.get(region, 0) + 1
-                if not is_near or foreign[region] > FOREIGN_MEMBERS:
-                    continue
-            listed.append(_write_record(item, now_s))
-        return listed
+        for region in roster.regions():
+            # A receiver that does not know its own hubs yet learns of them from
+            # whomever it has met first.
+            known = {item.id: item for item in roster.hubs(region)}
+            others = [item for item in everyone if item.instance.region == region]
+            is_whole = is_near and region == roster.own.region
+            most = len(others) if is_whole else FOREIGN_MEMBERS
+            known |= {item.id: item for item in others[:most]}
+            listed += known.values()
+        return [_write_record(item, now_s) for item in listed]
 
 
 def add_grants(announcement: Announcement, grants: dict[str, int]) -> None:
--- /dev/null
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -0,0 +1,135 @@
+"""Gossip between instances without sockets, on a clock that tests move."""
+
+import random
+from collections import deque
+from datetime import timedelta
+from types import SimpleNamespace
+
+from oriolepaddle.catalog import Catalog
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.config.model import Organisation
+from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.edge.resolver import EntryInstance
+from oriolepaddle.gossip import (
+    Announcer,
+    Delegations,
+    LocalState,
+    RegionLoads,
+    RegionWork,
+    Roster,
+    TokenDraws,
+)
+from oriolepaddle.limits import GrantingLimiter
+from oriolepaddle.placement import Placer
+
+ROUND = timedelta(milliseconds=250)
+REGIONS = {"nordur-a": "nordur", "nordur-b": "nordur", "sudur-a": "sudur"}
+ORGANISATION = Organisation("norddal", 1000.0, 1000.0)
+PORT = 7600
+
+
+class FakeSocket:
+    """Puts datagrams on the fleet's wire."""
+
+    def __init__(self, fleet, host):
+        self.fleet = fleet
+        self.host = host
+
+    def start(self):
+        """Nothing runs by itself."""
+
+    def close(self):
+        """Nothing is open."""
+
+    def send(self, datagram, address):
+        self.fleet.wire.append((self.host, address[0], datagram))
+
+
+class GossipFleet:
+    """Instances that exchange datagrams when `run` is called.
+
+    Attributes:
+        cut: Pairs of hosts between which datagrams are lost.
+        sent: Datagrams so far.
+    """
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.clock.advance(timedelta(seconds=100))
+        self.wire = deque()
+        self.cut = set()
+        self.sent = 0
+        self.nodes = {}
+
+    def add(self, name, data_centre, size=1.0, seeds=(), life=1):
+        host = f"10.0.0.{len(self.nodes) + 1}"
+        if name in self.nodes:
+            host = self.nodes[name].host
+        instance = EntryInstance(
+            name, REGIONS[data_centre], data_centre, f"{host}:80", size
+        )
+        roster = Roster(self.clock, instance, life, f"{host}:81", REGIONS)
+        catalog = Catalog(self.clock)
+        placer = Placer(self.clock, catalog, lambda name: True)
+        delegations = Delegations(self.clock, name)
+        limiter = GrantingLimiter(
+            self.clock,
+            lambda: delegations.count() / roster.count(),
+            lambda name: ORGANISATION,
+        )
+        state = LocalState(
+            catalog=catalog,
+            placer=placer,
+            work=RegionWork(self.clock, placer),
+            loads=RegionLoads(self.clock, roster, 0.16, random.Random(1)),
+            limiter=limiter,
+            draws=TokenDraws(
+                self.clock, roster, limiter, lambda name: ORGANISATION, PORT
+            ),
+            delegations=delegations,
+            crashes=CrashRegister(self.clock),
+            fetch=lambda address: None,
+        )
+        hosts = tuple(self.nodes[seed].host for seed in seeds)
+        announcer = Announcer(
+            self.clock,
+            roster,
+            state,
+            ("127.0.0.1", 0),
+            hosts,
+            b"secret",
+            lambda: roster.set_own(True, False),
+        )
+        announcer._socket.close()
+        announcer._socket = FakeSocket(self, host)
+        announcer._port = PORT
+        self.nodes[name] = SimpleNamespace(
+            host=host, roster=roster, state=state, announcer=announcer
+        )
+        return self.nodes[name]
+
+    def run(self, duration):
+        rounds = int(duration / ROUND)
+        for _ in range(rounds):
+            for node in list(self.nodes.values()):
+                node.announcer._send_round()
+            self.deliver()
+            self.clock.advance(ROUND)
+
+    def deliver(self):
+        hosts = {node.host: node for node in self.nodes.values()}
+        while self.wire:
+            source, target, datagram = self.wire.popleft()
+            self.sent += 1
+            is_cut = (source, target) in self.cut or (target, source) in self.cut
+            if target in hosts and not is_cut:
+                hosts[target].announcer._take(datagram, (source, PORT))
+
+    def remove(self, name):
+        return self.nodes.pop(name)
+
+    def sum_shares(self):
+        return sum(
+            node.state.delegations.count() / node.roster.count()
+            for node in self.nodes.values()
+        )
--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -0,0 +1,129 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.gossip.tests.fleet import GossipFleet
+
+SECONDS = timedelta(seconds=1)
+
+
+@pytest.fixture
+def fleet():
+    """Two regions; the large instances come first and one of them is the seed."""
+    fleet = GossipFleet()
+    fleet.add("n1", "nordur-a", 2.0)
+    fleet.add("n2", "nordur-b", 2.0, seeds=["n1"])
+    for number in range(3, 9):
+        fleet.add(f"n{number}", f"nordur-{'ab'[number % 2]}", 0.4, seeds=["n1"])
+    for number in range(1, 6):
+        size = 2.0 if number < 3 else 0.4
+        fleet.add(f"s{number}", "sudur-a", size, seeds=["n1"])
+    fleet.run(4 * SECONDS)
+    return fleet
+
+
+class TestSpread:
+    def test_everyone_knows_its_region(self, fleet):
+        for name, node in fleet.nodes.items():
+            near = {item.id for item in node.roster.alive() if item.id[0] == name[0]}
+            expected = {other for other in fleet.nodes if other[0] == name[0]}
+            assert near | {name} == expected
+
+    def test_everyone_agrees_on_the_hubs(self, fleet):
+        for name, node in fleet.nodes.items():
+            assert {item.id for item in node.roster.hubs()} == {
+                f"{name[0]}1",
+                f"{name[0]}2",
+            }
+
+    def test_everyone_knows_instances_of_the_other_region(self, fleet):
+        for name, node in fleet.nodes.items():
+            far = [item for item in node.roster.alive() if item.id[0] != name[0]]
+            assert len(far) >= 2
+
+    def test_everyone_counts_all(self, fleet):
+        assert {node.roster.count() for node in fleet.nodes.values()} == {13}
+
+    def test_members_speak_with_hubs_only(self, fleet):
+        before = fleet.sent
+        fleet.run(4 * SECONDS)
+        for_each_round = (fleet.sent - before) / 16
+        # Each member and its two hubs, and each hub with the other hubs.
+        assert for_each_round < 3 * 13 * 2
+
+    def test_lost_hub_is_replaced(self, fleet):
+        fleet.remove("n1")
+        fleet.run(4 * SECONDS)
+        for name, node in fleet.nodes.items():
+            if name[0] == "n":
+                hubs = [item.id for item in node.roster.hubs()]
+                assert hubs[0] == "n2"
+                assert "n1" not in hubs
+
+    def test_silent_instance_is_not_named(self, fleet):
+        fleet.remove("n5")
+        fleet.run(4 * SECONDS)
+        for node in fleet.nodes.values():
+            assert "n5" not in [item.id for item in node.roster.entry_instances()]
+
+    def test_cut_regions_find_each_other_again(self, fleet):
+        pairs = {
+            (one.host, other.host)
+            for name, one in fleet.nodes.items()
+            for other_name, other in fleet.nodes.items()
+            if name[0] != other_name[0]
+        }
+        fleet.cut = pairs
+        fleet.run(6 * SECONDS)
+        node = fleet.nodes["s4"]
+        assert all(item.id[0] == "s" for item in node.roster.alive())
+        fleet.cut = set()
+        fleet.run(6 * SECONDS)
+        assert any(item.id[0] == "n" for item in node.roster.alive())
+
+
+class TestShares:
+    def test_all_of_a_rate_is_minted(self, fleet):
+        fleet.run(2 * SECONDS)
+        assert fleet.sum_shares() == pytest.approx(1.0)
+
+    def test_no_part_is_minted_twice_while_hubs_change(self, fleet):
+        fleet.run(2 * SECONDS)
+        lost = fleet.remove("n1")
+        for _ in range(24):
+            fleet.run(timedelta(milliseconds=250))
+            minted = lost.state.delegations.count() / lost.roster.count()
+            assert fleet.sum_shares() + minted <= 1.0 + 1e-9
+        assert fleet.sum_shares() > 0.9
+
+    def test_cut_fleet_does_not_mint_more(self, fleet):
+        hosts = [node.host for node in fleet.nodes.values()]
+        fleet.cut = {(one, other) for one in hosts[:6] for other in hosts[6:]}
+        for _ in range(40):
+            fleet.run(timedelta(milliseconds=250))
+            assert fleet.sum_shares() <= 1.0 + 1e-9
+
+
+class TestKnowledge:
+    def test_passes_on_with_its_age(self, fleet):
+        hub = fleet.nodes["n1"].state.catalog
+        hub.confirm(fleet.clock.monotonic_s(), 0)
+        fleet.run(SECONDS)
+        member = fleet.nodes["n6"].state.catalog
+        assert member.age_s() < 10
+        assert member.confirmed_s <= hub.confirmed_s
+
+    def test_held_up_datagram_makes_nothing_fresh(self, fleet):
+        hub, member = fleet.nodes["n1"], fleet.nodes["n6"]
+        hub.state.catalog.confirm(fleet.clock.monotonic_s(), 0)
+        member.announcer._send_round()
+        fleet.deliver()
+        hub.announcer._send_round()
+        held = [item for item in fleet.wire if item[1] == member.host]
+        fleet.wire.clear()
+        before = member.state.catalog.confirmed_s
+        fleet.clock.advance(30 * SECONDS)
+        for source, _, datagram in held:
+            member.announcer._take(datagram, (source, 7600))
+        confirmed_s = member.state.catalog.confirmed_s
+        assert confirmed_s == before or fleet.clock.monotonic_s() - confirmed_s >= 30
