--- a/oriolepaddle/edge/resolver.py
+++ b/oriolepaddle/edge/resolver.py
@@ -50,8 +50,9 @@
     """Chooses instances for callers of a host.
 
     Callers get instances of their own region, as these may take any request
-    and pass it on to where it may be served; where none is ready, they get
-    those of the host's regions of residency, or else all. Each caller gets few
+    and pass it on to where it may be served. Where none is ready, they get
+    those of regions in which every route of the host may be served, as callers
+    do not tell the route; else all. Each caller gets few
     and mostly the same ones, in proportion to the instances' sizes, so that a
     small instance is not filled like a large one.
 
@@ -75,16 +76,19 @@
         ready = self._live.entry_instances()
         near = [item for item in ready if item.region == region]
         homes = self._find_homes(host)
-        found = near or [item for item in ready if not homes or item.region in homes]
-        chosen = sorted(found or ready, key=lambda item: _weigh(item, caller))
+        home = [item for item in ready if item.region in homes]
+        found = near or home or ready
+        chosen = sorted(found, key=lambda item: _weigh(item, caller))
         return tuple(item.address for item in chosen[:MAX_ADDRESSES])
 
     def _find_homes(self, host: str) -> frozenset[str]:
+        """Return the regions in which all routes of a host may be served."""
         document = self._catalog.document
         routes = document.routes.get(host.lower(), ()) if document else ()
-        if not routes or not all(route.residency for route in routes):
+        bound = [frozenset(route.residency) for route in routes if route.residency]
+        if not bound:
             return frozenset()
-        return frozenset(name for route in routes for name in route.residency)
+        return frozenset.intersection(*bound) or frozenset.union(*bound)
 
 
 def _weigh(instance: EntryInstance, caller: str) -> float:
--- /dev/null
+++ b/oriolepaddle/edge/tests/test_resolver.py
@@ -0,0 +1,63 @@
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from oriolepaddle.edge import InstanceResolver
+from oriolepaddle.edge.resolver import MAX_ADDRESSES, EntryInstance
+
+HOST = "desk.example"
+
+
+def make_instance(name, region, size=1.0):
+    return EntryInstance(name, region, f"{region}-a", name, size)
+
+
+def make_resolver(instances, *residencies):
+    routes = tuple(SimpleNamespace(residency=item) for item in residencies)
+    document = SimpleNamespace(routes={HOST: routes})
+    live = SimpleNamespace(entry_instances=lambda: instances)
+    return InstanceResolver(SimpleNamespace(document=document), live)
+
+
+class TestInstanceResolver:
+    @pytest.fixture
+    def instances(self):
+        regions = ("nordur", "sudur", "austur")
+        return [make_instance(region, region) for region in regions]
+
+    def test_names_the_callers_region(self, instances):
+        resolver = make_resolver(instances, ("sudur",))
+        assert resolver.resolve(HOST, "nordur", "c") == ("nordur",)
+
+    def test_names_homes_when_the_region_has_no_instance(self, instances):
+        # Some routes of the host are bound and others are not.
+        resolver = make_resolver(instances[1:], (), ("sudur",), ("sudur", "nordur"))
+        assert resolver.resolve(HOST, "nordur", "c") == ("sudur",)
+
+    def test_names_all_when_nothing_is_bound(self, instances):
+        resolver = make_resolver(instances[1:], ())
+        assert set(resolver.resolve(HOST, "nordur", "c")) == {"sudur", "austur"}
+
+    def test_names_others_rather_than_nobody(self, instances):
+        resolver = make_resolver(instances[2:], ("sudur",))
+        assert resolver.resolve(HOST, "nordur", "c") == ("austur",)
+
+    def test_spreads_callers_by_size(self):
+        """The load: callers that pick at random among the addresses they got."""
+        large = [make_instance(f"large{n}", "nordur", 2.0) for n in range(4)]
+        small = [make_instance(f"small{n}", "nordur", 0.4) for n in range(30)]
+        resolver = make_resolver(large + small)
+        named = Counter()
+        for caller in range(4000):
+            addresses = resolver.resolve(HOST, "nordur", f"10.9.{caller}")
+            assert len(addresses) == MAX_ADDRESSES
+            named.update(addresses)
+        part = named["large0"] / named["small0"]
+        assert 3 < part < 7
+
+    def test_gives_a_caller_the_same_ones_again(self):
+        instances = [make_instance(f"n{n}", "nordur") for n in range(30)]
+        before = make_resolver(instances).resolve(HOST, "nordur", "c")
+        after = make_resolver(instances[1:]).resolve(HOST, "nordur", "c")
+        assert len(set(before) & set(after)) >= MAX_ADDRESSES - 1
