--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -43,7 +43,8 @@
 INSPECTION_INTERVAL = timedelta(milliseconds=150)
 """How often a caller that left is looked for; the endpoint is to stop its work
 within half a second."""
-PEER_IDLE = timedelta(seconds=20)
+PEER_IDLE = timedelta(seconds=5)
+"""Well below `SERVER_IDLE`, at which the other end closes."""
 SERVER_IDLE = timedelta(seconds=60)
 SMALL_SERVER_CONNECTIONS = 32
 ACCEPT_INTERVAL = timedelta(seconds=1)
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -10,7 +10,7 @@
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.edge.sink import EdgeSink
-from oriolepaddle.endpoints import EndpointRequest
+from oriolepaddle.endpoints import ConnectionReuse, EndpointRequest
 from oriolepaddle.errors import (
     AnswerMismatchedError,
     AnswerTruncatedError,
@@ -273,7 +273,9 @@
             self._request, left_s, self._splitter.last_id, self._runs
         )
         try:
-            parts.peer_transport.run(peer.address, self._wrap(headers), sink)
+            parts.peer_transport.run(
+                peer.address, self._wrap(headers, ConnectionReuse.ANY), sink
+            )
             sink.complete()
         except OriolepaddleError as error:
             self._note_failure(None, sink, error)
@@ -290,9 +292,11 @@
             self._deadline_s - self._parts.clock.monotonic_s(),
             self._splitter.last_id,
         )
-        return self._wrap(headers)
+        return self._wrap(headers, ConnectionReuse.IF_SURELY_OPEN)
 
-    def _wrap(self, headers: tuple[tuple[str, str], ...]) -> EndpointRequest:
+    def _wrap(
+        self, headers: tuple[tuple[str, str], ...], reuse: ConnectionReuse
+    ) -> EndpointRequest:
         left_s = self._deadline_s - self._parts.clock.monotonic_s()
         return EndpointRequest(
             id="",
@@ -304,6 +308,7 @@
             first_byte_timeout_s=left_s,
             stall_timeout_s=left_s,
             deadline_s=self._deadline_s,
+            reuse=reuse,
         )
 
     def _make_sink(
--- a/oriolepaddle/endpoints/__init__.py
+++ b/oriolepaddle/endpoints/__init__.py
@@ -1,7 +1,12 @@
 """Endpoints: HTTP to the back ends that run requests."""
 
-from oriolepaddle.endpoints.request import EndpointRequest
+from oriolepaddle.endpoints.request import ConnectionReuse, EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.endpoints.transport import EndpointTransport
 
-__all__ = ["AnswerSink", "EndpointRequest", "EndpointTransport"]
+__all__ = [
+    "AnswerSink",
+    "ConnectionReuse",
+    "EndpointRequest",
+    "EndpointTransport",
+]
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -119,6 +119,8 @@
         elif ":" in text:
             name, _, value = text.partition(":")
             self._headers.append((name.strip(), value.strip()))
+            if name.lower() == "keep-alive":
+                self._handle.kept_for_s = _read_kept_for(value)
 
     def _give_head(self) -> None:
         if self._is_head_given or self._error is not None:
@@ -164,3 +166,11 @@
         if number in _CUT_SHORT and self._status:
             return AnswerTruncatedError(text)
         return EndpointFailedError(text)
+
+
+def _read_kept_for(value: str) -> float | None:
+    for item in value.split(","):
+        name, _, seconds = item.strip().partition("=")
+        if name.lower() == "timeout" and seconds.strip().isdigit():
+            return float(seconds)
+    return None
--- a/oriolepaddle/endpoints/request.py
+++ b/oriolepaddle/endpoints/request.py
@@ -1,8 +1,18 @@
 """What is sent to an endpoint."""
 
+import enum
+
 import attrs
 
-__all__ = ["EndpointRequest"]
+__all__ = ["ConnectionReuse", "EndpointRequest"]
+
+
+class ConnectionReuse(enum.StrEnum):
+    """Which kept connections may carry a request."""
+
+    IF_IDEMPOTENT = "if idempotent"
+    IF_SURELY_OPEN = "if surely open"
+    ANY = "any"
 
 
 @attrs.frozen
@@ -15,13 +25,11 @@
         path: The path with its query.
         headers: Header fields, without any caller's key.
         body: The body.
-        is_idempotent: Whether the request may reach the endpoint twice; if
-            not, it gets a connection of its own unless `may_reuse` says else.
+        is_idempotent: Whether the request may reach the endpoint twice.
         first_byte_timeout_s: Seconds until the first byte of the answer.
         stall_timeout_s: Seconds without a byte after the first.
         deadline_s: Monotonic time at which the try is given up.
-        may_reuse: Whether a kept connection may carry it; None if that
-            follows from `is_idempotent`.
+        reuse: Which kept connections may carry it.
     """
 
     id: str
@@ -33,11 +41,4 @@
     first_byte_timeout_s: float
     stall_timeout_s: float
     deadline_s: float
-    may_reuse: bool | None = None
-
-    @property
-    def needs_fresh_connection(self) -> bool:
-        """Whether no kept connection may carry the request."""
-        if self.may_reuse is None:
-            return not self.is_idempotent
-        return not self.may_reuse
+    reuse: ConnectionReuse = ConnectionReuse.IF_IDEMPOTENT
--- /dev/null
+++ b/oriolepaddle/endpoints/tests/test_handles.py
@@ -0,0 +1,40 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.endpoints.handles import HandlePool
+
+ADDRESS = "127.0.0.1:9"
+
+
+class TestCarefulReuse:
+    """Requests that may not run twice need a connection that is still open."""
+
+    @pytest.mark.parametrize(
+        ("kept_for_s", "idle_s", "is_reused"),
+        [
+            (None, 0.2, True),
+            (None, 0.8, False),
+            (5.0, 1.5, True),
+            (1.0, 0.8, False),
+            (60.0, 3.0, False),
+        ],
+    )
+    def test_depends_on_what_the_other_end_said(self, kept_for_s, idle_s, is_reused):
+        clock = ManualClock()
+        pool = HandlePool(clock, timedelta(seconds=20))
+        handle = pool.take(ADDRESS)
+        handle.kept_for_s = kept_for_s
+        pool.give_back(ADDRESS, handle)
+        clock.advance(timedelta(seconds=idle_s))
+        assert (pool.take(ADDRESS, is_careful=True) is handle) == is_reused
+
+    def test_leaves_the_connection_to_others(self):
+        clock = ManualClock()
+        pool = HandlePool(clock, timedelta(seconds=20))
+        handle = pool.take(ADDRESS)
+        pool.give_back(ADDRESS, handle)
+        clock.advance(timedelta(seconds=1))
+        assert pool.take(ADDRESS, is_careful=True) is not handle
+        assert pool.take(ADDRESS) is handle
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -7,7 +7,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.exchange import CurlExchange
 from oriolepaddle.endpoints.handles import HandlePool
-from oriolepaddle.endpoints.request import EndpointRequest
+from oriolepaddle.endpoints.request import ConnectionReuse, EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.endpoints.watchdog import DEFAULT_INTERVAL, ExchangeWatchdog
 from oriolepaddle.errors import EndpointDeadlineError, Outcome
@@ -58,7 +58,9 @@
                 "the deadline passed before the request was sent",
                 outcome=Outcome.NOT_RUN,
             )
-        handle = self._handles.take(address)
+        is_careful = request.reuse is ConnectionReuse.IF_SURELY_OPEN
+        is_careful = is_careful and not request.is_idempotent
+        handle = self._handles.take(address, is_careful)
         exchange = CurlExchange(handle, self._clock, request, sink)
         self._set_options(handle.curl, address, request)
         handle.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(left_s * 1000)))
@@ -95,7 +97,8 @@
         handle.setopt(pycurl.TCP_KEEPIDLE, 5)
         handle.setopt(pycurl.TCP_KEEPINTVL, 5)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(self._connect_timeout))
-        if request.needs_fresh_connection:
+        is_fresh = request.reuse is ConnectionReuse.IF_IDEMPOTENT
+        if is_fresh and not request.is_idempotent:
             # A reused connection may have been closed meanwhile, which would
             # leave the outcome unknown for nothing.
             handle.setopt(pycurl.FRESH_CONNECT, 1)
