--- a/oriolepaddle/daemon/__main__.py
+++ b/oriolepaddle/daemon/__main__.py
@@ -61,7 +61,7 @@
     stopping.set()
 
 
-def check(settings: Settings) -> None:
+def check(settings: Settings | EdgeSettings) -> None:
     """Check the settings without serving."""
     _check(settings)
     typer.echo("settings are valid")
@@ -83,6 +83,7 @@
 app.command("serve")(add_options(serve))
 app.command("serve-edge")(add_options(serve_edge, EdgeSettings))
 app.command("check")(add_options(check))
+app.command("check-edge")(add_options(check, EdgeSettings))
 
 if __name__ == "__main__":
     main()
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -16,9 +16,11 @@
 HUBS_PER_REGION = 2
 """Instances of a region that the others tell their state; two, so that one may
 be lost unnoticed."""
-ALIVE_FOR = timedelta(seconds=2)
-"""Silence after which an instance is not named to callers; several datagrams,
-passed on once."""
+ALIVE_FOR = timedelta(seconds=2.5)
+"""Silence after which an instance of the own region is not named to callers:
+word of it comes through one hub, which lists its members about once a second."""
+FAR_ALIVE_FOR = timedelta(seconds=4)
+"""The same for other regions, whose word comes through two hubs."""
 COUNTED_FOR = timedelta(seconds=60)
 """Silence for which an instance still counts as one that may be minting, cut
 off from here."""
@@ -74,7 +76,7 @@
                 return
             self._entries[entry.id] = entry
             is_new = held is None or held.incarnation != entry.incarnation
-            is_alive = entry.heard_s >= self._oldest_s()
+            is_alive = self._is_alive(entry)
             was_silent = is_alive and entry.id in self._silent
             if is_alive:
                 self._silent.discard(entry.id)
@@ -103,10 +105,9 @@
 
     def alive(self) -> list[RosterEntry]:
         """Return the others that were heard of late."""
-        oldest_s = self._oldest_s()
         with self._lock:
-            self._note_silence(oldest_s)
-            return [item for item in self._entries.values() if item.heard_s >= oldest_s]
+            self._note_silence()
+            return [item for item in self._entries.values() if self._is_alive(item)]
 
     def entry_instances(self) -> list[EntryInstance]:
         """Return the instances that callers may use; see `LiveInstances`."""
@@ -197,12 +198,14 @@
 
         return max(ids, key=_weigh) == self._own.id
 
-    def _oldest_s(self) -> float:
-        return self._clock.monotonic_s() - ALIVE_FOR.total_seconds()
+    def _is_alive(self, entry: RosterEntry) -> bool:
+        is_near = entry.instance.region == self.own.region
+        silence_s = self._clock.monotonic_s() - entry.heard_s
+        return silence_s <= (ALIVE_FOR if is_near else FAR_ALIVE_FOR).total_seconds()
 
-    def _note_silence(self, oldest_s: float) -> None:
+    def _note_silence(self) -> None:
         for name, item in self._entries.items():
-            if item.heard_s < oldest_s and name not in self._silent:
+            if name not in self._silent and not self._is_alive(item):
                 self._silent.add(name)
                 log_event("instance_silent", instance=name)
 
--- a/oriolepaddle/settings/page.py
+++ b/oriolepaddle/settings/page.py
@@ -1,10 +1,11 @@
-"""The page of settings, generated from `Settings`."""
+"""The pages of settings, generated from their classes."""
 
 import sys
 from typing import Any
 
 import attrs
 
+from oriolepaddle.settings.edge import EdgeSettings
 from oriolepaddle.settings.field import Rule, find_rule
 from oriolepaddle.settings.options import ENVIRONMENT_PREFIX
 from oriolepaddle.settings.settings import Settings
@@ -26,17 +27,27 @@
 A setting that is `true` or `false` is given as the flag alone, or as a variable
 with either word. A TLS certificate and its key go together.
 """
+_EDGE_INTRODUCTION = """\
+# Settings of serve-edge
+
+`python -m oriolepaddle.settings.page edge` writes this page from
+`oriolepaddle/settings/edge.py`; a test compares the two.
+
+Each setting is a flag of `oriolepaddled serve-edge` and `oriolepaddled check-edge`, or an
+environment variable; a flag goes before the variable.
+"""
 _HEADINGS = ("Flag", "Environment variable", "Default", "Range", "Meaning")
 
 
-def write_settings_page() -> str:
-    """Return the page in Markdown."""
+def write_settings_page(settings_class: type = Settings) -> str:
+    """Return the page of a class of settings in Markdown."""
+    is_edge = settings_class is EdgeSettings
     lines = [
-        _INTRODUCTION,
+        _EDGE_INTRODUCTION if is_edge else _INTRODUCTION,
         _write_row(_HEADINGS),
         _write_row(("---",) * len(_HEADINGS)),
     ]
-    lines += [_write_setting(field) for field in attrs.fields(Settings)]
+    lines += [_write_setting(field) for field in attrs.fields(settings_class)]
     return "\n".join(lines) + "\n"
 
 
@@ -85,4 +96,5 @@
 
 
 if __name__ == "__main__":
-    sys.stdout.write(write_settings_page())
+    chosen = EdgeSettings if sys.argv[1:] == ["edge"] else Settings
+    sys.stdout.write(write_settings_page(chosen))
