--- /dev/null
+++ b/oriolepaddle/catalog/tests/test_catalog.py
@@ -0,0 +1,150 @@
+from datetime import timedelta
+
+import attrs
+import pytest
+
+from oriolepaddle.catalog import (
+    CallerLimits,
+    Catalog,
+    CatalogChange,
+    CatalogReading,
+    ConfigDocument,
+    EndpointState,
+    RegisteredEndpoint,
+)
+from oriolepaddle.clock import ManualClock
+
+ENDPOINT = RegisteredEndpoint(
+    "i-1", 5, "desk", "10.0.0.1:80", "nordur-a", 6, EndpointState.READY
+)
+KEY = "servers/i-1"
+REGISTERED = CatalogChange(KEY, endpoint=ENDPOINT)
+REMOVED = CatalogChange(KEY, is_removed=True)
+EVACUATED = CatalogChange("op/evacuate/nordur-a", evacuated="nordur-a")
+RETURNED = CatalogChange("op/evacuate/nordur-a", is_removed=True)
+
+
+def make_document(version):
+    return ConfigDocument(version, {}, {}, {}, CallerLimits(), b"")
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def catalog(clock):
+    return Catalog(clock)
+
+
+def apply(catalog, *changes, revision=1, is_whole=False, asked_at_s=0.0):
+    catalog.apply(CatalogReading(changes, revision, is_whole), asked_at_s)
+
+
+class TestDocument:
+    def test_never_goes_back(self, catalog):
+        for version in (3, 7, 5):
+            change = CatalogChange("op/config", document=make_document(version))
+            apply(catalog, change)
+        assert catalog.version == 7
+
+
+class TestAge:
+    def test_is_infinite_before_the_first_reading(self, catalog):
+        assert catalog.age_s() == float("inf")
+
+    def test_counts_from_the_asking(self, catalog, clock):
+        clock.advance(timedelta(seconds=5))
+        apply(catalog, asked_at_s=2.0)
+        assert catalog.age_s() == 3.0
+
+    def test_older_proof_changes_nothing(self, catalog, clock):
+        clock.advance(timedelta(seconds=5))
+        apply(catalog, asked_at_s=4.0)
+        catalog.confirm_version(1.0, 0)
+        assert catalog.age_s() == 1.0
+
+    def test_word_of_a_newer_version_proves_nothing_of_this_one(self, catalog):
+        catalog.confirm_version(0.0, 9)
+        assert catalog.age_s() == float("inf")
+
+
+class TestEndpoints:
+    def test_leaving_one_may_not_be_sent_to(self, catalog):
+        apply(catalog, REGISTERED)
+        assert catalog.may_send(ENDPOINT)
+        leaving = attrs.evolve(ENDPOINT, state=EndpointState.LEAVING)
+        apply(catalog, CatalogChange(KEY, endpoint=leaving))
+        assert not catalog.may_send(ENDPOINT)
+
+    def test_next_life_is_another_endpoint(self, catalog):
+        apply(catalog, REGISTERED)
+        later = attrs.evolve(ENDPOINT, started_at_ms=6)
+        apply(catalog, CatalogChange(KEY, endpoint=later))
+        apply(catalog, REGISTERED)
+        assert not catalog.may_send(ENDPOINT)
+        assert catalog.may_send(later)
+
+    def test_evacuated_data_centre_gets_nothing(self, catalog):
+        apply(catalog, REGISTERED, EVACUATED)
+        assert not catalog.may_send(ENDPOINT)
+        apply(catalog, RETURNED)
+        assert catalog.may_send(ENDPOINT)
+
+    def test_whole_reading_drops_what_it_lacks(self, catalog):
+        apply(catalog, REGISTERED, EVACUATED)
+        apply(catalog, is_whole=True)
+        assert catalog.endpoints() == ()
+        assert not catalog.is_evacuated("nordur-a")
+
+    def test_removed_one_is_gone(self, catalog):
+        apply(catalog, REGISTERED)
+        apply(catalog, REMOVED)
+        assert catalog.endpoints() == ()
+
+
+class TestStoresReturn:
+    def test_lapsed_endpoint_is_kept_until_it_could_register(self, catalog, clock):
+        apply(catalog, REGISTERED)
+        catalog.note_return()
+        apply(catalog, REMOVED)
+        assert catalog.may_send(ENDPOINT)
+        clock.advance(timedelta(seconds=2.3))
+        assert catalog.endpoints() == ()
+
+    def test_one_that_registers_again_stays(self, catalog, clock):
+        apply(catalog, REGISTERED)
+        catalog.note_return()
+        apply(catalog, REMOVED)
+        apply(catalog, REGISTERED)
+        clock.advance(timedelta(seconds=3))
+        assert catalog.endpoints() == (ENDPOINT,)
+
+    def test_leaving_one_is_not_kept(self, catalog):
+        leaving = attrs.evolve(ENDPOINT, state=EndpointState.LEAVING)
+        apply(catalog, CatalogChange(KEY, endpoint=leaving))
+        catalog.note_return()
+        apply(catalog, REMOVED)
+        assert catalog.endpoints() == ()
+
+
+class TestSnapshot:
+    def test_hands_endpoints_on_with_the_time_that_is_left(self, catalog, clock):
+        cold = attrs.evolve(ENDPOINT, cold_until_s=3.0)
+        apply(catalog, CatalogChange(KEY, endpoint=cold), EVACUATED)
+        clock.advance(timedelta(seconds=1))
+        other_clock = ManualClock()
+        other_clock.advance(timedelta(seconds=50))
+        other = Catalog(other_clock)
+        other.adopt(catalog.snapshot())
+        assert other.endpoint("i-1").cold_until_s == 52.0
+        assert other.is_evacuated("nordur-a")
+        assert other.digest() == catalog.digest()
+
+    def test_digest_tells_states_apart(self, catalog):
+        apply(catalog, REGISTERED)
+        before = catalog.digest()
+        leaving = attrs.evolve(ENDPOINT, state=EndpointState.LEAVING)
+        apply(catalog, CatalogChange(KEY, endpoint=leaving))
+        assert catalog.digest() != before
--- /dev/null
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -0,0 +1,189 @@
+from collections import Counter
+from datetime import timedelta
+
+import attrs
+import pytest
+
+from oriolepaddle.catalog import (
+    CallerLimits,
+    Catalog,
+    CatalogChange,
+    CatalogReading,
+    ConfigDocument,
+    EndpointService,
+    EndpointState,
+    EngineProfile,
+    RegisteredEndpoint,
+)
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.placement import Job, PeerLoad, Placer, PromptPart
+
+ENGINES, DESK = "engines", "desk"
+SERVICES = {
+    ENGINES: EndpointService(
+        ENGINES, cold_requests_per_s=3.0, engine=EngineProfile(48, 300_000)
+    ),
+    DESK: EndpointService(DESK),
+}
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def catalog(clock):
+    catalog = Catalog(clock)
+    document = ConfigDocument(1, {}, SERVICES, {}, CallerLimits(), b"")
+    catalog.apply(CatalogReading((CatalogChange("c", document=document),), 1), 0.0)
+    return catalog
+
+
+@pytest.fixture
+def placer(clock, catalog):
+    return Placer(clock, catalog, lambda name: name.startswith("nordur"))
+
+
+def register(catalog, name, service=ENGINES, **changes):
+    endpoint = RegisteredEndpoint(
+        name, 1, service, f"{name}:80", "nordur-a", 6, EndpointState.READY
+    )
+    endpoint = attrs.evolve(endpoint, **changes)
+    change = CatalogChange(f"e/{name}", endpoint=endpoint)
+    catalog.apply(CatalogReading((change,), 1), 0.0)
+    return endpoint
+
+
+def make_dossier(name, tokens=9000, patience_s=0.6):
+    parts = (
+        PromptPart("system", 2500),
+        PromptPart(name, 4000),
+        PromptPart(f"{name}-own", tokens - 6500),
+    )
+    return Job(ENGINES, parts, tokens, 50, patience_s)
+
+
+def run(placer, job):
+    choice = placer.choose(job)
+    return choice, placer.start(choice, job)
+
+
+class TestChoice:
+    def test_goes_where_the_least_is_left_to_read(self, placer, catalog):
+        for name in ("e1", "e2"):
+            register(catalog, name)
+        first, _ = run(placer, make_dossier("a"))
+        second, _ = run(placer, make_dossier("b"))
+        assert first.endpoint.id != second.endpoint.id
+
+    def test_same_beginning_goes_to_the_same_endpoint(self, placer, catalog):
+        """The load: many questions to few dossiers, one after the other."""
+        for number in range(6):
+            register(catalog, f"e{number}")
+        used = Counter()
+        for question in range(60):
+            job = make_dossier(f"dossier-{question % 6}")
+            choice, placed = run(placer, job)
+            used[(question % 6, choice.endpoint.id)] += 1
+            placed.begin()
+            placed.succeed()
+            placed.end()
+        assert len(used) <= 9
+
+    def test_instances_agree_on_it_without_a_word(self, clock, catalog):
+        for number in range(6):
+            register(catalog, f"e{number}")
+        placers = [Placer(clock, catalog, lambda name: True) for _ in range(2)]
+        for question in range(20):
+            job = make_dossier(f"dossier-{question}")
+            chosen = {placer.choose(job).endpoint.id for placer in placers}
+            assert len(chosen) == 1
+
+    def test_counts_what_the_other_instances_have_sent(self, placer, catalog):
+        for name in ("e1", "e2"):
+            register(catalog, name)
+        placer.choose(make_dossier("a"))
+        placer.apply_peer("n2", {"e1": PeerLoad(10, 60_000, 90_000)})
+        chosen = {placer.choose(make_dossier(f"d{n}")).endpoint.id for n in range(8)}
+        assert chosen == {"e2"}
+
+    def test_leaves_out_other_regions_and_excluded_lives(self, placer, catalog):
+        register(catalog, "far", data_centre="sudur-a")
+        near = register(catalog, "near")
+        assert placer.choose(make_dossier("a")).endpoint == near
+        with pytest.raises(RefusedError) as caught:
+            placer.choose(make_dossier("a"), {near.incarnation})
+        assert caught.value.code is ErrorCode.NO_ENDPOINT
+
+    def test_avoids_an_endpoint_that_could_not_be_reached(self, placer, catalog):
+        for name in ("e1", "e2"):
+            register(catalog, name)
+        choice, placed = run(placer, make_dossier("a"))
+        placed.fail(is_unreachable=True)
+        placed.end()
+        other = placer.choose(make_dossier("a"))
+        assert other.endpoint.id != choice.endpoint.id
+
+
+class TestOverload:
+    def test_what_would_begin_too_late_is_refused_at_once(self, placer, catalog):
+        """The load: more long prompts at once than one engine reads in time."""
+        register(catalog, "e1")
+        admitted = 0
+        refusal = None
+        for number in range(60):
+            try:
+                run(placer, make_dossier(f"d{number}"))
+                admitted += 1
+            except RefusedError as error:
+                refusal = error
+        assert 4 <= admitted <= 12
+        assert refusal.code is ErrorCode.OVERLOADED
+        assert refusal.retry_after > timedelta(0)
+
+    def test_short_requests_pass_while_long_ones_do_not(self, placer, catalog):
+        register(catalog, "e1")
+        with pytest.raises(RefusedError):
+            for number in range(60):
+                run(placer, make_dossier(f"d{number}"))
+        placer.choose(Job(ENGINES, (), 600, 100, 0.7))
+
+    def test_ended_runs_leave_no_trace(self, placer, catalog):
+        register(catalog, "e1")
+        for number in range(200):
+            _, placed = run(placer, make_dossier(f"d{number}"))
+            if number % 2:
+                placed.begin()
+            placed.end()
+        assert placer.own_loads() == {}
+
+
+class TestColdEndpoint:
+    def test_gets_no_more_than_it_bears(self, placer, catalog, clock):
+        register(catalog, "e1", cold_until_s=100.0)
+        sent = 0
+        for _ in range(400):
+            clock.advance(timedelta(milliseconds=10))
+            try:
+                _, placed = run(placer, make_dossier("a", patience_s=60))
+            except RefusedError:
+                continue
+            placed.end()
+            sent += 1
+        assert sent <= 4 * 3 + 1
+
+    def test_is_left_to_its_owner(self, clock, catalog):
+        placer = Placer(clock, catalog, lambda name: True, lambda name: False)
+        register(catalog, "e1", cold_until_s=100.0)
+        with pytest.raises(RefusedError):
+            placer.choose(make_dossier("a"))
+
+
+class TestPlainService:
+    def test_spreads_over_its_endpoints(self, placer, catalog):
+        for name in ("d1", "d2"):
+            register(catalog, name, DESK)
+        used = Counter(run(placer, Job(DESK))[0].endpoint.id for _ in range(20))
+        assert set(used) == {"d1", "d2"}
--- /dev/null
+++ b/oriolepaddle/platform/tests/test_document.py
@@ -0,0 +1,106 @@
+import json
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.catalog import RepeatRule
+from oriolepaddle.config import digest_key
+from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.platform.document import decode_document
+
+ROUTE = {
+    "name": "r1",
+    "host": "Desk.Example",
+    "pathPrefix": "/chat/",
+    "kind": "stream",
+    "timeoutMs": 15000,
+    "sloMs": 600,
+    "priority": 1,
+    "service": "engines",
+    "maxAttempts": 2,
+    "public": False,
+    "resumable": True,
+    "gapTargetMs": 200,
+    "homeRegions": ["nordur"],
+}
+TENANT = {
+    "name": "huka270",
+    "apiKeys": ["first", "second"],
+    "priority": 1,
+    "unit": "token_count",
+    "plainTokens": 200,
+    "ratePerS": 1000,
+    "burst": 2000,
+    "homeRegions": ["sudur"],
+}
+
+
+def decode(**fields):
+    return decode_document(json.dumps({"version": 7} | fields).encode())
+
+
+class TestRoutes:
+    def test_fields_are_read(self):
+        route = decode(routes=[ROUTE]).find_route("desk.example", "/chat/1")
+        assert route.timeout == timedelta(seconds=15)
+        assert route.target == timedelta(seconds=0.6)
+        assert route.longest_gap == timedelta(seconds=0.2)
+        assert (route.max_attempts, route.residency) == (2, ("nordur",))
+
+    @pytest.mark.parametrize(
+        ("kind", "is_resumable", "expected"),
+        [
+            ("safe", False, RepeatRule.IDEMPOTENT),
+            ("unsafe", False, RepeatRule.ONCE),
+            ("stream", False, RepeatRule.ONCE),
+            ("stream", True, RepeatRule.RESUMABLE),
+        ],
+    )
+    def test_kind_tells_what_may_be_repeated(self, kind, is_resumable, expected):
+        routes = [ROUTE | {"kind": kind, "resumable": is_resumable}]
+        route = decode(routes=routes).find_route("desk.example", "/chat/1")
+        assert route.repeat_rule is expected
+
+    def test_longest_prefix_of_the_host_wins(self):
+        routes = [
+            ROUTE | {"name": "short", "pathPrefix": "/"},
+            ROUTE | {"name": "long", "pathPrefix": "/chat/old/"},
+            ROUTE | {"name": "middle"},
+            ROUTE | {"name": "foreign", "host": "b", "pathPrefix": "/chat/old/x/"},
+        ]
+        document = decode(routes=routes)
+        found = document.find_route("desk.example", "/chat/old/x/1")
+        assert found.name == "long"
+        assert document.find_route("nobody", "/chat/") is None
+
+    def test_split_follows_the_weights(self):
+        parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        routes = [ROUTE | {"split": parts}]
+        route = decode(routes=routes).find_route("desk.example", "/chat/1")
+        picked = [route.pick_service(f"request-{n}") for n in range(2000)]
+        assert 0.06 < picked.count("b") / len(picked) < 0.14
+
+
+class TestOrganisations:
+    def test_each_key_finds_its_organisation(self):
+        document = decode(tenants=[TENANT])
+        for key in TENANT["apiKeys"]:
+            held = document.organisations[digest_key(key)]
+            assert held.id == "huka270"
+            assert held.is_token_rated
+            assert held.plain_tokens == 200
+            assert held.organisation.rate_tokens_per_s == 1000
+            assert held.organisation.residency == ("sudur",)
+
+    def test_without_any_no_key_is_needed(self):
+        assert not decode(routes=[ROUTE]).needs_keys
+
+
+class TestDamage:
+    @pytest.mark.parametrize(
+        "text",
+        [b"", b"[]", b"{", b'{"version": "x"}', b'{"version": 1, "routes": [1]}'],
+    )
+    def test_is_a_typed_error(self, text):
+        with pytest.raises(PlatformUnavailableError):
+            decode_document(text)
--- /dev/null
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -0,0 +1,124 @@
+import pytest
+from hypothesis import given, settings, strategies as st
+from werkzeug.test import EnvironBuilder
+from werkzeug.wrappers import Request
+
+from oriolepaddle.catalog import EndpointState, RegisteredEndpoint
+from oriolepaddle.edge import AnswerKind
+from oriolepaddle.errors import MalformedRequestError
+from oriolepaddle.platform import PlatformProtocol
+
+PROTOCOL = PlatformProtocol("n1")
+ENDPOINT = RegisteredEndpoint(
+    "i-1", 1, "desk", "10.0.0.1:80", "nordur-a", 6, EndpointState.READY
+)
+ID = ("X-Oriolepaddle-Request-Id", "9c41")
+SEAL = ("X-Oriolepaddle-Server-Seal", "3e1b")
+
+
+def read(target="/chat/1?q=%2F", **headers):
+    fields = {name.replace("_", "-"): value for name, value in headers.items()}
+    environ = EnvironBuilder(method="POST", data=b"body", headers=fields).get_environ()
+    environ["RAW_URI"] = target
+    return PROTOCOL.read_request(Request(environ), 50.0)
+
+
+class TestCallersRequest:
+    def test_target_is_kept_as_sent(self):
+        request = read()
+        assert (request.path, request.target) == ("/chat/1", "/chat/1?q=%2F")
+
+    def test_prompt_is_read(self):
+        request = read(
+            X_Oriolepaddle_Token_Count="1460,80",
+            X_Oriolepaddle_Prompt_Prefix="5c1e:800, 91bd:410",
+        )
+        assert (request.input_tokens, request.output_tokens) == (1460, 80)
+        assert [(part.id, part.tokens) for part in request.parts] == [
+            ("5c1e", 800),
+            ("91bd", 410),
+        ]
+
+    def test_key_and_connection_fields_are_not_passed_on(self):
+        request = read(
+            Authorization="Token secret",
+            Connection="keep-alive",
+            Kv_From="10.0.0.1:1/x",
+            X_Oriolepaddle_Tenant="forged",
+            X_Other="kept",
+        )
+        assert request.key == "secret"
+        names = {name.lower() for name, _ in request.headers}
+        assert "x-other" in names
+        forbidden = {"authorization", "connection", "kv-from", "x-oriolepaddle-tenant"}
+        assert not names & forbidden
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"X_Oriolepaddle_Deadline_Ms": "soon"},
+            {"X_Oriolepaddle_Deadline_Ms": "nan"},
+            {"X_Oriolepaddle_Token_Count": "-1,2"},
+            {"X_Oriolepaddle_Prompt_Prefix": "abc"},
+        ],
+    )
+    def test_bad_fields_are_typed_errors(self, headers):
+        with pytest.raises(MalformedRequestError):
+            read(**headers)
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=30))
+    def test_any_field_is_read_or_a_typed_error(self, value):
+        try:
+            read(X_Oriolepaddle_Token_Count=value, X_Oriolepaddle_Prompt_Prefix=value)
+        except MalformedRequestError:
+            return
+
+
+class TestEndpointHeaders:
+    def test_name_the_endpoint_and_the_organisation(self):
+        headers = dict(
+            PROTOCOL.write_endpoint_headers(read(), ENDPOINT, "huka", 1.25, "7")
+        )
+        assert headers["X-Oriolepaddle-Expect-Instance"] == "i-1"
+        assert headers["X-Oriolepaddle-Tenant"] == "huka"
+        assert headers["X-Oriolepaddle-Deadline-Ms"] == "1250"
+        assert headers["Last-Event-Id"] == "7"
+
+
+class TestPeerHeaders:
+    def test_keep_the_callers_clock_and_key(self):
+        first = read(X_Oriolepaddle_Deadline_Ms="4000", Authorization="Token k")
+        headers = dict(PROTOCOL.write_peer_headers(first, 3.5, "2", 1))
+        passed = read(**{name.replace("-", "_"): v for name, v in headers.items()})
+        assert passed.hops == ("n1",)
+        assert passed.earlier_runs == 1
+        assert passed.key == "k"
+        assert passed.patience_s == 4.0
+        assert passed.arrived_s == 49.5
+        assert passed.last_event_id == "2"
+
+
+class TestAnswer:
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected"),
+        [
+            (200, (ID, SEAL), AnswerKind.RAN),
+            (500, (ID, SEAL), AnswerKind.RAN),
+            (200, (ID,), AnswerKind.FOREIGN),
+            (200, (("X-Oriolepaddle-Request-Id", "other"), SEAL), AnswerKind.FOREIGN),
+            (200, (SEAL,), AnswerKind.FOREIGN),
+            (503, (("X-Oriolepaddle-Not-Run", "1"),), AnswerKind.NOT_RUN),
+            (503, (ID, SEAL), AnswerKind.RAN),
+            (421, (), AnswerKind.OTHER_ENDPOINT),
+        ],
+    )
+    def test_tells_whether_it_is_of_a_run(self, status, headers, expected):
+        assert PROTOCOL.read_answer("9c41", status, headers).kind is expected
+
+    def test_load_stays_inside(self):
+        answer = PROTOCOL.read_answer(
+            "9c41", 200, (ID, SEAL, ("X-Oriolepaddle-Server-Load", "3,1,8"))
+        )
+        assert answer.load == (3, 1)
+        assert answer.headers == (ID, SEAL)
--- /dev/null
+++ b/oriolepaddle/platform/tests/test_store.py
@@ -0,0 +1,74 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.catalog import HistoryGoneError
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.platform import PlatformStore
+from oriolepaddle.platform.standins import RunnerStandin, StoreMode, StoreStandin
+
+DOCUMENT = b'{"version": 3}'
+NOW = timedelta(0)
+
+
+@pytest.fixture
+def standin():
+    standin = StoreStandin()
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def store(standin):
+    return PlatformStore(standin.address, SystemClock())
+
+
+@pytest.fixture
+def entry():
+    runner = RunnerStandin("i-1", "desk", "nordur-a")
+    return runner.describe()
+
+
+class TestReading:
+    def test_returns_all_pages(self, standin, store, entry):
+        standin.max_items = 3
+        standin.put("op/config", DOCUMENT)
+        for number in range(10):
+            standin.put(f"servers/i-{number}", entry)
+        reading = store.read()
+        assert reading.is_whole
+        endpoints = [item.endpoint for item in reading.changes if item.endpoint]
+        assert {item.id for item in endpoints} == {f"i-{n}" for n in range(10)}
+
+    def test_leaves_out_what_cannot_be_read(self, standin, store, entry):
+        standin.put("servers/broken", b"\xff")
+        standin.put("servers/i-1", entry)
+        standin.put("unknown/key", b"{}")
+        assert [item.key for item in store.read().changes] == ["servers/i-1"]
+
+    @pytest.mark.parametrize("mode", [StoreMode.BUSY, StoreMode.RESET])
+    def test_failure_is_a_typed_error(self, standin, store, mode):
+        standin.mode = mode
+        with pytest.raises(PlatformUnavailableError):
+            store.read()
+
+
+class TestWatching:
+    def test_returns_changes_and_removals(self, standin, store, entry):
+        revision = store.read().revision
+        standin.put("servers/i-1", entry)
+        standin.put("op/evacuate/nordur-a", b"{}")
+        standin.delete("servers/i-1")
+        reading = store.watch(revision, NOW)
+        assert [item.is_removed for item in reading.changes] == [False, False, True]
+        assert reading.changes[1].evacuated == "nordur-a"
+        assert reading.revision == revision + 3
+
+    def test_tells_that_the_history_is_gone(self, standin, store, entry):
+        revision = store.read().revision
+        standin.put("servers/i-1", entry)
+        standin.forget_history()
+        with pytest.raises(HistoryGoneError):
+            store.watch(revision, NOW)
--- a/oriolepaddle/settings/page.py
+++ b/oriolepaddle/settings/page.py
@@ -33,8 +33,8 @@
 `python -m oriolepaddle.settings.page edge` writes this page from
 `oriolepaddle/settings/edge.py`; a test compares the two.
 
-Each setting is a flag of `oriolepaddled serve-edge` and `oriolepaddled check-edge`, or an
-environment variable; a flag goes before the variable.
+Each setting is a flag of `oriolepaddled serve-edge` and `oriolepaddled check-edge`,
+or an environment variable; a flag goes before the variable.
 """
 _HEADINGS = ("Flag", "Environment variable", "Default", "Range", "Meaning")
 
