--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -99,7 +99,9 @@
         own = roster.own
         if (hub := roster.token_hub()) is not None and hub.id == own.id:
             if self._state.delegations.may_delegate(own.id):
-                self._state.delegations.accept(own.id, self._clock.monotonic_s())
+                life = roster.own_entry().incarnation
+                now_s = self._clock.monotonic_s()
+                self._state.delegations.accept(own.id, life, now_s)
         receivers = [item for item in roster.hubs() if item.id != own.id]
         if roster.is_hub():
             for region in roster.regions() - {own.region}:
@@ -186,6 +188,7 @@
         contact.incarnation, contact.sent_at_us = order
         contact.heard_s = self._clock.monotonic_s()
         contact.balances = heard.balances or []
+        self._state.delegations.note_life(sender.instance, sender.incarnation)
         self._note_instances(heard)
         self._confirm(heard)
         self._take_state(heard)
@@ -231,7 +234,8 @@
         # datagram that was held up can make too late.
         sent_s = (heard.echo_us + heard.held_us) / MICROSECONDS_PER_S
         if heard.delegates:
-            state.delegations.accept(heard.sender.instance, sent_s)
+            sender = heard.sender
+            state.delegations.accept(sender.instance, sender.incarnation, sent_s)
         if heard.knowledge_age_us is None:
             return
         confirmed_s = sent_s - heard.knowledge_age_us / MICROSECONDS_PER_S
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -6,6 +6,7 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.edge.regions import PeerChoice
+from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.roster import Roster
 
 __all__ = ["TYPICAL_PROMPT_TOKENS", "RegionLoads"]
@@ -76,10 +77,7 @@
     ) -> PeerChoice | None:
         """Return an instance of the best region; see `RegionChooser`."""
         own = self._roster.own.region
-        ready: dict[str, list] = {}
-        for item in self._roster.alive():
-            if item.is_ready and not item.is_leaving:
-                ready.setdefault(item.instance.region, []).append(item)
+        ready = self._group_ready()
         best: tuple[float, str] | None = None
         for region, name, wait_s in self.waits():
             if name != service or region == own or region not in ready:
@@ -95,6 +93,18 @@
         found = self._generator.choices(ready[best[1]], weights)[0]
         return PeerChoice(found.id, best[1], found.peer_address, best[0])
 
+    def _group_ready(self) -> dict[str, list[RosterEntry]]:
+        ready: dict[str, list[RosterEntry]] = {}
+        leaving: dict[str, list[RosterEntry]] = {}
+        for item in self._roster.alive():
+            if item.is_leaving:
+                leaving.setdefault(item.instance.region, []).append(item)
+            elif item.is_ready:
+                ready.setdefault(item.instance.region, []).append(item)
+        # An instance that is about to end still serves what others pass on, and
+        # a region where all restart in turn may have no other.
+        return leaving | ready
+
     def note_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Note a request that is sent away; see `RegionChooser`."""
         with self._lock:
