--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -41,6 +41,7 @@
         headers: Header fields by lower-case name.
         body: The body.
         act: What the runner did with it.
+        received_s: Monotonic time at which it came.
     """
 
     method: str
@@ -48,6 +49,7 @@
     headers: dict[str, str]
     body: bytes
     act: RunnerAct
+    received_s: float = 0.0
 
     @property
     def has_run(self) -> bool:
@@ -64,6 +66,7 @@
         events: Events of a stream; 0 for a plain body.
         pause_s: Seconds before each event, or before a plain answer.
         left: Requests whose caller left before the end.
+        advertised: The address to register, if not the one listened on.
     """
 
     def __init__(
@@ -82,10 +85,12 @@
         self.left = 0
         self.state = "ready"
         self.cold_ms = 0
+        self.advertised = ""
+        self._clock = SystemClock()
         self._service = service
         self._zone = zone
         self._sequence = 0
-        self._server = HttpServer(host, 0, self, SystemClock(), name=runner_id)
+        self._server = HttpServer(host, 0, self, self._clock, name=runner_id)
         self.address = f"{host}:{self._server.port}"
 
     def start(self) -> None:
@@ -102,7 +107,7 @@
         self._sequence += 1
         fields = {
             "service": self._service,
-            "address": self.address,
+            "address": self.advertised or self.address,
             "zone": self._zone,
             "version": "v1",
             "slots": 6,
@@ -124,7 +129,14 @@
         body = request.get_data()
         target = request.environ["RAW_URI"]
         self.received.append(
-            ReceivedRequest(request.method, target, headers, body, act)
+            ReceivedRequest(
+                request.method,
+                target,
+                headers,
+                body,
+                act,
+                self._clock.monotonic_s(),
+            )
         )
         if act is RunnerAct.SILENT:
             threading.Event().wait(SILENCE_S)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons as processes, faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,55 @@
+"""`python -m soak`: seeded runs, or fresh seeds for some minutes."""
+
+import random
+import secrets
+import sys
+import time
+from typing import Annotated
+
+import typer
+from loguru import logger
+
+from soak.run import SoakResult, run_seed
+
+SEED_BITS = 31
+EXIT_BROKEN = 1
+
+
+def soak(
+    seed: Annotated[list[int] | None, typer.Option(help="A seed to run.")] = None,
+    first: Annotated[int, typer.Option(help="The first of --count seeds.")] = 1,
+    count: Annotated[int, typer.Option(help="Seeds from --first on.")] = 0,
+    minutes: Annotated[float, typer.Option(help="Minutes of fresh seeds.")] = 0.0,
+    seconds: Annotated[float, typer.Option(help="Seconds of faults a seed.")] = 12.0,
+    instances: Annotated[int, typer.Option(help="Instances a data centre.")] = 2,
+) -> None:
+    """Run seeds and exit with 1 if a promise was broken."""
+    # The stand-ins' lines on callers that left are no news here.
+    logger.remove()
+    seeds = [*(seed or ()), *range(first, first + count)]
+    is_broken = False
+    for item in seeds:
+        is_broken |= _report(run_seed(item, seconds, instances_each=instances))
+    generator = random.Random(secrets.randbits(64))
+    deadline_s = time.monotonic() + minutes * 60
+    while time.monotonic() < deadline_s:
+        fresh = generator.getrandbits(SEED_BITS)
+        is_broken |= _report(run_seed(fresh, seconds, instances_each=instances))
+    sys.exit(EXIT_BROKEN if is_broken else 0)
+
+
+def _report(result: SoakResult) -> bool:
+    verdict = "BROKEN" if result.broken else "kept"
+    typer.echo(
+        f"seed {result.seed}: {verdict}, {result.served} of {result.requests} served, "
+        f"faults: {', '.join(result.faults)}"
+    )
+    for line in result.broken:
+        typer.echo(f"  {line}")
+    if result.broken:
+        typer.echo(f"  logs: {result.logs}")
+    return bool(result.broken)
+
+
+if __name__ == "__main__":
+    typer.run(soak)
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,103 @@
+"""Callers that keep connections open and use them until they break."""
+
+import http.client
+import random
+import threading
+import time
+
+from oriolepaddle.daemon.tests.edge_fleet import HOST
+from soak.ledger import Ledger, SentRequest
+
+__all__ = ["Callers"]
+
+KINDS = ("read", "book", "ask", "chat")
+PATIENCE_S = 4.0
+LEAVING_PART = 0.05
+"""Part of the requests whose caller leaves before the answer."""
+PAUSE_S = (0.0, 0.08)
+
+
+class Callers:
+    """Threads that send random requests until they are stopped.
+
+    Args:
+        addresses: Instances' addresses for callers.
+        keys: Returns the keys that are valid or were lately.
+        ledger: Takes the requests.
+        seed: Draws what is asked for.
+        count: The number of threads.
+    """
+
+    def __init__(self, addresses, keys, ledger: Ledger, seed: int, count: int) -> None:
+        self._addresses = addresses
+        self._keys = keys
+        self._ledger = ledger
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number, seed), daemon=True)
+            for number in range(count)
+        ]
+
+    def start(self) -> None:
+        """Begin to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End after the requests in flight."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number: int, seed: int) -> None:
+        generator = random.Random(f"{seed}/{number}")
+        connection = None
+        sequence = 0
+        while not self._stopping.wait(generator.uniform(*PAUSE_S)):
+            sequence += 1
+            if connection is None:
+                connection = self._connect(generator)
+            request = SentRequest(
+                id=f"{seed:08x}-{number:04x}-{sequence:08x}",
+                path=f"/{generator.choice(KINDS)}/{sequence}",
+                key=generator.choice(self._keys()),
+                body=b"body of %d/%d" % (number, sequence),
+                sent_s=time.clock_gettime(time.CLOCK_BOOTTIME),
+            )
+            self._ledger.add(request)
+            is_leaving = generator.random() < LEAVING_PART
+            if not self._send(connection, request, is_leaving):
+                connection.close()
+                connection = None
+            request.ended_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def _connect(self, generator: random.Random) -> http.client.HTTPConnection:
+        host, port = generator.choice(self._addresses()).split(":")
+        return http.client.HTTPConnection(host, int(port), timeout=PATIENCE_S + 2)
+
+    def _send(
+        self,
+        connection: http.client.HTTPConnection,
+        request: SentRequest,
+        is_leaving: bool,
+    ) -> bool:
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Token {request.key}",
+            "X-Oriolepaddle-Request-Id": request.id,
+            "X-Oriolepaddle-Deadline-Ms": str(int(PATIENCE_S * 1000)),
+        }
+        method = "GET" if request.path.startswith("/read/") else "POST"
+        body = b"" if method == "GET" else request.body
+        try:
+            connection.request(method, request.path, body, headers)
+            request.is_sent = True
+            if is_leaving:
+                request.status = 0
+                return False
+            response = connection.getresponse()
+            request.status = response.status
+            request.answer = response.read()
+            return response.headers.get("Connection") != "close"
+        except (OSError, http.client.HTTPException):
+            return False
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,186 @@
+"""Daemons as processes, stand-ins of the store and of runners, relays between."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from oriolepaddle.daemon.tests.edge_fleet import (
+    DESK,
+    ENGINES,
+    KEY,
+    OTHER_KEY,
+    REGIONS,
+    find_port,
+    make_document,
+)
+from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
+from oriolepaddle.standins import RelayStandin
+
+__all__ = ["SoakFleet"]
+
+HEARTBEAT_S = 0.4
+EVENTS = 6
+EVENT_PAUSE_S = 0.03
+REVOKED_KEYS_KEPT = 3
+SECRET = "a secret of the soak fleet"
+
+
+class SoakFleet:
+    """What a soak runs; it ends only the processes that it started.
+
+    Args:
+        folder: Where the daemons' logs go.
+        instances_each: Instances in each data centre.
+    """
+
+    def __init__(self, folder: Path, instances_each: int = 2) -> None:
+        self._folder = folder
+        self._stopping = threading.Event()
+        self.store = StoreStandin()
+        self.runners: dict[str, RunnerStandin] = {}
+        self.relays: dict[str, RelayStandin] = {}
+        self.store_relays: dict[str, RelayStandin] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._environments: dict[str, dict[str, str]] = {}
+        self._gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        self._lives: dict[str, int] = {}
+        self.version = 0
+        self.keys = [KEY, OTHER_KEY]
+        self.revoked: dict[str, float] = {}
+        self.left: dict[str, float] = {}
+        self.absences: list[tuple[str, float, float]] = []
+        self._make_runners()
+        number = 0
+        for data_centre in REGIONS:
+            for _ in range(instances_each):
+                number += 1
+                self._describe(f"n{number}", data_centre, number)
+
+    def start(self) -> None:
+        """Start everything."""
+        self.store.start()
+        self.publish()
+        for runner in self.runners.values():
+            runner.start()
+        threading.Thread(target=self._beat, daemon=True).start()
+        for name in self._environments:
+            self.start_process(name)
+
+    def stop(self) -> None:
+        """End everything that was started here."""
+        self._stopping.set()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        for runner in self.runners.values():
+            runner.stop()
+        self.store.stop()
+
+    def start_process(self, name: str) -> None:
+        """Start an instance, again if it has ended."""
+        self._lives[name] = self._lives.get(name, 0) + 1
+        log = open(self._folder / f"{name}-{self._lives[name]}.log", "wb")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "oriolepaddle.daemon", "serve-edge"],
+            env=os.environ | self._environments[name],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+
+    def publish(self) -> None:
+        """Publish the next version with the valid keys."""
+        self.version += 1
+        document = make_document(self.version)
+        document["tenants"][0]["apiKeys"] = list(self.keys)
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def revoke(self) -> None:
+        """Take a key away and give another in its place."""
+        key = self.keys.pop(0)
+        self.keys.append(f"key-{self.version}")
+        self.publish()
+        self.revoked[key] = now_s()
+
+    def known_keys(self) -> list[str]:
+        """Return the valid keys and the last that were taken away."""
+        return self.keys + list(self.revoked)[-REVOKED_KEYS_KEPT:]
+
+    def caller_addresses(self) -> list[str]:
+        """Return the addresses of instances whose process lives."""
+        living = [name for name, item in self.processes.items() if item.poll() is None]
+        names = living or list(self.processes)
+        return [
+            self._environments[name]["ORIOLEPADDLE_CALLER_ADDRESS"] for name in names
+        ]
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether an instance says that it is ready."""
+        address = self._environments[name]["ORIOLEPADDLE_READINESS_ADDRESS"]
+        host, port = address.split(":")
+        try:
+            with socket.create_connection((host, int(port)), 1) as connection:
+                connection.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                return b" 200 " in connection.recv(64)
+        except OSError:
+            return False
+
+    def leave(self, name: str) -> None:
+        """Let a runner say that it is leaving."""
+        self.runners[name].state = "draining"
+        self.store.put(f"servers/{name}", self.runners[name].describe())
+        self.left[name] = now_s()
+
+    def come_back(self, name: str) -> None:
+        """Let a runner take work again, after its leaving has been checked."""
+        self.absences.append((name, self.left.pop(name), now_s()))
+        self.runners[name].state = "ready"
+
+    def _make_runners(self) -> None:
+        for data_centre in REGIONS:
+            for service, events in ((DESK, 0), (ENGINES, EVENTS)):
+                for number in range(2):
+                    name = f"{service}-{data_centre}-{number}"
+                    runner = RunnerStandin(name, service, data_centre, events)
+                    runner.pause_s = EVENT_PAUSE_S
+                    relay = RelayStandin(runner.address)
+                    runner.advertised = relay.address
+                    self.runners[name] = runner
+                    self.relays[name] = relay
+
+    def _describe(self, name: str, data_centre: str, number: int) -> None:
+        host = f"127.0.1.{number}"
+        relay = self.store_relays[name] = RelayStandin(self.store.address)
+        values = {
+            "instance": name,
+            "data_centre": data_centre,
+            "regions": json.dumps(REGIONS),
+            "gossip_port": str(self._gossip_port),
+            "platform_address": relay.address,
+            "peer_secret": SECRET,
+            "seeds": "127.0.1.1:1,127.0.1.2:1,127.0.1.3:1",
+        }
+        for side in ("caller", "directory", "peer", "readiness"):
+            port = find_port(host, socket.SOCK_STREAM)
+            values[f"{side}_address"] = f"{host}:{port}"
+        self._environments[name] = {
+            f"ORIOLEPADDLE_{field.upper()}": value for field, value in values.items()
+        }
+
+    def _beat(self) -> None:
+        while not self._stopping.wait(HEARTBEAT_S):
+            for name, runner in self.runners.items():
+                self.store.put(f"servers/{name}", runner.describe())
+
+
+def now_s() -> float:
+    """Return the clock by which all moments of a soak are compared."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
