--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -22,11 +22,10 @@
 
 __all__ = ["Placer"]
 
-HOME_BONUS_S = 0.06
-"""Time by which the endpoint that a prompt's shared beginning hashes to is
-preferred, so that instances that do not know of each other's requests read it
-at the same endpoint."""
-HASH_RANGE = 2**64
+HOME_BONUSES_S = (0.08, 0.05)
+"""Time by which the first and second endpoint that a prompt's shared beginning
+hashes to are preferred, so that instances that do not know of each other's
+requests read it at the same endpoint; about the time of reading it anew."""
 RETURN_AFTER = timedelta(milliseconds=300)
 """A refused caller's pause: about the time in which a queue gets shorter."""
 
@@ -70,11 +69,13 @@
         excluded = frozenset(excluded)
         now_s = self._clock.monotonic_s()
         with self._lock:
-            choices = [
-                self._weigh(load, job, now_s)
+            loads = [
+                load
                 for load in self._list_loads(job.service, now_s)
                 if load.endpoint.incarnation not in excluded
             ]
+            bonuses = _find_bonuses(loads, job)
+            choices = [self._weigh(load, job, now_s, bonuses) for load in loads]
         if not choices:
             raise RefusedError(
                 f"no endpoint of {job.service} can run the request now",
@@ -132,13 +133,16 @@
         return min(waits, default=None)
 
     def _weigh(
-        self, load: EndpointLoad, job: Job, now_s: float
+        self,
+        load: EndpointLoad,
+        job: Job,
+        now_s: float,
+        bonuses: dict[str, float],
     ) -> tuple[float, Choice]:
         uncached = max(0, job.input_tokens - load.history.count_cached(job.parts))
         expected_s = load.expect_s(job, uncached, now_s)
         cost_s = expected_s + load.penalty_s()
-        if len(job.parts) > 1:
-            cost_s -= HOME_BONUS_S * _rank(load.endpoint.id, job.parts[-2].id)
+        cost_s -= bonuses.get(load.endpoint.id, 0.0)
         return cost_s, Choice(load.endpoint, expected_s, uncached)
 
     def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
@@ -168,5 +172,13 @@
         return held
 
 
-def _rank(endpoint_id: str, part_id: str) -> float:
-    return xxhash.xxh3_64_intdigest(f"{endpoint_id}|{part_id}".encode()) / HASH_RANGE
+def _find_bonuses(loads: list[EndpointLoad], job: Job) -> dict[str, float]:
+    if len(job.parts) < 2:
+        return {}
+    # The last part is the request's own; the one before it is shared.
+    shared = job.parts[-2].id
+    names = sorted(
+        (load.endpoint.id for load in loads),
+        key=lambda name: xxhash.xxh3_64_intdigest(f"{name}|{shared}".encode()),
+    )
+    return dict(zip(names, HOME_BONUSES_S, strict=False))
