--- a/oriolepaddle/gossip/draws.py
+++ b/oriolepaddle/gossip/draws.py
@@ -1,6 +1,7 @@
 """Drawing tokens at a hub; a `TokenPool`."""
 
 import itertools
+import math
 import secrets
 import threading
 from collections.abc import Callable
@@ -11,9 +12,10 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.gossip.socket import Address, DatagramSocket
-from oriolepaddle.limits import GrantingLimiter
+from oriolepaddle.limits import DrawResult, GrantingLimiter
 from oriolepaddle.limits.pooled import UNREACHABLE_RETRY
 from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram, Draw, DrawReply
 
@@ -61,44 +63,59 @@
         self._waiters: dict[int, _Waiter] = {}
         self.socket: DatagramSocket | None = None
 
-    def is_own(self) -> bool:
-        """Return whether this instance pools tokens; see `TokenPool`."""
-        return self._roster.is_hub()
-
-    def draw(self, organisation: str, tokens: float) -> timedelta | None:
-        """Take tokens at a hub; see `TokenPool.draw`."""
+    def draw(self, organisation: str, tokens: float, held: float) -> DrawResult:
+        """Take tokens at the hubs; see `TokenPool.draw`."""
+        needed = math.ceil(tokens - held)
         own = self._roster.own.id
-        retry_after = None
-        for hub in self._roster.hubs():
-            if hub.id == own:
-                retry_after = retry_after or timedelta(milliseconds=DEFAULT_RETRY_MS)
-                continue
-            reply = self._ask(hub.peer_address, organisation, tokens)
+        hubs = [hub for hub in self._roster.hubs() if hub.id != own]
+        refusals: list[tuple[RosterEntry, DrawReply]] = []
+        for hub in hubs:
+            reply = self._ask(hub, organisation, needed)
             if reply is None:
                 continue
             if reply.tokens > 0:
-                return None
-            retry_after = timedelta(milliseconds=reply.retry_after_ms)
-        if retry_after is None:
+                return DrawResult(reply.tokens)
+            refusals.append((hub, reply))
+        if hubs and not refusals:
             raise RefusedError(
                 "no instance that pools tokens answers",
                 code=ErrorCode.NOT_READY,
                 retry_after=UNREACHABLE_RETRY,
             )
-        return retry_after
+        if sum(reply.available for _, reply in refusals) >= needed:
+            return self._draw_parts(refusals, organisation, needed)
+        waits_ms = [reply.retry_after_ms for _, reply in refusals]
+        wait_ms = min(waits_ms, default=DEFAULT_RETRY_MS)
+        return DrawResult(0, timedelta(milliseconds=wait_ms))
+
+    def _draw_parts(
+        self,
+        refusals: list[tuple[RosterEntry, DrawReply]],
+        organisation: str,
+        needed: int,
+    ) -> DrawResult:
+        drawn = 0
+        for hub, refusal in refusals:
+            part = min(refusal.available, needed - drawn)
+            reply = self._ask(hub, organisation, part) if part > 0 else None
+            drawn += reply.tokens if reply is not None else 0
+        return DrawResult(drawn, timedelta(milliseconds=DEFAULT_RETRY_MS))
 
     def answer(self, draw: Draw, address: Address) -> None:
         """Give tokens to an instance that asks."""
-        tokens, retry_ms = draw.tokens, 0
         organisation = self._find_organisation(draw.organisation)
+        reply = DrawReply(draw.number, draw.tokens, 0, 0)
         try:
             if organisation is None:
                 raise RefusedError("no such organisation here")
-            self._take(organisation, draw.tokens)
+            # What is given is gone from here, used or not.
+            self._own.reserve(organisation, draw.tokens).settle(draw.tokens)
         except RefusedError as error:
             wait = error.retry_after or timedelta(milliseconds=DEFAULT_RETRY_MS)
-            tokens, retry_ms = 0, int(wait.total_seconds() * 1000)
-        self._send(Datagram(reply=DrawReply(draw.number, tokens, retry_ms)), address)
+            held = self._own.available(organisation) if organisation else 0
+            retry_ms = int(wait.total_seconds() * 1000)
+            reply = DrawReply(draw.number, 0, retry_ms, int(held))
+        self._send(Datagram(reply=reply), address)
 
     def receive(self, reply: DrawReply) -> None:
         """Take in the answer to a draw; one that came too late is lost."""
@@ -108,19 +125,15 @@
             waiter.reply = reply
             waiter.answered.set()
 
-    def _take(self, organisation: Organisation, tokens: int) -> None:
-        # What is given is gone from here, used or not.
-        self._own.reserve(organisation, tokens).settle(tokens)
-
     def _ask(
-        self, peer_address: str, organisation: str, tokens: float
+        self, hub: RosterEntry, organisation: str, tokens: int
     ) -> DrawReply | None:
         number = next(self._numbers)
         waiter = _Waiter(threading.Event())
         with self._lock:
             self._waiters[number] = waiter
-        draw = Draw(number, organisation, int(tokens) + 1)
-        host = peer_address.rpartition(":")[0]
+        draw = Draw(number, organisation, tokens)
+        host = hub.peer_address.rpartition(":")[0]
         try:
             self._send(Datagram(draw=draw), (host, self._port))
             self._clock.wait(waiter.answered, DRAW_TIMEOUT)
--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_draws.py
@@ -0,0 +1,88 @@
+from datetime import timedelta
+
+import pytest
+
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.gossip.tests.fleet import ORGANISATION, GossipFleet
+from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram
+
+
+class DirectSocket:
+    """Carries a draw to its hub and the reply back at once."""
+
+    def __init__(self, fleet, node):
+        self.fleet = fleet
+        self.node = node
+
+    def send(self, datagram: Datagram, address):
+        for node in self.fleet.nodes.values():
+            if node.host == address[0] and node is not self.node:
+                node.state.draws.socket = ReplySocket(self.node)
+                node.state.draws.answer(datagram.draw, (self.node.host, 0))
+
+
+class ReplySocket:
+    def __init__(self, node):
+        self.node = node
+
+    def send(self, datagram, address):
+        self.node.state.draws.receive(datagram.reply)
+
+
+class SilentSocket:
+    def send(self, datagram, address):
+        """Lose the datagram."""
+
+
+class TestTokenDraws:
+    """The load: small rates, large requests, tokens in two hubs' hands."""
+
+    @pytest.fixture
+    def fleet(self):
+        fleet = GossipFleet()
+        fleet.add("n1", "nordur-a", 2.0)
+        fleet.add("n2", "nordur-b", 2.0, seeds=["n1"])
+        fleet.add("n3", "nordur-a", 0.4, seeds=["n1"])
+        fleet.run(timedelta(seconds=4))
+        return fleet
+
+    @pytest.fixture
+    def draws(self, fleet):
+        node = fleet.nodes["n3"]
+        node.state.draws.socket = DirectSocket(fleet, node)
+        return node.state.draws
+
+    def list_held(self, fleet):
+        return {
+            name: node.state.limiter.available(ORGANISATION)
+            for name, node in fleet.nodes.items()
+        }
+
+    def test_takes_from_one_hub_what_it_has(self, fleet, draws):
+        held = self.list_held(fleet)
+        drawn = draws.draw("norddal", 200, 0)
+        assert drawn.tokens == 200
+        assert sum(held.values()) - sum(self.list_held(fleet).values()) == 200
+
+    def test_takes_from_both_what_neither_has(self, fleet, draws):
+        held = self.list_held(fleet)
+        needed = int(held["n1"] + held["n2"]) - 2
+        assert draws.draw("norddal", needed, 0).tokens == needed
+
+    def test_takes_nothing_if_all_have_too_little(self, fleet, draws):
+        held = self.list_held(fleet)
+        drawn = draws.draw("norddal", sum(held.values()) + 10, 0)
+        assert drawn.tokens == 0
+        assert drawn.retry_after > timedelta(0)
+        assert self.list_held(fleet) == held
+
+    def test_silent_hubs_are_a_typed_refusal(self, fleet, draws):
+        def wait(event, timeout):
+            fleet.clock.advance(timeout)
+            return event.is_set()
+
+        fleet.clock.wait = wait
+        draws.socket = SilentSocket()
+        with pytest.raises(RefusedError) as caught:
+            draws.draw("norddal", 10, 0)
+        assert caught.value.code is ErrorCode.NOT_READY
--- a/oriolepaddle/limits/__init__.py
+++ b/oriolepaddle/limits/__init__.py
@@ -3,13 +3,14 @@
 from oriolepaddle.limits.granting import GrantingLimiter, TokenNeed
 from oriolepaddle.limits.limiter import Reservation, TokenLimiter
 from oriolepaddle.limits.link import LIMITS_SERVICE
-from oriolepaddle.limits.pooled import PooledLimiter, TokenPool
+from oriolepaddle.limits.pooled import DrawResult, PooledLimiter, TokenPool
 from oriolepaddle.limits.settings import LimitSettings
 from oriolepaddle.limits.shared import SharedTokenLimiter
 from oriolepaddle.limits.snapshot import LimitSnapshot
 
 __all__ = [
     "LIMITS_SERVICE",
+    "DrawResult",
     "GrantingLimiter",
     "LimitSettings",
     "LimitSnapshot",
--- a/oriolepaddle/limits/granting.py
+++ b/oriolepaddle/limits/granting.py
@@ -111,16 +111,30 @@
         # used it; tokens accrue from then on, asked for or not.
         self._started_s = clock.monotonic_s()
 
-    def reserve(self, organisation: Organisation, tokens: float) -> SharedReservation:
-        """Set tokens aside for a request; see `TokenLimiter.reserve`."""
+    def reserve(
+        self, organisation: Organisation, tokens: float, is_repeated: bool = False
+    ) -> SharedReservation:
+        """Set tokens aside for a request; see `TokenLimiter.reserve`.
+
+        Args:
+            organisation: The organisation that asks.
+            tokens: What the request needs.
+            is_repeated: Whether this request was counted as demand before.
+        """
         with self._lock:
             account = self._account(organisation)
-            account.ask(tokens)
+            if not is_repeated:
+                account.ask(tokens)
             parts = self._take(account, tokens)
             if parts is None:
                 raise self._refusal(account, tokens)
         return SharedReservation(parts, self._charger(account))
 
+    def available(self, organisation: Organisation) -> float:
+        """Return the tokens that are here now."""
+        with self._lock:
+            return max(0.0, self._account(organisation).balance)
+
     def needs(self) -> dict[str, TokenNeed]:
         """Return what can be spared and is lacked, by organisation."""
         with self._lock:
--- a/oriolepaddle/limits/pooled.py
+++ b/oriolepaddle/limits/pooled.py
@@ -4,34 +4,45 @@
 organisation's rate is less than one request needs.
 """
 
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
+import attrs
+
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.limits.granting import GrantingLimiter
 from oriolepaddle.limits.limiter import Reservation
-from oriolepaddle.limits.reservation import ReservationPart, SharedReservation
 
-__all__ = ["PooledLimiter", "TokenPool"]
+__all__ = ["DrawResult", "PooledLimiter", "TokenPool"]
 
 UNREACHABLE_RETRY = timedelta(milliseconds=400)
 """About the time in which another pool takes over."""
 
 
+@attrs.frozen
+class DrawResult:
+    """What a draw has brought.
+
+    Attributes:
+        tokens: Tokens that are now here; 0 if there were too few.
+        retry_after: When to ask again if there were too few.
+    """
+
+    tokens: int
+    retry_after: timedelta = timedelta(0)
+
+
 class TokenPool(Protocol):
     """Tokens that other instances hold."""
 
-    def is_own(self) -> bool:
-        """Return whether this instance itself pools tokens."""
-        ...
-
-    def draw(self, organisation: str, tokens: float) -> timedelta | None:
-        """Take tokens at another instance.
+    def draw(self, organisation: str, tokens: float, held: float) -> DrawResult:
+        """Take tokens at other instances, from several if none has enough.
 
-        Returns:
-            None if they were given, else when to ask again.
+        Args:
+            organisation: The organisation.
+            tokens: What is needed.
+            held: What is here already; as much less will do.
 
         Raises:
             RefusedError: No instance that pools tokens answered.
@@ -40,13 +51,10 @@
 
 
 class PooledLimiter:
-    """Reserves from the own pool, else from another's; thread-safe.
-
-    Tokens that were drawn and not used go into the own purse and serve the next
-    request.
+    """Reserves from the own pool, else from others' too; thread-safe.
 
     Args:
-        own: The own pool and purse.
+        own: The own pool; what is drawn goes into it.
         pool: Reaches the others.
     """
 
@@ -58,24 +66,14 @@
         """Set tokens aside for a request; see `TokenLimiter.reserve`."""
         try:
             return self._own.reserve(organisation, tokens)
-        except RefusedError as error:
-            refusal = error
-        retry_after = self._pool.draw(organisation.id, tokens)
-        if retry_after is None:
-            part = ReservationPart(tokens, self._settler(organisation.id, tokens))
-            return SharedReservation([part], lambda used: None)
-        if self._pool.is_own():
-            raise refusal
+        except RefusedError:
+            held = self._own.available(organisation)
+        drawn = self._pool.draw(organisation.id, tokens, held)
+        if drawn.tokens > 0:
+            self._own.receive({organisation.id: drawn.tokens})
+            return self._own.reserve(organisation, tokens, is_repeated=True)
         raise RefusedError(
             f"{organisation.id} has used its rate and burst",
             code=ErrorCode.RATE_LIMITED,
-            retry_after=retry_after,
+            retry_after=drawn.retry_after,
         )
-
-    def _settler(self, organisation: str, tokens: float) -> Callable[[float], None]:
-        def _settle(used: float) -> None:
-            unused = int(tokens - used)
-            if unused > 0:
-                self._own.receive({organisation: unused})
-
-        return _settle
--- a/oriolepaddle/limits/tests/test_granting.py
+++ b/oriolepaddle/limits/tests/test_granting.py
@@ -7,7 +7,12 @@
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import ErrorCode, Outcome, RefusedError
-from oriolepaddle.limits import GrantingLimiter, PooledLimiter, TokenNeed
+from oriolepaddle.limits import (
+    DrawResult,
+    GrantingLimiter,
+    PooledLimiter,
+    TokenNeed,
+)
 
 RATE, BURST = 1000.0, 2000.0
 ORGANISATION = Organisation("norddal", RATE, BURST)
@@ -57,22 +62,28 @@
 
 
 class DryPool:
-    def is_own(self):
-        return False
+    def draw(self, organisation, tokens, held):
+        return DrawResult(0, timedelta(seconds=0.5))
 
-    def draw(self, organisation, tokens):
-        return timedelta(seconds=0.5)
 
+class FullPool:
+    def __init__(self):
+        self.drawn = 0
 
-class FullPool(DryPool):
-    def draw(self, organisation, tokens):
-        return None
+    def draw(self, organisation, tokens, held):
+        self.drawn += int(tokens - held)
+        return DrawResult(int(tokens - held))
 
 
 class TestPooledLimiter:
     def test_draws_what_it_lacks(self):
-        own = make_limiter(ManualClock(), share=0.0)
-        PooledLimiter(own, FullPool()).reserve(ORGANISATION, 100).settle(100)
+        clock = ManualClock()
+        own = make_limiter(clock, share=0.1)
+        clock.advance(timedelta(seconds=60))
+        pool = FullPool()
+        PooledLimiter(own, pool).reserve(ORGANISATION, 500).settle(500)
+        assert pool.drawn == 300
+        assert own.available(ORGANISATION) == 0
 
     def test_tells_when_the_pool_has_tokens(self):
         own = make_limiter(ManualClock(), share=0.0)
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -993,14 +993,16 @@
      - number
      - tokens
      - retry_after_ms
+     - available: What there was when the draw was refused.
 
     """
 
 
-    def __init__(self, number=None, tokens=None, retry_after_ms=None,):
+    def __init__(self, number=None, tokens=None, retry_after_ms=None, available=None,):
         self.number = number
         self.tokens = tokens
         self.retry_after_ms = retry_after_ms
+        self.available = available
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1026,6 +1028,11 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.available = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1048,6 +1055,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 3)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.available is not None:
+            oprot.writeFieldBegin('available', TType.I64, 4)
+            oprot.writeI64(self.available)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1058,6 +1069,8 @@
             raise TProtocolException(message='Required field tokens is unset!')
         if self.retry_after_ms is None:
             raise TProtocolException(message='Required field retry_after_ms is unset!')
+        if self.available is None:
+            raise TProtocolException(message='Required field available is unset!')
         return
 
     def __repr__(self):
@@ -1233,6 +1246,7 @@
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I64, 'tokens', None, None, ),  # 2
     (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
+    (4, TType.I64, 'available', None, None, ),  # 4
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -85,6 +85,8 @@
   1: required i64 number,
   2: required i64 tokens,
   3: required i32 retry_after_ms,
+  /** What there was when the draw was refused. */
+  4: required i64 available,
 }
 
 /** One datagram; one field is set. */
