--- a/oriolepaddle/gossip/work.py
+++ b/oriolepaddle/gossip/work.py
@@ -56,27 +56,32 @@
             ]
         for loads in fresh:
             for name, load in loads.items():
-                total[name] = _add(total.get(name, PeerLoad(0, 0)), load)
+                total[name] = load.add(total.get(name, PeerLoad(0, 0)))
         return _write(total)
 
 
-def _add(one: PeerLoad, other: PeerLoad) -> PeerLoad:
-    return PeerLoad(
-        one.running + other.running,
-        one.prefill_tokens + other.prefill_tokens,
-        one.memory_tokens + other.memory_tokens,
-    )
-
-
 def _read(work: Iterable[EndpointWork]) -> dict[str, PeerLoad]:
     return {
-        item.endpoint: PeerLoad(item.running, item.prefill_tokens, item.memory_tokens)
+        item.endpoint: PeerLoad(
+            item.running,
+            item.prefill_tokens,
+            item.memory_tokens,
+            (item.reading_ms or 0) / 1000,
+            (item.expected_ms or 0) / 1000,
+        )
         for item in work
     }
 
 
 def _write(loads: dict[str, PeerLoad]) -> list[EndpointWork]:
     return [
-        EndpointWork(name, load.running, load.prefill_tokens, load.memory_tokens)
+        EndpointWork(
+            name,
+            load.running,
+            load.prefill_tokens,
+            load.memory_tokens,
+            int(load.reading_s * 1000),
+            int(load.expected_s * 1000),
+        )
         for name, load in loads.items()
     ]
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -191,15 +191,19 @@
      - running
      - prefill_tokens
      - memory_tokens
+     - reading_ms: Time that first events took of late, and that was expected of them.
+     - expected_ms
 
     """
 
 
-    def __init__(self, endpoint=None, running=None, prefill_tokens=None, memory_tokens=None,):
+    def __init__(self, endpoint=None, running=None, prefill_tokens=None, memory_tokens=None, reading_ms=None, expected_ms=None,):
         self.endpoint = endpoint
         self.running = running
         self.prefill_tokens = prefill_tokens
         self.memory_tokens = memory_tokens
+        self.reading_ms = reading_ms
+        self.expected_ms = expected_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -230,6 +234,16 @@
                     self.memory_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.reading_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.expected_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -256,6 +270,14 @@
             oprot.writeFieldBegin('memory_tokens', TType.I32, 4)
             oprot.writeI32(self.memory_tokens)
             oprot.writeFieldEnd()
+        if self.reading_ms is not None:
+            oprot.writeFieldBegin('reading_ms', TType.I32, 5)
+            oprot.writeI32(self.reading_ms)
+            oprot.writeFieldEnd()
+        if self.expected_ms is not None:
+            oprot.writeFieldBegin('expected_ms', TType.I32, 6)
+            oprot.writeI32(self.expected_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1187,6 +1209,8 @@
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'prefill_tokens', None, None, ),  # 3
     (4, TType.I32, 'memory_tokens', None, None, ),  # 4
+    (5, TType.I32, 'reading_ms', None, None, ),  # 5
+    (6, TType.I32, 'expected_ms', None, None, ),  # 6
 )
 all_structs.append(RegionWait)
 RegionWait.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -20,6 +20,9 @@
   2: required i32 running,
   3: required i32 prefill_tokens,
   4: required i32 memory_tokens,
+  /** Time that first events took of late, and that was expected of them. */
+  5: optional i32 reading_ms,
+  6: optional i32 expected_ms,
 }
 
 /** The wait that a request would meet in a region. */
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -1,5 +1,7 @@
 """What one instance knows of an endpoint's load."""
 
+import math
+
 import attrs
 
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
@@ -18,8 +20,13 @@
 FIRST_STREAM_S = 2.0
 """Time that a stream holds its slot before it is learned."""
 LEARNING_WEIGHT = 0.15
+LEARNING_MEMORY_S = 4.0
+"""Time constant with which samples of the speed of prefill fade."""
+PRIOR_S = 0.15
+"""Reading time for which the speed of a new endpoint is taken for granted."""
 MIN_SAMPLE_TOKENS = 500
 MIN_CORRECTION, MAX_CORRECTION = 0.3, 8.0
+LEAST_EXPECTED_S = 0.01
 FAILURE_WEIGHT = 0.25
 FAILURE_COST_S = 1.5
 """Time that a certain failure is taken to cost the caller."""
@@ -39,11 +46,30 @@
         running: Its requests there.
         prefill_tokens: Tokens of their prompts that are still to be read.
         memory_tokens: Tokens of memory that they may hold.
+        reading_s: Seconds that its prompts took to be read of late.
+        expected_s: Seconds that were expected of them without a correction.
     """
 
     running: int
     prefill_tokens: int
     memory_tokens: int = 0
+    reading_s: float = 0.0
+    expected_s: float = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it tells nothing."""
+        return not self.running and self.expected_s < LEAST_EXPECTED_S
+
+    def add(self, other: "PeerLoad") -> "PeerLoad":
+        """Return both loads together."""
+        return PeerLoad(
+            self.running + other.running,
+            self.prefill_tokens + other.prefill_tokens,
+            self.memory_tokens + other.memory_tokens,
+            self.reading_s + other.reading_s,
+            self.expected_s + other.expected_s,
+        )
 
 
 class EndpointLoad:
@@ -68,7 +94,9 @@
         self.history = PrefixHistory(engine.cache_tokens if engine else 0)
         self.cold = ColdStartBucket(service.cold_requests_per_s, now_s)
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
-        self._correction = 1.0
+        self._reading_s = 0.0
+        self._expected_s = 0.0
+        self._faded_s = now_s
         self._service_s = FIRST_STREAM_S if engine else FIRST_SERVICE_S
         self._failure_rate = 0.0
         self._blocked_until_s = 0.0
@@ -86,15 +114,24 @@
         """Take in what another instance says of its own requests."""
         self._peers[name] = (now_s, load)
 
+    def own(self, now_s: float) -> PeerLoad:
+        """Return the load from this instance."""
+        self._fade(now_s)
+        return PeerLoad(
+            self.running,
+            self.prefill_tokens,
+            self.memory_tokens,
+            self._reading_s,
+            self._expected_s,
+        )
+
     def total(self, now_s: float) -> PeerLoad:
         """Return the load from all instances of which is known."""
-        running, prefill, memory = self.running, self.prefill_tokens, self.memory_tokens
+        total = self.own(now_s)
         for heard_s, load in self._peers.values():
             if now_s - heard_s < PEER_LOAD_MEMORY_S:
-                running += load.running
-                prefill += load.prefill_tokens
-                memory += load.memory_tokens
-        return PeerLoad(running, prefill, memory)
+                total = total.add(load)
+        return total
 
     def expect_s(self, job: Job, uncached_tokens: int, now_s: float) -> float:
         """Return the seconds until the first byte if a request is sent now."""
@@ -104,7 +141,7 @@
         if self.service.engine is None:
             return waiting_s + self._service_s
         unread = total.prefill_tokens + uncached_tokens
-        prefill_s = unread / PREFILL_TOKENS_PER_S * self._correction
+        prefill_s = unread / PREFILL_TOKENS_PER_S * _find_correction(total)
         capacity = self.service.engine.cache_tokens * MEMORY_PART
         over = total.memory_tokens + job.memory_tokens - capacity
         memory_s = max(0.0, over / capacity) * self._service_s
@@ -114,18 +151,21 @@
         """Return what its failures are expected to cost."""
         return self._failure_rate * FAILURE_COST_S
 
-    def learn_first_byte(self, elapsed_s: float, unread_tokens: int) -> None:
+    def learn_first_byte(
+        self, elapsed_s: float, unread_tokens: int, now_s: float
+    ) -> None:
         """Learn the speed of prefill.
 
         Args:
             elapsed_s: Seconds from sending to the first event.
             unread_tokens: Tokens that stood before that event at the sending.
+            now_s: Monotonic seconds.
         """
         if unread_tokens < MIN_SAMPLE_TOKENS:
             return
-        ratio = (elapsed_s - ENGINE_BASE_S) / (unread_tokens / PREFILL_TOKENS_PER_S)
-        ratio = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
-        self._correction += LEARNING_WEIGHT * (ratio - self._correction)
+        self._fade(now_s)
+        self._reading_s += max(0.0, elapsed_s - ENGINE_BASE_S)
+        self._expected_s += unread_tokens / PREFILL_TOKENS_PER_S
 
     def learn_service(self, elapsed_s: float) -> None:
         """Learn how long a request holds its slot."""
@@ -142,3 +182,14 @@
         if is_unreachable:
             self._block_s = min(max(FIRST_BLOCK_S, self._block_s * 2), MAX_BLOCK_S)
             self._blocked_until_s = now_s + self._block_s
+
+    def _fade(self, now_s: float) -> None:
+        kept = math.exp(-(now_s - self._faded_s) / LEARNING_MEMORY_S)
+        self._faded_s = now_s
+        self._reading_s *= kept
+        self._expected_s *= kept
+
+
+def _find_correction(total: PeerLoad) -> float:
+    ratio = (PRIOR_S + total.reading_s) / (PRIOR_S + total.expected_s)
+    return min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -100,14 +100,10 @@
 
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return what this instance has running, by the endpoint's id."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            return {
-                load.endpoint.id: PeerLoad(
-                    load.running, load.prefill_tokens, load.memory_tokens
-                )
-                for load in self._loads.values()
-                if load.running
-            }
+            loads = {load.endpoint.id: load.own(now_s) for load in self._loads.values()}
+        return {name: load for name, load in loads.items() if not load.is_idle}
 
     def apply_peer(self, name: str, loads: dict[str, PeerLoad]) -> None:
         """Take in what another instance of the region has running."""
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -49,11 +49,12 @@
         """Note the first byte of the answer; later calls do nothing."""
         if self._has_begun:
             return
-        elapsed_s = self._clock.monotonic_s() - self._started_s
+        now_s = self._clock.monotonic_s()
         with self._lock:
             self._has_begun = True
             self._load.prefill_tokens -= self._uncached
-            self._load.learn_first_byte(elapsed_s, self._unread)
+            elapsed_s = now_s - self._started_s
+            self._load.learn_first_byte(elapsed_s, self._unread, now_s)
 
     def end(self) -> None:
         """Note the end of the run, whatever it was."""
