--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -124,6 +124,16 @@
         assert response.headers["X-Oriolepaddle-Server-Seal"]
 
 
+class TestFailedRepeat:
+    def test_endpoints_failure_is_passed_on_when_there_is_no_other(self, fleet):
+        runner = fleet.add_runner("d1", DESK)
+        fleet.add_instance("n1")
+        fleet.await_ready()
+        runner.acts.append(RunnerAct.ERROR)
+        response = fleet.send("n1", "/read/1")
+        assert (response.status, response.read()) == (500, b"failed")
+
+
 class TestStream:
     def test_keeps_every_event(self, single):
         status, body = single.ask("n1", "/ask/1", method="POST")
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -73,6 +73,7 @@
         self._first_byte_s: float | None = None
         self._may_leave = not request.hops
         self._has_repeat = False
+        self._failed_answer: EdgeSink | None = None
         self._last_uncertain: OriolepaddleError | None = None
 
     def run(self) -> None:
@@ -167,8 +168,15 @@
             except OriolepaddleError as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     self._last_uncertain = error
-                if not self._prepare_repeat(error):
+                if self._prepare_repeat(error):
+                    continue
+                if self._failed_answer is None or self._writer.is_started:
                     raise self._find_final(error) from error
+                # An endpoint's own failure says more than that the repeat
+                # found no other endpoint.
+                self._failed_answer.complete()
+                self._note_answered()
+                return
 
     def _try_once(self) -> None:
         now_s = self._parts.clock.monotonic_s()
@@ -255,6 +263,7 @@
             self._runs -= 1
             if is_repeated:
                 self._has_repeat = True
+                self._failed_answer = sink
                 raise error
         # The endpoint's own failure is an answer like any other.
         sink.complete()
