--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -49,7 +49,7 @@
 SMALL_SERVER_CONNECTIONS = 32
 ACCEPT_INTERVAL = timedelta(seconds=1)
 """Long, as each of five listeners would wake an idle instance as often."""
-WARM_UP = timedelta(seconds=1)
+WARM_UP = timedelta(milliseconds=500)
 """Time to hear the other instances before callers are sent here."""
 FALLBACK_AGE = timedelta(seconds=2.8)
 """Age of what hubs pass on above which an instance reads the store itself; they
