--- a/oriolepaddle/catalog/organisation.py
+++ b/oriolepaddle/catalog/organisation.py
@@ -28,3 +28,8 @@
     def id(self) -> str:
         """The organisation's id."""
         return self.organisation.id
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether it has a rate."""
+        return self.organisation.rate_tokens_per_s > 0
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -191,9 +191,9 @@
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect = timedelta(seconds=settings.connect_timeout_s)
-        self._pool = GrantingLimiter(clock, self._find_share, self._find_organisation)
+        self.pool = GrantingLimiter(clock, self._find_share, self._find_organisation)
         self._draws = TokenDraws(
-            clock, roster, self._pool, self._find_organisation, settings.gossip_port
+            clock, roster, self.pool, self._find_organisation, settings.gossip_port
         )
         self._loads = RegionLoads(clock, roster, round_trip_s, self._generator)
         return EdgeParts(
@@ -202,7 +202,7 @@
             protocol=PlatformProtocol(settings.instance),
             placer=placer,
             regions=self._loads,
-            limiter=PooledLimiter(self._pool, self._draws),
+            limiter=PooledLimiter(self.pool, self._draws),
             allowance=RetryAllowance(
                 clock,
                 settings.retry_ratio,
@@ -246,7 +246,7 @@
             placer=self.parts.placer,
             work=RegionWork(self._clock, self.parts.placer),
             loads=self._loads,
-            limiter=self._pool,
+            limiter=self.pool,
             draws=self._draws,
             delegations=self._delegations,
             crashes=self.parts.crashes,
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -287,3 +287,19 @@
         assert response.headers["Connection"] == "close"
         stopping.join(10)
         assert not stopping.is_alive()
+
+
+class TestReservations:
+    def test_are_settled_whatever_became_of_the_request(self, fleet):
+        runner = fleet.add_runner("d1", DESK)
+        document = make_document(2)
+        document["tenants"][0] |= {"ratePerS": 1000, "burst": 1000}
+        fleet.publish(document)
+        instance = fleet.add_instance("n1")
+        fleet.await_ready()
+        await_true(lambda: fleet.ask("n1", "/read/1")[0] == 200)
+        runner.acts.extend([RunnerAct.SHED, RunnerAct.RESET, RunnerAct.ERROR])
+        for _ in range(4):
+            fleet.ask("n1", "/book/1", method="POST")
+        await_true(lambda: instance.parts.activity.count == 0)
+        assert instance.pool.open_debits == 0
--- a/oriolepaddle/edge/admission.py
+++ b/oriolepaddle/edge/admission.py
@@ -44,6 +44,14 @@
         """Return whether the request may be served in a region."""
         return all(not regions or region in regions for regions in self.residency)
 
+    def is_placed_like(self, other: "Admitted") -> bool:
+        """Return whether both may run at the same places, with or without a key."""
+        return (
+            self.service == other.service
+            and self.residency == other.residency
+            and (self.organisation is None) == (other.organisation is None)
+        )
+
 
 def admit(parts: EdgeParts, request: EdgeRequest) -> Admitted:
     """Return the request with its route and organisation.
--- /dev/null
+++ b/oriolepaddle/edge/placing.py
@@ -0,0 +1,78 @@
+"""Where a request goes: an endpoint here, or an instance elsewhere."""
+
+from datetime import timedelta
+
+from oriolepaddle.edge.admission import Admitted
+from oriolepaddle.edge.parts import EdgeParts
+from oriolepaddle.edge.progress import ExchangeProgress
+from oriolepaddle.edge.regions import PeerChoice
+from oriolepaddle.edge.request import EdgeRequest
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.placement import Choice, Job
+
+__all__ = ["make_job", "place"]
+
+LATE_PATIENCE_PART = 0.3
+"""Part of the target that a request which is late already may still wait."""
+AWAY_GAIN_S = 0.1
+"""Time to be gained before a request is worth the link between regions."""
+RETURN_AFTER = timedelta(milliseconds=200)
+"""The pause of a caller whose region of residency cannot be reached."""
+
+
+def make_job(
+    admitted: Admitted, request: EdgeRequest, now_s: float, left_s: float
+) -> Job:
+    """Return what placing needs to know of a request now.
+
+    Args:
+        admitted: Its route.
+        request: The request.
+        now_s: Monotonic seconds.
+        left_s: Seconds to its deadline.
+    """
+    target_s = admitted.route.target.total_seconds()
+    on_time_s = target_s - (now_s - request.arrived_s)
+    patience_s = max(on_time_s, LATE_PATIENCE_PART * target_s)
+    return Job(
+        service=admitted.service,
+        parts=request.parts,
+        input_tokens=request.input_tokens,
+        output_tokens=request.output_tokens,
+        patience_s=min(patience_s, left_s),
+    )
+
+
+def place(
+    parts: EdgeParts, admitted: Admitted, job: Job, progress: ExchangeProgress
+) -> Choice | PeerChoice:
+    """Return an endpoint of this region or an instance of another.
+
+    Raises:
+        RefusedError: Neither may run it, or neither would begin in time.
+    """
+    refusal = RefusedError(
+        "its region of residency cannot be reached",
+        code=ErrorCode.RESIDENCY_UNSERVABLE,
+        retry_after=RETURN_AFTER,
+    )
+    choice = None
+    if admitted.allows_region(parts.region):
+        try:
+            choice = parts.placer.choose(job, progress.excluded)
+        except RefusedError as error:
+            refusal = error
+    peer = None
+    if progress.may_leave:
+        peer = parts.regions.choose(job.service, job.input_tokens, admitted.residency)
+    if peer is not None and _is_better_away(choice, peer, job):
+        return peer
+    if choice is None:
+        raise refusal
+    return choice
+
+
+def _is_better_away(choice: Choice | None, peer: PeerChoice, job: Job) -> bool:
+    if choice is None:
+        return peer.expected_s <= job.patience_s
+    return peer.expected_s + AWAY_GAIN_S < choice.expected_s
--- a/oriolepaddle/limits/granting.py
+++ b/oriolepaddle/limits/granting.py
@@ -10,82 +10,21 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import attrs
-
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.limits.bucket import Bucket
 from oriolepaddle.limits.reservation import ReservationPart, SharedReservation
+from oriolepaddle.limits.token_account import TokenAccount
+from oriolepaddle.limits.token_need import TokenNeed
 
-__all__ = ["GrantingLimiter", "TokenNeed"]
+__all__ = ["GrantingLimiter"]
 
-DEMAND_WEIGHT = 0.3
-DEMAND_INTERVAL_S = 0.25
-WANTED_S = 0.8
-"""Seconds of demand that an instance asks to hold: several rounds of grants."""
-KEPT_S = 0.5
-"""Seconds of demand that an instance keeps for itself."""
 LEAST_GRANT_TOKENS = 1.0
 MIN_RETRY_AFTER = timedelta(milliseconds=250)
 MAX_RETRY_AFTER = timedelta(seconds=2)
 
 
-@attrs.frozen
-class TokenNeed:
-    """What an instance can spare and lacks of one organisation's tokens.
-
-    Attributes:
-        spare: Tokens that it could give away.
-        wanted: Tokens that it would take.
-    """
-
-    spare: int
-    wanted: int
-
-
-class _Account:
-    def __init__(self, organisation: Organisation, accrues_from_s: float) -> None:
-        self.organisation = organisation
-        self.minted = Bucket(accrues_from_s)
-        self.granted = Bucket(accrues_from_s)
-        self.demand_per_s = 0.0
-        self.largest = 0.0
-        self._asked = 0.0
-        self._measured_s: float | None = None
-
-    def advance(self, now_s: float, share: float) -> None:
-        held = self.organisation
-        rate, burst = held.rate_tokens_per_s, held.burst_tokens
-        self.minted.resize(rate * share, burst * share)
-        self.minted.advance(now_s)
-        self.granted.resize(0.0, burst)
-        if self._measured_s is None:
-            self._measured_s = now_s
-        elapsed_s = now_s - self._measured_s
-        if elapsed_s >= DEMAND_INTERVAL_S:
-            measured = self._asked / elapsed_s
-            self.demand_per_s += DEMAND_WEIGHT * (measured - self.demand_per_s)
-            self._asked = 0.0
-            self._measured_s = now_s
-
-    def ask(self, tokens: float) -> None:
-        self._asked += tokens
-        self.largest = max(self.largest, tokens)
-
-    @property
-    def balance(self) -> float:
-        return self.minted.balance + self.granted.balance
-
-    def need(self) -> TokenNeed:
-        kept = self.demand_per_s * KEPT_S
-        aim = self.demand_per_s * WANTED_S
-        if self.demand_per_s > 0:
-            aim += self.largest
-        spare = max(0.0, self.balance - kept)
-        return TokenNeed(int(spare), int(max(0.0, aim - self.balance)))
-
-
 class GrantingLimiter:
     """Holds organisations to their rate over all instances; thread-safe.
 
@@ -106,7 +45,7 @@
         self._find_share = find_share
         self._find_organisation = find_organisation
         self._lock = threading.Lock()
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, TokenAccount] = {}
         # Nothing is held at the start of a life, as an earlier one may have
         # used it; tokens accrue from then on, asked for or not.
         self._started_s = clock.monotonic_s()
@@ -135,6 +74,15 @@
         with self._lock:
             return max(0.0, self._account(organisation).balance)
 
+    @property
+    def open_debits(self) -> int:
+        """Reservations that are not settled."""
+        with self._lock:
+            return sum(
+                account.minted.open_debits + account.granted.open_debits
+                for account in self._accounts.values()
+            )
+
     def needs(self) -> dict[str, TokenNeed]:
         """Return what can be spared and is lacked, by organisation."""
         with self._lock:
@@ -175,17 +123,19 @@
                 if organisation is not None:
                     self._account(organisation).granted.add(tokens)
 
-    def _account(self, organisation: Organisation) -> _Account:
+    def _account(self, organisation: Organisation) -> TokenAccount:
         now_s = self._clock.monotonic_s()
         account = self._accounts.get(organisation.id)
         if account is None:
-            account = _Account(organisation, self._started_s)
+            account = TokenAccount(organisation, self._started_s)
             self._accounts[organisation.id] = account
         account.organisation = self._find_organisation(organisation.id) or organisation
         account.advance(now_s, self._find_share())
         return account
 
-    def _take(self, account: _Account, tokens: float) -> list[ReservationPart] | None:
+    def _take(
+        self, account: TokenAccount, tokens: float
+    ) -> list[ReservationPart] | None:
         if tokens > account.balance:
             return None
         parts = []
@@ -198,7 +148,7 @@
             tokens -= taken
         return parts
 
-    def _remove(self, account: _Account, tokens: int) -> int:
+    def _remove(self, account: TokenAccount, tokens: int) -> int:
         removed = account.granted.remove(tokens)
         removed += account.minted.remove(tokens - removed)
         return int(removed)
@@ -210,14 +160,14 @@
 
         return _settle
 
-    def _charger(self, account: _Account) -> Callable[[float], None]:
+    def _charger(self, account: TokenAccount) -> Callable[[float], None]:
         def _charge(tokens: float) -> None:
             with self._lock:
                 account.minted.charge(tokens)
 
         return _charge
 
-    def _refusal(self, account: _Account, tokens: float) -> RefusedError:
+    def _refusal(self, account: TokenAccount, tokens: float) -> RefusedError:
         held = account.organisation
         missing = tokens - account.balance
         wait = timedelta(seconds=missing / max(1.0, held.rate_tokens_per_s))
--- a/oriolepaddle/platform/registration.py
+++ b/oriolepaddle/platform/registration.py
@@ -27,9 +27,7 @@
     try:
         return _decode(endpoint_id, json.loads(text), read_at_s)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise PlatformUnavailableError(
-            f"the entry of {endpoint_id!r} is not understood: {error!r}"
-        ) from error
+        raise _make_error(endpoint_id, repr(error)) from error
 
 
 def _decode(
@@ -38,15 +36,15 @@
     address = fields["address"]
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError(f"{address!r} is not IP:port")
+        raise _make_error(endpoint_id, f"{address!r} is not IP:port")
     slots = fields["slots"]
     cold_left_ms = fields.get("coldLeftMs", 0)
     born = fields.get("born", 0)
     if not (_is_number(slots) and _is_number(cold_left_ms) and _is_number(born)):
-        raise ValueError("a number is missing")
+        raise _make_error(endpoint_id, "a number is missing")
     texts = (endpoint_id, fields["service"], fields["zone"])
     if not all(isinstance(text, str) and text for text in texts):
-        raise ValueError("a name is missing")
+        raise _make_error(endpoint_id, "a name is missing")
     return RegisteredEndpoint(
         id=endpoint_id,
         # The start of this life of the process, not of the machine.
@@ -65,3 +63,9 @@
 
 def _is_number(value: object) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _make_error(endpoint_id: str, reason: str) -> PlatformUnavailableError:
+    return PlatformUnavailableError(
+        f"the entry of {endpoint_id!r} is not understood: {reason}"
+    )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,12 +3,12 @@
 import random
 import secrets
 import sys
-import time
 from typing import Annotated
 
 import typer
 from loguru import logger
 
+from soak.fleet import now_s
 from soak.run import SoakResult, run_seed
 
 SEED_BITS = 31
@@ -31,8 +31,8 @@
     for item in seeds:
         is_broken |= _report(run_seed(item, seconds, instances_each=instances))
     generator = random.Random(secrets.randbits(64))
-    deadline_s = time.monotonic() + minutes * 60
-    while time.monotonic() < deadline_s:
+    deadline_s = now_s() + minutes * 60
+    while now_s() < deadline_s:
         fresh = generator.getrandbits(SEED_BITS)
         is_broken |= _report(run_seed(fresh, seconds, instances_each=instances))
     sys.exit(EXIT_BROKEN if is_broken else 0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 
 from soak.callers import Callers
 from soak.faults import Faults
-from soak.fleet import SoakFleet
+from soak.fleet import SoakFleet, now_s
 from soak.ledger import Ledger
 from soak.promises import find_broken_promises
 
@@ -81,8 +81,8 @@
 
 
 def _await_ready(fleet: SoakFleet) -> None:
-    deadline_s = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline_s:
+    deadline_s = now_s() + START_TIMEOUT_S
+    while now_s() < deadline_s:
         if all(fleet.is_ready(name) for name in fleet.processes):
             return
         time.sleep(0.1)
