Close the datagram socket after its thread has ended

Cause of one error in a test run beside load: a datagram that came between the flag and the wake-up let the receiving thread close the socket first. The test closes 50 sockets under datagrams.

--- a/oriolepaddle/gossip/socket.py
+++ b/oriolepaddle/gossip/socket.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from datetime import timedelta
 
 from oriolepaddle.errors import MalformedRequestError
 from oriolepaddle.gossip.codec import read_datagram, write_datagram
@@ -12,6 +13,8 @@
 __all__ = ["Address", "DatagramSocket"]
 
 MAX_DATAGRAM_BYTES = 60_000
+CLOSE_TIMEOUT = timedelta(seconds=1)
+"""How long the receiving thread may take to end."""
 Address = tuple[str, int]
 
 
@@ -36,18 +39,24 @@
         self._unreadable = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
-        self.address = address
+        self._thread = threading.Thread(
+            target=self._receive, name="datagrams", daemon=True
+        )
 
     def start(self) -> None:
         """Begin to receive."""
-        threading.Thread(target=self._receive, name="datagrams", daemon=True).start()
+        self._thread.start()
 
     def close(self) -> None:
         """Receive nothing more."""
-        if not self._is_closed:
-            self._is_closed = True
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._thread.is_alive():
             # A datagram to itself wakes the receiving thread.
             self._socket.sendto(b"", self._socket.getsockname())
+            self._thread.join(CLOSE_TIMEOUT.total_seconds())
+        self._socket.close()
 
     def send(self, datagram: Datagram, address: Address) -> None:
         """Send a datagram; one that cannot be sent is logged and lost."""
@@ -61,7 +70,7 @@
             try:
                 data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                 if self._is_closed:
-                    break
+                    return
                 self._take(read_datagram(data, self._secret), address)
             except MalformedRequestError as error:
                 self._unreadable += 1
@@ -70,4 +79,3 @@
                 )
             except OSError as error:
                 log_event("datagram_not_received", reason=str(error))
-        self._socket.close()
--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_socket.py
@@ -0,0 +1,58 @@
+import socket
+import threading
+
+from oriolepaddle.gossip.socket import DatagramSocket
+from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram, DrawReply
+
+SECRET = b"a secret of the tests"
+HOST = "127.0.0.1"
+
+
+def find_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as found:
+        found.bind((HOST, 0))
+        return found.getsockname()[1]
+
+
+def make_socket(take=lambda datagram, address: None):
+    address = (HOST, find_port())
+    return DatagramSocket(address, SECRET, take), address
+
+
+class TestDatagramSocket:
+    def test_carries_a_datagram(self):
+        received = threading.Event()
+        numbers = []
+
+        def take(datagram, address):
+            numbers.append(datagram.reply.number)
+            received.set()
+
+        target, address = make_socket(take)
+        target.start()
+        source, _ = make_socket()
+        source.send(Datagram(reply=DrawReply(7, 1, 0, 0)), address)
+        assert received.wait(5)
+        assert numbers == [7]
+        target.close()
+        source.close()
+
+    def test_drops_what_lacks_the_secret(self):
+        received = threading.Event()
+        target, address = make_socket(lambda datagram, source: received.set())
+        target.start()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(b"x" * 40, address)
+        assert not received.wait(0.2)
+        target.close()
+
+    def test_closes_while_datagrams_arrive(self):
+        for _ in range(50):
+            target, address = make_socket()
+            target.start()
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                for _ in range(20):
+                    stranger.sendto(b"x" * 40, address)
+                target.close()
+                stranger.sendto(b"x" * 40, address)
+            target.close()
