Hear a life whose wall clock has stepped back

Cause, found by reading: lives are numbered by the wall clock, so an instance that restarted after its clock had stepped back was ignored by all others until the clock had caught up. Whoever holds the later number now tells it, and it takes a higher one. The test fails without the change.

--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -11,6 +11,7 @@
     AnnouncementComposer,
     Contact,
     add_grants,
+    write_record,
 )
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
@@ -183,6 +184,8 @@
         order = (sender.incarnation, heard.sent_at_us)
         if order <= (contact.incarnation, contact.sent_at_us):
             # Overtaken, repeated or of an earlier life.
+            if sender.incarnation < contact.incarnation:
+                self._tell_later_life(sender.instance, address)
             return
         is_new = sender.incarnation != contact.incarnation
         contact.incarnation, contact.sent_at_us = order
@@ -199,6 +202,13 @@
         if is_new or (is_member and self._roster.own.id in hubs):
             self._send(entry)
 
+    def _tell_later_life(self, name: str, address: Address) -> None:
+        held = self._roster.entry(name)
+        if held is not None:
+            announcement = self._composer.compose(None, Contact())
+            announcement.members = [write_record(held, self._clock.monotonic_s())]
+            self._socket.send(Datagram(announcement=announcement), address)
+
     def _note_instances(self, heard: Announcement) -> None:
         self._roster.note(self._read_record(heard.sender))
         for record in heard.members or ():
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -16,7 +16,7 @@
     TokenGrant,
 )
 
-__all__ = ["AnnouncementComposer", "Contact", "to_us"]
+__all__ = ["AnnouncementComposer", "Contact", "add_grants", "write_record"]
 
 MICROSECONDS_PER_S = 1_000_000
 MEMBERS_INTERVAL_S = 0.9
@@ -90,7 +90,7 @@
         held_s = now_s - contact.heard_s
         has_echo = contact.sent_at_us > 0 and held_s >= 0
         return Announcement(
-            sender=_write_record(self._roster.own_entry(), now_s),
+            sender=write_record(self._roster.own_entry(), now_s),
             sent_at_us=to_us(now_s),
             echo_us=contact.sent_at_us if has_echo else None,
             held_us=to_us(held_s) if has_echo else None,
@@ -170,7 +170,7 @@
             most = len(others) if is_whole else FOREIGN_MEMBERS
             known |= {item.id: item for item in others[:most]}
             listed += known.values()
-        return [_write_record(item, now_s) for item in listed]
+        return [write_record(item, now_s) for item in listed]
 
 
 def add_grants(announcement: Announcement, grants: dict[str, int]) -> None:
@@ -183,7 +183,8 @@
     return int(duration_s * MICROSECONDS_PER_S)
 
 
-def _write_record(entry: RosterEntry, now_s: float) -> InstanceRecord:
+def write_record(entry: RosterEntry, now_s: float) -> InstanceRecord:
+    """Return what others are told of an instance."""
     age_ms = min(MAX_AGE_MS, max(0, int((now_s - entry.heard_s) * 1000)))
     return InstanceRecord(
         instance=entry.id,
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -69,6 +69,7 @@
     def note(self, entry: RosterEntry) -> None:
         """Take in what was heard of an instance; earlier word is dropped."""
         if entry.id == self._own.id:
+            self._renumber(entry.incarnation)
             return
         with self._lock:
             held = self._entries.get(entry.id)
@@ -198,6 +199,18 @@
 
         return max(ids, key=_weigh) == self._own.id
 
+    def _renumber(self, incarnation: int) -> None:
+        # Lives are numbered by the wall clock, which may have stepped back
+        # since an earlier life began; the others would not hear this one.
+        if incarnation > self._own.incarnation:
+            self._own = attrs.evolve(self._own, incarnation=incarnation + 1)
+            log_event("life_renumbered", life=self._own.incarnation)
+
+    def entry(self, name: str) -> RosterEntry | None:
+        """Return what was heard of an instance, or None."""
+        with self._lock:
+            return self._entries.get(name)
+
     def _is_alive(self, entry: RosterEntry) -> bool:
         is_near = entry.instance.region == self.own.region
         silence_s = self._clock.monotonic_s() - entry.heard_s
--- a/oriolepaddle/gossip/tests/fleet.py
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -61,10 +61,8 @@
         self.sent = 0
         self.nodes = {}
 
-    def add(self, name, data_centre, size=1.0, seeds=(), life=1):
-        host = f"10.0.0.{len(self.nodes) + 1}"
-        if name in self.nodes:
-            host = self.nodes[name].host
+    def add(self, name, data_centre, size=1.0, seeds=(), life=1, host=None):
+        host = host or f"10.0.0.{len(self.nodes) + 1}"
         instance = EntryInstance(
             name, REGIONS[data_centre], data_centre, f"{host}:80", size
         )
--- a/oriolepaddle/gossip/tests/test_announcer.py
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -82,6 +82,18 @@
         assert any(item.id[0] == "n" for item in node.roster.alive())
 
 
+class TestRestart:
+    def test_life_whose_clock_stepped_back_is_heard(self, fleet):
+        """Lives are numbered by the wall clock, which may step back."""
+        host = fleet.remove("s4").host
+        fleet.run(SECONDS)
+        again = fleet.add("s4", "sudur-a", 0.4, seeds=["n1"], life=0, host=host)
+        fleet.run(4 * SECONDS)
+        alive = {item.id for item in fleet.nodes["s1"].roster.alive()}
+        assert "s4" in alive
+        assert again.roster.own_entry().incarnation > 1
+
+
 class TestShares:
     def test_all_of_a_rate_is_minted(self, fleet):
         fleet.run(2 * SECONDS)
