--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -246,6 +246,17 @@
         assert (response.status, response.read()) == (200, b"done hello")
         assert response.headers["X-Oriolepaddle-Server-Seal"]
 
+    def test_passed_on_request_keeps_all_of_its_routes_time(self, pair):
+        # The caller would wait for longer than the route allows.
+        route = make_route(
+            "home", "/home/", "safe", DESK, homeRegions=["sudur"], timeoutMs=1000
+        )
+        pair.publish(make_document(2, routes=[route]))
+        await_true(lambda: pair.instances["s1"].catalog.version == 2)
+        await_true(lambda: pair.ask("n1", "/home/1")[0] == 200)
+        received = pair.runners["ds"].received[-1]
+        assert int(received.headers["x-oriolepaddle-deadline-ms"]) > 500
+
     def test_caller_cannot_pose_as_an_instance(self, pair):
         status, _ = pair.ask("n1", "/home/1", X_Request_Hops="n9")
         await_true(lambda: pair.ask("n1", "/home/1", X_Request_Hops="n9")[0] == 200)
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -221,8 +221,9 @@
         parts.regions.note_sent(peer, job.service, job.input_tokens)
         parts.metrics.forwards.labels(peer.region).inc()
         sink = self._make_sink(None, lambda: None)
+        age_s = parts.clock.monotonic_s() - self._request.arrived_s
         headers = parts.protocol.write_peer_headers(
-            self._request, self._left_s(), self._splitter.last_id, progress.runs
+            self._request, age_s, self._splitter.last_id, progress.runs
         )
         request = self._make_request(headers, ConnectionReuse.ANY)
         try:
--- a/oriolepaddle/edge/protocol.py
+++ b/oriolepaddle/edge/protocol.py
@@ -44,13 +44,13 @@
         ...
 
     def write_peer_headers(
-        self, request: EdgeRequest, left_s: float, last_event_id: str | None, runs: int
+        self, request: EdgeRequest, age_s: float, last_event_id: str | None, runs: int
     ) -> Headers:
         """Return the header fields of a request that another instance serves.
 
         Args:
             request: The caller's request.
-            left_s: Seconds until the answer must be whole.
+            age_s: Seconds since the caller's request was whole.
             last_event_id: The event after which a stream goes on, or None.
             runs: Endpoints that may have run it already.
         """
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -99,11 +99,10 @@
         return tuple(headers)
 
     def write_peer_headers(
-        self, request: EdgeRequest, left_s: float, last_event_id: str | None, runs: int
+        self, request: EdgeRequest, age_s: float, last_event_id: str | None, runs: int
     ) -> tuple[tuple[str, str], ...]:
         """Return the fields for another instance; see `EdgeProtocol`."""
         patience_s = request.patience_s
-        age_s = patience_s - left_s if patience_s is not None else 0.0
         headers = [
             *request.headers,
             (HOPS, ",".join((*request.hops, self._instance))),
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -89,7 +89,7 @@
 class TestPeerHeaders:
     def test_keep_the_callers_clock_and_key(self):
         first = read(X_Oriolepaddle_Deadline_Ms="4000", Authorization="Token k")
-        headers = dict(PROTOCOL.write_peer_headers(first, 3.5, "2", 1))
+        headers = dict(PROTOCOL.write_peer_headers(first, 0.5, "2", 1))
         passed = read(**{name.replace("-", "_"): v for name, v in headers.items()})
         assert passed.hops == ("n1",)
         assert passed.earlier_runs == 1
