--- a/oriolepaddle/edge/resolver.py
+++ b/oriolepaddle/edge/resolver.py
@@ -52,9 +52,9 @@
     Callers get instances of their own region, as these may take any request
     and pass it on to where it may be served. Where none is ready, they get
     those of regions in which every route of the host may be served, as callers
-    do not tell the route; else all. Each caller gets few
-    and mostly the same ones, in proportion to the instances' sizes, so that a
-    small instance is not filled like a large one.
+    do not tell the route; else all. Each caller gets few and mostly the same
+    ones, in proportion to the instances' sizes, so that a small instance is not
+    filled like a large one.
 
     Args:
         catalog: Routes with their residency.
