--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -139,11 +139,13 @@
         """Serve on until callers know of other instances, then end."""
         settings = self._settings
         started_s = self._clock.monotonic_s()
+        # Connections close with their next answer before anybody can see that
+        # this instance is unready.
+        self._servers[0].is_draining = True
         self._leaving_since_s = started_s
         self._refresh()
         activity = self.parts.activity
         log_event("drain_started", in_flight=activity.count)
-        self._servers[0].is_draining = True
         while True:
             elapsed_s = self._clock.monotonic_s() - started_s
             is_idle = activity.count == 0 and elapsed_s >= MIN_DRAIN.total_seconds()
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -299,6 +299,24 @@
         stopping.join(10)
         assert not stopping.is_alive()
 
+    def test_closes_connections_from_when_it_is_unready(self, single):
+        instance = single.instances["n1"]
+        seen = []
+        refresh = instance._refresh
+
+        def ask_first():
+            seen.append((instance.is_ready(), single.send("n1", "/read/1")))
+            refresh()
+
+        instance._refresh = ask_first
+        stopping = threading.Thread(target=instance.stop)
+        stopping.start()
+        await_true(lambda: seen)
+        is_ready, response = seen[0]
+        assert not is_ready
+        assert response.headers["Connection"] == "close"
+        stopping.join(10)
+
 
 class TestReservations:
     def test_are_settled_whatever_became_of_the_request(self, fleet):
