--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -41,6 +41,7 @@
         self._listeners: list[Callable[[], None]] = []
         self.revision = 0
         self._confirmed_s: float | None = None
+        self._read_s = float("-inf")
         self._lapse_until_s = float("-inf")
 
     @property
@@ -64,6 +65,13 @@
             return float("inf")
         return self._clock.monotonic_s() - confirmed_s
 
+    def reading_age_s(self) -> float:
+        """Return the seconds since this instance itself asked the store.
+
+        Others' word confirms the document and not the endpoints.
+        """
+        return self._clock.monotonic_s() - self._read_s
+
     @property
     def confirmed_s(self) -> float | None:
         """Monotonic time of which this knowledge is complete, or None."""
@@ -109,6 +117,7 @@
             for change in reading.changes:
                 self._apply_change(change)
             self.revision = max(self.revision, reading.revision)
+            self._read_s = max(self._read_s, asked_at_s)
         self.confirm(asked_at_s, reading.revision)
         if reading.changes:
             self._notify()
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -24,6 +24,9 @@
 FOREIGN_MEMBERS = 4
 """Instances of each other region that members are told: enough to pass requests
 on to."""
+MAX_READING_AGE_S = 2.5
+"""Age of an instance's own reading of the store above which it hands its
+endpoints to nobody; others are still fresh by then."""
 MAX_CRASHES = 20
 MAX_AGE_MS = 2**31 - 1
 
@@ -122,7 +125,8 @@
     ) -> None:
         state = self._state
         announcement.waits = self._list_waits(is_near)
-        announcement.catalog_digest = state.catalog.digest()
+        if state.catalog.reading_age_s() < MAX_READING_AGE_S:
+            announcement.catalog_digest = state.catalog.digest()
         region = receiver.instance.region
         if receiver.id in {item.id for item in self._roster.hubs(region)}:
             announcement.balances = [
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -94,16 +94,12 @@
         return PeerChoice(found.id, best[1], found.peer_address, best[0])
 
     def _group_ready(self) -> dict[str, list[RosterEntry]]:
+        # An instance that is about to end may have to cut a long answer.
         ready: dict[str, list[RosterEntry]] = {}
-        leaving: dict[str, list[RosterEntry]] = {}
         for item in self._roster.alive():
-            if item.is_leaving:
-                leaving.setdefault(item.instance.region, []).append(item)
-            elif item.is_ready:
+            if item.is_ready and not item.is_leaving:
                 ready.setdefault(item.instance.region, []).append(item)
-        # An instance that is about to end still serves what others pass on, and
-        # a region where all restart in turn may have no other.
-        return leaving | ready
+        return ready
 
     def note_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Note a request that is sent away; see `RegionChooser`."""
--- a/oriolepaddle/gossip/tests/test_announcer.py
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -2,6 +2,12 @@
 
 import pytest
 
+from oriolepaddle.catalog import (
+    CatalogChange,
+    CatalogReading,
+    EndpointState,
+    RegisteredEndpoint,
+)
 from oriolepaddle.gossip.tests.fleet import GossipFleet
 
 SECONDS = timedelta(seconds=1)
@@ -139,3 +145,22 @@
             member.announcer._take(datagram, (source, 7600))
         confirmed_s = member.state.catalog.confirmed_s
         assert confirmed_s == before or fleet.clock.monotonic_s() - confirmed_s >= 30
+
+    def test_hub_that_cannot_read_the_store_hands_out_no_endpoints(self, fleet):
+        hub, member = fleet.nodes["n1"], fleet.nodes["n6"]
+        fetched = []
+        object.__setattr__(member.state, "fetch", fetched.append)
+        endpoint = RegisteredEndpoint(
+            "e1", 1, "desk", "10.1.0.1:80", "nordur-a", 6, EndpointState.READY
+        )
+        change = CatalogChange("servers/e1", endpoint=endpoint)
+        reading = CatalogReading((change,), 1)
+        hub.state.catalog.apply(reading, fleet.clock.monotonic_s())
+        fleet.run(SECONDS)
+        assert fetched
+        fleet.run(3 * SECONDS)
+        fetched.clear()
+        # Others' word keeps its knowledge of the document fresh.
+        hub.state.catalog.confirm_version(fleet.clock.monotonic_s(), 0)
+        fleet.run(SECONDS)
+        assert not fetched
