Remove what nothing used in the edge's parts; let one piece serve twins

No behaviour changes. Twins: the check of residency (admission and region loads), noting a confirmation (twice in the catalog), the host of a peer (announcer and draws), the soak's own clock and header names. Organisations are indexed by id once for each document and not searched at each draw. Each daemon command imports its own program only.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -1,7 +1,7 @@
 """What this instance knows of routes, keys and endpoints."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from datetime import timedelta
 
 import attrs
@@ -38,7 +38,6 @@
         self._endpoints: dict[str, RegisteredEndpoint] = {}
         self._lapsing: dict[str, float] = {}
         self._evacuated: dict[str, str] = {}
-        self._listeners: list[Callable[[], None]] = []
         self.revision = 0
         self._confirmed_s: float | None = None
         self._read_s = float("-inf")
@@ -54,10 +53,6 @@
         """The version in force, 0 before the first."""
         return self._document.version if self._document else 0
 
-    def add_listener(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each change."""
-        self._listeners.append(listener)
-
     def age_s(self) -> float:
         """Return the seconds since what is known was surely all there was."""
         confirmed_s = self._confirmed_s
@@ -86,10 +81,8 @@
                 needed for it to count.
         """
         with self._lock:
-            if revision > self.revision:
-                return
-            if self._confirmed_s is None or asked_at_s > self._confirmed_s:
-                self._confirmed_s = asked_at_s
+            if revision <= self.revision:
+                self._note_confirmed(asked_at_s)
 
     def confirm_version(self, asked_at_s: float, version: int) -> None:
         """Note that a version was the newest at a moment, by a peer's word.
@@ -99,10 +92,8 @@
             version: The version that was in force then.
         """
         with self._lock:
-            if version > self.version:
-                return
-            if self._confirmed_s is None or asked_at_s > self._confirmed_s:
-                self._confirmed_s = asked_at_s
+            if version <= self.version:
+                self._note_confirmed(asked_at_s)
 
     def apply(self, reading: CatalogReading, asked_at_s: float) -> None:
         """Take in what was read.
@@ -119,8 +110,6 @@
             self.revision = max(self.revision, reading.revision)
             self._read_s = max(self._read_s, asked_at_s)
         self.confirm(asked_at_s, reading.revision)
-        if reading.changes:
-            self._notify()
 
     def note_return(self) -> None:
         """Note that the store is back after an outage.
@@ -149,21 +138,12 @@
             return False
         if held.state is not EndpointState.READY:
             return False
-        return held.data_centre not in self._evacuated.values()
+        return not self.is_evacuated(held.data_centre)
 
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether a data centre is to get no work."""
         return data_centre in self._evacuated.values()
 
-    def forget_life(self, endpoint: RegisteredEndpoint) -> None:
-        """Drop an endpoint whose address turned out to be another's."""
-        with self._lock:
-            held = self._endpoints.get(endpoint.id)
-            if held is not None and held.incarnation == endpoint.incarnation:
-                del self._endpoints[endpoint.id]
-        log_event("endpoint_replaced", endpoint=endpoint.id, address=endpoint.address)
-        self._notify()
-
     def snapshot(self) -> CatalogSnapshot:
         """Return the endpoints and evacuations, for other instances."""
         with self._lock:
@@ -201,7 +181,6 @@
                 log_event("endpoint_gone", endpoint=name)
             self._evacuated = dict(snapshot.evacuated)
             self._lapsing.clear()
-        self._notify()
 
     def digest(self) -> int:
         """Return a number that is equal for equal endpoints and evacuations."""
@@ -225,7 +204,7 @@
             self._evacuated = self._evacuated | {change.key: change.evacuated}
             log_event("data_centre_evacuated", data_centre=change.evacuated)
         elif change.endpoint is not None:
-            self._register(change.key, change.endpoint)
+            self._register(change.endpoint)
 
     def _adopt(self, document: ConfigDocument) -> None:
         held = self.version
@@ -234,7 +213,7 @@
         self._document = document
         log_event("configuration_adopted", version=document.version, replaced=held)
 
-    def _register(self, key: str, endpoint: RegisteredEndpoint) -> None:
+    def _register(self, endpoint: RegisteredEndpoint) -> None:
         held = self._endpoints.get(endpoint.id)
         if held is not None and endpoint.started_at_ms < held.started_at_ms:
             return
@@ -281,9 +260,9 @@
         for name in [name for name, until in self._lapsing.items() if now_s >= until]:
             self._drop(name)
 
-    def _notify(self) -> None:
-        for listener in self._listeners:
-            listener()
+    def _note_confirmed(self, asked_at_s: float) -> None:
+        if self._confirmed_s is None or asked_at_s > self._confirmed_s:
+            self._confirmed_s = asked_at_s
 
 
 def _is_news(held: RegisteredEndpoint, new: RegisteredEndpoint) -> bool:
--- a/oriolepaddle/catalog/document.py
+++ b/oriolepaddle/catalog/document.py
@@ -29,6 +29,15 @@
     organisations: dict[str, RatedOrganisation]
     limits: CallerLimits
     source: bytes = attrs.field(repr=False, eq=False)
+    _by_id: dict[str, RatedOrganisation] = attrs.field(init=False, repr=False, eq=False)
+
+    @_by_id.default
+    def _index_organisations(self) -> dict[str, RatedOrganisation]:
+        return {item.id: item for item in self.organisations.values()}
+
+    def find_organisation(self, organisation_id: str) -> RatedOrganisation | None:
+        """Return the organisation of an id that holds a key, or None."""
+        return self._by_id.get(organisation_id)
 
     def find_route(self, host: str, path: str) -> HostRoute | None:
         """Return the route of the longest prefix that begins a path, or None."""
--- a/oriolepaddle/daemon/__main__.py
+++ b/oriolepaddle/daemon/__main__.py
@@ -9,8 +9,6 @@
 from loguru import logger
 
 from oriolepaddle.clock import SystemClock
-from oriolepaddle.daemon.edge_instance import EdgeInstance
-from oriolepaddle.daemon.instance import GatewayInstance
 from oriolepaddle.daemon.logs import set_up_event_logs, set_up_logs
 from oriolepaddle.errors import SettingsError
 from oriolepaddle.settings import EdgeSettings, Settings, add_options, check_settings
@@ -24,6 +22,9 @@
 
 def serve(settings: Settings) -> None:
     """Serve until a signal asks to stop."""
+    # Each program loads its own parts only.
+    from oriolepaddle.daemon.instance import GatewayInstance
+
     _check(settings)
     set_up_logs(settings.log_level, settings.log_format)
     instance = GatewayInstance(settings, SystemClock())
@@ -38,6 +39,8 @@
 
 def serve_edge(settings: EdgeSettings) -> None:
     """Serve by one published document until a signal asks to stop."""
+    from oriolepaddle.daemon.edge_instance import EdgeInstance
+
     _check(settings)
     clock = SystemClock()
     writer = set_up_event_logs(settings.log_level, clock, settings.max_log_lines_per_s)
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -234,10 +234,8 @@
 
     def _find_organisation(self, name: str) -> Organisation | None:
         document = self.catalog.document
-        for item in document.organisations.values() if document else ():
-            if item.id == name:
-                return item.organisation
-        return None
+        held = document.find_organisation(name) if document else None
+        return held.organisation if held else None
 
     def _make_announcer(self) -> Announcer:
         settings = self._settings
--- a/oriolepaddle/edge/admission.py
+++ b/oriolepaddle/edge/admission.py
@@ -7,6 +7,7 @@
 from oriolepaddle.catalog import ConfigDocument, HostRoute, RatedOrganisation
 from oriolepaddle.config import digest_key
 from oriolepaddle.edge.parts import EdgeParts
+from oriolepaddle.edge.regions import Residency, allows_region
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.errors import AuthenticationError, ErrorCode, RefusedError
 
@@ -34,15 +35,15 @@
     organisation: RatedOrganisation | None
 
     @property
-    def residency(self) -> tuple[tuple[str, ...], ...]:
-        """Sets of regions that each bind the request if not empty."""
+    def residency(self) -> Residency:
+        """Where the request may be served, by its route and organisation."""
         held = self.organisation
         own = held.organisation.residency if held else ()
         return (self.route.residency, own)
 
     def allows_region(self, region: str) -> bool:
         """Return whether the request may be served in a region."""
-        return all(not regions or region in regions for regions in self.residency)
+        return allows_region(self.residency, region)
 
     def is_placed_like(self, other: "Admitted") -> bool:
         """Return whether both may run at the same places, with or without a key."""
--- a/oriolepaddle/edge/regions.py
+++ b/oriolepaddle/edge/regions.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-__all__ = ["PeerChoice", "RegionChooser"]
+__all__ = ["PeerChoice", "RegionChooser", "Residency", "allows_region"]
+
+Residency = tuple[tuple[str, ...], ...]
+"""Sets of regions, each of which binds a request if it is not empty."""
+
+
+def allows_region(residency: Residency, region: str) -> bool:
+    """Return whether a request may be served in a region."""
+    return all(not regions or region in regions for regions in residency)
 
 
 @attrs.frozen
@@ -29,14 +37,14 @@
     """Knows the load of other regions."""
 
     def choose(
-        self, service: str, tokens: int, residency: tuple[tuple[str, ...], ...]
+        self, service: str, tokens: int, residency: Residency
     ) -> PeerChoice | None:
         """Return the instance that is expected to answer first, or None.
 
         Args:
             service: The service that is to run the request.
             tokens: Tokens of the prompt.
-            residency: Sets of regions, each of which binds if it is not empty.
+            residency: Where the request may be served.
         """
         ...
 
--- a/oriolepaddle/edge/repeats.py
+++ b/oriolepaddle/edge/repeats.py
@@ -12,7 +12,7 @@
     Outcome,
 )
 
-__all__ = ["find_final_error", "may_repeat"]
+__all__ = ["LEAST_LEFT_S", "find_final_error", "may_repeat"]
 
 MAX_TRIES = 4
 """Endpoints asked for one request, those that refused it included."""
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -124,7 +124,7 @@
         return sorted(due, key=lambda item: self._contact(item.id).sent_s)[:MAX_SILENT]
 
     def _send_to_seeds(self) -> None:
-        known = {_host(item.peer_address) for item in self._roster.alive()}
+        known = {item.host for item in self._roster.alive()}
         for host in self._seeds:
             if host not in known:
                 announcement = self._composer.compose(None, Contact())
@@ -137,7 +137,7 @@
         if contact.balances and announcement.balances is not None:
             add_grants(announcement, self._give(contact))
         contact.sent_s = self._clock.monotonic_s()
-        address = (_host(receiver.peer_address), self._port)
+        address = (receiver.host, self._port)
         self._socket.send(Datagram(announcement=announcement), address)
 
     def _give(self, contact: Contact) -> dict[str, int]:
@@ -278,7 +278,3 @@
             state.work.note_member(heard.sender.instance, heard.work)
         else:
             state.work.note_others(heard.work)
-
-
-def _host(address: str) -> str:
-    return address.rpartition(":")[0]
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -16,7 +16,13 @@
     TokenGrant,
 )
 
-__all__ = ["AnnouncementComposer", "Contact", "add_grants", "write_record"]
+__all__ = [
+    "MICROSECONDS_PER_S",
+    "AnnouncementComposer",
+    "Contact",
+    "add_grants",
+    "write_record",
+]
 
 MICROSECONDS_PER_S = 1_000_000
 MEMBERS_INTERVAL_S = 0.9
@@ -94,11 +100,11 @@
         has_echo = contact.sent_at_us > 0 and held_s >= 0
         return Announcement(
             sender=write_record(self._roster.own_entry(), now_s),
-            sent_at_us=to_us(now_s),
+            sent_at_us=_to_us(now_s),
             echo_us=contact.sent_at_us if has_echo else None,
-            held_us=to_us(held_s) if has_echo else None,
+            held_us=_to_us(held_s) if has_echo else None,
             version=self._state.catalog.version,
-            knowledge_age_us=None if age_s == float("inf") else to_us(age_s),
+            knowledge_age_us=None if age_s == float("inf") else _to_us(age_s),
             delegates=False,
             crashes=[
                 CrashRecord(name, sorted(lives))
@@ -182,8 +188,7 @@
     announcement.grants = [TokenGrant(name, tokens) for name, tokens in grants.items()]
 
 
-def to_us(duration_s: float) -> int:
-    """Return seconds as whole microseconds."""
+def _to_us(duration_s: float) -> int:
     return int(duration_s * MICROSECONDS_PER_S)
 
 
--- a/oriolepaddle/gossip/draws.py
+++ b/oriolepaddle/gossip/draws.py
@@ -133,9 +133,8 @@
         with self._lock:
             self._waiters[number] = waiter
         draw = Draw(number, organisation, tokens)
-        host = hub.peer_address.rpartition(":")[0]
         try:
-            self._send(Datagram(draw=draw), (host, self._port))
+            self._send(Datagram(draw=draw), (hub.host, self._port))
             self._clock.wait(waiter.answered, DRAW_TIMEOUT)
             return waiter.reply
         finally:
--- a/oriolepaddle/gossip/entry.py
+++ b/oriolepaddle/gossip/entry.py
@@ -28,6 +28,11 @@
     is_leaving: bool
     heard_s: float
 
+    @property
+    def host(self) -> str:
+        """The IP number at which it hears datagrams, too."""
+        return self.peer_address.rpartition(":")[0]
+
     @property
     def id(self) -> str:
         """The instance's id."""
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.edge.regions import PeerChoice
+from oriolepaddle.edge.regions import PeerChoice, Residency, allows_region
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.roster import Roster
 
@@ -73,7 +73,7 @@
             ]
 
     def choose(
-        self, service: str, tokens: int, residency: tuple[tuple[str, ...], ...]
+        self, service: str, tokens: int, residency: Residency
     ) -> PeerChoice | None:
         """Return an instance of the best region; see `RegionChooser`."""
         own = self._roster.own.region
@@ -82,7 +82,7 @@
         for region, name, wait_s in self.waits():
             if name != service or region == own or region not in ready:
                 continue
-            if any(regions and region not in regions for regions in residency):
+            if not allows_region(residency, region):
                 continue
             wait_s += self._round_trip_s + self._count_sent(region, service)
             if best is None or wait_s < best[0]:
--- a/oriolepaddle/limits/pooled.py
+++ b/oriolepaddle/limits/pooled.py
@@ -14,7 +14,7 @@
 from oriolepaddle.limits.granting import GrantingLimiter
 from oriolepaddle.limits.limiter import Reservation
 
-__all__ = ["DrawResult", "PooledLimiter", "TokenPool"]
+__all__ = ["UNREACHABLE_RETRY", "DrawResult", "PooledLimiter", "TokenPool"]
 
 UNREACHABLE_RETRY = timedelta(milliseconds=400)
 """About the time in which another pool takes over."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,9 +3,10 @@
 import http.client
 import random
 import threading
-import time
 
 from oriolepaddle.daemon.tests.edge_fleet import HOST
+from oriolepaddle.platform import names
+from soak.fleet import now_s
 from soak.ledger import Ledger, SentRequest
 
 __all__ = ["Callers"]
@@ -62,14 +63,14 @@
                 path=f"/{generator.choice(KINDS)}/{sequence}",
                 key=generator.choice(self._keys()),
                 body=b"body of %d/%d" % (number, sequence),
-                sent_s=time.clock_gettime(time.CLOCK_BOOTTIME),
+                sent_s=now_s(),
             )
             self._ledger.add(request)
             is_leaving = generator.random() < LEAVING_PART
             if not self._send(connection, request, is_leaving):
                 connection.close()
                 connection = None
-            request.ended_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+            request.ended_s = now_s()
 
     def _connect(self, generator: random.Random) -> http.client.HTTPConnection:
         host, port = generator.choice(self._addresses()).split(":")
@@ -84,8 +85,8 @@
         headers = {
             "Host": HOST,
             "Authorization": f"Token {request.key}",
-            "X-Oriolepaddle-Request-Id": request.id,
-            "X-Oriolepaddle-Deadline-Ms": str(int(PATIENCE_S * 1000)),
+            names.REQUEST_ID: request.id,
+            names.DEADLINE_MS: str(int(PATIENCE_S * 1000)),
         }
         method = "GET" if request.path.startswith("/read/") else "POST"
         body = b"" if method == "GET" else request.body
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,9 +7,9 @@
 import subprocess
 import sys
 import threading
-import time
 from pathlib import Path
 
+from oriolepaddle.clock import SystemClock
 from oriolepaddle.daemon.tests.edge_fleet import (
     DESK,
     ENGINES,
@@ -22,7 +22,9 @@
 from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
 from oriolepaddle.standins import RelayStandin
 
-__all__ = ["SoakFleet"]
+__all__ = ["SoakFleet", "now_s"]
+
+_CLOCK = SystemClock()
 
 HEARTBEAT_S = 0.4
 EVENTS = 6
@@ -184,4 +186,4 @@
 
 def now_s() -> float:
     """Return the clock by which all moments of a soak are compared."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return _CLOCK.monotonic_s()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from oriolepaddle.platform import names
 from oriolepaddle.platform.standins.runner import ReceivedRequest
 from soak.fleet import EVENTS, SoakFleet
 from soak.ledger import SentRequest
@@ -14,7 +15,7 @@
 """Time in which a leaving endpoint gets no more work."""
 PROMISES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
-ID_FIELD = "x-oriolepaddle-request-id"
+ID_FIELD = names.REQUEST_ID.lower()
 
 
 def find_broken_promises(
