--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,9 @@
 EVENT_PAUSE_S = 0.03
 REVOKED_KEYS_KEPT = 3
 SECRET = "a secret of the soak fleet"
+NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+"""Loopback addresses of this process's own, so that soaks side by side do not
+take each other's ports between the finding and the binding."""
 SECOND_KEY = "second-key-of-norddal"
 
 
@@ -160,7 +163,7 @@
                     self.relays[name] = relay
 
     def _describe(self, name: str, data_centre: str, number: int) -> None:
-        host = f"127.0.1.{number}"
+        host = f"{NETWORK}.{number}"
         relay = self.store_relays[name] = RelayStandin(self.store.address)
         values = {
             "instance": name,
@@ -169,7 +172,7 @@
             "gossip_port": str(self._gossip_port),
             "platform_address": relay.address,
             "peer_secret": SECRET,
-            "seeds": "127.0.1.1:1,127.0.1.2:1,127.0.1.3:1",
+            "seeds": ",".join(f"{NETWORK}.{seed}:1" for seed in (1, 2, 3)),
         }
         for side in ("caller", "directory", "peer", "readiness"):
             port = find_port(host, socket.SOCK_STREAM)
