Name an instance that has begun to stop before those of other regions

Ruled out: empty intersections of homes, cuts, late gossip.

Where a region has no ready instance, those that began to stop within 3 s are named, and an instance without a ready neighbour takes requests until 3 s before its end. The end of the drain and the age at which keys are trusted no more now come from the deployment's own bounds (`stop_grace_s`, `withdrawal_bound_ms`) and no longer from fixed settings.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -51,9 +51,12 @@
 """Long, as each of five listeners would wake an idle instance as often."""
 WARM_UP = timedelta(milliseconds=500)
 """Time to hear the other instances before callers are sent here."""
-FALLBACK_AGE = timedelta(seconds=2.8)
-"""Age of what hubs pass on above which an instance reads the store itself; they
-pass it on within two seconds or so."""
+FALLBACK_PART = 2 / 3
+"""Part of the age at which keys are trusted no more above which an instance reads
+the store itself; hubs pass their knowledge on within two seconds or so."""
+LAST_SERVICE = timedelta(seconds=3)
+"""What an instance that stops leaves for the last requests to end, where callers
+have no other instance to go to."""
 DRAIN_POLL = timedelta(milliseconds=50)
 MIN_DRAIN = timedelta(seconds=4)
 """Callers keep an address for some seconds; until then they are served."""
@@ -117,7 +120,9 @@
         """Return whether callers may be sent here."""
         if self._leaving_since_s is not None or self.catalog.document is None:
             return False
-        is_fresh = self.catalog.age_s() < self._settings.max_knowledge_age_s
+        is_fresh = (
+            self.catalog.age_s() < self._settings.max_knowledge_age.total_seconds()
+        )
         up_s = self._clock.monotonic_s() - self._started_s
         return is_fresh and up_s >= WARM_UP.total_seconds()
 
@@ -130,7 +135,8 @@
         self.roster.set_own(ready, self._leaving_since_s is not None)
 
     def _follows_store(self) -> bool:
-        is_old = self.catalog.age_s() > FALLBACK_AGE.total_seconds()
+        most_s = self._settings.max_knowledge_age.total_seconds()
+        is_old = self.catalog.age_s() > FALLBACK_PART * most_s
         return is_old or self.roster.is_hub()
 
     def stop(self) -> None:
@@ -147,7 +153,7 @@
         while True:
             elapsed_s = self._clock.monotonic_s() - started_s
             is_idle = activity.count == 0 and elapsed_s >= MIN_DRAIN.total_seconds()
-            if is_idle or elapsed_s >= settings.drain_limit_s:
+            if is_idle or elapsed_s >= settings.drain_limit.total_seconds():
                 break
             self._clock.wait(threading.Event(), DRAIN_POLL)
         self._announcer.stop()
@@ -176,7 +182,11 @@
         since_s = self._leaving_since_s
         if since_s is None:
             return False
-        return self._clock.monotonic_s() - since_s > self._settings.drain_refuse_s
+        elapsed_s = self._clock.monotonic_s() - since_s
+        if self.roster.has_ready_neighbour():
+            return elapsed_s > self._settings.drain_refuse_s
+        left_s = self._settings.drain_limit.total_seconds() - elapsed_s
+        return left_s < LAST_SERVICE.total_seconds()
 
     def _make_parts(self) -> EdgeParts:
         settings = self._settings
@@ -223,7 +233,7 @@
             activity=Activity(clock),
             metrics=self.metrics,
             region=own_region,
-            max_knowledge_age=timedelta(seconds=settings.max_knowledge_age_s),
+            max_knowledge_age=settings.max_knowledge_age,
             is_refusing=self._is_refusing,
         )
 
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -184,7 +184,7 @@
 
     def test_too_old_refuses_keys_and_serves_open_routes(self, fleet):
         fleet.add_runner("d1", DESK)
-        instance = fleet.add_instance("n1", max_knowledge_age_s=1.6)
+        instance = fleet.add_instance("n1", withdrawal_bound_ms=2400)
         fleet.await_ready()
         fleet.store.mode = StoreMode.BUSY
         await_true(lambda: fleet.ask("n1", "/read/1")[0] == 503)
--- a/oriolepaddle/edge/resolver.py
+++ b/oriolepaddle/edge/resolver.py
@@ -1,7 +1,7 @@
 """Telling callers which instances to use."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from datetime import timedelta
 from typing import Protocol
 
@@ -45,16 +45,22 @@
         """Return the instances that are ready, this one included."""
         ...
 
+    def leaving_instances(self) -> Sequence[EntryInstance]:
+        """Return those that have begun to stop and still serve for a while."""
+        ...
+
 
 class InstanceResolver:
     """Chooses instances for callers of a host.
 
     Callers get instances of their own region, as these may take any request
-    and pass it on to where it may be served. Where none is ready, they get
-    those of regions in which every route of the host may be served, as callers
-    do not tell the route; else all. Each caller gets few and mostly the same
-    ones, in proportion to the instances' sizes, so that a small instance is not
-    filled like a large one.
+    and pass it on to where it may be served. Where none is ready, as in a
+    restart of one after the other, they get those that have only begun to stop.
+    Where there are none either, they get those of regions in which every route
+    of the host may be served, as callers do not tell the route; else all.
+
+    Each caller gets few and mostly the same ones, in proportion to the instances'
+    sizes, so that a small instance is not filled like a large one.
 
     Args:
         catalog: Routes with their residency.
@@ -74,10 +80,13 @@
             caller: What tells it from other callers.
         """
         ready = self._live.entry_instances()
-        near = [item for item in ready if item.region == region]
-        homes = self._find_homes(host)
-        home = [item for item in ready if item.region in homes]
-        found = near or home or ready
+        leaving = self._live.leaving_instances()
+        found = (
+            _select(ready, {region})
+            or _select(leaving, {region})
+            or _select(ready, self._find_homes(host))
+            or ready
+        )
         chosen = sorted(found, key=lambda item: _weigh(item, caller))
         return tuple(item.address for item in chosen[:MAX_ADDRESSES])
 
@@ -91,6 +100,12 @@
         return frozenset.intersection(*bound) or frozenset.union(*bound)
 
 
+def _select(
+    instances: Sequence[EntryInstance], regions: Set[str]
+) -> list[EntryInstance]:
+    return [item for item in instances if item.region in regions]
+
+
 def _weigh(instance: EntryInstance, caller: str) -> float:
     # Weighted rendezvous hashing: the least values fall on instances in
     # proportion to their sizes.
--- a/oriolepaddle/edge/tests/test_resolver.py
+++ b/oriolepaddle/edge/tests/test_resolver.py
@@ -13,10 +13,12 @@
     return EntryInstance(name, region, f"{region}-a", name, size)
 
 
-def make_resolver(instances, *residencies):
+def make_resolver(instances, *residencies, leaving=()):
     routes = tuple(SimpleNamespace(residency=item) for item in residencies)
     document = SimpleNamespace(routes={HOST: routes})
-    live = SimpleNamespace(entry_instances=lambda: instances)
+    live = SimpleNamespace(
+        entry_instances=lambda: instances, leaving_instances=lambda: leaving
+    )
     return InstanceResolver(SimpleNamespace(document=document), live)
 
 
@@ -35,6 +37,11 @@
         resolver = make_resolver(instances[1:], (), ("sudur",), ("sudur", "nordur"))
         assert resolver.resolve(HOST, "nordur", "c") == ("sudur",)
 
+    def test_names_one_that_has_begun_to_stop_before_other_regions(self, instances):
+        """The load: a restart of one after the other that overlaps in a region."""
+        resolver = make_resolver(instances[1:], ("austur",), leaving=instances[:1])
+        assert resolver.resolve(HOST, "nordur", "c") == ("nordur",)
+
     def test_names_all_when_nothing_is_bound(self, instances):
         resolver = make_resolver(instances[1:], ())
         assert set(resolver.resolve(HOST, "nordur", "c")) == {"sudur", "austur"}
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -21,6 +21,9 @@
 word of it comes through one hub, which lists its members about once a second."""
 FAR_ALIVE_FOR = timedelta(seconds=4)
 """The same for other regions, whose word comes through two hubs."""
+NAMED_WHILE_LEAVING = timedelta(seconds=3)
+"""How long an instance that stops may be named where no other one is left: what
+is sent to it then still has some seconds before it ends."""
 COUNTED_FOR = timedelta(seconds=60)
 """Silence for which an instance still counts as one that may be minting, cut
 off from here."""
@@ -51,6 +54,7 @@
         self._lock = threading.Lock()
         self._entries: dict[str, RosterEntry] = {}
         self._silent: set[str] = set()
+        self._leaving_s: dict[str, float] = {}
         self._told_counts: dict[str, tuple[float, int]] = {}
 
     @property
@@ -64,6 +68,8 @@
 
     def set_own(self, is_ready: bool, is_leaving: bool) -> None:
         """Note this instance's state."""
+        if is_leaving and not self._own.is_leaving:
+            self._leaving_s[self._own.id] = self._clock.monotonic_s()
         self._own = attrs.evolve(self._own, is_ready=is_ready, is_leaving=is_leaving)
 
     def note(self, entry: RosterEntry) -> None:
@@ -76,6 +82,10 @@
             if held is not None and _order(held) >= _order(entry):
                 return
             self._entries[entry.id] = entry
+            if not entry.is_leaving:
+                self._leaving_s.pop(entry.id, None)
+            else:
+                self._leaving_s.setdefault(entry.id, entry.heard_s)
             is_new = held is None or held.incarnation != entry.incarnation
             is_alive = self._is_alive(entry)
             was_silent = is_alive and entry.id in self._silent
@@ -118,6 +128,23 @@
             if item.is_ready and not item.is_leaving
         ]
 
+    def leaving_instances(self) -> list[EntryInstance]:
+        """Return those that began to stop only just now; see `LiveInstances`."""
+        oldest_s = self._clock.monotonic_s() - NAMED_WHILE_LEAVING.total_seconds()
+        return [
+            item.instance
+            for item in (self._own, *self.alive())
+            if item.is_leaving and self._leaving_s.get(item.id, oldest_s) > oldest_s
+        ]
+
+    def has_ready_neighbour(self) -> bool:
+        """Return whether another instance of this region takes callers."""
+        own = self.own
+        return any(
+            item.region == own.region and item.id != own.id
+            for item in self.entry_instances()
+        )
+
     def hubs(self, region: str | None = None) -> list[RosterEntry]:
         """Return the hubs of a region, the first one first.
 
--- a/oriolepaddle/gossip/tests/test_announcer.py
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -203,3 +203,15 @@
     def test_leave_the_hub_that_is_cut_off(self, fleet, hubs):
         self.read_on(fleet, hubs[1], 24)
         assert not hubs[0].state.catalog.may_send(self.ENDPOINT)
+
+
+class TestLeaving:
+    def test_is_told_while_it_has_only_begun(self, fleet):
+        node = fleet.nodes["n7"]
+        node.roster.set_own(False, True)
+        node.announcer._refresh = lambda: None
+        fleet.run(SECONDS)
+        leaving = fleet.nodes["n6"].roster.leaving_instances
+        assert [item.id for item in leaving()] == ["n7"]
+        fleet.run(3 * SECONDS)
+        assert leaving() == []
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -1,6 +1,7 @@
 """Settings of the daemon where one published document configures it."""
 
 import json
+from datetime import timedelta
 
 import attrs
 
@@ -9,6 +10,12 @@
 
 __all__ = ["EdgeSettings", "parse_regions"]
 
+SENDING_MARGIN = timedelta(milliseconds=800)
+"""From the last check of a key to the request's arrival at an endpoint: a
+connection that is made at the timeout, and the links' delay."""
+STOPPING_MARGIN = timedelta(milliseconds=500)
+"""To close what is open and end the process before it is killed."""
+
 
 @attrs.frozen(kw_only=True)
 class EdgeSettings:
@@ -73,13 +80,12 @@
         low=0,
         high=600,
     )
-    max_knowledge_age_s: float = setting(
-        4.2,
-        "Seconds without confirmation of the configuration after which requests "
-        "with a key are refused; below the time in which a withdrawn key must "
-        "stop working.",
-        low=0.1,
-        high=86_400,
+    withdrawal_bound_ms: float = setting(
+        5000.0,
+        "Milliseconds within which a withdrawn key must stop working everywhere; "
+        "knowledge that is 0.8 s short of it serves no request with a key.",
+        low=1000,
+        high=86_400_000,
     )
     region_delay_ms: float = setting(
         80.0, "One-way delay to another region.", low=0, high=5000
@@ -93,8 +99,12 @@
     retry_window_s: float = setting(
         10.0, "Seconds of the window of repeats.", low=0.1, high=3600
     )
-    drain_limit_s: float = setting(
-        7.5, "Seconds from the signal to stop to the end.", low=0, high=3600
+    stop_grace_s: float = setting(
+        8.0,
+        "Seconds from the signal to stop until the process is killed; it ends "
+        "0.5 s before that.",
+        low=0.5,
+        high=3600,
     )
     drain_refuse_s: float = setting(
         2.5,
@@ -110,6 +120,16 @@
         "INFO", "Least level that is logged.", choices=("DEBUG", "INFO", "WARNING")
     )
 
+    @property
+    def max_knowledge_age(self) -> timedelta:
+        """The age of the configuration above which keys are trusted no more."""
+        return timedelta(milliseconds=self.withdrawal_bound_ms) - SENDING_MARGIN
+
+    @property
+    def drain_limit(self) -> timedelta:
+        """The time from the signal to stop to the end of the process."""
+        return timedelta(seconds=self.stop_grace_s) - STOPPING_MARGIN
+
 
 def parse_regions(text: str) -> dict[str, str]:
     """Return the region of each data centre.
--- a/oriolepaddle/settings/tests/test_edge.py
+++ b/oriolepaddle/settings/tests/test_edge.py
@@ -1,4 +1,5 @@
 import json
+from datetime import timedelta
 
 import attrs
 import pytest
@@ -29,6 +30,7 @@
             ({"instance": ""}, "--instance"),
             ({"caller_address": "nowhere"}, "--caller-address"),
             ({"peer_secret": "short"}, "--peer-secret"),
+            ({"withdrawal_bound_ms": 500}, "--withdrawal-bound-ms"),
             ({"retry_ratio": 2.0}, "--retry-ratio"),
             ({"regions": "not json"}, "--regions"),
             ({"regions": "{}"}, "--regions"),
@@ -38,3 +40,8 @@
     def test_each_problem_is_named(self, changes, named):
         problems = find_problems(attrs.evolve(VALID, **changes))
         assert any(named in problem for problem in problems)
+
+    def test_derives_what_must_end_before_the_deployments_bounds(self):
+        settings = attrs.evolve(VALID, withdrawal_bound_ms=3000, stop_grace_s=20)
+        assert settings.max_knowledge_age < timedelta(seconds=3)
+        assert timedelta(seconds=19) < settings.drain_limit < timedelta(seconds=20)
