Take only what surely ends in time while stopping without a neighbour

Ruled out: a neighbour that was not told (none was ready).

Draining has become a class of its own (`edge.drain`): after the time for callers to learn of others, requests are refused where a neighbour is ready, and elsewhere those whose deadline lies beyond the end.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -13,6 +13,7 @@
 from oriolepaddle.edge import EdgeApplication, EdgeParts, InstanceResolver
 from oriolepaddle.edge.allowance import RetryAllowance
 from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.edge.drain import Drain
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.gateway.activity import Activity
@@ -54,9 +55,6 @@
 FALLBACK_PART = 2 / 3
 """Part of the age at which keys are trusted no more above which an instance reads
 the store itself; hubs pass their knowledge on within two seconds or so."""
-LAST_SERVICE = timedelta(seconds=3)
-"""What an instance that stops leaves for the last requests to end, where callers
-have no other instance to go to."""
 DRAIN_POLL = timedelta(milliseconds=50)
 MIN_DRAIN = timedelta(seconds=4)
 """Callers keep an address for some seconds; until then they are served."""
@@ -76,7 +74,6 @@
         self._clock = clock
         self._generator = random.Random(secrets.randbits(64))
         self._started_s = clock.monotonic_s()
-        self._leaving_since_s: float | None = None
         self._was_ready = False
         self.drain_requested = threading.Event()
         regions = parse_regions(settings.regions)
@@ -90,6 +87,12 @@
         self.catalog = Catalog(clock)
         incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
         self.roster = Roster(clock, own, incarnation, settings.peer_address, regions)
+        self._drain = Drain(
+            clock,
+            timedelta(seconds=settings.drain_refuse_s),
+            settings.drain_limit,
+            self.roster.has_ready_neighbour,
+        )
         self._delegations = Delegations(clock, settings.instance)
         self._store = PlatformStore(settings.platform_address, clock)
         self._follower = CatalogFollower(
@@ -118,7 +121,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
-        if self._leaving_since_s is not None or self.catalog.document is None:
+        if self._drain.is_begun or self.catalog.document is None:
             return False
         is_fresh = (
             self.catalog.age_s() < self._settings.max_knowledge_age.total_seconds()
@@ -132,7 +135,7 @@
             self._was_ready = ready
             age_s = round(self.catalog.age_s(), 3)
             log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
-        self.roster.set_own(ready, self._leaving_since_s is not None)
+        self.roster.set_own(ready, self._drain.is_begun)
 
     def _follows_store(self) -> bool:
         most_s = self._settings.max_knowledge_age.total_seconds()
@@ -141,24 +144,24 @@
 
     def stop(self) -> None:
         """Serve on until callers know of other instances, then end."""
-        settings = self._settings
-        started_s = self._clock.monotonic_s()
+        drain = self._drain
         # Connections close with their next answer before anybody can see that
         # this instance is unready.
         self._servers[0].is_draining = True
-        self._leaving_since_s = started_s
+        drain.begin()
         self._refresh()
         activity = self.parts.activity
         log_event("drain_started", in_flight=activity.count)
         while True:
-            elapsed_s = self._clock.monotonic_s() - started_s
-            is_idle = activity.count == 0 and elapsed_s >= MIN_DRAIN.total_seconds()
-            if is_idle or elapsed_s >= settings.drain_limit.total_seconds():
+            is_long_enough = drain.elapsed_s() >= MIN_DRAIN.total_seconds()
+            if drain.is_over() or (is_long_enough and activity.count == 0):
                 break
             self._clock.wait(threading.Event(), DRAIN_POLL)
         self._announcer.stop()
         self._follower.stop()
-        log_event("instance_stopped", in_flight=activity.count, after_s=elapsed_s)
+        log_event(
+            "instance_stopped", in_flight=activity.count, after_s=drain.elapsed_s()
+        )
 
     def close(self) -> None:
         """Close every listener and connection, after `stop` or in place of it."""
@@ -178,16 +181,6 @@
         """
         log_event("reload_requested", version=self.catalog.version)
 
-    def _is_refusing(self) -> bool:
-        since_s = self._leaving_since_s
-        if since_s is None:
-            return False
-        elapsed_s = self._clock.monotonic_s() - since_s
-        if self.roster.has_ready_neighbour():
-            return elapsed_s > self._settings.drain_refuse_s
-        left_s = self._settings.drain_limit.total_seconds() - elapsed_s
-        return left_s < LAST_SERVICE.total_seconds()
-
     def _make_parts(self) -> EdgeParts:
         settings = self._settings
         clock = self._clock
@@ -234,7 +227,7 @@
             metrics=self.metrics,
             region=own_region,
             max_knowledge_age=settings.max_knowledge_age,
-            is_refusing=self._is_refusing,
+            is_refusing=self._drain.is_refusing,
         )
 
     def _find_share(self) -> float:
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -64,15 +64,15 @@
             OSError: The caller is gone.
         """
         parts = self._parts
-        if parts.is_refusing() and not self._request.hops:
+        admitted = admit(parts, self._request)
+        self._admitted = admitted
+        self._set_deadline(admitted)
+        if parts.is_refusing(self._left_s()) and not self._request.hops:
             raise RefusedError(
                 "this instance is shutting down",
                 code=ErrorCode.DRAINING,
                 retry_after=timedelta(0),
             )
-        admitted = admit(parts, self._request)
-        self._admitted = admitted
-        self._set_deadline(admitted)
         self._fingerprint = make_request_fingerprint(self._request)
         if parts.crashes.is_refused(self._fingerprint):
             raise RefusedError(
--- a/oriolepaddle/edge/parts.py
+++ b/oriolepaddle/edge/parts.py
@@ -40,7 +40,8 @@
         region: This instance's region.
         max_knowledge_age: The age of the catalog above which requests with a
             key are refused.
-        is_refusing: Whether new requests are to go elsewhere.
+        is_refusing: Whether a new request that may last so many seconds is to go
+            elsewhere.
     """
 
     clock: Clock
@@ -57,4 +58,4 @@
     metrics: GatewayMetrics
     region: str
     max_knowledge_age: timedelta
-    is_refusing: Callable[[], bool]
+    is_refusing: Callable[[float], bool]
