--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -15,6 +15,7 @@
 from oriolepaddle.edge.crash_register import CrashRegister
 from oriolepaddle.edge.drain import Drain
 from oriolepaddle.edge.resolver import EntryInstance
+from oriolepaddle.edge.start_patience import StartPatience
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gossip import (
@@ -227,6 +228,7 @@
             metrics=self.metrics,
             region=own_region,
             max_knowledge_age=settings.max_knowledge_age,
+            patience=StartPatience(clock),
             is_refusing=self._drain.is_refusing,
         )
 
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from typing import TypeVar
 
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import Admitted, admit, check_knowledge
@@ -32,6 +33,7 @@
 __all__ = ["EdgeExchange"]
 
 SERVER_ERROR = 500
+T = TypeVar("T")
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -64,7 +66,7 @@
             OSError: The caller is gone.
         """
         parts = self._parts
-        admitted = admit(parts, self._request)
+        admitted = self._await_start(lambda: admit(parts, self._request))
         self._admitted = admitted
         self._set_deadline(admitted)
         if parts.is_refusing(self._left_s()) and not self._request.hops:
@@ -85,6 +87,10 @@
         else:
             self._run_reserved(organisation)
 
+    def _await_start(self, action: Callable[[], T]) -> T:
+        request = self._request
+        return self._parts.patience.call(action, request.id, request.arrived_s)
+
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request with what decided it."""
         admitted = self._admitted
@@ -123,7 +129,10 @@
 
     def _run_reserved(self, organisation: RatedOrganisation) -> None:
         tokens = self._count_tokens(organisation)
-        reservation = self._parts.limiter.reserve(organisation.organisation, tokens)
+        limiter = self._parts.limiter
+        reservation = self._await_start(
+            lambda: limiter.reserve(organisation.organisation, tokens)
+        )
         try:
             self._run_tries()
         finally:
--- a/oriolepaddle/edge/parts.py
+++ b/oriolepaddle/edge/parts.py
@@ -11,6 +11,7 @@
 from oriolepaddle.edge.crash_register import CrashRegister
 from oriolepaddle.edge.protocol import EdgeProtocol
 from oriolepaddle.edge.regions import RegionChooser
+from oriolepaddle.edge.start_patience import StartPatience
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.limits import TokenLimiter
@@ -40,6 +41,7 @@
         region: This instance's region.
         max_knowledge_age: The age of the catalog above which requests with a
             key are refused.
+        patience: Has requests wait while this instance comes up.
         is_refusing: Whether a new request that may last so many seconds is to go
             elsewhere.
     """
@@ -58,4 +60,5 @@
     metrics: GatewayMetrics
     region: str
     max_knowledge_age: timedelta
+    patience: StartPatience
     is_refusing: Callable[[float], bool]
