Import only a program's own parts at its start

The daemon's package imported the other program, and the packages limits, config, peers and publication all their parts. They import them when first used now (PEP 562); Activity has moved from gateway to web.

--- a/oriolepaddle/config/__init__.py
+++ b/oriolepaddle/config/__init__.py
@@ -1,17 +1,6 @@
 """Configuration: tickets, the merged state and how it spreads."""
 
-from oriolepaddle.config.codec import parse_ticket, write_ticket
-from oriolepaddle.config.conflict import Conflict, ConflictKind
-from oriolepaddle.config.entry import Entry
-from oriolepaddle.config.floor import Floor
-from oriolepaddle.config.keys import digest_key, find_key
-from oriolepaddle.config.platform_reader import PlatformReader
-from oriolepaddle.config.rejections import Rejection, Rejections
-from oriolepaddle.config.staleness import StalenessGuard
-from oriolepaddle.config.state import ConfigState
-from oriolepaddle.config.sync import ConfigSync
-from oriolepaddle.config.ticket import Ticket
-from oriolepaddle.config.wire import CONFIGURATION_SERVICE
+from oriolepaddle.lazy import make_loader
 
 __all__ = [
     "CONFIGURATION_SERVICE",
@@ -31,3 +20,33 @@
     "parse_ticket",
     "write_ticket",
 ]
+
+__getattr__ = make_loader(
+    __name__,
+    {
+        "codec": (
+            "parse_ticket",
+            "write_ticket",
+        ),
+        "conflict": (
+            "Conflict",
+            "ConflictKind",
+        ),
+        "entry": ("Entry",),
+        "floor": ("Floor",),
+        "keys": (
+            "digest_key",
+            "find_key",
+        ),
+        "platform_reader": ("PlatformReader",),
+        "rejections": (
+            "Rejection",
+            "Rejections",
+        ),
+        "staleness": ("StalenessGuard",),
+        "state": ("ConfigState",),
+        "sync": ("ConfigSync",),
+        "ticket": ("Ticket",),
+        "wire": ("CONFIGURATION_SERVICE",),
+    },
+)
--- a/oriolepaddle/daemon/__init__.py
+++ b/oriolepaddle/daemon/__init__.py
@@ -1,5 +1,7 @@
-"""The daemon: one entry instance as a process."""
+"""The daemon: one entry instance as a process.
 
-from oriolepaddle.daemon.instance import GatewayInstance
+Each program imports its own instance; nothing is imported here, so that a
+process starts without the other's parts.
+"""
 
-__all__ = ["GatewayInstance"]
+__all__: list[str] = []
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -17,7 +17,6 @@
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.edge.start_patience import StartPatience
 from oriolepaddle.endpoints import EndpointTransport
-from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gossip import (
     Announcer,
     Delegations,
@@ -39,6 +38,7 @@
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
 from oriolepaddle.web import Application, HttpServer, ServerLimits
+from oriolepaddle.web.activity import Activity
 
 __all__ = ["EdgeInstance"]
 
--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -11,7 +11,6 @@
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.endpoints.health import HealthChecker
 from oriolepaddle.gateway import Authenticator, CallerApplication, Exchanger
-from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gateway.admissions import RouteAdmissions
 from oriolepaddle.gateway.advisor import InstanceAdvisor
 from oriolepaddle.gateway.forwarder import Forwarder
@@ -32,6 +31,7 @@
 from oriolepaddle.retries import RetryPolicy, RetrySettings
 from oriolepaddle.routing import Router, ShortestTimePolicy
 from oriolepaddle.settings import Settings
+from oriolepaddle.web.activity import Activity
 
 __all__ = ["Serving"]
 
--- a/oriolepaddle/demo/fleet.py
+++ b/oriolepaddle/demo/fleet.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.daemon import GatewayInstance
+from oriolepaddle.daemon.instance import GatewayInstance
 from oriolepaddle.errors import PeerUnavailableError
 from oriolepaddle.publication import Instance
 from oriolepaddle.settings import Settings
--- a/oriolepaddle/edge/parts.py
+++ b/oriolepaddle/edge/parts.py
@@ -13,10 +13,10 @@
 from oriolepaddle.edge.regions import RegionChooser
 from oriolepaddle.edge.start_patience import StartPatience
 from oriolepaddle.endpoints import EndpointTransport
-from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.limits import TokenLimiter
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.placement import Placer
+from oriolepaddle.web.activity import Activity
 
 __all__ = ["EdgeParts"]
 
--- a/oriolepaddle/gateway/parts.py
+++ b/oriolepaddle/gateway/parts.py
@@ -6,7 +6,6 @@
 from oriolepaddle.config.staleness import StalenessGuard
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.endpoints.health import HealthChecker
-from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gateway.admissions import RouteAdmissions
 from oriolepaddle.gateway.authenticator import Authenticator
 from oriolepaddle.gateway.forwarder import Forwarder
@@ -15,6 +14,7 @@
 from oriolepaddle.quarantine import Quarantine
 from oriolepaddle.retries import RetryPolicy
 from oriolepaddle.routing import Router
+from oriolepaddle.web.activity import Activity
 
 __all__ = ["ServingParts"]
 
--- a/oriolepaddle/gateway/tests/test_exchanger.py
+++ b/oriolepaddle/gateway/tests/test_exchanger.py
@@ -6,7 +6,6 @@
 
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.errors import ErrorCode, OrderError, Outcome, RefusedError
-from oriolepaddle.gateway.activity import Activity
 from oriolepaddle.gateway.exchanger import Exchanger
 from oriolepaddle.gateway.order_exchange import OrderExchange
 from oriolepaddle.gateway.tests.conftest import KEY, make_request
@@ -18,6 +17,7 @@
     OrderRegistry,
 )
 from oriolepaddle.peers import PeerIdentity
+from oriolepaddle.web.activity import Activity
 
 ORGANISATION = "norddal"
 RATE_LIMITED = RefusedError("the rate is used", code=ErrorCode.RATE_LIMITED)
--- a/oriolepaddle/limits/__init__.py
+++ b/oriolepaddle/limits/__init__.py
@@ -1,13 +1,6 @@
 """Rate and burst of each organisation, counted over the whole fleet."""
 
-from oriolepaddle.limits.granting import GrantingLimiter
-from oriolepaddle.limits.limiter import Reservation, TokenLimiter
-from oriolepaddle.limits.link import LIMITS_SERVICE
-from oriolepaddle.limits.pooled import DrawResult, PooledLimiter, TokenPool
-from oriolepaddle.limits.settings import LimitSettings
-from oriolepaddle.limits.shared import SharedTokenLimiter
-from oriolepaddle.limits.snapshot import LimitSnapshot
-from oriolepaddle.limits.token_need import TokenNeed
+from oriolepaddle.lazy import make_loader
 
 __all__ = [
     "LIMITS_SERVICE",
@@ -22,3 +15,24 @@
     "TokenNeed",
     "TokenPool",
 ]
+
+__getattr__ = make_loader(
+    __name__,
+    {
+        "granting": ("GrantingLimiter",),
+        "limiter": (
+            "Reservation",
+            "TokenLimiter",
+        ),
+        "link": ("LIMITS_SERVICE",),
+        "pooled": (
+            "DrawResult",
+            "PooledLimiter",
+            "TokenPool",
+        ),
+        "settings": ("LimitSettings",),
+        "shared": ("SharedTokenLimiter",),
+        "snapshot": ("LimitSnapshot",),
+        "token_need": ("TokenNeed",),
+    },
+)
--- a/oriolepaddle/peers/__init__.py
+++ b/oriolepaddle/peers/__init__.py
@@ -1,11 +1,6 @@
 """Links between instances: thrift calls over one connection to each peer."""
 
-from oriolepaddle.peers.addresses import PeerAddresses
-from oriolepaddle.peers.caller import PeerCaller
-from oriolepaddle.peers.identity import PeerIdentity
-from oriolepaddle.peers.pool import PeerPool
-from oriolepaddle.peers.server import PeerServer
-from oriolepaddle.peers.service import PeerService
+from oriolepaddle.lazy import make_loader
 
 __all__ = [
     "PeerAddresses",
@@ -15,3 +10,15 @@
     "PeerServer",
     "PeerService",
 ]
+
+__getattr__ = make_loader(
+    __name__,
+    {
+        "addresses": ("PeerAddresses",),
+        "caller": ("PeerCaller",),
+        "identity": ("PeerIdentity",),
+        "pool": ("PeerPool",),
+        "server": ("PeerServer",),
+        "service": ("PeerService",),
+    },
+)
--- a/oriolepaddle/publication/__init__.py
+++ b/oriolepaddle/publication/__init__.py
@@ -1,13 +1,6 @@
 """The platform's services, which can only be read and watched."""
 
-from oriolepaddle.publication.directory import ClientRecord
-from oriolepaddle.publication.instance import Instance, InstanceList, InstanceState
-from oriolepaddle.publication.services import (
-    ClientDirectory,
-    ConfigurationService,
-    InstanceListService,
-)
-from oriolepaddle.publication.value import ServiceReading, ServiceValue
+from oriolepaddle.lazy import make_loader
 
 __all__ = [
     "ClientDirectory",
@@ -20,3 +13,24 @@
     "ServiceReading",
     "ServiceValue",
 ]
+
+__getattr__ = make_loader(
+    __name__,
+    {
+        "directory": ("ClientRecord",),
+        "instance": (
+            "Instance",
+            "InstanceList",
+            "InstanceState",
+        ),
+        "services": (
+            "ClientDirectory",
+            "ConfigurationService",
+            "InstanceListService",
+        ),
+        "value": (
+            "ServiceReading",
+            "ServiceValue",
+        ),
+    },
+)
