--- /dev/null
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -0,0 +1,246 @@
+"""What operators may look at in an instance that one document configures."""
+
+import hmac
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from werkzeug.wrappers import Request
+
+from oriolepaddle.catalog import Catalog, HostRoute
+from oriolepaddle.clock import Clock
+from oriolepaddle.edge import EdgeParts
+from oriolepaddle.errors import (
+    ErrorCode,
+    MalformedRequestError,
+    PermissionDeniedError,
+    RefusedError,
+)
+from oriolepaddle.gossip import Roster
+from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
+from oriolepaddle.limits import GrantingLimiter
+from oriolepaddle.placement import Job
+from oriolepaddle.web import AnswerWriter, Application
+
+__all__ = ["EdgeInspection", "InspectionApplication"]
+
+PREFIX = "/v1/"
+EXPLAIN_PATH = "/v1/route/explain"
+LIMITS_PREFIX = "/v1/limits/"
+OK = 200
+
+
+class EdgeInspection:
+    """Reads an instance's state; changes nothing.
+
+    Args:
+        clock: The time.
+        catalog: Routes, keys and endpoints.
+        roster: The instances.
+        parts: What serves callers.
+        pool: The tokens that are pooled here.
+        is_ready: Whether callers may be sent here.
+        is_draining: Whether the instance stops.
+        find_share: Returns the part of each rate that is minted here.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        roster: Roster,
+        parts: EdgeParts,
+        pool: GrantingLimiter,
+        is_ready: Callable[[], bool],
+        is_draining: Callable[[], bool],
+        find_share: Callable[[], float],
+    ) -> None:
+        self._clock = clock
+        self._catalog = catalog
+        self._roster = roster
+        self._parts = parts
+        self._pool = pool
+        self._is_ready = is_ready
+        self._is_draining = is_draining
+        self._find_share = find_share
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of the instance."""
+        own = self._roster.own
+        return {
+            "instance": own.id,
+            "data_centre": own.data_centre,
+            "region": own.region,
+            "is_ready": self._is_ready(),
+            "is_draining": self._is_draining(),
+            "is_hub": self._roster.is_hub(),
+            "highest_ticket": self._catalog.version,
+            "knowledge_age_s": _round(self._catalog.age_s()),
+            "endpoints_age_s": _round(self._catalog.endpoints_age_s()),
+            "peers_reachable": len(self._roster.alive()),
+            "requests_in_flight": self._parts.activity.count,
+        }
+
+    def instances(self) -> list[dict[str, Any]]:
+        """Return the other instances that were ever heard of."""
+        now_s = self._clock.monotonic_s()
+        alive = {item.id for item in self._roster.alive()}
+        hubs = {
+            hub.id
+            for region in self._roster.regions()
+            for hub in self._roster.hubs(region)
+        }
+        return [
+            {
+                "instance": item.id,
+                "region": item.instance.region,
+                "address": item.instance.address,
+                "size": item.instance.size,
+                "is_ready": item.is_ready,
+                "is_leaving": item.is_leaving,
+                "is_alive": item.id in alive,
+                "is_hub": item.id in hubs,
+                "heard_ago_s": round(now_s - item.heard_s, 3),
+            }
+            for item in sorted(self._roster.entries(), key=lambda entry: entry.id)
+        ]
+
+    def endpoints(self) -> list[dict[str, Any]]:
+        """Return the endpoints that are registered."""
+        now_s = self._clock.monotonic_s()
+        return [
+            {
+                "endpoint": item.id,
+                "service": item.service,
+                "data_centre": item.data_centre,
+                "address": item.address,
+                "state": item.state.value,
+                "is_cold": now_s < item.cold_until_s,
+                "may_get_work": self._catalog.may_send(item),
+            }
+            for item in sorted(self._catalog.endpoints(), key=lambda item: item.id)
+        ]
+
+    def limit(self, name: str) -> dict[str, Any]:
+        """Return an organisation's limit and what of it is here.
+
+        Raises:
+            RefusedError: No organisation of that name holds a key.
+        """
+        document = self._catalog.document
+        held = document.find_organisation(name) if document else None
+        if held is None:
+            raise RefusedError(f"no organisation {name}", code=ErrorCode.ROUTE_UNKNOWN)
+        hub = self._roster.token_hub()
+        return {
+            "organisation": name,
+            "is_limited": held.is_limited,
+            "is_token_rated": held.is_token_rated,
+            "rate_per_s": held.organisation.rate_tokens_per_s,
+            "burst": held.organisation.burst_tokens,
+            "share_here": round(self._find_share(), 4),
+            "available_here": round(self._pool.available(held.organisation), 1),
+            "hub": hub.id if hub else None,
+        }
+
+    def explain(self, name: str, tokens: int) -> dict[str, Any]:
+        """Return where a request of a route would go, and how endpoints compare.
+
+        Args:
+            name: The route's name.
+            tokens: The length of its prompt, of which nothing is cached.
+
+        Raises:
+            RefusedError: There is no such route.
+        """
+        route = self._find_route(name)
+        service = route.services[0].service
+        job = Job(service, input_tokens=tokens)
+        residency = frozenset(route.residency)
+        is_allowed = not residency or self._parts.region in residency
+        scores = self._parts.placer.explain(job) if is_allowed else ()
+        peer = self._parts.regions.choose(service, tokens, residency)
+        best = scores[0] if scores else None
+        return {
+            "endpoint": best.endpoint if best else None,
+            "data_centre": best.data_centre if best else None,
+            "service": service,
+            "residency": sorted(residency),
+            "elsewhere": peer.instance if peer else None,
+            "elsewhere_expected_s": _round(peer.expected_s) if peer else None,
+            "scores": [attrs.asdict(score) for score in scores],
+        }
+
+    def _find_route(self, name: str) -> HostRoute:
+        document = self._catalog.document
+        for routes in (document.routes if document else {}).values():
+            for route in routes:
+                if route.name == name:
+                    return route
+        raise RefusedError(f"no route {name}", code=ErrorCode.ROUTE_UNKNOWN)
+
+
+class InspectionApplication:
+    """Serves an inspection beside another application; an `Application`.
+
+    Args:
+        inspection: What may be looked at.
+        token: The token that operators show as `Authorization: Bearer`.
+        application: Serves every other path.
+    """
+
+    def __init__(
+        self, inspection: EdgeInspection, token: str, application: Application
+    ) -> None:
+        self._inspection = inspection
+        self._token = token
+        self._application = application
+
+    def handle(self, request: Request, writer: AnswerWriter) -> None:
+        """Answer one request; see `Application.handle`."""
+        if not request.path.startswith(PREFIX):
+            self._application.handle(request, writer)
+            return
+        self._check_token(request)
+        writer.answer_json(OK, self._read(request))
+
+    def _read(self, request: Request) -> dict[str, Any]:
+        inspection = self._inspection
+        if request.method == "POST" and request.path == EXPLAIN_PATH:
+            return self._explain(request)
+        if request.method == "GET" and request.path.startswith(LIMITS_PREFIX):
+            return inspection.limit(request.path.removeprefix(LIMITS_PREFIX))
+        calls: dict[str, Callable[[], dict[str, Any]]] = {
+            "/v1/status": inspection.status,
+            "/v1/instances": lambda: {"instances": inspection.instances()},
+            "/v1/endpoints": lambda: {"endpoints": inspection.endpoints()},
+        }
+        call = calls.get(request.path)
+        if request.method != "GET" or call is None:
+            raise RefusedError(
+                f"no call {request.method} {request.path}",
+                code=ErrorCode.ROUTE_UNKNOWN,
+            )
+        return call()
+
+    def _explain(self, request: Request) -> dict[str, Any]:
+        try:
+            document = json.loads(request.get_data())
+        except ValueError as error:
+            raise MalformedRequestError(f"the body is not JSON: {error}") from error
+        if not isinstance(document, dict) or not isinstance(document.get("route"), str):
+            raise MalformedRequestError("route must be a string")
+        words = len(str(document.get("prompt") or "").split())
+        return self._inspection.explain(
+            document["route"], words or TYPICAL_PROMPT_TOKENS
+        )
+
+    def _check_token(self, request: Request) -> None:
+        shown = request.headers.get("Authorization", "")
+        if not hmac.compare_digest(shown.encode(), f"Bearer {self._token}".encode()):
+            raise PermissionDeniedError("the operator's token is missing or wrong")
+
+
+def _round(duration_s: float) -> float | None:
+    return None if duration_s == float("inf") else round(duration_s, 3)
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -10,6 +10,8 @@
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.daemon.addresses import split_address
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
+from oriolepaddle.daemon.edge_gauges import add_gauges
+from oriolepaddle.daemon.edge_inspection import EdgeInspection, InspectionApplication
 from oriolepaddle.edge import EdgeApplication, EdgeParts, InstanceResolver
 from oriolepaddle.edge.allowance import RetryAllowance
 from oriolepaddle.edge.crash_register import CrashRegister
@@ -102,6 +104,19 @@
         self._exchange = CatalogExchange(clock, self.catalog, self._store)
         self.metrics = GatewayMetrics()
         self.parts = self._make_parts()
+        add_gauges(
+            self.metrics,
+            {
+                "config_ticket": lambda: self.catalog.version,
+                "config_age_seconds": self.catalog.age_s,
+                "endpoints_age_seconds": self.catalog.endpoints_age_s,
+                "store_calls": lambda: self._follower.calls,
+                "peers_reachable": lambda: len(self.roster.alive()),
+                "requests_in_flight": lambda: self.parts.activity.count,
+                "ready": self.is_ready,
+                "draining": lambda: self._drain.is_begun,
+            },
+        )
         self._announcer = self._make_announcer()
         self._servers = self._make_servers()
 
@@ -282,11 +297,28 @@
             self._listen(settings.readiness_address, readiness, small, "readiness"),
         ]
         if settings.metrics_address:
+            metrics = self._wrap_inspection(readiness)
             servers.append(
-                self._listen(settings.metrics_address, readiness, small, "metrics")
+                self._listen(settings.metrics_address, metrics, small, "metrics")
             )
         return servers
 
+    def _wrap_inspection(self, application: Application) -> Application:
+        token = self._settings.operator_token
+        if not token:
+            return application
+        inspection = EdgeInspection(
+            self._clock,
+            self.catalog,
+            self.roster,
+            self.parts,
+            self.pool,
+            self.is_ready,
+            lambda: self._drain.is_begun,
+            self._find_share,
+        )
+        return InspectionApplication(inspection, token, application)
+
     def _listen(
         self, address: str, application: Application, most: int, name: str
     ) -> HttpServer:
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -5,10 +5,12 @@
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
 from oriolepaddle.placement.placer import Placer
 from oriolepaddle.placement.run import PlacedRun
+from oriolepaddle.placement.score import EndpointScore
 
 __all__ = [
     "Choice",
     "EndpointLoad",
+    "EndpointScore",
     "Job",
     "PeerLoad",
     "PlacedRun",
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -19,6 +19,7 @@
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
 from oriolepaddle.placement.run import PlacedRun
+from oriolepaddle.placement.score import EndpointScore
 
 __all__ = ["Placer"]
 
@@ -92,6 +93,31 @@
             )
         return choice
 
+    def explain(self, job: Job) -> tuple[EndpointScore, ...]:
+        """Return how the endpoints compare for a request, the best first."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            loads = self._list_loads(job.service, now_s)
+            bonuses = _find_bonuses(loads, job)
+            scores = []
+            for load in loads:
+                cost_s, choice = self._weigh(load, job, now_s, bonuses)
+                total = load.total(now_s)
+                scores.append(
+                    EndpointScore(
+                        endpoint=load.endpoint.id,
+                        data_centre=load.endpoint.data_centre,
+                        cost_s=round(cost_s, 4),
+                        expected_s=round(choice.expected_s, 4),
+                        uncached_tokens=choice.uncached_tokens,
+                        running=total.running,
+                        unread_tokens=total.prefill_tokens,
+                        is_cold=load.is_cold(now_s),
+                        is_blocked=load.is_blocked(now_s),
+                    )
+                )
+        return tuple(sorted(scores, key=lambda score: score.cost_s))
+
     def start(self, choice: Choice, job: Job) -> PlacedRun:
         """Note that a request is now sent to its endpoint."""
         with self._lock:
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -68,6 +68,13 @@
     peer_secret: str = setting(
         "", "Secret that all instances share, at least 16 characters.", min_length=16
     )
+    operator_token: str = setting(
+        "",
+        "Token with which `oriolectl` may look at this instance through the "
+        "metrics address; without one it may not.",
+        is_optional=True,
+        min_length=16,
+    )
     max_connections: int = setting(
         600, "Callers' connections served side by side.", low=1, high=16_384
     )
