Share out a cold endpoint's rate as other rates are

One instance of the region, the owner by a hash over those it hears, sent to a cold endpoint. Each instance now holds the part of the rate, and of a burst of 3, that it mints for its region (the leases of the limits), gives up what it held when the part goes, and takes the right to send with the choice.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -206,7 +206,7 @@
             clock,
             self.catalog,
             lambda name: roster.region_of(name) == own_region,
-            roster.is_owner,
+            self._find_cold_share,
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect = timedelta(seconds=settings.connect_timeout_s)
@@ -250,6 +250,9 @@
     def _find_share(self) -> float:
         return self._delegations.count() / self.roster.count()
 
+    def _find_cold_share(self) -> float:
+        return self._delegations.count() / self.roster.count_possible_neighbours()
+
     def _find_organisation(self, name: str) -> Organisation | None:
         document = self.catalog.document
         held = document.find_organisation(name) if document else None
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -189,9 +189,19 @@
         Those that fell silent count on, as they may be cut off and alive. A
         data centre of which nobody was heard counts as the fullest one.
         """
+        return self._count(set(self._regions))
+
+    def count_possible_neighbours(self) -> int:
+        """Return how many instances there may be in this region; see `count`."""
+        own = self.own.region
+        return self._count(
+            {name for name, held in self._regions.items() if held == own}
+        )
+
+    def _count(self, data_centres: set[str]) -> int:
         counts = self.counts()
         fullest = max(counts.values(), default=1)
-        return sum(counts.get(name) or fullest for name in self._regions)
+        return sum(counts.get(name) or fullest for name in data_centres)
 
     def counts(self) -> dict[str, int]:
         """Return how many instances there may be in each data centre."""
@@ -212,20 +222,6 @@
         region = self.own.region
         return 1 + sum(item.instance.region == region for item in self.alive())
 
-    def is_owner(self, name: str) -> bool:
-        """Return whether this instance is its region's only one for a task."""
-        region = self.own.region
-        ids = [self._own.id] + [
-            item.id
-            for item in self.alive()
-            if item.instance.region == region and not item.is_leaving
-        ]
-
-        def _weigh(item: str) -> int:
-            return xxhash.xxh3_64_intdigest(f"{name}|{item}".encode())
-
-        return max(ids, key=_weigh) == self._own.id
-
     def _renumber(self, incarnation: int) -> None:
         # Lives are numbered by the wall clock, which may have stepped back
         # since an earlier life began; the others would not hear this one.
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -79,10 +79,15 @@
         endpoint: The endpoint.
         service: Its service.
         now_s: Monotonic seconds.
+        cold_share: This instance's part of what it bears while it is cold.
     """
 
     def __init__(
-        self, endpoint: RegisteredEndpoint, service: EndpointService, now_s: float
+        self,
+        endpoint: RegisteredEndpoint,
+        service: EndpointService,
+        now_s: float,
+        cold_share: float = 1.0,
     ) -> None:
         self.endpoint = endpoint
         self.service = service
@@ -92,7 +97,7 @@
         engine = service.engine
         self.slots = engine.slots if engine else endpoint.slots
         self.history = PrefixHistory(engine.cache_tokens if engine else 0)
-        self.cold = ColdStartBucket(service.cold_requests_per_s, now_s)
+        self.cold = ColdStartBucket(service.cold_requests_per_s, now_s, cold_share)
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
         self._reading_s = 0.0
         self._expected_s = 0.0
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -38,8 +38,8 @@
         clock: The time.
         catalog: The endpoints.
         is_local: Whether a data centre stands in this instance's region.
-        may_start_cold: Whether this instance is the one that sends to a cold
-            endpoint, so that the instances together keep to its rate.
+        find_cold_share: Returns this instance's part of what a cold endpoint
+            bears; the parts of a region's instances add up to at most 1.
     """
 
     def __init__(
@@ -47,12 +47,12 @@
         clock: Clock,
         catalog: Catalog,
         is_local: Callable[[str], bool],
-        may_start_cold: Callable[[str], bool] = lambda endpoint_id: True,
+        find_cold_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
         self._is_local = is_local
-        self._may_start_cold = may_start_cold
+        self._find_cold_share = find_cold_share
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
 
@@ -77,20 +77,24 @@
             ]
             bonuses = _find_bonuses(loads, job)
             choices = [self._weigh(load, job, now_s, bonuses) for load in loads]
-        if not choices:
-            raise RefusedError(
-                f"no endpoint of {job.service} can run the request now",
-                code=ErrorCode.NO_ENDPOINT,
-                retry_after=RETURN_AFTER,
-            )
-        _, choice = min(choices, key=lambda item: item[0])
-        if choice.expected_s > job.patience_s:
-            raise RefusedError(
-                f"{job.service} would begin the answer in {choice.expected_s:.2f} s, "
-                f"later than {job.patience_s:.2f} s",
-                code=ErrorCode.OVERLOADED,
-                retry_after=RETURN_AFTER,
-            )
+            if not choices:
+                raise RefusedError(
+                    f"no endpoint of {job.service} can run the request now",
+                    code=ErrorCode.NO_ENDPOINT,
+                    retry_after=RETURN_AFTER,
+                )
+            _, choice = min(choices, key=lambda item: item[0])
+            if choice.expected_s > job.patience_s:
+                raise RefusedError(
+                    f"{job.service} would begin the answer in "
+                    f"{choice.expected_s:.2f} s, later than {job.patience_s:.2f} s",
+                    code=ErrorCode.OVERLOADED,
+                    retry_after=RETURN_AFTER,
+                )
+            chosen = self._loads[choice.endpoint.id]
+            if chosen.is_cold(now_s):
+                # It is taken here, so that two requests do not get the same.
+                chosen.cold.take(now_s, self._find_cold_share())
         return choice
 
     def explain(self, job: Job) -> tuple[EndpointScore, ...]:
@@ -127,7 +131,11 @@
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return what this instance has running, by the endpoint's id."""
         now_s = self._clock.monotonic_s()
+        share = self._find_cold_share()
         with self._lock:
+            for load in self._loads.values():
+                # What was held with a part that has gone is given up.
+                load.cold.is_open(now_s, share)
             loads = {load.endpoint.id: load.own(now_s) for load in self._loads.values()}
         return {name: load for name, load in loads.items() if not load.is_idle}
 
@@ -181,7 +189,7 @@
     def _is_usable(self, load: EndpointLoad, now_s: float) -> bool:
         if not load.is_cold(now_s):
             return True
-        return self._may_start_cold(load.endpoint.id) and load.cold.is_open(now_s)
+        return load.cold.is_open(now_s, self._find_cold_share())
 
     def _find_load(self, endpoint: RegisteredEndpoint, now_s: float) -> EndpointLoad:
         held = self._loads.get(endpoint.id)
@@ -189,7 +197,9 @@
             document = self._catalog.document
             services = document.services if document else {}
             service = services.get(endpoint.service, EndpointService(endpoint.service))
-            held = self._loads[endpoint.id] = EndpointLoad(endpoint, service, now_s)
+            held = self._loads[endpoint.id] = EndpointLoad(
+                endpoint, service, now_s, self._find_cold_share()
+            )
         held.endpoint = endpoint
         return held
 
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -42,8 +42,6 @@
             load.prefill_tokens += self._uncached
             load.memory_tokens += job.memory_tokens
             load.history.record(job.parts)
-            if load.is_cold(self._started_s):
-                load.cold.take(self._started_s)
 
     def begin(self) -> None:
         """Note the first byte of the answer; later calls do nothing."""
--- a/oriolepaddle/placement/tests/test_placer.py
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -37,7 +37,8 @@
 def catalog(clock):
     catalog = Catalog(clock)
     document = ConfigDocument(1, {}, SERVICES, {}, CallerLimits(), b"")
-    catalog.apply(CatalogReading((CatalogChange("c", document=document),), 1), 0.0)
+    change = CatalogChange("c", document=document)
+    catalog.apply(CatalogReading((change,), 1, is_whole=True), 0.0)
     return catalog
 
 
@@ -203,12 +204,19 @@
             sent += 1
         assert sent <= 4 * 3 + 1
 
-    def test_is_left_to_its_owner(self, clock, catalog):
-        placer = Placer(clock, catalog, lambda name: True, lambda name: False)
+    def test_is_left_to_those_that_hold_a_part_of_its_rate(self, clock, catalog):
+        placer = Placer(clock, catalog, lambda name: True, lambda: 0.0)
         register(catalog, "e1", cold_until_s=100.0)
         with pytest.raises(RefusedError):
             placer.choose(make_dossier("a"))
 
+    def test_right_to_send_is_taken_with_the_choice(self, placer, catalog):
+        """Two requests choose before either is sent."""
+        register(catalog, "e1", cold_until_s=100.0)
+        placer.choose(make_dossier("a"))
+        with pytest.raises(RefusedError):
+            placer.choose(make_dossier("b"))
+
 
 class TestPlainService:
     def test_spreads_over_its_endpoints(self, placer, catalog):
