Check what instances believe of the store with a state machine

Real catalogs and announcers, a store that changes, answers that come late, cuts, freezes and datagrams that are held up: a key that is withdrawn, or an endpoint that has left, is known or the age of what is known tells so. With the echo taken out of the announcer (held-up word counted from its arrival) the machine fails.

--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_knowledge.py
@@ -0,0 +1,201 @@
+"""What instances believe of the store, under cuts, freezes and held-up datagrams."""
+
+from datetime import timedelta
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from oriolepaddle.catalog import (
+    CallerLimits,
+    CatalogChange,
+    CatalogReading,
+    ConfigDocument,
+    EndpointState,
+    RegisteredEndpoint,
+)
+from oriolepaddle.gossip.tests.fleet import PORT, GossipFleet
+
+NAMES = ("n1", "n2", "n3", "s1")
+ENDPOINTS = ("e1", "e2")
+TOLERANCE_S = 1e-5
+"""Ages travel in whole microseconds."""
+names = st.sampled_from(NAMES)
+
+
+def make_endpoint(name):
+    return RegisteredEndpoint(
+        name, 1, "desk", f"{name}:80", "nordur-a", 6, EndpointState.READY
+    )
+
+
+class Store:
+    """Its state now, and when each part of it changed."""
+
+    def __init__(self):
+        self.revision = 1
+        self.versions = [(0, 0.0)]
+        self.registered = {}
+        self.history = []
+
+    def publish(self, now_s):
+        self.revision += 1
+        self.versions.append((len(self.versions), now_s))
+
+    def turn(self, name, now_s):
+        """Register an endpoint, or take it away."""
+        self.revision += 1
+        since_s = self.registered.pop(name, None)
+        if since_s is None:
+            self.registered[name] = now_s
+        else:
+            self.history.append((name, since_s, now_s))
+
+    def read(self):
+        version = self.versions[-1][0]
+        document = ConfigDocument(version, {}, {}, {}, CallerLimits(), b"")
+        changes = [CatalogChange("op/config", document=document)]
+        changes += [
+            CatalogChange(f"servers/{name}", endpoint=make_endpoint(name))
+            for name in self.registered
+        ]
+        return CatalogReading(tuple(changes), self.revision, is_whole=True)
+
+
+class KnowledgeMachine(RuleBasedStateMachine):
+    """A store that changes, instances that read it late or only hear of it."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = GossipFleet()
+        for name in NAMES:
+            data_centre = "sudur-a" if name == "s1" else "nordur-a"
+            size = 2.0 if name in ("n1", "n2") else 1.0
+            self.fleet.add(
+                name, data_centre, size, seeds=[] if name == "n1" else ["n1"]
+            )
+        by_address = {
+            node.roster.own_entry().peer_address: node
+            for node in self.fleet.nodes.values()
+        }
+        for node in self.fleet.nodes.values():
+            object.__setattr__(node.state, "fetch", self.make_fetch(node, by_address))
+        self.store = Store()
+        self.frozen = set()
+        self.held = []
+        self.asked = {}
+        for name in ("n1", "n2", "s1"):
+            self.read_store(name, 0)
+        self.fleet.run(timedelta(seconds=1))
+
+    def make_fetch(self, node, by_address):
+        def fetch(address):
+            peer = by_address[address].state.catalog
+            document = peer.document
+            if document is not None:
+                node.state.catalog.take_document(document)
+            if node.state.catalog.needs_peers():
+                node.state.catalog.adopt(peer.snapshot(), self.now_s)
+
+        return fetch
+
+    @property
+    def now_s(self):
+        return self.fleet.clock.monotonic_s()
+
+    @rule(milliseconds=st.integers(1, 1500))
+    def pass_time(self, milliseconds):
+        self.fleet.clock.advance(timedelta(milliseconds=milliseconds))
+
+    @rule()
+    def publish(self):
+        self.store.publish(self.now_s)
+
+    @rule(name=st.sampled_from(ENDPOINTS))
+    def turn_endpoint(self, name):
+        self.store.turn(name, self.now_s)
+
+    @rule(name=names, milliseconds=st.integers(0, 900))
+    def read_store(self, name, milliseconds):
+        """The answer is of the moment of the question, and comes late."""
+        asked_at_s, reading = self.now_s, self.store.read()
+        self.pass_time(milliseconds)
+        if name not in self.frozen:
+            self.fleet.nodes[name].state.catalog.apply(reading, asked_at_s)
+
+    @rule(name=names)
+    def ask_store(self, name):
+        self.asked[name] = (self.now_s, self.store.read())
+
+    @rule()
+    def take_answers(self):
+        for name in sorted(self.asked.keys() - self.frozen):
+            asked_at_s, reading = self.asked.pop(name)
+            self.fleet.nodes[name].state.catalog.apply(reading, asked_at_s)
+
+    @rule(name=names)
+    def freeze_or_wake(self, name):
+        self.frozen ^= {name}
+
+    @rule(one=names, other=names)
+    def cut_or_join(self, one, other):
+        pair = (self.fleet.nodes[one].host, self.fleet.nodes[other].host)
+        self.fleet.cut ^= {pair}
+
+    @rule(is_late=st.booleans())
+    def gossip(self, is_late):
+        for name, node in self.fleet.nodes.items():
+            if name not in self.frozen:
+                node.announcer._send_round()
+        if is_late:
+            self.held += list(self.fleet.wire)
+            self.fleet.wire.clear()
+        self.deliver()
+
+    @rule(milliseconds=st.integers(0, 3000), is_lost=st.booleans())
+    def deliver_held_up(self, milliseconds, is_lost):
+        self.pass_time(milliseconds)
+        if not is_lost:
+            self.fleet.wire.extend(self.held)
+        self.held.clear()
+        self.deliver()
+
+    def deliver(self):
+        by_host = {node.host: name for name, node in self.fleet.nodes.items()}
+        while self.fleet.wire:
+            source, target, datagram = self.fleet.wire.popleft()
+            name = by_host.get(target)
+            is_cut = {(source, target), (target, source)} & self.fleet.cut
+            if name is None or is_cut:
+                continue
+            if name in self.frozen:
+                self.held.append((source, target, datagram))
+                continue
+            self.fleet.nodes[name].announcer._take(datagram, (source, PORT))
+
+    @invariant()
+    def withdrawn_keys_are_known_or_the_age_tells(self):
+        for node in self.fleet.nodes.values():
+            catalog = node.state.catalog
+            unknown = [
+                at for version, at in self.store.versions if version > catalog.version
+            ]
+            if unknown:
+                assert catalog.age_s() >= self.now_s - min(unknown) - TOLERANCE_S
+
+    @invariant()
+    def endpoints_that_left_are_known_or_the_age_tells(self):
+        for node in self.fleet.nodes.values():
+            catalog = node.state.catalog
+            held = {item.id for item in catalog.endpoints()}
+            complete_s = catalog.endpoints_s - TOLERANCE_S
+            for name, since_s in self.store.registered.items():
+                assert name in held or complete_s <= since_s
+            for name in held - set(self.store.registered):
+                left_s = max(at for gone, _, at in self.store.history if gone == name)
+                assert complete_s <= left_s
+
+
+TestKnowledgeSafety = KnowledgeMachine.TestCase
+TestKnowledgeSafety.settings = settings(
+    max_examples=60, stateful_step_count=60, derandomize=True, deadline=None
+)
