Tell a full region of residency from one that cannot be reached

Both are now told as what they are. oriolectl's route explain passed the residency on in the wrong shape.

--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -11,6 +11,7 @@
 from oriolepaddle.catalog import Catalog, HostRoute
 from oriolepaddle.clock import Clock
 from oriolepaddle.edge import EdgeParts
+from oriolepaddle.edge.regions import allows_region
 from oriolepaddle.errors import (
     ErrorCode,
     MalformedRequestError,
@@ -157,8 +158,8 @@
         route = self._find_route(name)
         service = route.services[0].service
         job = Job(service, input_tokens=tokens)
-        residency = frozenset(route.residency)
-        is_allowed = not residency or self._parts.region in residency
+        residency = (route.residency,)
+        is_allowed = allows_region(residency, self._parts.region)
         scores = self._parts.placer.explain(job) if is_allowed else ()
         peer = self._parts.regions.choose(service, tokens, residency)
         best = scores[0] if scores else None
@@ -166,7 +167,7 @@
             "endpoint": best.endpoint if best else None,
             "data_centre": best.data_centre if best else None,
             "service": service,
-            "residency": sorted(residency),
+            "residency": sorted(route.residency),
             "elsewhere": peer.instance if peer else None,
             "elsewhere_expected_s": _round(peer.expected_s) if peer else None,
             "scores": [attrs.asdict(score) for score in scores],
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -17,7 +17,7 @@
 AWAY_GAIN_S = 0.1
 """Time to be gained before a request is worth the link between regions."""
 RETURN_AFTER = timedelta(milliseconds=200)
-"""The pause of a caller whose region of residency cannot be reached."""
+"""The pause of a caller whose region of residency cannot serve it now."""
 
 
 def make_job(
@@ -51,11 +51,7 @@
     Raises:
         RefusedError: Neither may run it, or neither would begin in time.
     """
-    refusal = RefusedError(
-        "its region of residency cannot be reached",
-        code=ErrorCode.RESIDENCY_UNSERVABLE,
-        retry_after=RETURN_AFTER,
-    )
+    refusal = None
     choice = None
     if admitted.allows_region(parts.region):
         try:
@@ -68,10 +64,25 @@
     if peer is not None and _is_better_away(choice, peer, job):
         return peer
     if choice is None:
-        raise refusal
+        raise refusal or _make_refusal(peer, job)
     return choice
 
 
+def _make_refusal(peer: PeerChoice | None, job: Job) -> RefusedError:
+    if peer is None:
+        return RefusedError(
+            "its region of residency cannot be reached",
+            code=ErrorCode.RESIDENCY_UNSERVABLE,
+            retry_after=RETURN_AFTER,
+        )
+    return RefusedError(
+        f"{peer.region} would begin the answer in {peer.expected_s:.2f} s, later "
+        f"than {job.patience_s:.2f} s",
+        code=ErrorCode.OVERLOADED,
+        retry_after=RETURN_AFTER,
+    )
+
+
 def _is_better_away(choice: Choice | None, peer: PeerChoice, job: Job) -> bool:
     if choice is None:
         return peer.expected_s <= job.patience_s
--- /dev/null
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -0,0 +1,66 @@
+from types import SimpleNamespace
+
+import pytest
+
+from oriolepaddle.edge.placing import place
+from oriolepaddle.edge.regions import PeerChoice
+from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.placement import Job
+
+JOB = Job("engines", patience_s=0.6)
+NEAR = SimpleNamespace(expected_s=0.2)
+
+
+def make_peer(expected_s):
+    return PeerChoice("s1", "sudur", "10.0.0.1:80", expected_s)
+
+
+def ask(near=None, peer=None, allows_near=True):
+    def choose(job, excluded):
+        if isinstance(near, RefusedError):
+            raise near
+        return near
+
+    parts = SimpleNamespace(
+        region="nordur",
+        placer=SimpleNamespace(choose=choose),
+        regions=SimpleNamespace(choose=lambda *_: peer),
+    )
+    admitted = SimpleNamespace(allows_region=lambda _: allows_near, residency=())
+    progress = SimpleNamespace(excluded=set(), may_leave=True)
+    return place(parts, admitted, JOB, progress)
+
+
+class TestPlace:
+    def test_stays_near_without_a_clear_gain(self):
+        assert ask(NEAR, make_peer(0.15)) is NEAR
+
+    def test_leaves_for_a_clear_gain(self):
+        peer = make_peer(0.05)
+        assert ask(NEAR, peer) is peer
+
+    def test_leaves_where_nothing_runs_near(self):
+        peer = make_peer(0.5)
+        refusal = RefusedError("none", code=ErrorCode.NO_ENDPOINT)
+        assert ask(refusal, peer) is peer
+
+
+class TestRefusal:
+    """The load: a region that bound requests may not leave is down or full."""
+
+    def test_region_without_instances_is_told_as_such(self):
+        with pytest.raises(RefusedError) as caught:
+            ask(allows_near=False)
+        assert caught.value.code is ErrorCode.RESIDENCY_UNSERVABLE
+
+    def test_full_region_is_told_as_such(self):
+        with pytest.raises(RefusedError) as caught:
+            ask(peer=make_peer(0.9), allows_near=False)
+        assert caught.value.code is ErrorCode.OVERLOADED
+        assert "sudur" in caught.value.message
+
+    def test_near_refusal_goes_before(self):
+        refusal = RefusedError("none", code=ErrorCode.NO_ENDPOINT)
+        with pytest.raises(RefusedError) as caught:
+            ask(refusal, make_peer(0.9))
+        assert caught.value is refusal
