Pass requests on when a region's endpoints cannot be reached

Ruled out: residency (the routes are not bound), patience.

A choice among endpoints none of which could be reached is now doubtful, and so is one after two failures of a request: another region's instance is taken if it is in time. An endpoint whose address another one has is left alone like one that cannot be reached; a 421 says that it has not run, too, and was taken for a plain refusal. The new test of the daemon fails without it, six of six.

--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -270,6 +270,18 @@
         await_true(lambda: pair.instances["n1"].catalog.endpoint("dn") is None)
         assert pair.ask("n1", "/read/1")[0] == 200
 
+    def test_other_region_serves_while_the_own_endpoints_are_down(self, pair):
+        """More than one request tries are still listed and refuse connections."""
+        names = [f"dn{number}" for number in range(5)]
+        for name in names:
+            pair.add_runner(name, DESK, "nordur-a")
+        pair.await_ready()
+        await_true(lambda: pair.ask("n1", "/home/1")[0] == 200)
+        for name in ("dn", *names):
+            pair.runners[name].stop()
+        answers = [pair.ask("n1", f"/read/{number}")[0] for number in range(6)]
+        assert answers == [200] * 6
+
 
 class TestPeers:
     def test_cut_off_instance_learns_from_a_peer(self, fleet):
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -20,6 +20,7 @@
     EndpointDeadlineError,
     EndpointFailedError,
     EndpointRefusedError,
+    EndpointReplacedError,
     EndpointUnreachableError,
     ErrorCode,
     OriolepaddleError,
@@ -34,6 +35,8 @@
 
 SERVER_ERROR = 500
 T = TypeVar("T")
+_GONE = (EndpointUnreachableError, EndpointReplacedError)
+"""What is left alone for a while, so that no other request is spent on it."""
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -200,7 +203,7 @@
             run.succeed()
         except OriolepaddleError as error:
             self._progress.excluded.add(endpoint.incarnation)
-            run.fail(isinstance(error, EndpointUnreachableError))
+            run.fail(isinstance(error, _GONE))
             self._note_failure(endpoint, sink, error)
             raise
         finally:
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import attrs
+
 from oriolepaddle.edge.admission import Admitted
 from oriolepaddle.edge.parts import EdgeParts
 from oriolepaddle.edge.progress import ExchangeProgress
@@ -16,6 +18,8 @@
 """Part of the target that a request which is late already may still wait."""
 AWAY_GAIN_S = 0.1
 """Time to be gained before a request is worth the link between regions."""
+MAX_LOCAL_FAILURES = 2
+"""Endpoints that failed one request before the whole region is doubted."""
 RETURN_AFTER = timedelta(milliseconds=200)
 """The pause of a caller whose region of residency cannot serve it now."""
 
@@ -61,6 +65,8 @@
     peer = None
     if progress.may_leave:
         peer = parts.regions.choose(job.service, job.input_tokens, admitted.residency)
+    if choice is not None and len(progress.excluded) >= MAX_LOCAL_FAILURES:
+        choice = attrs.evolve(choice, is_doubtful=True)
     if peer is not None and _is_better_away(choice, peer, job):
         return peer
     if choice is None:
@@ -84,6 +90,6 @@
 
 
 def _is_better_away(choice: Choice | None, peer: PeerChoice, job: Job) -> bool:
-    if choice is None:
+    if choice is None or choice.is_doubtful:
         return peer.expected_s <= job.patience_s
     return peer.expected_s + AWAY_GAIN_S < choice.expected_s
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -9,6 +9,7 @@
     AnswerTruncatedError,
     EndpointFailedError,
     EndpointRefusedError,
+    EndpointReplacedError,
     Outcome,
 )
 from oriolepaddle.web import AnswerWriter
@@ -65,7 +66,7 @@
         if answer.kind is AnswerKind.NOT_RUN:
             raise EndpointRefusedError(f"refused with status {status}")
         if answer.kind is AnswerKind.OTHER_ENDPOINT:
-            raise EndpointRefusedError("another endpoint has the address")
+            raise EndpointReplacedError("another endpoint has the address")
         if answer.kind is AnswerKind.FOREIGN:
             raise AnswerMismatchedError(
                 f"an answer with status {status} is not this request's"
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -5,17 +5,18 @@
 from oriolepaddle.edge.placing import place
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.placement import Job
+from oriolepaddle.placement import Choice, Job
 
 JOB = Job("engines", patience_s=0.6)
-NEAR = SimpleNamespace(expected_s=0.2)
+NEAR = Choice(None, 0.2, 0)
+LOST = Choice(None, 0.05, 0, is_doubtful=True)
 
 
 def make_peer(expected_s):
     return PeerChoice("s1", "sudur", "10.0.0.1:80", expected_s)
 
 
-def ask(near=None, peer=None, allows_near=True):
+def ask(near=None, peer=None, allows_near=True, excluded=()):
     def choose(job, excluded):
         if isinstance(near, RefusedError):
             raise near
@@ -27,7 +28,7 @@
         regions=SimpleNamespace(choose=lambda *_: peer),
     )
     admitted = SimpleNamespace(allows_region=lambda _: allows_near, residency=())
-    progress = SimpleNamespace(excluded=set(), may_leave=True)
+    progress = SimpleNamespace(excluded=set(excluded), may_leave=True)
     return place(parts, admitted, JOB, progress)
 
 
@@ -44,6 +45,20 @@
         refusal = RefusedError("none", code=ErrorCode.NO_ENDPOINT)
         assert ask(refusal, peer) is peer
 
+    def test_leaves_where_nothing_near_could_be_reached(self):
+        """The load: all endpoints of a region lose power, and are still listed."""
+        peer = make_peer(0.5)
+        assert ask(LOST, peer) is peer
+
+    def test_leaves_after_two_failures_near(self):
+        peer = make_peer(0.5)
+        assert ask(NEAR, peer, excluded=["e1"]) is NEAR
+        assert ask(NEAR, peer, excluded=["e1", "e2"]) is peer
+
+    def test_tries_what_could_not_be_reached_rather_than_nothing(self):
+        assert ask(LOST, make_peer(0.9)) is LOST
+        assert ask(LOST) is LOST
+
 
 class TestRefusal:
     """The load: a region that bound requests may not leave is down or full."""
--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -8,6 +8,7 @@
     EndpointError,
     EndpointFailedError,
     EndpointRefusedError,
+    EndpointReplacedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
@@ -44,6 +45,7 @@
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
+    "EndpointReplacedError",
     "EndpointTimeoutError",
     "EndpointUnreachableError",
     "ErrorCode",
--- a/oriolepaddle/errors/endpoint.py
+++ b/oriolepaddle/errors/endpoint.py
@@ -9,6 +9,7 @@
     "EndpointError",
     "EndpointFailedError",
     "EndpointRefusedError",
+    "EndpointReplacedError",
     "EndpointTimeoutError",
     "EndpointUnreachableError",
 ]
@@ -32,6 +33,10 @@
     default_code = ErrorCode.ENDPOINT_REFUSED
 
 
+class EndpointReplacedError(EndpointRefusedError):
+    """Another endpoint has its address; it did not run the request."""
+
+
 class EndpointTimeoutError(EndpointError):
     """The endpoint did not answer in time; it may have run the request."""
 
--- a/oriolepaddle/placement/choice.py
+++ b/oriolepaddle/placement/choice.py
@@ -15,8 +15,11 @@
         endpoint: The endpoint.
         expected_s: Seconds until the first byte.
         uncached_tokens: Tokens of the prompt that it will have to read.
+        is_doubtful: Whether it could not be reached of late, like all others
+            that might run the request.
     """
 
     endpoint: RegisteredEndpoint
     expected_s: float
     uncached_tokens: int
+    is_doubtful: bool = False
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -181,10 +181,10 @@
         self._failure_rate *= 1 - FAILURE_WEIGHT
         self._block_s = 0.0
 
-    def fail(self, now_s: float, is_unreachable: bool) -> None:
-        """Note a failure; one that cannot be reached is left alone for a while."""
+    def fail(self, now_s: float, is_gone: bool) -> None:
+        """Note a failure; one that is gone is left alone for a while."""
         self._failure_rate += FAILURE_WEIGHT * (1 - self._failure_rate)
-        if is_unreachable:
+        if is_gone:
             self._block_s = min(max(FIRST_BLOCK_S, self._block_s * 2), MAX_BLOCK_S)
             self._blocked_until_s = now_s + self._block_s
 
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -173,7 +173,9 @@
         expected_s = load.expect_s(job, uncached, now_s)
         cost_s = expected_s + load.penalty_s()
         cost_s -= bonuses.get(load.endpoint.id, 0.0)
-        return cost_s, Choice(load.endpoint, expected_s, uncached)
+        return cost_s, Choice(
+            load.endpoint, expected_s, uncached, load.is_blocked(now_s)
+        )
 
     def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
         loads = [
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -69,7 +69,7 @@
             self._load.succeed()
             self._load.learn_service(elapsed_s)
 
-    def fail(self, is_unreachable: bool) -> None:
-        """Note a failure of the endpoint."""
+    def fail(self, is_gone: bool) -> None:
+        """Note a failure of the endpoint, which may be gone from its address."""
         with self._lock:
-            self._load.fail(self._clock.monotonic_s(), is_unreachable)
+            self._load.fail(self._clock.monotonic_s(), is_gone)
--- a/oriolepaddle/placement/tests/test_placer.py
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -122,7 +122,7 @@
         for name in ("e1", "e2"):
             register(catalog, name)
         choice, placed = run(placer, make_dossier("a"))
-        placed.fail(is_unreachable=True)
+        placed.fail(is_gone=True)
         placed.end()
         other = placer.choose(make_dossier("a"))
         assert other.endpoint.id != choice.endpoint.id
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -136,10 +136,11 @@
 
 
 def _find_kind(request_id: str, status: int, fields: dict[str, str]) -> AnswerKind:
-    if names.NOT_RUN.lower() in fields:
-        return AnswerKind.NOT_RUN
+    # It says that it was not run, too.
     if status == MISDIRECTED:
         return AnswerKind.OTHER_ENDPOINT
+    if names.NOT_RUN.lower() in fields:
+        return AnswerKind.NOT_RUN
     if request_id and fields.get(names.REQUEST_ID.lower()) != request_id:
         return AnswerKind.FOREIGN
     is_success = 200 <= status < 300
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -111,6 +111,7 @@
             (503, (("X-Oriolepaddle-Not-Run", "1"),), AnswerKind.NOT_RUN),
             (503, (ID, SEAL), AnswerKind.RAN),
             (421, (), AnswerKind.OTHER_ENDPOINT),
+            (421, (("X-Oriolepaddle-Not-Run", "1"),), AnswerKind.OTHER_ENDPOINT),
         ],
     )
     def test_tells_whether_it_is_of_a_run(self, status, headers, expected):
