--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -11,7 +11,8 @@
 from oriolepaddle.daemon.addresses import split_address
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.daemon.edge_gauges import add_gauges
-from oriolepaddle.daemon.edge_inspection import EdgeInspection, InspectionApplication
+from oriolepaddle.daemon.edge_inspection import EdgeInspection
+from oriolepaddle.daemon.inspection_application import InspectionApplication
 from oriolepaddle.edge import EdgeApplication, EdgeParts, InstanceResolver
 from oriolepaddle.edge.allowance import RetryAllowance
 from oriolepaddle.edge.crash_register import CrashRegister
