Make one piece of code serve twins, and move work out of the hot path

- `IP:port` was split alike in the daemon, the links, the relay and an experiment: oriolepaddle.addresses.
- The check of the operator's token and the reading of a call's JSON stood in both operators' applications: web.operator_call.
A body that is no object is now told as such by serve-edge, too.
- Placer.choose and explain listed and weighed endpoints each on their own.
- What is held of a cold endpoint's rate was given up whenever the own loads were read, at a hub for each receiver; it is now done once a round.
- The catalog had two ways to say that nothing was confirmed yet; the exchange of catalogs took the store for the sake of one function; placing copied a choice to change a flag.

--- a/experiments/overhead/client.py
+++ b/experiments/overhead/client.py
@@ -7,6 +7,7 @@
 from hdrh.histogram import HdrHistogram
 
 from experiments.overhead.stream import ClientStream, make_request
+from oriolepaddle.addresses import split_address
 from oriolepaddle.clock import Clock
 
 __all__ = ["LoadClient", "LoadResult"]
@@ -60,8 +61,7 @@
 
     def __init__(self, clock: Clock, address: str, key: str, tokens: int) -> None:
         self._clock = clock
-        host, _, port = address.rpartition(":")
-        self._target = (host, int(port))
+        self._target = split_address(address)
         self._request = make_request(address, key, tokens)
         self._selector = selectors.DefaultSelector()
         self._open: set[ClientStream] = set()
--- a/oriolepaddle/daemon/addresses.py
+++ b/oriolepaddle/addresses.py
@@ -1,4 +1,4 @@
-"""Addresses in settings."""
+"""Addresses as `IP:port`."""
 
 __all__ = ["split_address"]
 
--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -43,7 +43,7 @@
         self._lapsing: dict[str, float] = {}
         self._evacuated: dict[str, str] = {}
         self._watch_revision: int | None = None
-        self._confirmed_s: float | None = None
+        self._confirmed_s = float("-inf")
         self._endpoints_s = float("-inf")
         self._read_s = float("-inf")
         self._lapse_until_s = float("-inf")
@@ -60,10 +60,7 @@
 
     def age_s(self) -> float:
         """Return the seconds since what is known was surely all there was."""
-        confirmed_s = self._confirmed_s
-        if confirmed_s is None:
-            return float("inf")
-        return self._clock.monotonic_s() - confirmed_s
+        return self._clock.monotonic_s() - self._confirmed_s
 
     def endpoints_age_s(self) -> float:
         """Return the seconds since the endpoints held were surely all there were."""
@@ -102,7 +99,7 @@
         """
         with self._lock:
             if version <= self.version:
-                self._note_confirmed(asked_at_s)
+                self._confirmed_s = max(self._confirmed_s, asked_at_s)
 
     def confirm_endpoints(self, complete_s: float) -> None:
         """Note that a peer holds the same endpoints, complete as of a moment.
@@ -128,7 +125,7 @@
                 if is_current or change.document is not None:
                     self._apply_change(change)
             self._read_s = max(self._read_s, asked_at_s)
-            self._note_confirmed(asked_at_s)
+            self._confirmed_s = max(self._confirmed_s, asked_at_s)
             if is_current:
                 self._watch_revision = reading.revision
                 self._endpoints_s = max(self._endpoints_s, asked_at_s)
@@ -311,10 +308,6 @@
         for name in [name for name, until in self._lapsing.items() if now_s >= until]:
             self._drop(name)
 
-    def _note_confirmed(self, asked_at_s: float) -> None:
-        if self._confirmed_s is None or asked_at_s > self._confirmed_s:
-            self._confirmed_s = asked_at_s
-
 
 def _is_news(held: RegisteredEndpoint, new: RegisteredEndpoint) -> bool:
     return attrs.evolve(held, cold_until_s=0.0) != attrs.evolve(new, cold_until_s=0.0)
--- a/oriolepaddle/daemon/catalog_exchange.py
+++ b/oriolepaddle/daemon/catalog_exchange.py
@@ -2,17 +2,17 @@
 
 import queue
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 import cattrs
 from cattrs.errors import BaseValidationError
 from werkzeug.wrappers import Request
 
-from oriolepaddle.catalog import Catalog, CatalogSnapshot
+from oriolepaddle.catalog import Catalog, CatalogSnapshot, ConfigDocument
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PlatformUnavailableError
 from oriolepaddle.logs import log_event
-from oriolepaddle.platform import PlatformStore
 from oriolepaddle.publication.client import PlatformClient, parse_json
 from oriolepaddle.web import AnswerWriter, Application
 
@@ -32,13 +32,18 @@
     Args:
         clock: The time.
         catalog: What is known.
-        store: Decodes documents.
+        decode_document: Reads a document as it was published.
     """
 
-    def __init__(self, clock: Clock, catalog: Catalog, store: PlatformStore) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        decode_document: Callable[[bytes], ConfigDocument],
+    ) -> None:
         self._clock = clock
         self._catalog = catalog
-        self._store = store
+        self._decode_document = decode_document
         self._asked: queue.Queue[str] = queue.Queue(MAX_WAITING)
         self._stopping = threading.Event()
 
@@ -78,7 +83,7 @@
         held = self._catalog.version
         status, body = client.fetch(DOCUMENT_PATH, {"above": held})
         if status == OK:
-            self._catalog.take_document(self._store.decode_document(body))
+            self._catalog.take_document(self._decode_document(body))
         is_adopted = False
         if self._catalog.needs_peers():
             asked_at_s = self._clock.monotonic_s()
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -5,10 +5,10 @@
 import threading
 from datetime import timedelta
 
+from oriolepaddle.addresses import split_address
 from oriolepaddle.catalog import Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
-from oriolepaddle.daemon.addresses import split_address
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.daemon.edge_gauges import add_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
@@ -38,6 +38,7 @@
     PlatformProtocol,
     PlatformStore,
     ReadinessApplication,
+    decode_document,
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
 from oriolepaddle.web import Application, HttpServer, ServerLimits
@@ -102,7 +103,7 @@
         self._follower = CatalogFollower(
             clock, self._store, self.catalog, self._generator, self._follows_store
         )
-        self._exchange = CatalogExchange(clock, self.catalog, self._store)
+        self._exchange = CatalogExchange(clock, self.catalog, decode_document)
         self.metrics = GatewayMetrics()
         self.parts = self._make_parts()
         add_gauges(
@@ -153,6 +154,7 @@
             age_s = round(self.catalog.age_s(), 3)
             log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
         self.roster.set_own(ready, self._drain.is_begun)
+        self.parts.placer.renew_cold_parts()
 
     def _follows_store(self) -> bool:
         most_s = self._settings.max_knowledge_age.total_seconds()
--- a/oriolepaddle/daemon/inspection_application.py
+++ b/oriolepaddle/daemon/inspection_application.py
@@ -1,21 +1,15 @@
 """The operators' calls to an instance that one document configures."""
 
-import hmac
-import json
 from collections.abc import Callable
 from typing import Any
 
 from werkzeug.wrappers import Request
 
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
-from oriolepaddle.errors import (
-    ErrorCode,
-    MalformedRequestError,
-    PermissionDeniedError,
-    RefusedError,
-)
+from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
 from oriolepaddle.web import AnswerWriter, Application
+from oriolepaddle.web.operator_call import check_operator, read_object, read_text
 
 __all__ = ["InspectionApplication"]
 
@@ -46,7 +40,7 @@
         if not request.path.startswith(PREFIX):
             self._application.handle(request, writer)
             return
-        self._check_token(request)
+        check_operator(request, self._token)
         writer.answer_json(OK, self._read(request))
 
     def _read(self, request: Request) -> dict[str, Any]:
@@ -69,18 +63,7 @@
         return call()
 
     def _explain(self, request: Request) -> dict[str, Any]:
-        try:
-            document = json.loads(request.get_data())
-        except ValueError as error:
-            raise MalformedRequestError(f"the body is not JSON: {error}") from error
-        if not isinstance(document, dict) or not isinstance(document.get("route"), str):
-            raise MalformedRequestError("route must be a string")
+        document = read_object(request)
         words = len(str(document.get("prompt") or "").split())
-        return self._inspection.explain(
-            document["route"], words or TYPICAL_PROMPT_TOKENS
-        )
-
-    def _check_token(self, request: Request) -> None:
-        shown = request.headers.get("Authorization", "")
-        if not hmac.compare_digest(shown.encode(), f"Bearer {self._token}".encode()):
-            raise PermissionDeniedError("the operator's token is missing or wrong")
+        route = read_text(document, "route")
+        return self._inspection.explain(route, words or TYPICAL_PROMPT_TOKENS)
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -3,8 +3,8 @@
 import ssl
 from datetime import timedelta
 
+from oriolepaddle.addresses import split_address
 from oriolepaddle.clock import Clock
-from oriolepaddle.daemon.addresses import split_address
 from oriolepaddle.peers import PeerIdentity, PeerServer
 from oriolepaddle.publication import Instance
 from oriolepaddle.settings import Settings
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -2,8 +2,6 @@
 
 from datetime import timedelta
 
-import attrs
-
 from oriolepaddle.edge.admission import Admitted
 from oriolepaddle.edge.parts import EdgeParts
 from oriolepaddle.edge.progress import ExchangeProgress
@@ -65,9 +63,8 @@
     peer = None
     if progress.may_leave:
         peer = parts.regions.choose(job.service, job.input_tokens, admitted.residency)
-    if choice is not None and len(progress.excluded) >= MAX_LOCAL_FAILURES:
-        choice = attrs.evolve(choice, is_doubtful=True)
-    if peer is not None and _is_better_away(choice, peer, job):
+    is_doubted = len(progress.excluded) >= MAX_LOCAL_FAILURES
+    if peer is not None and _is_better_away(choice, peer, job, is_doubted):
         return peer
     if choice is None:
         raise refusal or _make_refusal(peer, job)
@@ -89,7 +86,9 @@
     )
 
 
-def _is_better_away(choice: Choice | None, peer: PeerChoice, job: Job) -> bool:
-    if choice is None or choice.is_doubtful:
+def _is_better_away(
+    choice: Choice | None, peer: PeerChoice, job: Job, is_doubted: bool
+) -> bool:
+    if choice is None or choice.is_doubtful or is_doubted:
         return peer.expected_s <= job.patience_s
     return peer.expected_s + AWAY_GAIN_S < choice.expected_s
--- a/oriolepaddle/gossip/tests/fleet.py
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -50,6 +50,8 @@
 
     Attributes:
         cut: Pairs of hosts between which datagrams are lost.
+        frozen: Names of instances that stand still; what they are sent is held.
+        held: Datagrams that have not been delivered yet.
         sent: Datagrams so far.
     """
 
@@ -58,6 +60,8 @@
         self.clock.advance(timedelta(seconds=100))
         self.wire = deque()
         self.cut = set()
+        self.frozen = set()
+        self.held = []
         self.sent = 0
         self.nodes = {}
 
@@ -86,7 +90,7 @@
             ),
             delegations=delegations,
             crashes=CrashRegister(self.clock),
-            fetch=lambda address: None,
+            fetch=lambda address: self.fetch(catalog, address),
         )
         hosts = tuple(self.nodes[seed].host for seed in seeds)
         announcer = Announcer(
@@ -109,19 +113,38 @@
     def run(self, duration):
         rounds = int(duration / ROUND)
         for _ in range(rounds):
-            for node in list(self.nodes.values()):
-                node.announcer._send_round()
+            self.send_round()
             self.deliver()
             self.clock.advance(ROUND)
 
+    def send_round(self):
+        for name, node in list(self.nodes.items()):
+            if name not in self.frozen:
+                node.announcer._send_round()
+
     def deliver(self):
-        hosts = {node.host: node for node in self.nodes.values()}
+        names = {node.host: name for name, node in self.nodes.items()}
         while self.wire:
             source, target, datagram = self.wire.popleft()
             self.sent += 1
             is_cut = (source, target) in self.cut or (target, source) in self.cut
-            if target in hosts and not is_cut:
-                hosts[target].announcer._take(datagram, (source, PORT))
+            if target not in names or is_cut:
+                continue
+            if names[target] in self.frozen:
+                self.held.append((source, target, datagram))
+                continue
+            self.nodes[names[target]].announcer._take(datagram, (source, PORT))
+
+    def fetch(self, catalog, address):
+        """Hand over the catalog of the instance at an address, as over TCP."""
+        for node in self.nodes.values():
+            if node.roster.own_entry().peer_address != address:
+                continue
+            peer = node.state.catalog
+            if peer.document is not None:
+                catalog.take_document(peer.document)
+            if catalog.needs_peers():
+                catalog.adopt(peer.snapshot(), self.clock.monotonic_s())
 
     def remove(self, name):
         return self.nodes.pop(name)
--- a/oriolepaddle/gossip/tests/test_announcer.py
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -165,18 +165,13 @@
     @pytest.fixture
     def hubs(self, fleet):
         self.outcomes = []
-        by_address = {
-            node.roster.own_entry().peer_address: node for node in fleet.nodes.values()
-        }
-        for node in fleet.nodes.values():
+        fetch = fleet.fetch
 
-            def fetch(address, node=node):
-                snapshot = by_address[address].state.catalog.snapshot()
-                node.state.catalog.adopt(snapshot, fleet.clock.monotonic_s())
-                held = node.state.catalog.may_send(self.ENDPOINT)
-                self.outcomes.append((node.roster.own.id, held))
+        def fetch_and_note(catalog, address):
+            fetch(catalog, address)
+            self.outcomes.append((catalog, catalog.may_send(self.ENDPOINT)))
 
-            object.__setattr__(node.state, "fetch", fetch)
+        fleet.fetch = fetch_and_note
         hubs = fleet.nodes["n1"], fleet.nodes["n2"]
         for hub in hubs:
             read_store(hub, self.ENDPOINT)
@@ -198,7 +193,8 @@
         assert not fleet.nodes["n6"].state.catalog.may_send(self.ENDPOINT)
         self.outcomes.clear()
         self.read_on(fleet, hubs[1], 24)
-        assert ("n6", True) not in self.outcomes
+        member = fleet.nodes["n6"].state.catalog
+        assert (member, True) not in self.outcomes
 
     def test_leave_the_hub_that_is_cut_off(self, fleet, hubs):
         self.read_on(fleet, hubs[1], 24)
--- a/oriolepaddle/gossip/tests/test_knowledge.py
+++ b/oriolepaddle/gossip/tests/test_knowledge.py
@@ -13,7 +13,7 @@
     EndpointState,
     RegisteredEndpoint,
 )
-from oriolepaddle.gossip.tests.fleet import PORT, GossipFleet
+from oriolepaddle.gossip.tests.fleet import GossipFleet
 
 NAMES = ("n1", "n2", "n3", "s1")
 ENDPOINTS = ("e1", "e2")
@@ -73,31 +73,12 @@
             self.fleet.add(
                 name, data_centre, size, seeds=[] if name == "n1" else ["n1"]
             )
-        by_address = {
-            node.roster.own_entry().peer_address: node
-            for node in self.fleet.nodes.values()
-        }
-        for node in self.fleet.nodes.values():
-            object.__setattr__(node.state, "fetch", self.make_fetch(node, by_address))
         self.store = Store()
-        self.frozen = set()
-        self.held = []
         self.asked = {}
         for name in ("n1", "n2", "s1"):
             self.read_store(name, 0)
         self.fleet.run(timedelta(seconds=1))
 
-    def make_fetch(self, node, by_address):
-        def fetch(address):
-            peer = by_address[address].state.catalog
-            document = peer.document
-            if document is not None:
-                node.state.catalog.take_document(document)
-            if node.state.catalog.needs_peers():
-                node.state.catalog.adopt(peer.snapshot(), self.now_s)
-
-        return fetch
-
     @property
     def now_s(self):
         return self.fleet.clock.monotonic_s()
@@ -119,7 +100,7 @@
         """The answer is of the moment of the question, and comes late."""
         asked_at_s, reading = self.now_s, self.store.read()
         self.pass_time(milliseconds)
-        if name not in self.frozen:
+        if name not in self.fleet.frozen:
             self.fleet.nodes[name].state.catalog.apply(reading, asked_at_s)
 
     @rule(name=names)
@@ -128,13 +109,13 @@
 
     @rule()
     def take_answers(self):
-        for name in sorted(self.asked.keys() - self.frozen):
+        for name in sorted(self.asked.keys() - self.fleet.frozen):
             asked_at_s, reading = self.asked.pop(name)
             self.fleet.nodes[name].state.catalog.apply(reading, asked_at_s)
 
     @rule(name=names)
     def freeze_or_wake(self, name):
-        self.frozen ^= {name}
+        self.fleet.frozen ^= {name}
 
     @rule(one=names, other=names)
     def cut_or_join(self, one, other):
@@ -143,34 +124,19 @@
 
     @rule(is_late=st.booleans())
     def gossip(self, is_late):
-        for name, node in self.fleet.nodes.items():
-            if name not in self.frozen:
-                node.announcer._send_round()
+        self.fleet.send_round()
         if is_late:
-            self.held += list(self.fleet.wire)
+            self.fleet.held += list(self.fleet.wire)
             self.fleet.wire.clear()
-        self.deliver()
+        self.fleet.deliver()
 
     @rule(milliseconds=st.integers(0, 3000), is_lost=st.booleans())
     def deliver_held_up(self, milliseconds, is_lost):
         self.pass_time(milliseconds)
         if not is_lost:
-            self.fleet.wire.extend(self.held)
-        self.held.clear()
-        self.deliver()
-
-    def deliver(self):
-        by_host = {node.host: name for name, node in self.fleet.nodes.items()}
-        while self.fleet.wire:
-            source, target, datagram = self.fleet.wire.popleft()
-            name = by_host.get(target)
-            is_cut = {(source, target), (target, source)} & self.fleet.cut
-            if name is None or is_cut:
-                continue
-            if name in self.frozen:
-                self.held.append((source, target, datagram))
-                continue
-            self.fleet.nodes[name].announcer._take(datagram, (source, PORT))
+            self.fleet.wire.extend(self.fleet.held)
+        self.fleet.held.clear()
+        self.fleet.deliver()
 
     @invariant()
     def withdrawn_keys_are_known_or_the_age_tells(self):
--- a/oriolepaddle/operators/application.py
+++ b/oriolepaddle/operators/application.py
@@ -1,9 +1,6 @@
 """The administration API over HTTP."""
 
-import hmac
-import json
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 from werkzeug.exceptions import HTTPException, NotFound
@@ -14,11 +11,11 @@
 from oriolepaddle.errors import (
     ErrorCode,
     MalformedRequestError,
-    PermissionDeniedError,
     RefusedError,
 )
 from oriolepaddle.operators.administration import Administration
 from oriolepaddle.web import AnswerWriter
+from oriolepaddle.web.operator_call import check_operator, read_object, read_text
 
 __all__ = ["OperatorApplication"]
 
@@ -74,16 +71,10 @@
                 f"{request.path} does not take {request.method}"
             ) from error
         if name not in _OPEN_CALLS:
-            self._check_token(request)
+            check_operator(request, self._token)
         call: Callable[..., None] = getattr(self, f"_answer_{name}")
         call(request, writer, **values)
 
-    def _check_token(self, request: Request) -> None:
-        shown = request.headers.get("Authorization", "")
-        expected = f"Bearer {self._token}"
-        if not hmac.compare_digest(shown.encode(), expected.encode()):
-            raise PermissionDeniedError("the operator's token is missing or wrong")
-
     def _answer_health(self, request: Request, writer: AnswerWriter) -> None:
         writer.answer_json(200, {"healthy": True})
 
@@ -115,8 +106,8 @@
         writer.answer_json(200, attrs.asdict(report))
 
     def _answer_explain(self, request: Request, writer: AnswerWriter) -> None:
-        document = _parse_object(request)
-        route = _read_text(document, "route")
+        document = read_object(request)
+        route = read_text(document, "route")
         organisation = document.get("organisation")
         prompt = str(document.get("prompt", ""))
         explained = self._administration.explain(route, organisation, prompt)
@@ -163,20 +154,3 @@
 
 def _answer_list(writer: AnswerWriter, name: str, reports: tuple) -> None:
     writer.answer_json(200, {name: [attrs.asdict(report) for report in reports]})
-
-
-def _parse_object(request: Request) -> dict[str, Any]:
-    try:
-        document = json.loads(request.get_data())
-    except ValueError as error:
-        raise MalformedRequestError(f"the body is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise MalformedRequestError("the body must be a JSON object")
-    return document
-
-
-def _read_text(document: dict[str, Any], name: str) -> str:
-    value = document.get(name)
-    if not isinstance(value, str):
-        raise MalformedRequestError(f"{name} must be a string")
-    return value
--- a/oriolepaddle/peers/link.py
+++ b/oriolepaddle/peers/link.py
@@ -11,6 +11,7 @@
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
+from oriolepaddle.addresses import split_address
 from oriolepaddle.errors import (
     PeerRejectedError,
     PeerTimeoutError,
@@ -78,8 +79,7 @@
             return
 
     def _connect(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        connection = TSocket(host.strip("[]"), int(port))
+        connection = TSocket(*split_address(self.address))
         connection.setTimeout(CONNECT_TIMEOUT.total_seconds() * 1000)
         transport = TFramedTransport(connection)
         try:
--- a/oriolepaddle/placement/cold_start.py
+++ b/oriolepaddle/placement/cold_start.py
@@ -30,7 +30,7 @@
 
     def is_open(self, now_s: float, share: float) -> bool:
         """Return whether a request may be sent now."""
-        self._advance(now_s, share)
+        self.renew(now_s, share)
         return self._rate > 0 and self._balance >= 1.0
 
     def take(self, now_s: float, share: float) -> bool:
@@ -40,7 +40,8 @@
         self._balance -= 1.0
         return True
 
-    def _advance(self, now_s: float, share: float) -> None:
+    def renew(self, now_s: float, share: float) -> None:
+        """Note the instance's part of the rate now, and what has accrued of it."""
         # The part may have changed at any moment since the last call.
         grown = self._rate * min(share, self._share) * (now_s - self._advanced_s)
         self._advanced_s = now_s
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -68,23 +68,16 @@
             RefusedError: No endpoint may run it (`NO_ENDPOINT`), or none would
                 begin within its patience (`OVERLOADED`).
         """
-        excluded = frozenset(excluded)
         now_s = self._clock.monotonic_s()
         with self._lock:
-            loads = [
-                load
-                for load in self._list_loads(job.service, now_s)
-                if load.endpoint.incarnation not in excluded
-            ]
-            bonuses = _find_bonuses(loads, job)
-            choices = [self._weigh(load, job, now_s, bonuses) for load in loads]
-            if not choices:
+            weighed = self._weigh_all(job, now_s, frozenset(excluded))
+            if not weighed:
                 raise RefusedError(
                     f"no endpoint of {job.service} can run the request now",
                     code=ErrorCode.NO_ENDPOINT,
                     retry_after=RETURN_AFTER,
                 )
-            _, choice = min(choices, key=lambda item: item[0])
+            _, choice, load = min(weighed, key=lambda item: item[0])
             if choice.expected_s > job.patience_s:
                 raise RefusedError(
                     f"{job.service} would begin the answer in "
@@ -92,21 +85,17 @@
                     code=ErrorCode.OVERLOADED,
                     retry_after=RETURN_AFTER,
                 )
-            chosen = self._loads[choice.endpoint.id]
-            if chosen.is_cold(now_s):
+            if load.is_cold(now_s):
                 # It is taken here, so that two requests do not get the same.
-                chosen.cold.take(now_s, self._find_cold_share())
+                load.cold.take(now_s, self._find_cold_share())
         return choice
 
     def explain(self, job: Job) -> tuple[EndpointScore, ...]:
         """Return how the endpoints compare for a request, the best first."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            loads = self._list_loads(job.service, now_s)
-            bonuses = _find_bonuses(loads, job)
             scores = []
-            for load in loads:
-                cost_s, choice = self._weigh(load, job, now_s, bonuses)
+            for cost_s, choice, load in self._weigh_all(job, now_s):
                 total = load.total(now_s)
                 scores.append(
                     EndpointScore(
@@ -132,14 +121,21 @@
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return what this instance has running, by the endpoint's id."""
         now_s = self._clock.monotonic_s()
-        share = self._find_cold_share()
         with self._lock:
-            for load in self._loads.values():
-                # What was held with a part that has gone is given up.
-                load.cold.is_open(now_s, share)
             loads = {load.endpoint.id: load.own(now_s) for load in self._loads.values()}
         return {name: load for name, load in loads.items() if not load.is_idle}
 
+    def renew_cold_parts(self) -> None:
+        """Give up what was held with a part of the cold rate that has gone.
+
+        It is to be called more often than a part can go and come back.
+        """
+        now_s = self._clock.monotonic_s()
+        share = self._find_cold_share()
+        with self._lock:
+            for load in self._loads.values():
+                load.cold.renew(now_s, share)
+
     def apply_peer(self, name: str, loads: dict[str, PeerLoad]) -> None:
         """Take in what another instance of the region has running."""
         now_s = self._clock.monotonic_s()
@@ -162,6 +158,17 @@
             ]
         return min(waits, default=None)
 
+    def _weigh_all(
+        self, job: Job, now_s: float, excluded: frozenset[str] = frozenset()
+    ) -> list[tuple[float, Choice, EndpointLoad]]:
+        loads = [
+            load
+            for load in self._list_loads(job.service, now_s)
+            if load.endpoint.incarnation not in excluded
+        ]
+        bonuses = _find_bonuses(loads, job)
+        return [(*self._weigh(load, job, now_s, bonuses), load) for load in loads]
+
     def _weigh(
         self,
         load: EndpointLoad,
--- a/oriolepaddle/placement/tests/test_cold_start.py
+++ b/oriolepaddle/placement/tests/test_cold_start.py
@@ -57,7 +57,7 @@
         former = self.holders[part]
         self.holders[part] = holder
         if former >= 0:
-            self.buckets[former].is_open(self.now_s, self.share(former))
+            self.buckets[former].renew(self.now_s, self.share(former))
 
     @rule(name=st.integers(0, 3), count=st.integers(1, 5))
     def send(self, name, count):
--- a/oriolepaddle/platform/__init__.py
+++ b/oriolepaddle/platform/__init__.py
@@ -1,6 +1,7 @@
 """The adapter to the users' platform; nothing outside knows its names."""
 
 from oriolepaddle.platform.directory import DirectoryApplication, ReadinessApplication
+from oriolepaddle.platform.document import decode_document
 from oriolepaddle.platform.protocol import PlatformProtocol
 from oriolepaddle.platform.store import PlatformStore
 
@@ -9,4 +10,5 @@
     "PlatformProtocol",
     "PlatformStore",
     "ReadinessApplication",
+    "decode_document",
 ]
--- a/oriolepaddle/platform/store.py
+++ b/oriolepaddle/platform/store.py
@@ -9,7 +9,6 @@
 from oriolepaddle.catalog import (
     CatalogChange,
     CatalogReading,
-    ConfigDocument,
     HistoryGoneError,
 )
 from oriolepaddle.clock import Clock
@@ -75,14 +74,6 @@
         changes = tuple(self._decode(document.get("events") or []))
         return CatalogReading(changes, int(document["currentRev"]))
 
-    def decode_document(self, text: bytes) -> ConfigDocument:
-        """Return the document that a peer has passed on as it was published.
-
-        Raises:
-            PlatformUnavailableError: It cannot be understood.
-        """
-        return decode_document(text)
-
     def _get(
         self, path: str, query: dict[str, Any], wait: timedelta = timedelta(0)
     ) -> dict[str, Any]:
--- a/oriolepaddle/standins/relay.py
+++ b/oriolepaddle/standins/relay.py
@@ -5,6 +5,8 @@
 import socket
 import threading
 
+from oriolepaddle.addresses import split_address
+
 __all__ = ["RelayMode", "RelayStandin"]
 
 READ_BYTES = 65_536
@@ -132,8 +134,7 @@
         if not pair.first or self._is_blocked(pair.first):
             pair.reset()
             return
-        host, _, port = self.target.rpartition(":")
-        pair.callee = socket.create_connection((host, int(port)))
+        pair.callee = socket.create_connection(split_address(self.target))
         if not self._pass(pair, pair.callee, pair.first):
             return
         back = threading.Thread(
