Read and write datagrams with thrift's compiled codec

A profile of an instance under 10 requests a second had two fifths of its processor time in thrift's compact protocol in Python, most of it in idle instances too.

--- a/oriolepaddle/gossip/codec.py
+++ b/oriolepaddle/gossip/codec.py
@@ -1,8 +1,12 @@
-"""Datagrams: thrift's compact form after a digest."""
+"""Datagrams: thrift's compact form after a digest.
+
+Instances of a large region read and write tens of datagrams a second, so thrift's
+compiled codec is used; its errors differ from those of the one in Python.
+"""
 
 import hmac
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -12,12 +16,21 @@
 __all__ = ["read_datagram", "write_datagram"]
 
 DIGEST_BYTES = 16
+_UNREADABLE = (
+    TException,
+    EOFError,
+    OverflowError,
+    TypeError,
+    UnicodeDecodeError,
+    ValueError,
+)
+"""What the compiled codec and the one in Python raise for malformed bytes."""
 
 
 def write_datagram(datagram: Datagram, secret: bytes) -> bytes:
     """Return the bytes of a datagram."""
     buffer = TMemoryBuffer()
-    datagram.write(TCompactProtocol(buffer))
+    datagram.write(TCompactProtocolAccelerated(buffer))
     payload = buffer.getvalue()
     return _sign(payload, secret) + payload
 
@@ -33,9 +46,9 @@
         raise MalformedRequestError("a datagram without the fleet's secret")
     datagram = Datagram()
     try:
-        datagram.read(TCompactProtocol(TMemoryBuffer(payload)))
+        datagram.read(TCompactProtocolAccelerated(TMemoryBuffer(payload)))
         datagram.validate()
-    except (TException, EOFError, UnicodeDecodeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise MalformedRequestError(f"an unreadable datagram: {error}") from error
     return datagram
 
