--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_edge_silence.py
@@ -0,0 +1,49 @@
+import time
+
+import pytest
+
+from oriolepaddle.daemon.tests.edge_fleet import DESK, ENGINES, EdgeFleet
+from oriolepaddle.platform.standins import RunnerAct
+
+NOTICED_WITHIN_S = 2.0
+"""The shortest time after which callers of a stream leave."""
+
+
+@pytest.fixture
+def fleet():
+    fleet = EdgeFleet()
+    for name in ("d1", "d2"):
+        fleet.add_runner(name, DESK)
+    for name in ("e1", "e2"):
+        fleet.add_runner(name, ENGINES, events=5)
+    fleet.add_instance("n1")
+    fleet.await_ready()
+    yield fleet
+    fleet.close()
+
+
+class TestSilentEndpoint:
+    """The load: an endpoint takes requests and answers none of them."""
+
+    @pytest.mark.parametrize(
+        ("path", "method", "names"),
+        [("/read/1", "GET", ("d1", "d2")), ("/chat/1", "POST", ("e1", "e2"))],
+    )
+    def test_repeatable_request_goes_on_elsewhere(self, fleet, path, method, names):
+        for name in names:
+            fleet.runners[name].acts.append(RunnerAct.SILENT)
+        fleet.runners[names[1]].acts.clear()
+        began_s = time.monotonic()
+        statuses = [fleet.ask("n1", path, method=method)[0] for _ in range(3)]
+        assert statuses == [200, 200, 200]
+        assert time.monotonic() - began_s < NOTICED_WITHIN_S
+
+    def test_order_stays_where_it_may_run(self, fleet):
+        for name in ("d1", "d2"):
+            fleet.runners[name].acts.append(RunnerAct.SILENT)
+        status, _ = fleet.ask(
+            "n1", "/book/1", method="POST", X_Oriolepaddle_Deadline_Ms="1500"
+        )
+        assert status in (502, 504)
+        received = [len(fleet.runners[name].received) for name in ("d1", "d2")]
+        assert sum(received) == 1
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -21,6 +21,7 @@
     EndpointFailedError,
     EndpointRefusedError,
     EndpointReplacedError,
+    EndpointTimeoutError,
     EndpointUnreachableError,
     ErrorCode,
     OriolepaddleError,
@@ -28,7 +29,7 @@
     RefusedError,
 )
 from oriolepaddle.logs import log_event
-from oriolepaddle.placement import Choice, Job
+from oriolepaddle.placement import Choice, Job, PlacedRun
 from oriolepaddle.web import AnswerWriter
 
 __all__ = ["EdgeExchange"]
@@ -187,7 +188,7 @@
         endpoint = choice.endpoint
         self._progress.target = endpoint.id
         run = parts.placer.start(choice, job)
-        sink = self._make_sink(endpoint, run.begin)
+        sink = self._make_sink(endpoint, run)
         organisation = self._admitted.organisation
         headers = parts.protocol.write_endpoint_headers(
             self._request,
@@ -232,7 +233,7 @@
         progress.may_leave = False
         parts.regions.note_sent(peer, job.service, job.input_tokens)
         parts.metrics.forwards.labels(peer.region).inc()
-        sink = self._make_sink(None, lambda: None)
+        sink = self._make_sink(None, None)
         age_s = parts.clock.monotonic_s() - self._request.arrived_s
         headers = parts.protocol.write_peer_headers(
             self._request, age_s, self._splitter.last_id, progress.runs
@@ -265,14 +266,15 @@
         )
 
     def _make_sink(
-        self, endpoint: RegisteredEndpoint | None, begin: Callable[[], None]
+        self, endpoint: RegisteredEndpoint | None, run: PlacedRun | None
     ) -> EdgeSink:
         def _on_first_byte() -> None:
-            begin()
+            if run is not None:
+                run.begin()
             self._note_first_byte()
 
         protocol = self._parts.protocol
-        return EdgeSink(
+        sink = EdgeSink(
             self._writer,
             self._splitter,
             lambda status, headers: protocol.read_answer(
@@ -281,6 +283,33 @@
             lambda: self._recheck(endpoint),
             _on_first_byte,
         )
+        if run is not None:
+            sink.follow(run.hear, lambda: self._check_progress(run, endpoint, sink))
+        return sink
+
+    def _check_progress(
+        self, run: PlacedRun, endpoint: RegisteredEndpoint, sink: EdgeSink
+    ) -> None:
+        """Give a try up for another one if its endpoint answers nobody.
+
+        Raises:
+            EndpointTimeoutError: It is to be repeated elsewhere.
+        """
+        if not sink.is_sent or not run.is_in_vain():
+            return
+        error = EndpointTimeoutError(f"{endpoint.id} answers nobody")
+        progress = self._progress
+        progress.runs += 1
+        is_allowed = self._is_repeat_allowed(error)
+        progress.runs -= 1
+        excluded = progress.excluded | {endpoint.incarnation}
+        if not is_allowed or not self._parts.placer.has_other(
+            self._admitted.service, excluded
+        ):
+            return
+        if progress.has_repeat or self._take_repeat():
+            progress.has_repeat = True
+            raise error
 
     def _note_first_byte(self) -> None:
         if self._progress.first_byte_s is None:
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -47,12 +47,27 @@
         self._read_answer = read_answer
         self._recheck = recheck
         self._on_first_byte = on_first_byte
+        self._note_data: Callable[[], None] = lambda: None
+        self._check_progress: Callable[[], None] = lambda: None
         self._has_begun = False
         self._buffer = bytearray()
         self._is_event_stream = False
         self.answer: EndpointAnswer | None = None
         self.is_sent = False
 
+    def follow(
+        self, note_data: Callable[[], None], check_progress: Callable[[], None]
+    ) -> None:
+        """Have the try's progress followed.
+
+        Args:
+            note_data: Called with each part of the body that comes.
+            check_progress: Called now and then; raises if the try is to be given
+                up for another one.
+        """
+        self._note_data = note_data
+        self._check_progress = check_progress
+
     def before_send(self) -> None:
         """Check the request again; see `AnswerSink.before_send`."""
         self._recheck()
@@ -77,6 +92,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Pass on or hold a part of the body; see `AnswerSink.on_data`."""
+        self._note_data()
         if not self._has_begun:
             self._has_begun = True
             self._on_first_byte()
@@ -93,6 +109,7 @@
         """Say whether the caller is still there; see `AnswerSink.check`."""
         if self._writer.is_abandoned():
             raise ConnectionResetError("the caller left")
+        self._check_progress()
 
     def complete(self) -> None:
         """End the answer after its last byte.
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -8,6 +8,7 @@
 from oriolepaddle.placement.cold_start import ColdStartBucket
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.prefix_history import PrefixHistory
+from oriolepaddle.placement.silence import SilenceWatch
 
 __all__ = ["EndpointLoad", "PeerLoad"]
 
@@ -106,10 +107,11 @@
         self._failure_rate = 0.0
         self._blocked_until_s = 0.0
         self._block_s = 0.0
+        self.silence = SilenceWatch()
 
     def is_blocked(self, now_s: float) -> bool:
-        """Return whether it is left alone after it could not be reached."""
-        return now_s < self._blocked_until_s
+        """Return whether it is left alone, as it cannot be reached or is silent."""
+        return now_s < self._blocked_until_s or self.silence.is_silent(now_s)
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether it bears only the rate of a cold start."""
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -112,6 +112,21 @@
                 )
         return tuple(sorted(scores, key=lambda score: score.cost_s))
 
+    def has_other(self, service: str, excluded: Iterable[str]) -> bool:
+        """Return whether an endpoint that is not in doubt could run a request.
+
+        Args:
+            service: The service.
+            excluded: Lives of endpoints that do not count.
+        """
+        now_s = self._clock.monotonic_s()
+        left_out = frozenset(excluded)
+        with self._lock:
+            return any(
+                load.endpoint.incarnation not in left_out and not load.is_blocked(now_s)
+                for load in self._list_loads(service, now_s)
+            )
+
     def start(self, choice: Choice, job: Job) -> PlacedRun:
         """Note that a request is now sent to its endpoint."""
         with self._lock:
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -38,6 +38,7 @@
         self._has_begun = False
         with lock:
             self._unread = load.total(self._started_s).prefill_tokens + self._uncached
+            self._number = load.silence.expect(self._started_s, choice.expected_s)
             load.running += 1
             load.prefill_tokens += self._uncached
             load.memory_tokens += job.memory_tokens
@@ -50,13 +51,31 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             self._has_begun = True
+            self._load.silence.answer(self._number)
             self._load.prefill_tokens -= self._uncached
             elapsed_s = now_s - self._started_s
             self._load.learn_first_byte(elapsed_s, self._unread, now_s)
 
+    def hear(self) -> None:
+        """Note that something came from the endpoint."""
+        self._load.silence.hear(self._clock.monotonic_s())
+
+    def is_in_vain(self) -> bool:
+        """Return whether it waits for an answer that seems to be lost."""
+        if self._has_begun:
+            return False
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            return self._load.silence.is_in_vain(self._number, now_s)
+
     def end(self) -> None:
         """Note the end of the run, whatever it was."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
+            if self._load.silence.is_in_vain(self._number, now_s):
+                # Without the requests that wait in vain it would look idle.
+                self._load.fail(now_s, self._load.silence.is_silent(now_s))
+            self._load.silence.forget(self._number)
             self._load.running -= 1
             self._load.memory_tokens -= self._job.memory_tokens
             if not self._has_begun:
@@ -66,6 +85,7 @@
         """Note a whole answer."""
         elapsed_s = self._clock.monotonic_s() - self._started_s
         with self._lock:
+            self._load.silence.forget(self._number)
             self._load.succeed()
             self._load.learn_service(elapsed_s)
 
--- a/oriolepaddle/placement/tests/test_placer.py
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -1,74 +1,17 @@
 from collections import Counter
 from datetime import timedelta
 
-import attrs
 import pytest
 
-from oriolepaddle.catalog import (
-    CallerLimits,
-    Catalog,
-    CatalogChange,
-    CatalogReading,
-    ConfigDocument,
-    EndpointService,
-    EndpointState,
-    EngineProfile,
-    RegisteredEndpoint,
-)
-from oriolepaddle.clock import ManualClock
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.placement import Job, PeerLoad, Placer, PromptPart
-
-ENGINES, DESK = "engines", "desk"
-SERVICES = {
-    ENGINES: EndpointService(
-        ENGINES, cold_requests_per_s=3.0, engine=EngineProfile(48, 300_000)
-    ),
-    DESK: EndpointService(DESK),
-}
-
-
-@pytest.fixture
-def clock():
-    return ManualClock()
-
-
-@pytest.fixture
-def catalog(clock):
-    catalog = Catalog(clock)
-    document = ConfigDocument(1, {}, SERVICES, {}, CallerLimits(), b"")
-    change = CatalogChange("c", document=document)
-    catalog.apply(CatalogReading((change,), 1, is_whole=True), 0.0)
-    return catalog
-
-
-@pytest.fixture
-def placer(clock, catalog):
-    return Placer(clock, catalog, lambda name: name.startswith("nordur"))
-
-
-def register(catalog, name, service=ENGINES, **changes):
-    endpoint = RegisteredEndpoint(
-        name, 1, service, f"{name}:80", "nordur-a", 6, EndpointState.READY
-    )
-    endpoint = attrs.evolve(endpoint, **changes)
-    change = CatalogChange(f"e/{name}", endpoint=endpoint)
-    catalog.apply(CatalogReading((change,), 1), 0.0)
-    return endpoint
-
-
-def make_dossier(name, tokens=9000, patience_s=0.6):
-    parts = (
-        PromptPart("system", 2500),
-        PromptPart(name, 4000),
-        PromptPart(f"{name}-own", tokens - 6500),
-    )
-    return Job(ENGINES, parts, tokens, 50, patience_s)
-
-
-def run(placer, job):
-    choice = placer.choose(job)
-    return choice, placer.start(choice, job)
+from oriolepaddle.placement import Job, PeerLoad, Placer
+from oriolepaddle.placement.tests.engines import (
+    DESK,
+    ENGINES,
+    make_dossier,
+    register,
+    run,
+)
 
 
 class TestChoice:
