Mind the streams at an engine when placing, and rank requests there

An engine reads prompts between the tokens of its streams, so that long answers beside many long prompts take 10 s; the placer looked at the time to the first byte only. Now the pace of each endpoint's streams is learned from the pauses between events; it weighs the time of the request's own stream, and that by which its prompt holds up others. What is expected to take much longer than is left is refused at once. Short prompts are ranked before long ones, late ones behind.

--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -189,13 +189,15 @@
         self._progress.target = endpoint.id
         run = parts.placer.start(choice, job)
         sink = self._make_sink(endpoint, run)
-        organisation = self._admitted.organisation
+        admitted = self._admitted
+        organisation = admitted.organisation
         headers = parts.protocol.write_endpoint_headers(
             self._request,
             endpoint,
             organisation.id if organisation else None,
             self._left_s(),
             self._splitter.last_id,
+            job.urgency if admitted.route.is_stream else None,
         )
         request = self._make_request(headers, ConnectionReuse.IF_SURELY_OPEN)
         try:
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -8,7 +8,7 @@
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.placement import Choice, Job
+from oriolepaddle.placement import Choice, Job, find_urgency
 
 __all__ = ["make_job", "place"]
 
@@ -42,6 +42,8 @@
         input_tokens=request.input_tokens,
         output_tokens=request.output_tokens,
         patience_s=min(patience_s, left_s),
+        left_s=left_s,
+        urgency=find_urgency(request.input_tokens, timedelta(seconds=on_time_s)),
     )
 
 
--- a/oriolepaddle/edge/protocol.py
+++ b/oriolepaddle/edge/protocol.py
@@ -31,6 +31,7 @@
         organisation: str | None,
         left_s: float,
         last_event_id: str | None,
+        urgency: int | None = None,
     ) -> Headers:
         """Return the header fields of a request to an endpoint.
 
@@ -40,6 +41,7 @@
             organisation: For whom it runs, or None.
             left_s: Seconds until the answer must be whole.
             last_event_id: The event after which a stream goes on, or None.
+            urgency: The rank at an engine, the lowest first, or None.
         """
         ...
 
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -6,6 +6,8 @@
 from oriolepaddle.placement.placer import Placer
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
+from oriolepaddle.placement.urgency import find_urgency
+from oriolepaddle.placement.weights import PlacingWeights
 
 __all__ = [
     "Choice",
@@ -15,5 +17,7 @@
     "PeerLoad",
     "PlacedRun",
     "Placer",
+    "PlacingWeights",
     "PromptPart",
+    "find_urgency",
 ]
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -7,6 +7,7 @@
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
 from oriolepaddle.placement.cold_start import ColdStartBucket
 from oriolepaddle.placement.job import Job
+from oriolepaddle.placement.pace import EndpointPace, ServicePace
 from oriolepaddle.placement.prefix_history import PrefixHistory
 from oriolepaddle.placement.silence import SilenceWatch
 
@@ -81,6 +82,7 @@
         service: Its service.
         now_s: Monotonic seconds.
         cold_share: This instance's part of what it bears while it is cold.
+        pace: The pace of its service's streams.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         service: EndpointService,
         now_s: float,
         cold_share: float = 1.0,
+        pace: ServicePace | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.service = service
@@ -108,6 +111,7 @@
         self._blocked_until_s = 0.0
         self._block_s = 0.0
         self.silence = SilenceWatch()
+        self.pace = EndpointPace(pace or ServicePace())
 
     def is_blocked(self, now_s: float) -> bool:
         """Return whether it is left alone, as it cannot be reached or is silent."""
@@ -165,6 +169,20 @@
         memory_s = max(0.0, over / capacity) * self._service_s
         return ENGINE_BASE_S + waiting_s + prefill_s + memory_s
 
+    def stream_s(self, job: Job, now_s: float) -> float:
+        """Return the seconds from a request's first event to its last."""
+        if self.service.engine is None:
+            return 0.0
+        return self.pace.expect_s(job.output_tokens, now_s)
+
+    def disturbance_s(self, uncached_tokens: int, now_s: float) -> float:
+        """Return the seconds by which a prompt holds up the streams there, added up."""
+        if self.service.engine is None:
+            return 0.0
+        total = self.total(now_s)
+        reading_s = uncached_tokens / PREFILL_TOKENS_PER_S * _find_correction(total)
+        return total.running * reading_s
+
     def penalty_s(self) -> float:
         """Return what its failures are expected to cost."""
         return self._failure_rate * FAILURE_COST_S
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -18,8 +18,10 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.pace import ServicePace
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
+from oriolepaddle.placement.weights import PlacingWeights
 
 __all__ = ["Placer"]
 
@@ -41,6 +43,7 @@
         is_local: Whether a data centre stands in this instance's region.
         find_cold_share: Returns this instance's part of what a cold endpoint
             bears; the parts of a region's instances add up to at most 1.
+        weights: What counts beside the time to the first byte.
     """
 
     def __init__(
@@ -49,13 +52,16 @@
         catalog: Catalog,
         is_local: Callable[[str], bool],
         find_cold_share: Callable[[], float] = lambda: 1.0,
+        weights: PlacingWeights | None = None,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
         self._is_local = is_local
         self._find_cold_share = find_cold_share
+        self._weights = weights or PlacingWeights()
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
+        self._paces: dict[str, ServicePace] = {}
 
     def choose(self, job: Job, excluded: Iterable[str] = ()) -> Choice:
         """Return the endpoint that is expected to answer first.
@@ -66,7 +72,7 @@
 
         Raises:
             RefusedError: No endpoint may run it (`NO_ENDPOINT`), or none would
-                begin within its patience (`OVERLOADED`).
+                begin within its patience or end in time (`OVERLOADED`).
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
@@ -85,6 +91,14 @@
                     code=ErrorCode.OVERLOADED,
                     retry_after=RETURN_AFTER,
                 )
+            whole_s = choice.expected_s + load.stream_s(job, now_s)
+            if whole_s > self._weights.hopeless * job.left_s:
+                raise RefusedError(
+                    f"{job.service} would take {whole_s:.1f} s, much longer than "
+                    f"the {job.left_s:.1f} s that are left",
+                    code=ErrorCode.OVERLOADED,
+                    retry_after=RETURN_AFTER,
+                )
             if load.is_cold(now_s):
                 # It is taken here, so that two requests do not get the same.
                 load.cold.take(now_s, self._find_cold_share())
@@ -194,6 +208,9 @@
         uncached = max(0, job.input_tokens - load.history.count_cached(job.parts))
         expected_s = load.expect_s(job, uncached, now_s)
         cost_s = expected_s + load.penalty_s()
+        cost_s += self._weights.stream * load.stream_s(job, now_s)
+        disturbance_s = load.disturbance_s(uncached, now_s)
+        cost_s += self._weights.disturbance * disturbance_s
         cost_s -= bonuses.get(load.endpoint.id, 0.0)
         return cost_s, Choice(
             load.endpoint, expected_s, uncached, load.is_blocked(now_s)
@@ -221,8 +238,9 @@
             document = self._catalog.document
             services = document.services if document else {}
             service = services.get(endpoint.service, EndpointService(endpoint.service))
+            pace = self._paces.setdefault(endpoint.service, ServicePace())
             held = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, service, now_s, self._find_cold_share()
+                endpoint, service, now_s, self._find_cold_share(), pace
             )
         held.endpoint = endpoint
         return held
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -36,6 +36,8 @@
         self._started_s = clock.monotonic_s()
         self._uncached = choice.uncached_tokens
         self._has_begun = False
+        self._heard_s: float | None = None
+        self._events = 0
         with lock:
             self._unread = load.total(self._started_s).prefill_tokens + self._uncached
             self._number = load.silence.expect(self._started_s, choice.expected_s)
@@ -57,8 +59,13 @@
             self._load.learn_first_byte(elapsed_s, self._unread, now_s)
 
     def hear(self) -> None:
-        """Note that something came from the endpoint."""
-        self._load.silence.hear(self._clock.monotonic_s())
+        """Note that something came from the endpoint, mostly an event."""
+        now_s = self._clock.monotonic_s()
+        self._load.silence.hear(now_s)
+        self._events += 1
+        if self._heard_s is not None:
+            self._load.pace.note_pause(now_s - self._heard_s, now_s)
+        self._heard_s = now_s
 
     def is_in_vain(self) -> bool:
         """Return whether it waits for an answer that seems to be lost."""
@@ -88,6 +95,8 @@
             self._load.silence.forget(self._number)
             self._load.succeed()
             self._load.learn_service(elapsed_s)
+            shape = self._load.pace.service
+            shape.learn_answer(self._events, self._job.output_tokens)
 
     def fail(self, is_gone: bool) -> None:
         """Note a failure of the endpoint, which may be gone from its address."""
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -84,6 +84,7 @@
         organisation: str | None,
         left_s: float,
         last_event_id: str | None,
+        urgency: int | None = None,
     ) -> tuple[tuple[str, str], ...]:
         """Return the fields for an endpoint; see `EdgeProtocol`."""
         headers = [
@@ -94,6 +95,8 @@
         ]
         if organisation is not None:
             headers.append((names.TENANT, organisation))
+        if urgency is not None:
+            headers.append((names.URGENCY, str(urgency)))
         if last_event_id is not None:
             headers.append((names.LAST_EVENT_ID, last_event_id))
         return tuple(headers)
