Have busy instances of large regions announce their load at the shortest interval

Cause: what instances do not know of each other yet they send to the same engines. Idle instances speak as before.

--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -29,7 +29,9 @@
 SHORTEST_INTERVAL_S = 0.25
 LONGEST_INTERVAL_S = 0.5
 INTERVAL_FOR_EACH_MEMBER_S = 0.02
-"""The interval grows with the region, so that a hub's work does not."""
+"""The interval grows with the region, so that a hub's work does not. An instance
+that has requests running tells of them at the shortest one: what the others do not
+know of them yet, they send to the same endpoints."""
 SILENT_INTERVAL_S = 1.0
 """Between two datagrams to an instance that does not answer."""
 MAX_SILENT = 6
@@ -91,6 +93,8 @@
             self._clock.wait(self._stopping, timedelta(seconds=self._interval_s()))
 
     def _interval_s(self) -> float:
+        if self._state.placer.own_loads():
+            return SHORTEST_INTERVAL_S
         wanted_s = INTERVAL_FOR_EACH_MEMBER_S * self._roster.count_region()
         return min(max(wanted_s, SHORTEST_INTERVAL_S), LONGEST_INTERVAL_S)
 
--- a/oriolepaddle/gossip/tests/test_announcer.py
+++ b/oriolepaddle/gossip/tests/test_announcer.py
@@ -8,7 +8,9 @@
     EndpointState,
     RegisteredEndpoint,
 )
+from oriolepaddle.gossip.announcer import LONGEST_INTERVAL_S, SHORTEST_INTERVAL_S
 from oriolepaddle.gossip.tests.fleet import GossipFleet
+from oriolepaddle.placement import Job
 
 SECONDS = timedelta(seconds=1)
 
@@ -155,6 +157,30 @@
         assert member.state.catalog.endpoints_age_s() >= 30
 
 
+class TestInterval:
+    """The load: many instances of a region send to the same endpoints."""
+
+    ENDPOINT = RegisteredEndpoint(
+        "e1", 1, "engines", "10.1.0.1:80", "nordur-a", 6, EndpointState.READY
+    )
+
+    def test_busy_instance_speaks_more_often_in_a_large_region(self):
+        fleet = GossipFleet()
+        for number in range(1, 31):
+            seeds = ["n1"] if number > 1 else []
+            fleet.add(f"n{number}", f"nordur-{'ab'[number % 2]}", 1.0, seeds=seeds)
+        fleet.run(4 * SECONDS)
+        node = fleet.nodes["n7"]
+        assert node.announcer._interval_s() == LONGEST_INTERVAL_S
+        read_store(node, self.ENDPOINT)
+        placer = node.state.placer
+        job = Job("engines", (), 600, 100)
+        placed = placer.start(placer.choose(job), job)
+        assert node.announcer._interval_s() == SHORTEST_INTERVAL_S
+        placed.end()
+        assert node.announcer._interval_s() == LONGEST_INTERVAL_S
+
+
 class TestEndpoints:
     """One hub is cut off from the store while an endpoint leaves."""
 
