Name large instances to callers more often than by their size

Directory answers are now weighted by the square of the size, so that eight of a region's 26 instances get four fifths of the callers.

--- a/oriolepaddle/edge/resolver.py
+++ b/oriolepaddle/edge/resolver.py
@@ -15,6 +15,10 @@
 MAX_ADDRESSES = 6
 """Few enough to spread callers by size, enough to outlive several losses."""
 HASH_RANGE = 2**64 + 1
+SIZE_EXPONENT = 2
+"""How much more often a larger instance is named than its size alone would have it.
+Instances learn of each other's placements up to a second late, so that few with
+most of the callers place better than many with some each."""
 VALID_FOR = timedelta(seconds=2)
 """Shorter than the time in which an instance that is gone must go unnamed."""
 
@@ -59,8 +63,9 @@
     Where there are none either, they get those of regions in which every route
     of the host may be served, as callers do not tell the route; else all.
 
-    Each caller gets few and mostly the same ones, in proportion to the instances'
-    sizes, so that a small instance is not filled like a large one.
+    Each caller gets few and mostly the same ones. Larger instances are named more
+    often than in proportion to their size: they have room to spare, and the fewer
+    instances place a region's requests, the more each one knows of its endpoints.
 
     Args:
         catalog: Routes with their residency.
@@ -108,6 +113,6 @@
 
 def _weigh(instance: EntryInstance, caller: str) -> float:
     # Weighted rendezvous hashing: the least values fall on instances in
-    # proportion to their sizes.
+    # proportion to their weights.
     drawn = xxhash.xxh3_64_intdigest(f"{caller}|{instance.id}".encode())
-    return -math.log((drawn + 1) / HASH_RANGE) / instance.size
+    return -math.log((drawn + 1) / HASH_RANGE) / instance.size**SIZE_EXPONENT
