Log silent endpoints, and let a request that may have run wait as long as it can

A request that was given up at a silent endpoint, or broke off at another, cannot be refused truthfully any more; it failed at once when every queue was longer than its patience. When an endpoint falls silent and when it is heard again is one line each.

--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -174,7 +174,8 @@
         if left_s < LEAST_LEFT_S:
             raise EndpointDeadlineError("no time is left", outcome=Outcome.NOT_RUN)
         now_s = self._parts.clock.monotonic_s()
-        job = make_job(self._admitted, self._request, now_s, left_s)
+        has_run = self._progress.runs > 0
+        job = make_job(self._admitted, self._request, now_s, left_s, has_run)
         choice = place(self._parts, self._admitted, job, self._progress)
         self._progress.tries += 1
         self._progress.expected_s = choice.expected_s
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -23,7 +23,11 @@
 
 
 def make_job(
-    admitted: Admitted, request: EdgeRequest, now_s: float, left_s: float
+    admitted: Admitted,
+    request: EdgeRequest,
+    now_s: float,
+    left_s: float,
+    may_have_run: bool = False,
 ) -> Job:
     """Return what placing needs to know of a request now.
 
@@ -32,17 +36,21 @@
         request: The request.
         now_s: Monotonic seconds.
         left_s: Seconds to its deadline.
+        may_have_run: Whether an endpoint may have run it. It can be refused no
+            more then, so that an answer at any time is better than none.
     """
     target_s = admitted.route.target.total_seconds()
     on_time_s = target_s - (now_s - request.arrived_s)
     patience_s = max(on_time_s, LATE_PATIENCE_PART * target_s)
+    if may_have_run:
+        patience_s = left_s
     return Job(
         service=admitted.service,
         parts=request.parts,
         input_tokens=request.input_tokens,
         output_tokens=request.output_tokens,
         patience_s=min(patience_s, left_s),
-        left_s=left_s,
+        left_s=float("inf") if may_have_run else left_s,
         urgency=find_urgency(request.input_tokens, timedelta(seconds=on_time_s)),
     )
 
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -1,8 +1,9 @@
+from datetime import timedelta
 from types import SimpleNamespace
 
 import pytest
 
-from oriolepaddle.edge.placing import place
+from oriolepaddle.edge.placing import LATE_PATIENCE_PART, make_job, place
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement import Choice, Job
@@ -32,6 +33,30 @@
     return place(parts, admitted, JOB, progress)
 
 
+def make(now_s, may_have_run=False, tokens=9_000):
+    route = SimpleNamespace(target=timedelta(seconds=0.6))
+    admitted = SimpleNamespace(route=route, service="engines")
+    request = SimpleNamespace(
+        parts=(), input_tokens=tokens, output_tokens=50, arrived_s=0.0
+    )
+    return make_job(admitted, request, now_s, 5.0 - now_s, may_have_run)
+
+
+class TestJob:
+    def test_has_patience_while_it_can_be_on_time(self):
+        assert make(0.1).patience_s == pytest.approx(0.5)
+
+    def test_late_one_has_a_little_and_is_ranked_behind(self):
+        assert make(2.0).patience_s == pytest.approx(LATE_PATIENCE_PART * 0.6)
+        assert make(2.0).urgency > make(0.1).urgency > make(0.1, tokens=600).urgency
+
+    def test_one_that_may_have_run_waits_as_long_as_it_can(self):
+        """It cannot be refused truthfully, so a late answer is the best left."""
+        job = make(2.0, may_have_run=True)
+        assert job.patience_s == pytest.approx(3.0)
+        assert job.left_s == float("inf")
+
+
 class TestPlace:
     def test_stays_near_without_a_clear_gain(self):
         assert ask(NEAR, make_peer(0.15)) is NEAR
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -5,6 +5,7 @@
 import attrs
 
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
+from oriolepaddle.logs import log_event
 from oriolepaddle.placement.cold_start import ColdStartBucket
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.pace import EndpointPace, ServicePace
@@ -111,12 +112,28 @@
         self._blocked_until_s = 0.0
         self._block_s = 0.0
         self.silence = SilenceWatch()
+        self._was_silent = False
         self.pace = EndpointPace(pace or ServicePace())
 
     def is_blocked(self, now_s: float) -> bool:
         """Return whether it is left alone, as it cannot be reached or is silent."""
         return now_s < self._blocked_until_s or self.silence.is_silent(now_s)
 
+    def note_silence(self, now_s: float) -> None:
+        """Log that it has fallen silent or is heard again."""
+        is_silent = self.silence.is_silent(now_s)
+        if is_silent == self._was_silent:
+            return
+        self._was_silent = is_silent
+        log_event(
+            "endpoint_silent" if is_silent else "endpoint_heard",
+            endpoint=self.endpoint.id,
+            address=self.endpoint.address,
+            waiting=self.silence.waiting,
+            silent_s=self.silence.silent_s(now_s),
+            running=self.running,
+        )
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether it bears only the rate of a cold start."""
         return now_s < self.endpoint.cold_until_s
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -224,6 +224,8 @@
             and self._is_local(endpoint.data_centre)
             and self._catalog.may_send(endpoint)
         ]
+        for load in loads:
+            load.note_silence(now_s)
         usable = [load for load in loads if self._is_usable(load, now_s)]
         return [load for load in usable if not load.is_blocked(now_s)] or usable
 
--- a/oriolepaddle/placement/silence.py
+++ b/oriolepaddle/placement/silence.py
@@ -55,6 +55,16 @@
         """Note that something came from the endpoint."""
         self._heard_s = now_s
 
+    @property
+    def waiting(self) -> int:
+        """Requests without an answer."""
+        return len(self._due)
+
+    def silent_s(self, now_s: float) -> float | None:
+        """Return the seconds since something came from it, None if nothing ever did."""
+        silence_s = now_s - self._heard_s
+        return None if silence_s == float("inf") else round(silence_s, 3)
+
     def is_in_vain(self, number: int, now_s: float) -> bool:
         """Return whether a request seems to be lost.
 
--- a/oriolepaddle/placement/tests/test_silence.py
+++ b/oriolepaddle/placement/tests/test_silence.py
@@ -2,6 +2,7 @@
 from datetime import timedelta
 
 import pytest
+from loguru import logger
 
 from oriolepaddle.placement import Placer
 from oriolepaddle.placement.silence import EXPECTED_FACTOR, QUIET_S, SilenceWatch
@@ -102,6 +103,21 @@
         longest_s = QUIET_S + (EXPECTED_FACTOR + 1) * 2 * READING_S
         assert load.sent["e1", True] <= longest_s / STEP_S / 2
 
+    def test_is_logged_once_and_again_when_it_is_heard(self, clock, catalog):
+        placer = Placer(clock, catalog, lambda name: True)
+        register(catalog, "e1")
+        lines = []
+        number = logger.add(lambda message: lines.append(message.record["message"]))
+        job = make_dossier("a", patience_s=60)
+        placed = placer.start(placer.choose(job), job)
+        clock.advance(timedelta(seconds=2))
+        for _ in range(3):
+            placer.choose(job)
+        placed.hear()
+        placer.choose(job)
+        logger.remove(number)
+        assert lines == ["endpoint_silent", "endpoint_heard"]
+
     def test_is_not_trusted_at_once_when_its_callers_have_left(self, clock, catalog):
         placer = Placer(clock, catalog, lambda name: True)
         for name in ("e1", "e2"):
