--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -20,16 +20,18 @@
     RegisteredEndpoint,
 )
 from oriolepaddle.errors import RefusedError
+from oriolepaddle.gossip.announcer import SHORTEST_INTERVAL_S
 from oriolepaddle.placement import Job, Placer, PromptPart, find_urgency
 
 __all__ = ["Outcome", "Region"]
 
 SERVICE = "engines"
 DATA_CENTRE = "a"
-ANNOUNCE_S = 0.5
-"""Between two words of an instance on its load."""
-WORD_LAG_S = 0.25
-"""From an instance to the others, by way of a hub."""
+ANNOUNCE_S = SHORTEST_INTERVAL_S
+"""Between two words of a busy instance on its load."""
+WORD_LAG_S = 0.15
+"""From an instance to the others: half of the time between their own words, to which
+the hub answers, and the way."""
 WAY_S = 0.002
 DARK_S = 3.0
 LEAST_PATIENCE_S = 2.0
