--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -138,7 +138,7 @@
         )
         tokens = sum(part.tokens for part in parts)
         mean = sum(kind.shared_tokens) + kind.own_tokens + 10 * kind.output_tokens
-        job = Job(SERVICE, parts, tokens, output, kind.target_s, left_s=kind.deadline_s)
+        job = Job(SERVICE, parts, tokens, output, kind.target_s)
         if self._variant.has_urgency:
             target = timedelta(seconds=kind.target_s)
             job = attrs.evolve(job, urgency=find_urgency(tokens, target))
--- a/oriolepaddle/daemon/catalog_exchange.py
+++ b/oriolepaddle/daemon/catalog_exchange.py
@@ -71,6 +71,10 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             address = self._asked.get()
+            # Whoever was asked for meanwhile knew of the same news; an instance that
+            # knows more still says so in its next announcement.
+            while not self._asked.empty():
+                address = self._asked.get()
             if not address:
                 continue
             try:
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -50,7 +50,6 @@
         input_tokens=request.input_tokens,
         output_tokens=request.output_tokens,
         patience_s=min(patience_s, left_s),
-        left_s=float("inf") if may_have_run else left_s,
         urgency=find_urgency(request.input_tokens, timedelta(seconds=on_time_s)),
     )
 
--- a/oriolepaddle/placement/job.py
+++ b/oriolepaddle/placement/job.py
@@ -31,7 +31,6 @@
         output_tokens: The most tokens of the answer.
         patience_s: Seconds until the first byte within which running it is
             worth while.
-        left_s: Seconds until the whole answer is worth nothing.
         urgency: Its rank at an engine, the lowest first.
     """
 
@@ -40,7 +39,6 @@
     input_tokens: int = 0
     output_tokens: int = 0
     patience_s: float = float("inf")
-    left_s: float = float("inf")
     urgency: int = USUAL
 
     @property
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -72,7 +72,7 @@
 
         Raises:
             RefusedError: No endpoint may run it (`NO_ENDPOINT`), or none would
-                begin within its patience or end in time (`OVERLOADED`).
+                begin within its patience (`OVERLOADED`).
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
@@ -91,14 +91,6 @@
                     code=ErrorCode.OVERLOADED,
                     retry_after=RETURN_AFTER,
                 )
-            whole_s = choice.expected_s + load.stream_s(job, now_s)
-            if whole_s > self._weights.hopeless * job.left_s:
-                raise RefusedError(
-                    f"{job.service} would take {whole_s:.1f} s, much longer than "
-                    f"the {job.left_s:.1f} s that are left",
-                    code=ErrorCode.OVERLOADED,
-                    retry_after=RETURN_AFTER,
-                )
             if load.is_cold(now_s):
                 # It is taken here, so that two requests do not get the same.
                 load.cold.take(now_s, self._find_cold_share())
--- a/oriolepaddle/placement/weights.py
+++ b/oriolepaddle/placement/weights.py
@@ -13,10 +13,7 @@
         stream: Weight of the time that a request's own stream would last.
         disturbance: Weight of the time by which its prompt holds up each of the
             requests there.
-        hopeless: Times the time left that an answer is expected to take when it is
-            refused; more than 1, as the pace may get better while it runs.
     """
 
     stream: float = 0.05
     disturbance: float = 0.02
-    hopeless: float = 1.5
