Stay in the region in good time, the more so the more instances it has

A request now stays while the wait here is at most 0.03 of its patience for each instance of the region, 0.6 at most. So the part grows with the instances: on the smaller sites, with two or three, it is as good as nothing.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -247,6 +247,7 @@
             region=own_region,
             max_knowledge_age=settings.max_knowledge_age,
             patience=StartPatience(clock),
+            count_instances=roster.count_region,
             is_refusing=self._drain.is_refusing,
         )
 
--- a/oriolepaddle/edge/parts.py
+++ b/oriolepaddle/edge/parts.py
@@ -42,6 +42,7 @@
         max_knowledge_age: The age of the catalog above which requests with a
             key are refused.
         patience: Has requests wait while this instance comes up.
+        count_instances: Returns how many instances of this region there are.
         is_refusing: Whether a new request that may last so many seconds is to go
             elsewhere.
     """
@@ -61,4 +62,5 @@
     region: str
     max_knowledge_age: timedelta
     patience: StartPatience
+    count_instances: Callable[[], int]
     is_refusing: Callable[[float], bool]
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -16,6 +16,10 @@
 """Part of the target that a request which is late already may still wait."""
 AWAY_GAIN_S = 0.1
 """Time to be gained before a request is worth the link between regions."""
+NEAR_PART_EACH, MAX_NEAR_PART = 0.03, 0.6
+"""Part of a request's patience, for each instance of its region and at most, within
+which it stays: the word of another region's short queues is up to a second old, and
+the more instances act on it at once, the less it holds."""
 MAX_LOCAL_FAILURES = 2
 """Endpoints that failed one request before the whole region is doubted."""
 RETURN_AFTER = timedelta(milliseconds=200)
@@ -73,7 +77,9 @@
     if progress.may_leave:
         peer = parts.regions.choose(job.service, job.input_tokens, admitted.residency)
     is_doubted = len(progress.excluded) >= MAX_LOCAL_FAILURES
-    if peer is not None and _is_better_away(choice, peer, job, is_doubted):
+    near_part = min(MAX_NEAR_PART, NEAR_PART_EACH * parts.count_instances())
+    near_s = near_part * job.patience_s
+    if peer is not None and _is_better_away(choice, peer, job, near_s, is_doubted):
         return peer
     if choice is None:
         raise refusal or _make_refusal(peer, job)
@@ -96,8 +102,10 @@
 
 
 def _is_better_away(
-    choice: Choice | None, peer: PeerChoice, job: Job, is_doubted: bool
+    choice: Choice | None, peer: PeerChoice, job: Job, near_s: float, is_doubted: bool
 ) -> bool:
     if choice is None or choice.is_doubtful or is_doubted:
         return peer.expected_s <= job.patience_s
+    if choice.expected_s <= near_s:
+        return False
     return peer.expected_s + AWAY_GAIN_S < choice.expected_s
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -10,6 +10,8 @@
 
 JOB = Job("engines", patience_s=0.6)
 NEAR = Choice(None, 0.2, 0)
+SLOW = Choice(None, 0.45, 0)
+FEW, MANY = 3, 26
 LOST = Choice(None, 0.05, 0, is_doubtful=True)
 
 
@@ -17,7 +19,7 @@
     return PeerChoice("s1", "sudur", "10.0.0.1:80", expected_s)
 
 
-def ask(near=None, peer=None, allows_near=True, excluded=()):
+def ask(near=None, peer=None, allows_near=True, excluded=(), instances=FEW):
     def choose(job, excluded):
         if isinstance(near, RefusedError):
             raise near
@@ -27,6 +29,7 @@
         region="nordur",
         placer=SimpleNamespace(choose=choose),
         regions=SimpleNamespace(choose=lambda *_: peer),
+        count_instances=lambda: instances,
     )
     admitted = SimpleNamespace(allows_region=lambda _: allows_near, residency=())
     progress = SimpleNamespace(excluded=set(excluded), may_leave=True)
@@ -64,6 +67,15 @@
         peer = make_peer(0.05)
         assert ask(NEAR, peer) is peer
 
+    def test_stays_in_good_time_where_many_would_leave(self):
+        """The load: short queues that one region announces draw all instances."""
+        assert ask(NEAR, make_peer(0.05), instances=MANY) is NEAR
+        assert ask(SLOW, make_peer(0.4), instances=MANY) is SLOW
+
+    def test_leaves_with_many_others_when_it_would_be_late(self):
+        peer = make_peer(0.3)
+        assert ask(SLOW, peer, instances=MANY) is peer
+
     def test_leaves_where_nothing_runs_near(self):
         peer = make_peer(0.5)
         refusal = RefusedError("none", code=ErrorCode.NO_ENDPOINT)
