--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -177,6 +177,7 @@
         self._is_over = False
 
     def start(self) -> None:
+        """Place the request, and send it unless it is refused."""
         loop = self._region.loop
         try:
             choice = self._placer.choose(self._job)
--- a/oriolepaddle/daemon/tests/test_faults.py
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -42,7 +42,8 @@
 
 def open_stream(daemon, tokens=2_000):
     response = daemon.send("POST", CHAT, make_chat(tokens=tokens, stream=True))
-    assert response.status == 200
+    if response.status != 200:
+        raise AssertionError(response.read(), "".join(daemon.lines))
     response.readline()
     return response
 
