--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -293,15 +293,19 @@
     def _check_progress(
         self, run: PlacedRun, endpoint: RegisteredEndpoint, sink: EdgeSink
     ) -> None:
-        """Give a try up for another one if its endpoint answers nobody.
+        """Give a try up for another one if it seems to be lost.
+
+        It is called on the watchdog's thread, while the request's own waits for the
+        transport and reads nothing of its progress.
 
         Raises:
             EndpointTimeoutError: It is to be repeated elsewhere.
         """
         if not sink.is_sent or not run.is_in_vain():
             return
-        error = EndpointTimeoutError(f"{endpoint.id} answers nobody")
+        error = EndpointTimeoutError(f"{endpoint.id} seems to have lost it")
         progress = self._progress
+        # This try counts as a run only once it has ended.
         progress.runs += 1
         is_allowed = self._is_repeat_allowed(error)
         progress.runs -= 1
