Add up an endpoint's load once for each weighing, and ask one way about repeats

The placer added up the work of all peers twice for every endpoint and request, once for the time to the first byte and once for what a prompt holds up; hubs, which know every peer, pay for that most. What a run that has not ended counts for was put in and taken out of the progress in two places, one of them on another thread; it is now an argument. An outcome's end in the emulator was written and never read.

--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -48,7 +48,6 @@
         arrived_s: When it came.
         first_s: Seconds to the first event, or None.
         longest_gap_s: The longest pause after that.
-        ended_s: When it ended.
         is_refused: Whether it was refused at once.
         is_whole: Whether the answer was whole before the deadline.
     """
@@ -58,7 +57,6 @@
     arrived_s: float
     first_s: float | None = None
     longest_gap_s: float = 0.0
-    ended_s: float = 0.0
     is_refused: bool = False
     is_whole: bool = False
 
@@ -227,4 +225,3 @@
     def _end(self) -> None:
         self._is_over = True
         self._placed.end()
-        self._outcome.ended_s = self._region.loop.monotonic_s()
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -219,9 +219,8 @@
         answer = sink.answer
         if answer is not None and answer.status >= SERVER_ERROR:
             error = EndpointFailedError(f"answered with status {answer.status}")
-            progress.runs += 1
-            progress.has_repeat = self._is_repeat_allowed(error) and self._take_repeat()
-            progress.runs -= 1
+            is_allowed = self._is_repeat_allowed(error, runs_now=1)
+            progress.has_repeat = is_allowed and self._take_repeat()
             if progress.has_repeat:
                 progress.failed_answer = sink
                 raise error
@@ -305,10 +304,7 @@
             return
         error = EndpointTimeoutError(f"{endpoint.id} seems to have lost it")
         progress = self._progress
-        # This try counts as a run only once it has ended.
-        progress.runs += 1
-        is_allowed = self._is_repeat_allowed(error)
-        progress.runs -= 1
+        is_allowed = self._is_repeat_allowed(error, runs_now=1)
         excluded = progress.excluded | {endpoint.incarnation}
         if not is_allowed or not self._parts.placer.has_other(
             self._admitted.service, excluded
@@ -381,7 +377,7 @@
         self._parts.metrics.retries.labels(action, error.code.code).inc()
         return is_allowed
 
-    def _is_repeat_allowed(self, error: OriolepaddleError) -> bool:
+    def _is_repeat_allowed(self, error: OriolepaddleError, runs_now: int = 0) -> bool:
         if self._admitted is None:
             return False
         return may_repeat(
@@ -390,6 +386,7 @@
             error,
             self._left_s(),
             self._writer.is_started,
+            runs_now,
         )
 
     def _take_repeat(self) -> bool:
--- a/oriolepaddle/edge/repeats.py
+++ b/oriolepaddle/edge/repeats.py
@@ -29,6 +29,7 @@
     error: OriolepaddleError,
     left_s: float,
     has_answer: bool,
+    runs_now: int = 0,
 ) -> bool:
     """Return whether a request may be sent again after a failure.
 
@@ -38,12 +39,13 @@
         error: What ended the last try.
         left_s: Seconds to its deadline.
         has_answer: Whether the caller has a part of the answer.
+        runs_now: Runs that have not ended, and that its progress does not count yet.
     """
     if not isinstance(error, _REPEATABLE) or progress.tries >= MAX_TRIES:
         return False
     if left_s < LEAST_LEFT_S:
         return False
-    may_run_again = _may_run_again(progress, route)
+    may_run_again = _may_run_again(progress.runs + runs_now, route)
     if error.outcome is Outcome.NOT_RUN and not has_answer:
         return progress.last_uncertain is None or may_run_again
     is_resumable = route.repeat_rule is RepeatRule.RESUMABLE
@@ -64,7 +66,7 @@
     return error
 
 
-def _may_run_again(progress: ExchangeProgress, route: HostRoute) -> bool:
+def _may_run_again(runs: int, route: HostRoute) -> bool:
     if route.repeat_rule is RepeatRule.ONCE:
         return False
-    return progress.runs < route.max_attempts
+    return runs < route.max_attempts
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -172,15 +172,19 @@
                 expected_s += load.expected_s
         return PeerLoad(running, prefill, memory, reading_s, expected_s)
 
-    def expect_s(self, job: Job, uncached_tokens: int, now_s: float) -> float:
-        """Return the seconds until the first byte if a request is sent now."""
-        total = self.total(now_s)
+    def expect_s(self, job: Job, uncached_tokens: int, total: PeerLoad) -> float:
+        """Return the seconds until the first byte if a request is sent now.
+
+        Args:
+            job: The request.
+            uncached_tokens: Tokens of its prompt that would have to be read.
+            total: The load from all instances, as `total` returns it.
+        """
         excess = max(0, total.running + 1 - self.slots)
         waiting_s = excess * self._service_s / self.slots
         if self.service.engine is None:
             return waiting_s + self._service_s
-        unread = total.prefill_tokens + uncached_tokens
-        prefill_s = unread / PREFILL_TOKENS_PER_S * _find_correction(total)
+        prefill_s = _find_reading_s(total.prefill_tokens + uncached_tokens, total)
         capacity = self.service.engine.cache_tokens * MEMORY_PART
         over = total.memory_tokens + job.memory_tokens - capacity
         memory_s = max(0.0, over / capacity) * self._service_s
@@ -192,13 +196,11 @@
             return 0.0
         return self.pace.expect_s(job.output_tokens, now_s)
 
-    def disturbance_s(self, uncached_tokens: int, now_s: float) -> float:
+    def disturbance_s(self, uncached_tokens: int, total: PeerLoad) -> float:
         """Return the seconds by which a prompt holds up the streams there, added up."""
         if self.service.engine is None:
             return 0.0
-        total = self.total(now_s)
-        reading_s = uncached_tokens / PREFILL_TOKENS_PER_S * _find_correction(total)
-        return total.running * reading_s
+        return total.running * _find_reading_s(uncached_tokens, total)
 
     def penalty_s(self) -> float:
         """Return what its failures are expected to cost."""
@@ -243,6 +245,10 @@
         self._expected_s *= kept
 
 
+def _find_reading_s(tokens: int, total: PeerLoad) -> float:
+    return tokens / PREFILL_TOKENS_PER_S * _find_correction(total)
+
+
 def _find_correction(total: PeerLoad) -> float:
     ratio = (PRIOR_S + total.reading_s) / (PRIOR_S + total.expected_s)
     return min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -174,7 +174,7 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             waits = [
-                load.expect_s(job, tokens, now_s) + load.penalty_s()
+                load.expect_s(job, tokens, load.total(now_s)) + load.penalty_s()
                 for load in self._list_loads(service, now_s)
             ]
         return min(waits, default=None)
@@ -198,10 +198,11 @@
         bonuses: dict[str, float],
     ) -> tuple[float, Choice]:
         uncached = max(0, job.input_tokens - load.history.count_cached(job.parts))
-        expected_s = load.expect_s(job, uncached, now_s)
+        total = load.total(now_s)
+        expected_s = load.expect_s(job, uncached, total)
         cost_s = expected_s + load.penalty_s()
         cost_s += self._weights.stream * load.stream_s(job, now_s)
-        disturbance_s = load.disturbance_s(uncached, now_s)
+        disturbance_s = load.disturbance_s(uncached, total)
         cost_s += self._weights.disturbance * disturbance_s
         cost_s -= bonuses.get(load.endpoint.id, 0.0)
         return cost_s, Choice(
