Give each test process loopback addresses of its own

The soak had met the same fault and mended it for itself; its cure is moved to the stand-ins and used by both. Ruled out: a listener left open by an earlier fleet, as no address came twice within 200 instances of a worker.

Ports of one instance are found together, all of them held until the last.

--- a/oriolepaddle/daemon/tests/edge_fleet.py
+++ b/oriolepaddle/daemon/tests/edge_fleet.py
@@ -11,6 +11,7 @@
 from oriolepaddle.daemon.edge_instance import EdgeInstance
 from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
 from oriolepaddle.settings import EdgeSettings
+from oriolepaddle.standins import LoopbackNetwork
 
 KEY = "key-of-norddal"
 OTHER_KEY = "key-of-sudurvik"
@@ -18,7 +19,8 @@
 ENGINES, DESK = "engines", "desk"
 REGIONS = {"nordur-a": "nordur", "sudur-a": "sudur"}
 CONDITION_S = 8.0
-_hosts = itertools.count(10)
+NETWORK = LoopbackNetwork()
+SIDES = ("caller", "directory", "peer", "readiness")
 _ids = itertools.count(1)
 
 
@@ -69,12 +71,6 @@
     raise AssertionError("the condition was not met in time")
 
 
-def find_port(host, kind):
-    with socket.socket(socket.AF_INET, kind) as found:
-        found.bind((host, 0))
-        return found.getsockname()[1]
-
-
 class EdgeFleet:
     """A store, runners and instances; the instances differ in loopback address."""
 
@@ -84,7 +80,9 @@
         self.runners = {}
         self.instances = {}
         self.settings = {}
-        self.gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        (self.gossip_port,) = NETWORK.find_ports(
+            NETWORK.add_host(), 1, socket.SOCK_DGRAM
+        )
         self.publish(make_document())
 
     def publish(self, document):
@@ -101,10 +99,11 @@
         self.store.put(f"servers/{name}", self.runners[name].describe())
 
     def add_instance(self, name, data_centre="nordur-a", **changes):
-        host = f"127.0.0.{next(_hosts) % 200 + 2}"
+        host = NETWORK.add_host()
+        ports = NETWORK.find_ports(host, len(SIDES))
         addresses = {
-            f"{side}_address": f"{host}:{find_port(host, socket.SOCK_STREAM)}"
-            for side in ("caller", "directory", "peer", "readiness")
+            f"{side}_address": f"{host}:{port}"
+            for side, port in zip(SIDES, ports, strict=True)
         }
         seeds = ",".join(item.peer_address for item in self.settings.values())
         values = {
--- a/oriolepaddle/daemon/tests/test_edge_inspection.py
+++ b/oriolepaddle/daemon/tests/test_edge_inspection.py
@@ -7,9 +7,9 @@
 from oriolepaddle.daemon.tests.edge_fleet import (
     DESK,
     ENGINES,
+    NETWORK,
     EdgeFleet,
     await_true,
-    find_port,
 )
 
 TOKEN = "a token of the test fleet"
@@ -21,10 +21,9 @@
     fleet.add_runner("d1", DESK)
     fleet.add_runner("e1", ENGINES, events=3)
     for name in ("n1", "n2"):
-        port = find_port("127.0.0.1", 1)
-        fleet.add_instance(
-            name, metrics_address=f"127.0.0.1:{port}", operator_token=TOKEN
-        )
+        host = NETWORK.add_host()
+        (port,) = NETWORK.find_ports(host, 1)
+        fleet.add_instance(name, metrics_address=f"{host}:{port}", operator_token=TOKEN)
     fleet.await_ready()
     yield fleet
     fleet.close()
--- a/oriolepaddle/gossip/tests/test_socket.py
+++ b/oriolepaddle/gossip/tests/test_socket.py
@@ -3,19 +3,15 @@
 
 from oriolepaddle.gossip.socket import DatagramSocket
 from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram, DrawReply
+from oriolepaddle.standins import LoopbackNetwork
 
 SECRET = b"a secret of the tests"
-HOST = "127.0.0.1"
-
-
-def find_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as found:
-        found.bind((HOST, 0))
-        return found.getsockname()[1]
+HOST = LoopbackNetwork().add_host()
 
 
 def make_socket(take=lambda datagram, address: None):
-    address = (HOST, find_port())
+    (port,) = LoopbackNetwork.find_ports(HOST, 1, socket.SOCK_DGRAM)
+    address = (HOST, port)
     return DatagramSocket(address, SECRET, take), address
 
 
--- a/oriolepaddle/standins/__init__.py
+++ b/oriolepaddle/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the outside systems, for tests, demo and benchmarks."""
 
 from oriolepaddle.standins.engine import EngineFaults, EngineStandin, ReceivedRequest
+from oriolepaddle.standins.loopback import LoopbackNetwork
 from oriolepaddle.standins.platform import PlatformStandin
 from oriolepaddle.standins.publisher import TicketPublisher, make_key, make_object
 from oriolepaddle.standins.relay import RelayMode, RelayStandin
@@ -9,6 +10,7 @@
 __all__ = [
     "EngineFaults",
     "EngineStandin",
+    "LoopbackNetwork",
     "PlatformStandin",
     "ReceivedRequest",
     "RelayMode",
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,11 +16,11 @@
     KEY,
     OTHER_KEY,
     REGIONS,
-    find_port,
+    SIDES,
     make_document,
 )
 from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
-from oriolepaddle.standins import RelayStandin
+from oriolepaddle.standins import LoopbackNetwork, RelayStandin
 
 __all__ = ["SoakFleet", "now_s"]
 
@@ -31,9 +31,6 @@
 EVENT_PAUSE_S = 0.03
 REVOKED_KEYS_KEPT = 3
 SECRET = "a secret of the soak fleet"
-NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
-"""Loopback addresses of this process's own, so that soaks side by side do not
-take each other's ports between the finding and the binding."""
 SECOND_KEY = "second-key-of-norddal"
 
 
@@ -54,7 +51,10 @@
         self.store_relays: dict[str, RelayStandin] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._environments: dict[str, dict[str, str]] = {}
-        self._gossip_port = find_port("127.0.0.1", socket.SOCK_DGRAM)
+        self._network = LoopbackNetwork()
+        hosts = [self._network.add_host() for _ in range(instances_each * len(REGIONS))]
+        self._seeds = ",".join(f"{host}:1" for host in hosts[:3])
+        (self._gossip_port,) = self._network.find_ports(hosts[0], 1, socket.SOCK_DGRAM)
         self._lives: dict[str, int] = {}
         self.version = 0
         self.keys = [KEY, SECOND_KEY]
@@ -62,11 +62,9 @@
         self.left: dict[str, float] = {}
         self.absences: list[tuple[str, float, float]] = []
         self._make_runners()
-        number = 0
-        for data_centre in REGIONS:
-            for _ in range(instances_each):
-                number += 1
-                self._describe(f"n{number}", data_centre, number)
+        for number, host in enumerate(hosts):
+            data_centre = list(REGIONS)[number // instances_each]
+            self._describe(f"n{number + 1}", data_centre, host)
 
     def start(self) -> None:
         """Start everything."""
@@ -162,8 +160,7 @@
                     self.runners[name] = runner
                     self.relays[name] = relay
 
-    def _describe(self, name: str, data_centre: str, number: int) -> None:
-        host = f"{NETWORK}.{number}"
+    def _describe(self, name: str, data_centre: str, host: str) -> None:
         relay = self.store_relays[name] = RelayStandin(self.store.address)
         values = {
             "instance": name,
@@ -172,10 +169,10 @@
             "gossip_port": str(self._gossip_port),
             "platform_address": relay.address,
             "peer_secret": SECRET,
-            "seeds": ",".join(f"{NETWORK}.{seed}:1" for seed in (1, 2, 3)),
+            "seeds": self._seeds,
         }
-        for side in ("caller", "directory", "peer", "readiness"):
-            port = find_port(host, socket.SOCK_STREAM)
+        ports = self._network.find_ports(host, len(SIDES))
+        for side, port in zip(SIDES, ports, strict=True):
             values[f"{side}_address"] = f"{host}:{port}"
         self._environments[name] = {
             f"ORIOLEPADDLE_{field.upper()}": value for field, value in values.items()
