--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -31,6 +31,21 @@
 off from here."""
 
 
+@attrs.frozen
+class _RankedHubs:
+    """The hubs of one region and what they were chosen from.
+
+    Attributes:
+        alive: The other instances.
+        own: This instance.
+        hubs: The hubs, the first one first.
+    """
+
+    alive: list[RosterEntry]
+    own: RosterEntry
+    hubs: list[RosterEntry]
+
+
 class Roster:
     """Instances by id; thread-safe.
 
@@ -57,6 +72,7 @@
         self._entries: dict[str, RosterEntry] = {}
         self._silent: set[str] = set()
         self._alive: tuple[float, list[RosterEntry]] | None = None
+        self._hubs: dict[str, _RankedHubs] = {}
         self._leaving_s: dict[str, float] = {}
         self._told_counts: dict[str, tuple[float, int]] = {}
 
@@ -73,7 +89,9 @@
         """Note this instance's state."""
         if is_leaving and not self._own.is_leaving:
             self._leaving_s[self._own.id] = self._clock.monotonic_s()
-        self._own = attrs.evolve(self._own, is_ready=is_ready, is_leaving=is_leaving)
+        own = attrs.evolve(self._own, is_ready=is_ready, is_leaving=is_leaving)
+        if own != self._own:
+            self._own = own
 
     def note(self, entry: RosterEntry) -> None:
         """Take in what was heard of an instance; earlier word is dropped."""
@@ -165,7 +183,16 @@
             region: The region; None for this instance's own.
         """
         region = region or self.own.region
-        members = [item for item in self.alive() if item.instance.region == region]
+        alive, own = self.alive(), self._own
+        held = self._hubs.get(region)
+        # Each datagram asks for them several times.
+        if held is None or held.alive is not alive or held.own is not own:
+            hubs = self._rank_hubs(region, alive)
+            held = self._hubs[region] = _RankedHubs(alive, own, hubs)
+        return held.hubs
+
+    def _rank_hubs(self, region: str, alive: list[RosterEntry]) -> list[RosterEntry]:
+        members = [item for item in alive if item.instance.region == region]
         if region == self.own.region:
             members.append(self.own_entry())
         staying = [item for item in members if not item.is_leaving] or members
@@ -262,7 +289,17 @@
 
 
 def _is_news(held: RosterEntry, entry: RosterEntry) -> bool:
-    return attrs.evolve(held, heard_s=entry.heard_s) != entry
+    return _describe(held) != _describe(entry)
+
+
+def _describe(entry: RosterEntry) -> tuple[object, ...]:
+    return (
+        entry.incarnation,
+        entry.is_ready,
+        entry.is_leaving,
+        entry.peer_address,
+        entry.instance,
+    )
 
 
 def _rank(entry: RosterEntry) -> tuple[float, str]:
