Fetch the shared beginning of a prompt where it was read

An engine with a short queue is chosen over the one that has read a dossier.

A request that is sent elsewhere now names the endpoint that likely holds its beginning.

--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -112,6 +112,7 @@
             tries=progress.tries,
             hops=len(request.hops),
             expected_s=round(progress.expected_s, 3),
+            prefix_source=progress.prefix_source,
             first_byte_s=self._round_elapsed(progress.first_byte_s),
             elapsed_s=self._round_elapsed(self._parts.clock.monotonic_s()),
             **fields,
@@ -188,6 +189,8 @@
         parts = self._parts
         endpoint = choice.endpoint
         self._progress.target = endpoint.id
+        source = choice.prefix_source
+        self._progress.prefix_source = source.id if source else None
         run = parts.placer.start(choice, job)
         sink = self._make_sink(endpoint, run)
         admitted = self._admitted
@@ -199,6 +202,7 @@
             self._left_s(),
             self._splitter.last_id,
             job.urgency if admitted.route.is_stream else None,
+            source,
         )
         request = self._make_request(headers, ConnectionReuse.IF_SURELY_OPEN)
         try:
@@ -231,6 +235,7 @@
         parts = self._parts
         progress = self._progress
         progress.target = peer.instance
+        progress.prefix_source = None
         # It is passed on once, whatever becomes of it there.
         progress.may_leave = False
         parts.regions.note_sent(peer, job.service, job.input_tokens)
--- a/oriolepaddle/edge/progress.py
+++ b/oriolepaddle/edge/progress.py
@@ -20,6 +20,7 @@
         runs: Endpoints that may have run it, earlier ones included.
         target: The endpoint or instance of the last try.
         expected_s: Seconds to the first byte that were expected of it.
+        prefix_source: The endpoint from which it may fetch the prompt's beginning.
         first_byte_s: Monotonic time of the first byte, or None.
         has_repeat: Whether a repeat was granted that is not used yet.
         last_uncertain: The last failure after which it may have run.
@@ -33,6 +34,7 @@
     runs: int = 0
     target: str = ""
     expected_s: float = 0.0
+    prefix_source: str | None = None
     first_byte_s: float | None = None
     has_repeat: bool = False
     last_uncertain: OriolepaddleError | None = None
--- a/oriolepaddle/edge/protocol.py
+++ b/oriolepaddle/edge/protocol.py
@@ -32,6 +32,7 @@
         left_s: float,
         last_event_id: str | None,
         urgency: int | None = None,
+        prefix_source: RegisteredEndpoint | None = None,
     ) -> Headers:
         """Return the header fields of a request to an endpoint.
 
@@ -42,6 +43,8 @@
             left_s: Seconds until the answer must be whole.
             last_event_id: The event after which a stream goes on, or None.
             urgency: The rank at an engine, the lowest first, or None.
+            prefix_source: Another endpoint from which an engine may fetch what that
+                one holds of the prompt, or None.
         """
         ...
 
--- a/oriolepaddle/placement/choice.py
+++ b/oriolepaddle/placement/choice.py
@@ -17,9 +17,12 @@
         uncached_tokens: Tokens of the prompt that it will have to read.
         is_doubtful: Whether it could not be reached of late, like all others
             that might run the request.
+        prefix_source: Another endpoint that likely holds the beginning of the prompt,
+            or None.
     """
 
     endpoint: RegisteredEndpoint
     expected_s: float
     uncached_tokens: int
     is_doubtful: bool = False
+    prefix_source: RegisteredEndpoint | None = None
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -10,15 +10,17 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-import xxhash
+import attrs
 
 from oriolepaddle.catalog import Catalog, EndpointService, RegisteredEndpoint
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.homes import rank_homes
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
 from oriolepaddle.placement.pace import ServicePace
+from oriolepaddle.placement.prefix_source import find_prefix_source
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
 from oriolepaddle.placement.weights import PlacingWeights
@@ -94,7 +96,9 @@
             if load.is_cold(now_s):
                 # It is taken here, so that two requests do not get the same.
                 load.cold.take(now_s, self._find_cold_share())
-        return choice
+            loads = [load for _, _, load in weighed]
+            source = find_prefix_source(job, load, loads, now_s)
+        return attrs.evolve(choice, prefix_source=source)
 
     def explain(self, job: Job) -> tuple[EndpointScore, ...]:
         """Return how the endpoints compare for a request, the best first."""
@@ -187,7 +191,8 @@
             for load in self._list_loads(job.service, now_s)
             if load.endpoint.incarnation not in excluded
         ]
-        bonuses = _find_bonuses(loads, job)
+        homes = rank_homes((load.endpoint.id for load in loads), job)
+        bonuses = dict(zip(homes, HOME_BONUSES_S, strict=False))
         return [(*self._weigh(load, job, now_s, bonuses), load) for load in loads]
 
     def _weigh(
@@ -239,15 +244,3 @@
             )
         held.endpoint = endpoint
         return held
-
-
-def _find_bonuses(loads: list[EndpointLoad], job: Job) -> dict[str, float]:
-    if len(job.parts) < 2:
-        return {}
-    # The last part is the request's own; the one before it is shared.
-    shared = job.parts[-2].id
-    names = sorted(
-        (load.endpoint.id for load in loads),
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{name}|{shared}".encode()),
-    )
-    return dict(zip(names, HOME_BONUSES_S, strict=False))
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -11,6 +11,7 @@
 SEAL = "X-Oriolepaddle-Server-Seal"
 NOT_RUN = "X-Oriolepaddle-Not-Run"
 LOAD = "X-Oriolepaddle-Server-Load"
+PREFIX_SOURCE = "Kv-Fetch"
 INSTANCE = "X-Oriolepaddle-Instance"
 
 RESERVED = frozenset(
@@ -24,7 +25,7 @@
         "X-Oriolepaddle-Pin-Ms",
         "X-Oriolepaddle-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        PREFIX_SOURCE,
     )
 )
 """Header fields that only the gateway may set towards endpoints."""
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -85,6 +85,7 @@
         left_s: float,
         last_event_id: str | None,
         urgency: int | None = None,
+        prefix_source: RegisteredEndpoint | None = None,
     ) -> tuple[tuple[str, str], ...]:
         """Return the fields for an endpoint; see `EdgeProtocol`."""
         headers = [
@@ -99,6 +100,8 @@
             headers.append((names.URGENCY, str(urgency)))
         if last_event_id is not None:
             headers.append((names.LAST_EVENT_ID, last_event_id))
+        if prefix_source is not None:
+            headers.append((names.PREFIX_SOURCE, prefix_source.address))
         return tuple(headers)
 
     def write_peer_headers(
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -1,3 +1,4 @@
+import attrs
 import pytest
 from hypothesis import given, settings, strategies as st
 from werkzeug.test import EnvironBuilder
@@ -84,6 +85,23 @@
         assert headers["X-Oriolepaddle-Tenant"] == "huka"
         assert headers["X-Oriolepaddle-Deadline-Ms"] == "1250"
         assert headers["Last-Event-Id"] == "7"
+        assert "Kv-Fetch" not in headers
+
+    def test_name_where_the_prompt_may_be_fetched(self):
+        source = attrs.evolve(ENDPOINT, id="i-2", address="10.1.64.44:8667")
+        headers = dict(
+            PROTOCOL.write_endpoint_headers(
+                read(), ENDPOINT, "huka", 1.25, None, prefix_source=source
+            )
+        )
+        assert headers["Kv-Fetch"] == "10.1.64.44:8667"
+
+    def test_drop_the_callers_word_on_where_to_fetch(self):
+        request = read(Kv_Fetch="10.9.9.9:80")
+        headers = dict(
+            PROTOCOL.write_endpoint_headers(request, ENDPOINT, "huka", 1.25, None)
+        )
+        assert "Kv-Fetch" not in headers
 
 
 class TestPeerHeaders:
