Tell the other instances which prompts were sent where

Now the parts of long prompts go along with the load that instances tell each other, for 0.6 s after the sending. Ruled out: a report of the engines' caches, which each instance would have to ask every engine for.

The emulator's engines fetch, too.

--- a/experiments/placement/batch_engine.py
+++ b/experiments/placement/batch_engine.py
@@ -43,6 +43,7 @@
         job: The request.
         on_event: Called with each event.
         on_end: Called after the last event.
+        source: The engine from which the prompt's beginning is fetched, or None.
         unread: Tokens of the prompt that are still to be read.
         tokens: Tokens of the answer so far.
     """
@@ -50,6 +51,7 @@
     job: Job
     on_event: Callable[[], None]
     on_end: Callable[[], None]
+    source: "BatchEngine | None" = None
     unread: int = 0
     tokens: int = 0
 
@@ -140,10 +142,18 @@
             if held > self._figures.cache_tokens and self._running:
                 return
             self._waiting.pop(0)
+            self._fetch(run)
             run.unread = max(1, run.job.input_tokens - self._count_cached(run.job))
             self._running.append(run)
             self._keep(run.job, self._figures.cache_tokens - held)
 
+    def _fetch(self, run: EngineRun) -> None:
+        # A transfer takes some milliseconds, which are left out.
+        for part in run.job.parts:
+            if run.source is None or part.id not in run.source._cached:
+                return
+            self._cached.setdefault(part.id, part.tokens)
+
     def _count_cached(self, job: Job) -> int:
         cached = 0
         for part in job.parts:
--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -184,7 +184,13 @@
             return
         self._placed = self._placer.start(choice, self._job)
         self._engine = self._region.engines[choice.endpoint.id]
-        self._run = EngineRun(self._job, self._on_event, self._on_end)
+        source = choice.prefix_source
+        self._run = EngineRun(
+            self._job,
+            self._on_event,
+            self._on_end,
+            self._region.engines[source.id] if source else None,
+        )
         loop.schedule(WAY_S, self._engine.submit, self._run)
         loop.schedule(self._outcome.kind.deadline_s, self._leave)
         self._watch()
--- /dev/null
+++ b/oriolepaddle/gossip/tests/test_work.py
@@ -0,0 +1,65 @@
+import pytest
+
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.gossip import RegionWork
+from oriolepaddle.gossip.work import MAX_SENT_PARTS
+from oriolepaddle.placement import PeerLoad, PromptPart
+
+SYSTEM, DOSSIER, OTHER = (
+    PromptPart("5c1e07a2", 800),
+    PromptPart("91bd3f06", 4000),
+    PromptPart("e4402b7d", 2500),
+)
+
+
+class FakePlacer:
+    """Tells what it is set to and keeps what it hears."""
+
+    def __init__(self, loads=None):
+        self.loads = loads or {}
+        self.heard = {}
+
+    def own_loads(self):
+        return self.loads
+
+    def apply_peer(self, name, loads):
+        self.heard[name] = loads
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+class TestSentParts:
+    def test_reach_the_other_members_through_a_hub(self, clock):
+        hub = RegionWork(clock, FakePlacer({"e1": PeerLoad(1, 0, sent_parts=(OTHER,))}))
+        sender_placer = FakePlacer({"e1": PeerLoad(0, 0, sent_parts=(SYSTEM, DOSSIER))})
+        hub.note_member("n2", RegionWork(clock, sender_placer).own())
+        receiver = FakePlacer()
+        RegionWork(clock, receiver).note_others(hub.sum_others("n3"))
+        (heard,) = receiver.heard.values()
+        assert set(heard["e1"].sent_parts) == {SYSTEM, DOSSIER, OTHER}
+        assert heard["e1"].running == 1
+
+    def test_are_not_told_back(self, clock):
+        hub = RegionWork(clock, FakePlacer())
+        placer = FakePlacer({"e1": PeerLoad(1, 0, sent_parts=(SYSTEM,))})
+        hub.note_member("n2", RegionWork(clock, placer).own())
+        assert hub.sum_others("n2") == []
+
+    def test_are_told_once_each(self, clock):
+        hub = RegionWork(clock, FakePlacer())
+        for name in ("n2", "n3"):
+            placer = FakePlacer({"e1": PeerLoad(1, 0, sent_parts=(SYSTEM,))})
+            hub.note_member(name, RegionWork(clock, placer).own())
+        (work,) = hub.sum_others("n4")
+        assert [part.id for part in work.sent_parts] == [SYSTEM.id]
+
+    def test_are_few_enough_for_a_datagram(self, clock):
+        parts = tuple(PromptPart(f"{number:08x}", 10) for number in range(5000))
+        loads = {name: PeerLoad(1, 0, sent_parts=parts) for name in ("e1", "e2", "e3")}
+        told = RegionWork(clock, FakePlacer(loads)).own()
+        assert sum(len(work.sent_parts) for work in told) <= MAX_SENT_PARTS
+        # The latest ones are told.
+        assert {work.sent_parts[-1].id for work in told} == {parts[-1].id}
--- a/oriolepaddle/gossip/work.py
+++ b/oriolepaddle/gossip/work.py
@@ -4,13 +4,16 @@
 from collections.abc import Iterable
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.peers.gen_py.gossip.ttypes import EndpointWork
-from oriolepaddle.placement import PeerLoad, Placer
+from oriolepaddle.peers.gen_py.gossip.ttypes import EndpointWork, SentPart
+from oriolepaddle.placement import PeerLoad, Placer, PromptPart
 
 __all__ = ["RegionWork"]
 
 MEMORY_S = 1.5
 """Age at which an instance's word on its work counts no longer."""
+MAX_SENT_PARTS = 1000
+"""Parts of prompts told in one datagram, some 14 bytes each, so that it stays well
+below the largest one; what is left out is read anew."""
 REGION = "region"
 """The name under which a member notes the work of all others together."""
 
@@ -68,12 +71,14 @@
             item.memory_tokens,
             (item.reading_ms or 0) / 1000,
             (item.expected_ms or 0) / 1000,
+            tuple(PromptPart(part.id, part.tokens) for part in item.sent_parts or ()),
         )
         for item in work
     }
 
 
 def _write(loads: dict[str, PeerLoad]) -> list[EndpointWork]:
+    each = MAX_SENT_PARTS // max(1, len(loads))
     return [
         EndpointWork(
             name,
@@ -82,6 +87,8 @@
             load.memory_tokens,
             int(load.reading_s * 1000),
             int(load.expected_s * 1000),
+            [SentPart(part.id, part.tokens) for part in load.sent_parts[-each:]]
+            or None,
         )
         for name, load in loads.items()
     ]
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -182,6 +182,80 @@
         return not (self == other)
 
 
+class SentPart(object):
+    """
+    A part of a prompt, as the gateway's callers name it.
+
+    Attributes:
+     - id
+     - tokens
+
+    """
+
+
+    def __init__(self, id=None, tokens=None,):
+        self.id = id
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SentPart')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.id is None:
+            raise TProtocolException(message='Required field id is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointWork(object):
     """
     What runs at an endpoint by requests of one or more instances.
@@ -193,17 +267,19 @@
      - memory_tokens
      - reading_ms: Time that first events took of late, and that was expected of them.
      - expected_ms
+     - sent_parts: Parts of long prompts that were sent there of late.
 
     """
 
 
-    def __init__(self, endpoint=None, running=None, prefill_tokens=None, memory_tokens=None, reading_ms=None, expected_ms=None,):
+    def __init__(self, endpoint=None, running=None, prefill_tokens=None, memory_tokens=None, reading_ms=None, expected_ms=None, sent_parts=None,):
         self.endpoint = endpoint
         self.running = running
         self.prefill_tokens = prefill_tokens
         self.memory_tokens = memory_tokens
         self.reading_ms = reading_ms
         self.expected_ms = expected_ms
+        self.sent_parts = sent_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -244,6 +320,17 @@
                     self.expected_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.sent_parts = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = SentPart()
+                        _elem5.read(iprot)
+                        self.sent_parts.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -278,6 +365,13 @@
             oprot.writeFieldBegin('expected_ms', TType.I32, 6)
             oprot.writeI32(self.expected_ms)
             oprot.writeFieldEnd()
+        if self.sent_parts is not None:
+            oprot.writeFieldBegin('sent_parts', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.sent_parts))
+            for iter6 in self.sent_parts:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -584,10 +678,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.lives = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lives.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lives.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -608,8 +702,8 @@
         if self.lives is not None:
             oprot.writeFieldBegin('lives', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.lives))
-            for iter6 in self.lives:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter13 in self.lives:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -730,77 +824,77 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EndpointWork()
-                        _elem12.read(iprot)
-                        self.work.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointWork()
+                        _elem19.read(iprot)
+                        self.work.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.waits = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = RegionWait()
-                        _elem18.read(iprot)
-                        self.waits.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = RegionWait()
+                        _elem25.read(iprot)
+                        self.waits.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.balances = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = TokenBalance()
-                        _elem24.read(iprot)
-                        self.balances.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = TokenBalance()
+                        _elem31.read(iprot)
+                        self.balances.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = TokenGrant()
-                        _elem30.read(iprot)
-                        self.grants.append(_elem30)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = TokenGrant()
+                        _elem37.read(iprot)
+                        self.grants.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = CrashRecord()
-                        _elem36.read(iprot)
-                        self.crashes.append(_elem36)
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = CrashRecord()
+                        _elem43.read(iprot)
+                        self.crashes.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = InstanceRecord()
-                        _elem42.read(iprot)
-                        self.members.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = InstanceRecord()
+                        _elem49.read(iprot)
+                        self.members.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype44, _vtype45, _size43) = iprot.readMapBegin()
-                    for _i47 in range(_size43):
-                        _key48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val49 = iprot.readI32()
-                        self.counts[_key48] = _val49
+                    (_ktype51, _vtype52, _size50) = iprot.readMapBegin()
+                    for _i54 in range(_size50):
+                        _key55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val56 = iprot.readI32()
+                        self.counts[_key55] = _val56
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -854,51 +948,51 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter50 in self.work:
-                iter50.write(oprot)
+            for iter57 in self.work:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter51 in self.waits:
-                iter51.write(oprot)
+            for iter58 in self.waits:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
             oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter52 in self.balances:
-                iter52.write(oprot)
+            for iter59 in self.balances:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter53 in self.grants:
-                iter53.write(oprot)
+            for iter60 in self.grants:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter54 in self.crashes:
-                iter54.write(oprot)
+            for iter61 in self.crashes:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter55 in self.members:
-                iter55.write(oprot)
+            for iter62 in self.members:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter56, viter57 in self.counts.items():
-                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
-                oprot.writeI32(viter57)
+            for kiter63, viter64 in self.counts.items():
+                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
+                oprot.writeI32(viter64)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_age_us is not None:
@@ -1213,6 +1307,12 @@
     (8, TType.BOOL, 'is_leaving', None, None, ),  # 8
     (9, TType.I32, 'age_ms', None, None, ),  # 9
 )
+all_structs.append(SentPart)
+SentPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+)
 all_structs.append(EndpointWork)
 EndpointWork.thrift_spec = (
     None,  # 0
@@ -1222,6 +1322,7 @@
     (4, TType.I32, 'memory_tokens', None, None, ),  # 4
     (5, TType.I32, 'reading_ms', None, None, ),  # 5
     (6, TType.I32, 'expected_ms', None, None, ),  # 6
+    (7, TType.LIST, 'sent_parts', (TType.STRUCT, [SentPart, None], False), None, ),  # 7
 )
 all_structs.append(RegionWait)
 RegionWait.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -14,6 +14,12 @@
   9: required i32 age_ms,
 }
 
+/** A part of a prompt, as the gateway's callers name it. */
+struct SentPart {
+  1: required string id,
+  2: required i32 tokens,
+}
+
 /** What runs at an endpoint by requests of one or more instances. */
 struct EndpointWork {
   1: required string endpoint,
@@ -23,6 +29,8 @@
   /** Time that first events took of late, and that was expected of them. */
   5: optional i32 reading_ms,
   6: optional i32 expected_ms,
+  /** Parts of long prompts that were sent there of late. */
+  7: optional list<SentPart> sent_parts,
 }
 
 /** The wait that a request would meet in a region. */
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -1,13 +1,14 @@
 """What one instance knows of an endpoint's load."""
 
 import math
+from collections import deque
 
 import attrs
 
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
 from oriolepaddle.logs import log_event
 from oriolepaddle.placement.cold_start import ColdStartBucket
-from oriolepaddle.placement.job import Job
+from oriolepaddle.placement.job import Job, PromptPart
 from oriolepaddle.placement.pace import EndpointPace, ServicePace
 from oriolepaddle.placement.prefix_history import PrefixHistory
 from oriolepaddle.placement.silence import SilenceWatch
@@ -37,6 +38,11 @@
 """Pauses after an endpoint could not be reached; doubled at each failure."""
 PEER_LOAD_MEMORY_S = 1.5
 """Age at which a peer's word on its own load counts no longer."""
+TOLD_FOR_S = 0.6
+"""Time for which others are told of a prompt: longer than the time between two words
+to them, so that one may be lost."""
+LEAST_TOLD_TOKENS = 2000
+"""Prompts below which an engine reads the beginning anew in some ten milliseconds."""
 MEMORY_PART = 0.92
 """Part of an engine's memory above which it begins to preempt runs."""
 
@@ -51,6 +57,7 @@
         memory_tokens: Tokens of memory that they may hold.
         reading_s: Seconds that its prompts took to be read of late.
         expected_s: Seconds that were expected of them without a correction.
+        sent_parts: Parts of the prompts that were sent there of late.
     """
 
     running: int
@@ -58,11 +65,13 @@
     memory_tokens: int = 0
     reading_s: float = 0.0
     expected_s: float = 0.0
+    sent_parts: tuple[PromptPart, ...] = ()
 
     @property
     def is_idle(self) -> bool:
         """Whether it tells nothing."""
-        return not self.running and self.expected_s < LEAST_EXPECTED_S
+        is_quiet = not self.running and not self.sent_parts
+        return is_quiet and self.expected_s < LEAST_EXPECTED_S
 
     def add(self, other: "PeerLoad") -> "PeerLoad":
         """Return both loads together."""
@@ -72,6 +81,7 @@
             self.memory_tokens + other.memory_tokens,
             self.reading_s + other.reading_s,
             self.expected_s + other.expected_s,
+            tuple(dict.fromkeys(self.sent_parts + other.sent_parts)),
         )
 
 
@@ -102,6 +112,7 @@
         engine = service.engine
         self.slots = engine.slots if engine else endpoint.slots
         self.history = PrefixHistory(engine.cache_tokens if engine else 0)
+        self._sent: deque[tuple[float, tuple[PromptPart, ...]]] = deque()
         self.cold = ColdStartBucket(service.cold_requests_per_s, now_s, cold_share)
         self._peers: dict[str, tuple[float, PeerLoad]] = {}
         self._reading_s = 0.0
@@ -144,6 +155,20 @@
             self._peers.pop(name, None)
         else:
             self._peers[name] = (now_s, load)
+        self.history.record(load.sent_parts)
+
+    def note_prompt(self, job: Job, now_s: float) -> None:
+        """Note that a prompt is sent there."""
+        self.history.record(job.parts)
+        if job.parts and job.input_tokens >= LEAST_TOLD_TOKENS:
+            self._sent.append((now_s, job.parts))
+
+    def tell(self, now_s: float) -> PeerLoad:
+        """Return the load from this instance, with the prompts that it has sent."""
+        while self._sent and now_s - self._sent[0][0] > TOLD_FOR_S:
+            self._sent.popleft()
+        parts = dict.fromkeys(part for _, sent in self._sent for part in sent)
+        return attrs.evolve(self.own(now_s), sent_parts=tuple(parts))
 
     def own(self, now_s: float) -> PeerLoad:
         """Return the load from this instance."""
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -144,10 +144,12 @@
         return PlacedRun(self._clock, self._lock, load, choice, job)
 
     def own_loads(self) -> dict[str, PeerLoad]:
-        """Return what this instance has running, by the endpoint's id."""
+        """Return what this instance tells of its requests, by the endpoint's id."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            loads = {load.endpoint.id: load.own(now_s) for load in self._loads.values()}
+            loads = {
+                load.endpoint.id: load.tell(now_s) for load in self._loads.values()
+            }
         return {name: load for name, load in loads.items() if not load.is_idle}
 
     def renew_cold_parts(self) -> None:
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -44,7 +44,7 @@
             load.running += 1
             load.prefill_tokens += self._uncached
             load.memory_tokens += job.memory_tokens
-            load.history.record(job.parts)
+            load.note_prompt(job, self._started_s)
 
     def begin(self) -> None:
         """Note the first byte of the answer; later calls do nothing."""
