--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -91,6 +91,11 @@
             for number in range(scenario.instances)
         }
 
+    @property
+    def fetches(self) -> bool:
+        """Whether engines fetch the beginnings of prompts."""
+        return self._variant.has_fetching
+
     def play(self, duration_s: float) -> list[Outcome]:
         """Play so many seconds of requests and let them end."""
         for kind in self._scenario.kinds:
@@ -149,6 +154,11 @@
     def _announce(self) -> None:
         for name, placer in self._placers.items():
             loads = placer.own_loads()
+            if not self._variant.has_telling:
+                loads = {
+                    endpoint: attrs.evolve(load, sent_parts=())
+                    for endpoint, load in loads.items()
+                }
             for other, receiver in self._placers.items():
                 if other != name:
                     self.loop.schedule(WORD_LAG_S, receiver.apply_peer, name, loads)
@@ -184,7 +194,7 @@
             return
         self._placed = self._placer.start(choice, self._job)
         self._engine = self._region.engines[choice.endpoint.id]
-        source = choice.prefix_source
+        source = choice.prefix_source if self._region.fetches else None
         self._run = EngineRun(
             self._job,
             self._on_event,
--- a/experiments/placement/scenario.py
+++ b/experiments/placement/scenario.py
@@ -67,11 +67,15 @@
         name: Its name.
         weights: What the placer minds beside the first byte.
         has_urgency: Whether requests have ranks at the engines.
+        has_fetching: Whether engines fetch the beginnings of prompts.
+        has_telling: Whether instances tell each other which prompts they sent where.
     """
 
     name: str
     weights: PlacingWeights
     has_urgency: bool
+    has_fetching: bool = True
+    has_telling: bool = True
 
 
 SPEEDS = (0.6, 1.0, 1.6)
@@ -100,5 +104,7 @@
     Variant("no urgency", _CHOSEN, False),
     Variant("no stream", attrs.evolve(_CHOSEN, stream=0.0), True),
     Variant("no disturbance", attrs.evolve(_CHOSEN, disturbance=0.0), True),
+    Variant("neither fetched nor told", _CHOSEN, True, False, False),
+    Variant("fetched, not told", _CHOSEN, True, True, False),
     Variant("chosen", _CHOSEN, True),
 )
--- a/experiments/tests/test_placement.py
+++ b/experiments/tests/test_placement.py
@@ -90,3 +90,11 @@
         after = summarize("all", play("busy", "chosen"))
         assert after.worth >= before.worth
         assert after.large_worth >= before.large_worth
+
+    def test_telling_of_prompts_serves_more(self):
+        """The load: a region's peak, with more dossiers than an engine can hold."""
+        before = summarize("all", play("peak", "neither fetched nor told"))
+        after = summarize("all", play("peak", "chosen"))
+        assert after.on_time >= before.on_time
+        assert after.worth >= before.worth
+        assert after.refused <= before.refused
