--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_edge_prompts.py
@@ -0,0 +1,51 @@
+import pytest
+
+from oriolepaddle.daemon.tests.edge_fleet import ENGINES, EdgeFleet
+from oriolepaddle.placement import PeerLoad
+
+NAMES = ("e1", "e2")
+BUSY = PeerLoad(40, 400_000, 0)
+
+
+@pytest.fixture
+def fleet():
+    fleet = EdgeFleet()
+    for name in NAMES:
+        fleet.add_runner(name, ENGINES, events=5)
+    fleet.add_instance("n1")
+    fleet.await_ready()
+    yield fleet
+    fleet.close()
+
+
+def ask(fleet, own_part):
+    status, _ = fleet.ask(
+        "n1",
+        "/ask/1",
+        method="POST",
+        X_Oriolepaddle_Token_Count="9000,50",
+        X_Oriolepaddle_Prompt_Prefix=f"5c1e:2500,91bd:4000,{own_part}:2500",
+    )
+    assert status == 200
+
+
+class TestPrefixSource:
+    """The load: a dossier is asked for again while the engine that has it is busy."""
+
+    def test_other_engine_is_told_where_to_fetch(self, fleet):
+        ask(fleet, "a1")
+        (first,) = [name for name in NAMES if fleet.runners[name].received]
+        (other,) = set(NAMES) - {first}
+        instance = fleet.instances["n1"]
+        instance.parts.placer.apply_peer("n2", {fleet.runners[first].id: BUSY})
+        ask(fleet, "a2")
+        headers = fleet.runners[other].received[-1].headers
+        assert headers["kv-fetch"] == fleet.runners[first].address
+        assert b"oriolepaddle_prefix_fetches_total 1.0" in instance.metrics.write()
+
+    def test_same_engine_is_told_nothing(self, fleet):
+        ask(fleet, "a1")
+        ask(fleet, "a2")
+        found = [run for name in NAMES for run in fleet.runners[name].received]
+        assert len(found) == 2
+        assert all("kv-fetch" not in run.headers for run in found)
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -191,6 +191,8 @@
         self._progress.target = endpoint.id
         source = choice.prefix_source
         self._progress.prefix_source = source.id if source else None
+        if source is not None:
+            parts.metrics.prefix_fetches.inc()
         run = parts.placer.start(choice, job)
         sink = self._make_sink(endpoint, run)
         admitted = self._admitted
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -36,6 +36,9 @@
         self.forwards = self._count(
             "forwards", "Requests passed on to a data centre.", "data_centre"
         )
+        self.prefix_fetches = self._count(
+            "prefix_fetches", "Requests whose prompt's beginning may be fetched."
+        )
         self.output_tokens = self._count("output_tokens", "Tokens passed on.", "route")
         self.queue_time = self._measure(
             "queue_seconds", "Time waiting for an endpoint.", QUEUE_BUCKETS_S
