--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -8,6 +8,7 @@
 from oriolepaddle.edge.admission import Admitted, admit, check_knowledge
 from oriolepaddle.edge.crash_register import make_request_fingerprint
 from oriolepaddle.edge.event_splitter import EventSplitter
+from oriolepaddle.edge.exchange_log import ExchangeLog
 from oriolepaddle.edge.parts import EdgeParts
 from oriolepaddle.edge.placing import make_job, place
 from oriolepaddle.edge.progress import ExchangeProgress
@@ -28,7 +29,6 @@
     Outcome,
     RefusedError,
 )
-from oriolepaddle.logs import log_event
 from oriolepaddle.placement import Choice, Job, PlacedRun
 from oriolepaddle.web import AnswerWriter
 
@@ -58,6 +58,7 @@
         self._writer = writer
         self._splitter = EventSplitter(request.last_event_id)
         self._progress = ExchangeProgress(request.earlier_runs, not request.hops)
+        self._log = ExchangeLog(parts, request, self._progress)
         self._admitted: Admitted | None = None
         self._fingerprint = ""
         self._deadline_s = float("inf")
@@ -97,31 +98,7 @@
 
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request with what decided it."""
-        admitted = self._admitted
-        progress = self._progress
-        request = self._request
-        organisation = admitted.organisation if admitted else None
-        log_event(
-            event,
-            request_id=request.id,
-            route=admitted.route.name if admitted else None,
-            organisation=organisation.id if organisation else None,
-            version=admitted.version if admitted else self._parts.catalog.version,
-            knowledge_age_s=round(self._parts.catalog.age_s(), 3),
-            target=progress.target,
-            tries=progress.tries,
-            hops=len(request.hops),
-            expected_s=round(progress.expected_s, 3),
-            prefix_source=progress.prefix_source,
-            first_byte_s=self._round_elapsed(progress.first_byte_s),
-            elapsed_s=self._round_elapsed(self._parts.clock.monotonic_s()),
-            **fields,
-        )
-
-    def _round_elapsed(self, moment_s: float | None) -> float | None:
-        if moment_s is None:
-            return None
-        return round(moment_s - self._request.arrived_s, 3)
+        self._log.write(event, self._admitted, **fields)
 
     def _set_deadline(self, admitted: Admitted) -> None:
         timeout_s = admitted.route.timeout.total_seconds()
--- /dev/null
+++ b/oriolepaddle/edge/exchange_log.py
@@ -0,0 +1,59 @@
+"""What is logged of one request."""
+
+from oriolepaddle.edge.admission import Admitted
+from oriolepaddle.edge.parts import EdgeParts
+from oriolepaddle.edge.progress import ExchangeProgress
+from oriolepaddle.edge.request import EdgeRequest
+from oriolepaddle.logs import log_event
+
+__all__ = ["ExchangeLog"]
+
+
+class ExchangeLog:
+    """Writes a request's events with what decided them.
+
+    Args:
+        parts: The clock and the catalog.
+        request: The request.
+        progress: Its tries.
+    """
+
+    def __init__(
+        self, parts: EdgeParts, request: EdgeRequest, progress: ExchangeProgress
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._progress = progress
+
+    def write(self, event: str, admitted: Admitted | None, **fields: object) -> None:
+        """Write an event.
+
+        Args:
+            event: Its name.
+            admitted: How the request was admitted, or None if it was not.
+            fields: What this event has beside the fields of all.
+        """
+        progress = self._progress
+        catalog = self._parts.catalog
+        organisation = admitted.organisation if admitted else None
+        log_event(
+            event,
+            request_id=self._request.id,
+            route=admitted.route.name if admitted else None,
+            organisation=organisation.id if organisation else None,
+            version=admitted.version if admitted else catalog.version,
+            knowledge_age_s=round(catalog.age_s(), 3),
+            target=progress.target,
+            tries=progress.tries,
+            hops=len(self._request.hops),
+            expected_s=round(progress.expected_s, 3),
+            prefix_source=progress.prefix_source,
+            first_byte_s=self._round_elapsed(progress.first_byte_s),
+            elapsed_s=self._round_elapsed(self._parts.clock.monotonic_s()),
+            **fields,
+        )
+
+    def _round_elapsed(self, moment_s: float | None) -> float | None:
+        if moment_s is None:
+            return None
+        return round(moment_s - self._request.arrived_s, 3)
