Keep absurd token counts of callers out of the datagrams' fields

The codec raised OverflowError on the announcing thread, which nothing caught, so that the instance fell silent for the rest of its life.

Token counts above that are now a malformed request, sums are cut at the field's largest number, parts with endless names are not told, and a datagram that cannot be written is logged and lost. Digits other than 0 to 9, as in a damaged Keep-Alive or load field, no longer raise where a number is read.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -171,6 +171,6 @@
 def _read_kept_for(value: str) -> float | None:
     for item in value.split(","):
         name, _, seconds = item.strip().partition("=")
-        if name.lower() == "timeout" and seconds.strip().isdigit():
+        if name.lower() == "timeout" and seconds.strip().isdecimal():
             return float(seconds)
     return None
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -34,7 +34,7 @@
 """Time for which a hub tells its receivers the same state; it speaks with tens of
 them a second, and each hears it twice to four times in that."""
 MAX_CRASHES = 20
-MAX_AGE_MS = 2**31 - 1
+MAX_MS = 2**31 - 1
 
 
 @attrs.define
@@ -191,13 +191,13 @@
         for name in document.services if document else ():
             wait_s = state.placer.estimate_s(name, TYPICAL_PROMPT_TOKENS)
             if wait_s is not None:
-                waits.append(RegionWait(own, name, int(wait_s * 1000)))
+                waits.append(RegionWait(own, name, _to_ms(wait_s)))
         return waits
 
     def _list_far_waits(self) -> list[RegionWait]:
         own = self._roster.own.region
         return [
-            RegionWait(region, service, int(wait_s * 1000))
+            RegionWait(region, service, _to_ms(wait_s))
             for region, service, wait_s in self._state.loads.waits()
             if region != own
         ]
@@ -224,13 +224,17 @@
     announcement.grants = [TokenGrant(name, tokens) for name, tokens in grants.items()]
 
 
+def _to_ms(duration_s: float) -> int:
+    return min(MAX_MS, max(0, int(duration_s * 1000)))
+
+
 def _to_us(duration_s: float) -> int:
     return int(duration_s * MICROSECONDS_PER_S)
 
 
 def write_record(entry: RosterEntry, now_s: float) -> InstanceRecord:
     """Return what others are told of an instance."""
-    age_ms = min(MAX_AGE_MS, max(0, int((now_s - entry.heard_s) * 1000)))
+    age_ms = _to_ms(now_s - entry.heard_s)
     return InstanceRecord(
         instance=entry.id,
         incarnation=entry.incarnation,
--- a/oriolepaddle/gossip/socket.py
+++ b/oriolepaddle/gossip/socket.py
@@ -62,7 +62,8 @@
         """Send a datagram; one that cannot be sent is logged and lost."""
         try:
             self._socket.sendto(write_datagram(datagram, self._secret), address)
-        except OSError as error:
+        except (OSError, OverflowError) as error:
+            # A number that has no room in its field must not end the sender's thread.
             log_event("datagram_not_sent", address=address[0], reason=str(error))
 
     def _receive(self) -> None:
--- a/oriolepaddle/gossip/tests/test_draws.py
+++ b/oriolepaddle/gossip/tests/test_draws.py
@@ -1,10 +1,12 @@
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
 from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.gossip.codec import write_datagram
 from oriolepaddle.gossip.tests.fleet import ORGANISATION, GossipFleet
-from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram
+from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram, Draw
 
 
 class DirectSocket:
@@ -86,3 +88,13 @@
         with pytest.raises(RefusedError) as caught:
             draws.draw("norddal", 10, 0)
         assert caught.value.code is ErrorCode.NOT_READY
+
+    def test_absurd_draw_is_answered(self, fleet):
+        """A caller may name more tokens than the rate gives in years."""
+        sent = []
+        node = fleet.nodes["n1"]
+        node.state.draws.socket = SimpleNamespace(send=lambda *item: sent.append(item))
+        node.state.draws.answer(Draw(1, ORGANISATION.id, 2**40), ("10.0.0.3", 0))
+        ((datagram, _),) = sent
+        assert datagram.reply.tokens == 0
+        assert write_datagram(datagram, b"a secret of the tests")
--- a/oriolepaddle/gossip/tests/test_socket.py
+++ b/oriolepaddle/gossip/tests/test_socket.py
@@ -52,3 +52,8 @@
                 target.close()
                 stranger.sendto(b"x" * 40, address)
             target.close()
+
+    def test_goes_on_after_a_number_without_room(self):
+        source, address = make_socket()
+        source.send(Datagram(reply=DrawReply(2**80, 1, 0, 0)), address)
+        source.close()
--- a/oriolepaddle/gossip/tests/test_work.py
+++ b/oriolepaddle/gossip/tests/test_work.py
@@ -2,7 +2,13 @@
 
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.gossip import RegionWork
+from oriolepaddle.gossip.codec import read_datagram, write_datagram
 from oriolepaddle.gossip.work import MAX_SENT_PARTS
+from oriolepaddle.peers.gen_py.gossip.ttypes import (
+    Announcement,
+    Datagram,
+    InstanceRecord,
+)
 from oriolepaddle.placement import PeerLoad, PromptPart
 
 SYSTEM, DOSSIER, OTHER = (
@@ -63,3 +69,20 @@
         assert sum(len(work.sent_parts) for work in told) <= MAX_SENT_PARTS
         # The latest ones are told.
         assert {work.sent_parts[-1].id for work in told} == {parts[-1].id}
+
+
+class TestLargeNumbers:
+    """The load: callers that name absurd token counts, each of them allowed."""
+
+    def test_fit_into_a_datagram(self, clock):
+        most = 2**31 - 1
+        part = PromptPart("a", most)
+        load = PeerLoad(1, 3 * most, 5 * most, 1e9, 1e9, (part,))
+        told = RegionWork(clock, FakePlacer({"e1": load})).own()
+        sender = InstanceRecord("n1", 1, "a", "x:1", "x:2", 1, True, False, 0)
+        announcement = Announcement(sender, 1, version=1, delegates=False, work=told)
+        secret = b"a secret of the tests"
+        data = write_datagram(Datagram(announcement=announcement), secret)
+        (work,) = read_datagram(data, secret).announcement.work
+        assert work.prefill_tokens == work.memory_tokens == most
+        assert work.reading_ms == work.expected_ms == most
--- a/oriolepaddle/gossip/work.py
+++ b/oriolepaddle/gossip/work.py
@@ -14,6 +14,8 @@
 MAX_SENT_PARTS = 1000
 """Parts of prompts told in one datagram, some 14 bytes each, so that it stays well
 below the largest one; what is left out is read anew."""
+MAX_NUMBER = 2**31 - 1
+"""The largest number in a field of a datagram."""
 REGION = "region"
 """The name under which a member notes the work of all others together."""
 
@@ -83,10 +85,10 @@
         EndpointWork(
             name,
             load.running,
-            load.prefill_tokens,
-            load.memory_tokens,
-            int(load.reading_s * 1000),
-            int(load.expected_s * 1000),
+            min(load.prefill_tokens, MAX_NUMBER),
+            min(load.memory_tokens, MAX_NUMBER),
+            min(int(load.reading_s * 1000), MAX_NUMBER),
+            min(int(load.expected_s * 1000), MAX_NUMBER),
             [SentPart(part.id, part.tokens) for part in load.sent_parts[-each:]]
             or None,
         )
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -43,6 +43,8 @@
 to them, so that one may be lost."""
 LEAST_TOLD_TOKENS = 2000
 """Prompts below which an engine reads the beginning anew in some ten milliseconds."""
+LONGEST_TOLD_ID = 64
+"""Characters; callers choose the names of parts, and a thousand go into a datagram."""
 MEMORY_PART = 0.92
 """Part of an engine's memory above which it begins to preempt runs."""
 
@@ -160,7 +162,9 @@
     def note_prompt(self, job: Job, now_s: float) -> None:
         """Note that a prompt is sent there."""
         self.history.record(job.parts)
-        if job.parts and job.input_tokens >= LEAST_TOLD_TOKENS:
+        if job.input_tokens < LEAST_TOLD_TOKENS:
+            return
+        if all(len(part.id) <= LONGEST_TOLD_ID for part in job.parts):
             self._sent.append((now_s, job.parts))
 
     def tell(self, now_s: float) -> PeerLoad:
--- a/oriolepaddle/placement/tests/test_sent_prompts.py
+++ b/oriolepaddle/placement/tests/test_sent_prompts.py
@@ -60,3 +60,8 @@
         parts = (PromptPart("s", 120), PromptPart("own", 600))
         run(placer, Job(ENGINES, parts, 720, 50, 0.6))
         assert all(not load.sent_parts for load in placer.own_loads().values())
+
+    def test_endless_names_are_not_told(self, placer, other):
+        parts = (PromptPart("s" * 5000, 6000), PromptPart("own", 2000))
+        run(placer, Job(ENGINES, parts, 8000, 50, 0.6))
+        assert all(not load.sent_parts for load in placer.own_loads().values())
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -17,6 +17,11 @@
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 MILLISECONDS_PER_S = 1000
+MAX_TOKENS = 2**31 - 1
+"""The most that instances can tell each other of one prompt, and far more than any
+engine holds."""
+MAX_DIGITS = 10
+"""Digits of the largest number of tokens."""
 _SET_ANEW = frozenset(
     name.lower()
     for name in (
@@ -47,7 +52,7 @@
         """Return a caller's request; see `EdgeProtocol.read_request`."""
         headers = request.headers
         target = request.environ["RAW_URI"]
-        counts = _read_numbers(headers.get(names.TOKEN_COUNT))
+        counts = _read_numbers(headers.get(names.TOKEN_COUNT), MAX_TOKENS)
         deadline_ms = _read_numbers(headers.get(names.DEADLINE_MS))
         age_ms = _read_numbers(headers.get(AGE_MS))
         hops = headers.get(HOPS, "")
@@ -161,14 +166,14 @@
     return value[len(KEY_SCHEME) :].strip()
 
 
-def _read_numbers(value: str | None) -> list[float]:
+def _read_numbers(value: str | None, most: float = float("inf")) -> list[float]:
     if value is None:
         return []
     try:
         numbers = [float(item) for item in value.split(",")]
     except ValueError as error:
         raise MalformedRequestError(f"{value!r} is no list of numbers") from error
-    if any(not 0 <= number < float("inf") for number in numbers):
+    if any(not 0 <= number <= most or number == float("inf") for number in numbers):
         raise MalformedRequestError(f"{value!r} is out of range")
     return numbers
 
@@ -179,7 +184,8 @@
     parts = []
     for item in value.split(","):
         name, _, tokens = item.strip().partition(":")
-        if not tokens.isdigit():
+        is_number = tokens.isdecimal() and len(tokens) <= MAX_DIGITS
+        if not is_number or int(tokens) > MAX_TOKENS:
             raise MalformedRequestError(f"{item!r} is no part of a prompt")
         parts.append(PromptPart(name, int(tokens)))
     return tuple(parts)
@@ -187,7 +193,7 @@
 
 def _read_load(value: str | None) -> tuple[int, int] | None:
     numbers = (value or "").split(",")
-    if len(numbers) < 2 or not all(item.strip().isdigit() for item in numbers[:2]):
+    if len(numbers) < 2 or not all(item.strip().isdecimal() for item in numbers[:2]):
         return None
     return int(numbers[0]), int(numbers[1])
 
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -67,6 +67,20 @@
         with pytest.raises(MalformedRequestError):
             read(**headers)
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"X_Oriolepaddle_Token_Count": "2147483648,10"},
+            {"X_Oriolepaddle_Token_Count": "10,1e300"},
+            {"X_Oriolepaddle_Prompt_Prefix": "5c1e07a2:2147483648"},
+            {"X_Oriolepaddle_Prompt_Prefix": "5c1e07a2:" + 5000 * "1"},
+            {"X_Oriolepaddle_Prompt_Prefix": "5c1e07a2:\u00b2"},
+        ],
+    )
+    def test_more_tokens_than_can_be_counted_are_an_error(self, fields):
+        with pytest.raises(MalformedRequestError):
+            read(**fields)
+
     @settings(derandomize=True, deadline=None, max_examples=100)
     @given(st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=30))
     def test_any_field_is_read_or_a_typed_error(self, value):
