Take no echo of an earlier life, whose clock may have been reset

A machine that loses power begins its clock anew. Instances that had not heard its new life yet echoed the clock of the earlier one, and the new life took that for its own: its knowledge of endpoints, of the configuration and the leases of tokens counted from a moment in the future, and it passed that on to others.

An echo names the life that it is of and is dropped by any other. What is held of the last announcement is replaced as a whole, as another thread may read it meanwhile.

--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -10,6 +10,7 @@
     MICROSECONDS_PER_S,
     AnnouncementComposer,
     Contact,
+    LastHeard,
     add_grants,
     write_record,
 )
@@ -145,7 +146,7 @@
         self._socket.send(Datagram(announcement=announcement), address)
 
     def _give(self, contact: Contact) -> dict[str, int]:
-        if self._clock.monotonic_s() - contact.heard_s > SILENT_INTERVAL_S:
+        if self._clock.monotonic_s() - contact.last.heard_s > SILENT_INTERVAL_S:
             return {}
         wanted = {
             item.organisation: TokenNeed(item.spare, item.wanted)
@@ -161,7 +162,7 @@
         with self._lock:
             contacts = list(self._contacts.values())
         for contact in contacts:
-            if contact.heard_s < oldest_s:
+            if contact.last.heard_s < oldest_s:
                 continue
             for item in contact.balances:
                 held = spares.get(item.organisation, 0)
@@ -186,14 +187,14 @@
             return
         contact = self._contact(sender.instance)
         order = (sender.incarnation, heard.sent_at_us)
-        if order <= (contact.incarnation, contact.sent_at_us):
+        last = contact.last
+        if order <= (last.incarnation, last.sent_at_us):
             # Overtaken, repeated or of an earlier life.
-            if sender.incarnation < contact.incarnation:
+            if sender.incarnation < last.incarnation:
                 self._tell_later_life(sender.instance, address)
             return
-        is_new = sender.incarnation != contact.incarnation
-        contact.incarnation, contact.sent_at_us = order
-        contact.heard_s = self._clock.monotonic_s()
+        is_new = sender.incarnation != last.incarnation
+        contact.last = LastHeard(*order, self._clock.monotonic_s())
         contact.balances = heard.balances or []
         self._state.delegations.note_life(sender.instance, sender.incarnation)
         self._note_instances(heard)
@@ -243,6 +244,9 @@
             return
         if heard.echo_us is None or heard.held_us is None:
             return
+        if heard.echo_incarnation != self._roster.own_entry().incarnation:
+            # It is by the clock of an earlier life, which a loss of power resets.
+            return
         # The sender had this instance's datagram when it sent this one: a lower
         # bound of the sending time in this instance's own clock, which no
         # datagram that was held up can make too late.
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -20,6 +20,7 @@
     "MICROSECONDS_PER_S",
     "AnnouncementComposer",
     "Contact",
+    "LastHeard",
     "add_grants",
     "write_record",
 ]
@@ -37,22 +38,33 @@
 MAX_MS = 2**31 - 1
 
 
+@attrs.frozen
+class LastHeard:
+    """The newest announcement of an instance.
+
+    Attributes:
+        incarnation: The life that sent it.
+        sent_at_us: The time at which it was sent, by that life's clock.
+        heard_s: Monotonic time at which it came.
+    """
+
+    incarnation: int = 0
+    sent_at_us: int = 0
+    heard_s: float = float("-inf")
+
+
 @attrs.define
 class Contact:
     """The exchange of datagrams with one instance.
 
     Attributes:
-        incarnation: Its life.
-        sent_at_us: Its clock in its last announcement.
-        heard_s: Monotonic time at which that came.
+        last: What was heard last, replaced as a whole, as two threads use it.
         balances: What it said of its tokens.
         members_sent_s: When it was last sent a list of instances.
         sent_s: When it was last sent anything.
     """
 
-    incarnation: int = 0
-    sent_at_us: int = 0
-    heard_s: float = float("-inf")
+    last: LastHeard = LastHeard()
     balances: list[TokenBalance] = attrs.Factory(list)
     members_sent_s: float = float("-inf")
     sent_s: float = float("-inf")
@@ -114,12 +126,14 @@
         # after it: a pause in between makes the knowledge look older.
         now_s = self._clock.monotonic_s()
         age_s = self._state.catalog.age_s()
-        held_s = now_s - contact.heard_s
-        has_echo = contact.sent_at_us > 0 and held_s >= 0
+        last = contact.last
+        held_s = now_s - last.heard_s
+        has_echo = last.sent_at_us > 0 and held_s >= 0
         return Announcement(
             sender=write_record(self._roster.own_entry(), now_s),
             sent_at_us=_to_us(now_s),
-            echo_us=contact.sent_at_us if has_echo else None,
+            echo_us=last.sent_at_us if has_echo else None,
+            echo_incarnation=last.incarnation if has_echo else None,
             held_us=_to_us(held_s) if has_echo else None,
             version=self._state.catalog.version,
             knowledge_age_us=None if age_s == float("inf") else _to_us(age_s),
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -749,11 +749,12 @@
      - members
      - counts: Instances that there may be, by data centre.
      - endpoints_age_us: Age of the sender's knowledge of the endpoints that the digest is of.
+     - echo_incarnation: The receiver's life by whose clock `echo_us` is.
 
     """
 
 
-    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, crashes=None, members=None, counts=None, endpoints_age_us=None,):
+    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, crashes=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None,):
         self.sender = sender
         self.sent_at_us = sent_at_us
         self.echo_us = echo_us
@@ -770,6 +771,7 @@
         self.members = members
         self.counts = counts
         self.endpoints_age_us = endpoints_age_us
+        self.echo_incarnation = echo_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -903,6 +905,11 @@
                     self.endpoints_age_us = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.echo_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -999,6 +1006,10 @@
             oprot.writeFieldBegin('endpoints_age_us', TType.I64, 16)
             oprot.writeI64(self.endpoints_age_us)
             oprot.writeFieldEnd()
+        if self.echo_incarnation is not None:
+            oprot.writeFieldBegin('echo_incarnation', TType.I64, 17)
+            oprot.writeI64(self.echo_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1369,6 +1380,7 @@
     (14, TType.LIST, 'members', (TType.STRUCT, [InstanceRecord, None], False), None, ),  # 14
     (15, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 15
     (16, TType.I64, 'endpoints_age_us', None, None, ),  # 16
+    (17, TType.I64, 'echo_incarnation', None, None, ),  # 17
 )
 all_structs.append(Draw)
 Draw.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -84,6 +84,8 @@
   15: optional map<string, i32> counts,
   /** Age of the sender's knowledge of the endpoints that the digest is of. */
   16: optional i64 endpoints_age_us,
+  /** The receiver's life by whose clock `echo_us` is. */
+  17: optional i64 echo_incarnation,
 }
 
 /** A request for an organisation's tokens. */
