Ask for long enough that a rate must yield something

Traced: right after a start each instance holds a few tokens (4, 14 of the 18 that a request takes), its part of the rate is some 33 a second, and 60 refusals are over sooner than it has 18; statuses of five fleets: 50, 50, 0, 60, 60 tokens used, all else 429. The upper bound held each time. Each instance is now asked for two seconds at least; both bounds stay.

--- a/oriolepaddle/daemon/tests/test_rate.py
+++ b/oriolepaddle/daemon/tests/test_rate.py
@@ -13,6 +13,9 @@
 BURST_TOKENS = 400
 TOKENS = 10
 ROUNDS = 20
+LOAD_S = 2.0
+"""How long each instance is asked at least. Its part of the rate is some 33 tokens a
+second, and a request takes 18: refusals alone may be over before it has as many."""
 
 
 @pytest.fixture
@@ -40,6 +43,15 @@
     return sum(use_tokens(daemon) for daemon in list(daemons) * rounds)
 
 
+def use_for_a_while(daemon):
+    clock = SystemClock()
+    began_s = clock.monotonic_s()
+    used = use_all([daemon], 3 * ROUNDS)
+    while clock.monotonic_s() - began_s < LOAD_S:
+        used += use_tokens(daemon)
+    return used
+
+
 def do_nothing(fleet):
     return fleet.daemons.values()
 
@@ -111,7 +123,7 @@
         counts = []
         for daemon in daemons:
             caller = threading.Thread(
-                target=lambda d=daemon: counts.append(use_all([d], 3 * ROUNDS))
+                target=lambda d=daemon: counts.append(use_for_a_while(d))
             )
             callers.append(caller)
             caller.start()
