Rank the homes of a prompt once for each choice

Choosing an endpoint hashed every endpoint against the prompt's shared part twice, for the preference and again for the endpoint to fetch from, and counted what each holds twice where one holds most. Candidates without the failed ones are listed by one method for choosing and for the question whether another one is left. An endpoint that was sent no long prompt lately is told of without building an empty list.

--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -171,6 +171,8 @@
         """Return the load from this instance, with the prompts that it has sent."""
         while self._sent and now_s - self._sent[0][0] > TOLD_FOR_S:
             self._sent.popleft()
+        if not self._sent:
+            return self.own(now_s)
         parts = dict.fromkeys(part for _, sent in self._sent for part in sent)
         return attrs.evolve(self.own(now_s), sent_parts=tuple(parts))
 
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -7,7 +7,7 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 import attrs
@@ -78,13 +78,15 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            weighed = self._weigh_all(job, now_s, frozenset(excluded))
-            if not weighed:
+            loads = self._list_candidates(job.service, now_s, frozenset(excluded))
+            if not loads:
                 raise RefusedError(
                     f"no endpoint of {job.service} can run the request now",
                     code=ErrorCode.NO_ENDPOINT,
                     retry_after=RETURN_AFTER,
                 )
+            homes = rank_homes((load.endpoint.id for load in loads), job)
+            weighed = self._weigh_all(loads, homes, job, now_s)
             _, choice, load = min(weighed, key=lambda item: item[0])
             if choice.expected_s > job.patience_s:
                 raise RefusedError(
@@ -96,8 +98,7 @@
             if load.is_cold(now_s):
                 # It is taken here, so that two requests do not get the same.
                 load.cold.take(now_s, self._find_cold_share())
-            loads = [load for _, _, load in weighed]
-            source = find_prefix_source(job, load, loads, now_s)
+            source = find_prefix_source(job, load, loads, homes, now_s)
         return attrs.evolve(choice, prefix_source=source)
 
     def explain(self, job: Job) -> tuple[EndpointScore, ...]:
@@ -105,7 +106,9 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             scores = []
-            for cost_s, choice, load in self._weigh_all(job, now_s):
+            loads = self._list_loads(job.service, now_s)
+            homes = rank_homes((load.endpoint.id for load in loads), job)
+            for cost_s, choice, load in self._weigh_all(loads, homes, job, now_s):
                 total = load.total(now_s)
                 scores.append(
                     EndpointScore(
@@ -130,12 +133,9 @@
             excluded: Lives of endpoints that do not count.
         """
         now_s = self._clock.monotonic_s()
-        left_out = frozenset(excluded)
         with self._lock:
-            return any(
-                load.endpoint.incarnation not in left_out and not load.is_blocked(now_s)
-                for load in self._list_loads(service, now_s)
-            )
+            loads = self._list_candidates(service, now_s, frozenset(excluded))
+            return any(not load.is_blocked(now_s) for load in loads)
 
     def start(self, choice: Choice, job: Job) -> PlacedRun:
         """Note that a request is now sent to its endpoint."""
@@ -185,15 +185,18 @@
             ]
         return min(waits, default=None)
 
-    def _weigh_all(
-        self, job: Job, now_s: float, excluded: frozenset[str] = frozenset()
-    ) -> list[tuple[float, Choice, EndpointLoad]]:
-        loads = [
+    def _list_candidates(
+        self, service: str, now_s: float, excluded: frozenset[str]
+    ) -> list[EndpointLoad]:
+        return [
             load
-            for load in self._list_loads(job.service, now_s)
+            for load in self._list_loads(service, now_s)
             if load.endpoint.incarnation not in excluded
         ]
-        homes = rank_homes((load.endpoint.id for load in loads), job)
+
+    def _weigh_all(
+        self, loads: Sequence[EndpointLoad], homes: list[str], job: Job, now_s: float
+    ) -> list[tuple[float, Choice, EndpointLoad]]:
         bonuses = dict(zip(homes, HOME_BONUSES_S, strict=False))
         return [(*self._weigh(load, job, now_s, bonuses), load) for load in loads]
 
--- a/oriolepaddle/placement/prefix_source.py
+++ b/oriolepaddle/placement/prefix_source.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 
 from oriolepaddle.catalog import RegisteredEndpoint
-from oriolepaddle.placement.homes import rank_homes
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad
 
@@ -15,7 +14,11 @@
 
 
 def find_prefix_source(
-    job: Job, chosen: EndpointLoad, loads: Sequence[EndpointLoad], now_s: float
+    job: Job,
+    chosen: EndpointLoad,
+    loads: Sequence[EndpointLoad],
+    homes: Sequence[str],
+    now_s: float,
 ) -> RegisteredEndpoint | None:
     """Return the endpoint that likely holds what the chosen one would have to read.
 
@@ -27,6 +30,7 @@
         job: The request.
         chosen: The load of the endpoint that runs it.
         loads: The loads of all endpoints that could.
+        homes: Their ids as `rank_homes` ranks them for the request.
         now_s: Monotonic seconds.
 
     Returns:
@@ -43,9 +47,14 @@
     }
     if not others:
         return None
-    best = max(others.values(), key=lambda load: load.history.count_cached(shared))
-    if best.history.count_cached(shared) - held >= LEAST_FETCH_TOKENS:
-        return best.endpoint
+    counts = {name: load.history.count_cached(shared) for name, load in others.items()}
+    best = max(counts, key=counts.__getitem__)
+    if counts[best] - held >= LEAST_FETCH_TOKENS:
+        return others[best].endpoint
     # What other instances have sent there is not known, but they prefer it too.
-    home = rank_homes([chosen.endpoint.id, *others], job)[0]
-    return others[home].endpoint if home in others else None
+    for name in homes:
+        if name == chosen.endpoint.id:
+            return None
+        if name in others:
+            return others[name].endpoint
+    return None
