Ask one place for hubs' ids, and clip numbers in one place

Four places made a set of the hubs' ids from their entries; the roster keeps it with the hubs. Entries are equal apart from when they were heard, in place of a copy with another moment or a list of fields kept by hand. Load and times were clipped to their field's room by two pieces of code.

--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -72,11 +72,9 @@
         """Return the other instances that were ever heard of."""
         now_s = self._clock.monotonic_s()
         alive = {item.id for item in self._roster.alive()}
-        hubs = {
-            hub.id
-            for region in self._roster.regions()
-            for hub in self._roster.hubs(region)
-        }
+        hubs = frozenset().union(
+            *(self._roster.hub_ids(region) for region in self._roster.regions())
+        )
         return [
             {
                 "instance": item.id,
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -202,7 +202,7 @@
         self._take_state(heard)
         entry = self._read_record(sender)
         is_near = entry.instance.region == self._roster.own.region
-        hubs = {item.id for item in self._roster.hubs()}
+        hubs = self._roster.hub_ids()
         is_member = is_near and entry.id not in hubs
         if is_new or (is_member and self._roster.own.id in hubs):
             self._send(entry)
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -5,6 +5,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
+from oriolepaddle.gossip.numbers import to_ms
 from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
@@ -35,7 +36,6 @@
 """Time for which a hub tells its receivers the same state; it speaks with tens of
 them a second, and each hears it twice to four times in that."""
 MAX_CRASHES = 20
-MAX_MS = 2**31 - 1
 
 
 @attrs.frozen
@@ -108,16 +108,17 @@
         if receiver is None:
             return announcement
         is_near = receiver.instance.region == self._roster.own.region
-        near_hubs = {item.id for item in self._roster.hubs()}
+        near_hubs = self._roster.hub_ids()
         if is_near and receiver.id in near_hubs:
             announcement.work = self._state.work.own()
             self._add_delegation(announcement, receiver)
         elif is_near:
             announcement.work = self._state.work.sum_others(receiver.id)
         is_first = contact.members_sent_s == float("-inf")
-        if self._roster.own.id in near_hubs:
+        is_hub = self._roster.own.id in near_hubs
+        if is_hub:
             self._add_hub_state(announcement, receiver, is_near)
-        if is_first or self._roster.own.id in near_hubs:
+        if is_first or is_hub:
             self._add_members(announcement, contact, is_near)
         return announcement
 
@@ -169,7 +170,7 @@
             announcement.endpoints_age_us = _to_us(age_s)
             announcement.catalog_digest = held.digest
         region = receiver.instance.region
-        if receiver.id in {item.id for item in self._roster.hubs(region)}:
+        if receiver.id in self._roster.hub_ids(region):
             announcement.balances = [
                 TokenBalance(name, need.spare, need.wanted)
                 for name, need in state.limiter.needs().items()
@@ -205,13 +206,13 @@
         for name in document.services if document else ():
             wait_s = state.placer.estimate_s(name, TYPICAL_PROMPT_TOKENS)
             if wait_s is not None:
-                waits.append(RegionWait(own, name, _to_ms(wait_s)))
+                waits.append(RegionWait(own, name, to_ms(wait_s)))
         return waits
 
     def _list_far_waits(self) -> list[RegionWait]:
         own = self._roster.own.region
         return [
-            RegionWait(region, service, _to_ms(wait_s))
+            RegionWait(region, service, to_ms(wait_s))
             for region, service, wait_s in self._state.loads.waits()
             if region != own
         ]
@@ -238,17 +239,13 @@
     announcement.grants = [TokenGrant(name, tokens) for name, tokens in grants.items()]
 
 
-def _to_ms(duration_s: float) -> int:
-    return min(MAX_MS, max(0, int(duration_s * 1000)))
-
-
 def _to_us(duration_s: float) -> int:
     return int(duration_s * MICROSECONDS_PER_S)
 
 
 def write_record(entry: RosterEntry, now_s: float) -> InstanceRecord:
     """Return what others are told of an instance."""
-    age_ms = _to_ms(now_s - entry.heard_s)
+    age_ms = to_ms(now_s - entry.heard_s)
     return InstanceRecord(
         instance=entry.id,
         incarnation=entry.incarnation,
--- a/oriolepaddle/gossip/entry.py
+++ b/oriolepaddle/gossip/entry.py
@@ -11,6 +11,8 @@
 class RosterEntry:
     """An instance in one of its lives.
 
+    Entries are equal if they say the same, whenever it was heard.
+
     Attributes:
         instance: How callers see it.
         incarnation: The life.
@@ -26,7 +28,7 @@
     peer_address: str
     is_ready: bool
     is_leaving: bool
-    heard_s: float
+    heard_s: float = attrs.field(eq=False)
 
     @property
     def host(self) -> str:
--- a/oriolepaddle/gossip/roster.py
+++ b/oriolepaddle/gossip/roster.py
@@ -39,11 +39,13 @@
         alive: The other instances.
         own: This instance.
         hubs: The hubs, the first one first.
+        ids: Their ids.
     """
 
     alive: list[RosterEntry]
     own: RosterEntry
     hubs: list[RosterEntry]
+    ids: frozenset[str]
 
 
 class Roster:
@@ -91,6 +93,7 @@
             self._leaving_s[self._own.id] = self._clock.monotonic_s()
         own = attrs.evolve(self._own, is_ready=is_ready, is_leaving=is_leaving)
         if own != self._own:
+            # Replaced by news only, as the hubs are chosen anew then.
             self._own = own
 
     def note(self, entry: RosterEntry) -> None:
@@ -103,7 +106,7 @@
             if held is not None and _order(held) >= _order(entry):
                 return
             self._entries[entry.id] = entry
-            if held is None or _is_news(held, entry):
+            if held != entry:
                 self._alive = None
             if not entry.is_leaving:
                 self._leaving_s.pop(entry.id, None)
@@ -182,14 +185,22 @@
         Args:
             region: The region; None for this instance's own.
         """
+        return self._ranked_hubs(region).hubs
+
+    def hub_ids(self, region: str | None = None) -> frozenset[str]:
+        """Return the ids of the hubs of a region; see `hubs`."""
+        return self._ranked_hubs(region).ids
+
+    def _ranked_hubs(self, region: str | None) -> _RankedHubs:
         region = region or self.own.region
         alive, own = self.alive(), self._own
         held = self._hubs.get(region)
         # Each datagram asks for them several times.
         if held is None or held.alive is not alive or held.own is not own:
             hubs = self._rank_hubs(region, alive)
-            held = self._hubs[region] = _RankedHubs(alive, own, hubs)
-        return held.hubs
+            ids = frozenset(item.id for item in hubs)
+            held = self._hubs[region] = _RankedHubs(alive, own, hubs, ids)
+        return held
 
     def _rank_hubs(self, region: str, alive: list[RosterEntry]) -> list[RosterEntry]:
         members = [item for item in alive if item.instance.region == region]
@@ -211,7 +222,7 @@
 
     def is_hub(self) -> bool:
         """Return whether this instance is a hub of its region."""
-        return any(item.id == self._own.id for item in self.hubs())
+        return self._own.id in self.hub_ids()
 
     def region_of(self, data_centre: str) -> str:
         """Return the region of a data centre."""
@@ -288,19 +299,5 @@
     return entry.incarnation, entry.heard_s
 
 
-def _is_news(held: RosterEntry, entry: RosterEntry) -> bool:
-    return _describe(held) != _describe(entry)
-
-
-def _describe(entry: RosterEntry) -> tuple[object, ...]:
-    return (
-        entry.incarnation,
-        entry.is_ready,
-        entry.is_leaving,
-        entry.peer_address,
-        entry.instance,
-    )
-
-
 def _rank(entry: RosterEntry) -> tuple[float, str]:
     return -entry.instance.size, entry.id
--- a/oriolepaddle/gossip/work.py
+++ b/oriolepaddle/gossip/work.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.gossip.numbers import clip_number, to_ms
 from oriolepaddle.peers.gen_py.gossip.ttypes import EndpointWork, SentPart
 from oriolepaddle.placement import PeerLoad, Placer, PromptPart
 
@@ -14,8 +15,6 @@
 MAX_SENT_PARTS = 1000
 """Parts of prompts told in one datagram, some 14 bytes each, so that it stays well
 below the largest one; what is left out is read anew."""
-MAX_NUMBER = 2**31 - 1
-"""The largest number in a field of a datagram."""
 REGION = "region"
 """The name under which a member notes the work of all others together."""
 
@@ -85,10 +84,10 @@
         EndpointWork(
             name,
             load.running,
-            min(load.prefill_tokens, MAX_NUMBER),
-            min(load.memory_tokens, MAX_NUMBER),
-            min(int(load.reading_s * 1000), MAX_NUMBER),
-            min(int(load.expected_s * 1000), MAX_NUMBER),
+            clip_number(load.prefill_tokens),
+            clip_number(load.memory_tokens),
+            to_ms(load.reading_s),
+            to_ms(load.expected_s),
             [SentPart(part.id, part.tokens) for part in load.sent_parts[-each:]]
             or None,
         )
