--- a/oriolepaddle/daemon/tests/edge_fleet.py
+++ b/oriolepaddle/daemon/tests/edge_fleet.py
@@ -62,6 +62,14 @@
     } | changes
 
 
+def find_addresses(host):
+    ports = NETWORK.find_ports(host, len(SIDES))
+    return {
+        f"{side}_address": f"{host}:{port}"
+        for side, port in zip(SIDES, ports, strict=True)
+    }
+
+
 def await_true(condition, within_s=CONDITION_S):
     deadline_s = time.monotonic() + within_s
     while time.monotonic() < deadline_s:
@@ -105,11 +113,6 @@
 
     def add_instance(self, name, data_centre="nordur-a", **changes):
         host = NETWORK.add_host()
-        ports = NETWORK.find_ports(host, len(SIDES))
-        addresses = {
-            f"{side}_address": f"{host}:{port}"
-            for side, port in zip(SIDES, ports, strict=True)
-        }
         seeds = ",".join(item.peer_address for item in self.settings.values())
         values = {
             "instance": name,
@@ -120,7 +123,7 @@
             "peer_secret": "a secret of the test fleet",
             "seeds": seeds,
         }
-        settings = EdgeSettings(**(values | addresses | changes))
+        settings = EdgeSettings(**(values | find_addresses(host) | changes))
         instance = EdgeInstance(settings, self.clock)
         instance.start()
         self.settings[name] = settings
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -1,5 +1,7 @@
 """HTTP messages of callers, endpoints and peers; an `EdgeProtocol`."""
 
+import sys
+
 from werkzeug.wrappers import Request
 
 from oriolepaddle.catalog import RegisteredEndpoint
@@ -166,14 +168,14 @@
     return value[len(KEY_SCHEME) :].strip()
 
 
-def _read_numbers(value: str | None, most: float = float("inf")) -> list[float]:
+def _read_numbers(value: str | None, most: float = sys.float_info.max) -> list[float]:
     if value is None:
         return []
     try:
         numbers = [float(item) for item in value.split(",")]
     except ValueError as error:
         raise MalformedRequestError(f"{value!r} is no list of numbers") from error
-    if any(not 0 <= number <= most or number == float("inf") for number in numbers):
+    if any(not 0 <= number <= most for number in numbers):
         raise MalformedRequestError(f"{value!r} is out of range")
     return numbers
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,13 +14,14 @@
     DESK,
     ENGINES,
     KEY,
+    NETWORK,
     OTHER_KEY,
     REGIONS,
-    SIDES,
+    find_addresses,
     make_document,
 )
 from oriolepaddle.platform.standins import RunnerStandin, StoreStandin
-from oriolepaddle.standins import LoopbackNetwork, RelayStandin
+from oriolepaddle.standins import RelayStandin
 
 __all__ = ["SoakFleet", "now_s"]
 
@@ -51,10 +52,9 @@
         self.store_relays: dict[str, RelayStandin] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._environments: dict[str, dict[str, str]] = {}
-        self._network = LoopbackNetwork()
-        hosts = [self._network.add_host() for _ in range(instances_each * len(REGIONS))]
+        hosts = [NETWORK.add_host() for _ in range(instances_each * len(REGIONS))]
         self._seeds = ",".join(f"{host}:1" for host in hosts[:3])
-        (self._gossip_port,) = self._network.find_ports(hosts[0], 1, socket.SOCK_DGRAM)
+        (self._gossip_port,) = NETWORK.find_ports(hosts[0], 1, socket.SOCK_DGRAM)
         self._lives: dict[str, int] = {}
         self.version = 0
         self.keys = [KEY, SECOND_KEY]
@@ -171,9 +171,7 @@
             "peer_secret": SECRET,
             "seeds": self._seeds,
         }
-        ports = self._network.find_ports(host, len(SIDES))
-        for side, port in zip(SIDES, ports, strict=True):
-            values[f"{side}_address"] = f"{host}:{port}"
+        values |= find_addresses(host)
         self._environments[name] = {
             f"ORIOLEPADDLE_{field.upper()}": value for field, value in values.items()
         }
