Bound the event that a stream may leave incomplete

Cause: the edge's splitter buffered an event without end, such as bytes that are no answer, until the request's deadline. Change: an event above 256 KiB ends the attempt as truncated. Result: test_endless plays endless heads and bodies; the two cases of a stream's body failed first, heads were bounded by libcurl already.

--- a/oriolepaddle/edge/event_splitter.py
+++ b/oriolepaddle/edge/event_splitter.py
@@ -2,8 +2,13 @@
 
 import re
 
+from oriolepaddle.errors import AnswerTruncatedError
+
 __all__ = ["EventSplitter"]
 
+MAX_EVENT_BYTES = 262_144
+"""An engine's event has some hundred bytes. An instance with 160 MB of memory relays
+a hundred streams."""
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 
@@ -22,11 +27,19 @@
         self._partial_event = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data and return the events that are now complete."""
+        """Add received data and return the events that are now complete.
+
+        Raises:
+            AnswerTruncatedError: The incomplete event is too long for an event.
+        """
         buffered = self._partial_event + data if self._partial_event else data
         end = max(buffered.rfind(b"\n\n"), buffered.rfind(b"\n\r\n"))
         if end < 0:
             self._partial_event = buffered
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise AnswerTruncatedError(
+                    f"an event of the stream is longer than {MAX_EVENT_BYTES} bytes"
+                )
             return b""
         match = _BOUNDARY.search(buffered, max(0, end - 1))
         split_at = match.end() if match else end + 2
--- /dev/null
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -0,0 +1,107 @@
+"""Endpoints that send bytes without end that are no answer."""
+
+import contextlib
+import itertools
+import socket
+import threading
+
+import pytest
+
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
+from oriolepaddle.edge.event_splitter import EventSplitter
+from oriolepaddle.edge.sink import EdgeSink
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
+from oriolepaddle.errors import OriolepaddleError, Outcome
+
+MAX_SENT_BYTES = 24_000_000
+"""Accepted bytes of one answer: the largest buffered body, and the sockets' buffers."""
+MAX_HEAD_BYTES = 4_000_000
+DEADLINE_S = 20.0
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNK = b"2000\r\n" + b"x" * 0x2000 + b"\r\n"
+HEADS = {
+    "no status line": (b"", b"x" * 8192),
+    "unfinished status line": (b"HTTP/1.1 200 ", b"x" * 8192),
+    "unfinished field": (OK + b"A: ", b"x" * 8192),
+    "fields": (OK, b"A: b\r\n" * 1024),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 256),
+}
+BODIES = {
+    "until the close": (OK + b"\r\n", b"x" * 8192),
+    "chunks": (OK + b"Transfer-Encoding: chunked\r\n\r\n", CHUNK),
+}
+
+
+class EndlessServer:
+    """Answers one request with a start and a part that it repeats until the close."""
+
+    def __init__(self, start, part):
+        self.parts = itertools.chain([start], itertools.repeat(part))
+        self.sent_bytes = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        connection, _ = self.listener.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65536)
+            for part in self.parts:
+                connection.sendall(part)
+                self.sent_bytes += len(part)
+
+
+class DiscardingWriter:
+    """A caller that has disconnected from nothing and reads everything."""
+
+    is_started = False
+
+    def start(self, status, headers, length=None):
+        self.is_started = True
+
+    def write(self, data):
+        pass
+
+    def is_abandoned(self):
+        return False
+
+
+def run_endless(start, part, sink):
+    clock = SystemClock()
+    server = EndlessServer(start, part)
+    request = make_request(clock, deadline_s=clock.monotonic_s() + DEADLINE_S)
+    started_s = clock.monotonic_s()
+    with pytest.raises(OriolepaddleError) as caught:
+        EndpointTransport(clock).run(server.address, request, sink)
+    assert clock.monotonic_s() - started_s < DEADLINE_S / 2
+    return server.sent_bytes, caught.value
+
+
+def make_sink(is_stream):
+    answer = EndpointAnswer(AnswerKind.RAN, 200, (), is_stream)
+    return EdgeSink(
+        DiscardingWriter(),
+        EventSplitter(),
+        lambda status, headers: answer,
+        lambda: None,
+        lambda: None,
+    )
+
+
+class TestEndlessHead:
+    @pytest.mark.parametrize("name", HEADS)
+    def test_ends_the_attempt_as_uncertain(self, name):
+        sent_bytes, error = run_endless(*HEADS[name], CollectingSink())
+        assert sent_bytes < MAX_HEAD_BYTES
+        assert error.outcome is Outcome.UNKNOWN
+
+
+class TestEndlessBody:
+    @pytest.mark.parametrize("is_stream", [False, True])
+    @pytest.mark.parametrize("name", BODIES)
+    def test_ends_the_attempt_as_uncertain(self, name, is_stream):
+        sent_bytes, error = run_endless(*BODIES[name], make_sink(is_stream))
+        assert sent_bytes < MAX_SENT_BYTES
+        assert error.outcome is Outcome.UNKNOWN
