Ignore late copies of refusals that belong to another request

Cause: a refusal was read as 'not run' before its request id was compared. A late copy on a reused connection could have let an order run twice. Change: a response with another request's id is foreign, whatever its status. Result: the two new cases of TestAnswer failed first.

--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -151,12 +151,17 @@
 
 
 def _find_kind(request_id: str, status: int, fields: dict[str, str]) -> AnswerKind:
+    answered_id = fields.get(names.REQUEST_ID.lower())
+    # An endpoint may refuse a request before it has read the id. Another id shows a
+    # late copy of an earlier response, which says nothing about this request.
+    if request_id and answered_id not in (None, request_id):
+        return AnswerKind.FOREIGN
     # Such a response also states that the request was not run, so it goes first.
     if status == MISDIRECTED_STATUS:
         return AnswerKind.OTHER_ENDPOINT
     if names.NOT_RUN.lower() in fields:
         return AnswerKind.NOT_RUN
-    if request_id and fields.get(names.REQUEST_ID.lower()) != request_id:
+    if request_id and answered_id is None:
         return AnswerKind.FOREIGN
     is_success = 200 <= status < 300
     if is_success and names.SEAL.lower() not in fields:
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -14,6 +14,7 @@
     "i-1", 1, "desk", "10.0.0.1:80", "nordur-a", 6, EndpointState.READY
 )
 ID = ("X-Oriolepaddle-Request-Id", "9c41")
+OTHER_ID = ("X-Oriolepaddle-Request-Id", "other")
 SEAL = ("X-Oriolepaddle-Server-Seal", "3e1b")
 
 
@@ -138,12 +139,15 @@
             (200, (ID, SEAL), AnswerKind.RAN),
             (500, (ID, SEAL), AnswerKind.RAN),
             (200, (ID,), AnswerKind.FOREIGN),
-            (200, (("X-Oriolepaddle-Request-Id", "other"), SEAL), AnswerKind.FOREIGN),
+            (200, (OTHER_ID, SEAL), AnswerKind.FOREIGN),
             (200, (SEAL,), AnswerKind.FOREIGN),
             (503, (("X-Oriolepaddle-Not-Run", "1"),), AnswerKind.NOT_RUN),
             (503, (ID, SEAL), AnswerKind.RAN),
             (421, (), AnswerKind.OTHER_ENDPOINT),
             (421, (("X-Oriolepaddle-Not-Run", "1"),), AnswerKind.OTHER_ENDPOINT),
+            # Second copies of earlier answers say nothing about this request.
+            (503, (OTHER_ID, ("X-Oriolepaddle-Not-Run", "1")), AnswerKind.FOREIGN),
+            (421, (OTHER_ID,), AnswerKind.FOREIGN),
         ],
     )
     def test_kind_follows_from_status_and_headers(self, status, headers, expected):
