Reset connections whose close would end a broken stream

Cause: a caller of HTTP/1.0 gets a stream without a length or chunks, so the close of a stream that broke off looked like its end. Change: AnswerWriter.abort makes such a close a reset.

--- a/oriolepaddle/daemon/tests/edge_fleet.py
+++ b/oriolepaddle/daemon/tests/edge_fleet.py
@@ -146,6 +146,10 @@
         host, port = self.settings[name].caller_address.split(":")
         return http.client.HTTPConnection(host, int(port), timeout=10)
 
+    def connect_socket(self, name):
+        host, port = self.settings[name].caller_address.split(":")
+        return socket.create_connection((host, int(port)), timeout=10)
+
     def send(self, name, path, method="GET", body=b"", key=KEY, **fields):
         headers = {
             "Host": HOST,
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -6,6 +6,8 @@
 from oriolepaddle.daemon.tests.edge_fleet import (
     DESK,
     ENGINES,
+    HOST,
+    KEY,
     OTHER_KEY,
     EdgeFleet,
     await_true,
@@ -166,6 +168,19 @@
         with pytest.raises(Exception, match="IncompleteRead"):
             response.read()
 
+    def test_that_broke_off_is_reset_for_callers_without_chunks(self, single):
+        for name in ("e1", "e2"):
+            single.runners[name].behaviours.append(RunnerBehaviour.CUT_EVENT)
+        with single.connect_socket("n1") as caller:
+            caller.sendall(
+                b"POST /ask/1 HTTP/1.0\r\n"
+                + f"Host: {HOST}\r\nAuthorization: Token {KEY}\r\n".encode()
+                + b"X-Oriolepaddle-Request-Id: 77ab\r\n\r\n"
+            )
+            with pytest.raises(ConnectionResetError):
+                while caller.recv(65536):
+                    pass
+
     def test_ends_at_its_endpoint_when_the_caller_disconnects(self, single):
         for name in ("e1", "e2"):
             single.runners[name].pause_s = 0.1
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -103,6 +103,8 @@
             logger.opt(exception=error).error("request {} failed", request_id)
             wrapped = OriolepaddleError("internal error of the gateway")
             self._respond_with_error(writer, wrapped, request_id)
+        finally:
+            writer.abort()
         if not writer.keep_alive or not writer.is_finished:
             self.close_connection = True
 
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -34,6 +34,7 @@
         self.is_head = False
         self.is_chunked_allowed = True
         self._is_chunked = False
+        self._ends_by_close = False
         self.keep_alive = True
         self.is_started = False
         self.is_finished = False
@@ -61,6 +62,7 @@
             self._is_chunked = True
             lines.append("Transfer-Encoding: chunked")
         else:
+            self._ends_by_close = True
             self.keep_alive = False
         if not self.keep_alive:
             lines.append("Connection: close")
@@ -85,6 +87,16 @@
             self._send(b"0\r\n\r\n")
         self.is_finished = True
 
+    def abort(self) -> None:
+        """Make the connection's close show that the body is incomplete.
+
+        Without a length or chunks the close itself ends the body, so the connection
+        is reset instead.
+        """
+        if self._ends_by_close and not self.is_finished:
+            value = struct.pack("@ii", 1, 0)
+            self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def answer(
         self, status: int, body: bytes, content_type: str, headers: Headers = ()
     ) -> None:
