Close every connection before an instance exits

Cause: once nothing was in flight after four seconds of a drain, the process exited with idle connections open. A request that came on one of them in that moment was cut off without an answer. Change: listeners stop and idle connections close first, the process exits when none is open or the time is up. A request that crosses a close isn't served. An event wakes the accepting thread, so that stopping takes 0.1 s and not 1 s.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -53,8 +53,6 @@
 """Well below `SERVER_IDLE_TIMEOUT`, after which the peer closes the connection."""
 SERVER_IDLE_TIMEOUT = timedelta(seconds=60)
 SMALL_SERVER_CONNECTIONS = 32
-ACCEPT_INTERVAL = timedelta(seconds=1)
-"""Long, because each of the five listeners wakes an idle instance once per interval."""
 WARM_UP_TIME = timedelta(milliseconds=500)
 """Time to receive announcements of the other instances before callers are sent here."""
 FALLBACK_AGE_FRACTION = 2 / 3
@@ -175,12 +173,35 @@
             if drain.has_timed_out() or (is_long_enough and activity.count == 0):
                 break
             self._clock.wait(threading.Event(), DRAIN_POLL_INTERVAL)
+        open_connections = self._close_connections()
         self._announcer.stop()
         self._follower.stop()
         log_event(
-            "instance_stopped", in_flight=activity.count, after_s=drain.elapsed_s()
+            "instance_stopped",
+            in_flight=activity.count,
+            open_connections=open_connections,
+            after_s=drain.elapsed_s(),
         )
 
+    def _close_connections(self) -> int:
+        """Answer the requests that still arrive, and close each connection after that.
+
+        A caller that has seen no other instance yet may send on a kept connection at
+        any moment, also just before the process exits.
+
+        Returns:
+            The number of connections that are still open when the time is up.
+        """
+        callers, _, peers, *_ = self._servers
+        servers = (callers, peers)
+        for server in servers:
+            server.stop_accepting()
+        while (count := sum(server.close_idle() for server in servers)) > 0:
+            if self._drain.has_timed_out():
+                break
+            self._clock.wait(threading.Event(), DRAIN_POLL_INTERVAL)
+        return count
+
     def close(self) -> None:
         """Close every listener and connection, after `stop` or in place of it."""
         self._announcer.stop()
@@ -344,5 +365,4 @@
             self._clock,
             limits,
             name=name,
-            accept_interval=ACCEPT_INTERVAL,
         )
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -1,3 +1,4 @@
+import socket
 import threading
 import time
 
@@ -358,6 +359,27 @@
         assert response.headers["Connection"] == "close"
         stopping.join(10)
 
+    def test_closes_idle_connections_before_it_exits(self, single):
+        # A request that comes on one of them while the process exits would be cut off.
+        instance = single.instances["n1"]
+        kept = single.connect("n1")
+        headers = {"Host": HOST, "Authorization": f"Token {KEY}"}
+        kept.request("GET", "/open/1", headers=headers)
+        assert kept.getresponse().read()
+        assert is_open(kept)
+        instance.stop()
+        assert not is_open(kept)
+
+
+def is_open(connection):
+    connection.sock.settimeout(0.05)
+    try:
+        return bool(connection.sock.recv(1, socket.MSG_PEEK))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+
 
 class TestReservations:
     def test_are_settled_for_every_outcome_of_the_request(self, fleet):
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import threading
 import uuid
 from datetime import timedelta
 from typing import Any
@@ -40,7 +41,9 @@
         self._clock: Clock = server.clock
         self._limits: ServerLimits = server.limits
         self._application: Application = server.application
+        self._lock = threading.Lock()
         self._is_waiting = True
+        self._is_closing = False
         self._has_served = False
         self.idle_since_s = self._clock.monotonic_s()
         super().__init__(connection, address, server)
@@ -77,8 +80,10 @@
 
     def close_if_idle(self) -> bool:
         """Close the connection if no request is being served on it."""
-        if not self.is_idle:
-            return False
+        with self._lock:
+            if not self.is_idle:
+                return False
+            self._is_closing = True
         _shut_down(self.connection)
         return True
 
@@ -119,8 +124,12 @@
             is_open = bool(self.rfile.peek(1))
         except MalformedRequestError:
             return False
-        self._is_waiting = False
-        self._has_served = True
+        with self._lock:
+            # A request that crosses the close is not served: its answer would be lost.
+            if self._is_closing:
+                return False
+            self._is_waiting = False
+            self._has_served = True
         return is_open and not self.server.is_closed
 
     def _read_request(self, writer: AnswerWriter) -> Request:
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -1,6 +1,7 @@
 """An HTTP server with a bounded pool of threads."""
 
 import contextlib
+import os
 import select
 import ssl
 import threading
@@ -21,7 +22,8 @@
 __all__ = ["HttpServer"]
 
 BACKLOG = 512
-ACCEPT_INTERVAL = timedelta(milliseconds=100)
+LAST_ACCEPT_WAIT = timedelta(milliseconds=100)
+"""Time without a new connection after which a stopping listener is closed."""
 CLOSE_GRACE = timedelta(seconds=1.5)
 REFUSAL_TIMEOUT = timedelta(milliseconds=50)
 REFUSAL_ATTEMPTS = 4
@@ -42,8 +44,6 @@
         limits: The limits of connections and requests.
         tls: The TLS context, or None for plain TCP.
         name: A name for threads and logs.
-        accept_interval: The longest time until the acceptor thread notices that it
-            must stop.
     """
 
     multithread = True
@@ -58,7 +58,6 @@
         limits: ServerLimits | None = None,
         tls: ssl.SSLContext | None = None,
         name: str = "http",
-        accept_interval: timedelta = ACCEPT_INTERVAL,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -67,12 +66,12 @@
         self.is_draining = False
         self.is_closed = False
         self._is_stopping = False
+        self._stop_signal = os.eventfd(0)
         self.refused_connections = 0
         self._listener = create_server((host, port), backlog=BACKLOG)
         self.server_address = self._listener.getsockname()
         self.port = self.server_address[1]
         self._name = name
-        self._accept_interval = accept_interval
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
         self._free_threads = threading.Semaphore(self.limits.max_connections)
         self._lock = threading.Lock()
@@ -95,9 +94,16 @@
         self.is_draining = True
         self._is_stopping = True
         if self._acceptor.is_alive():
+            os.eventfd_write(self._stop_signal, 1)
             self._acceptor.join()
         self._listener.close()
+        self.close_idle()
+
+    def close_idle(self) -> int:
+        """Close the connections that serve no request; return how many are left."""
         self._close_idle(count=self.limits.max_connections)
+        with self._lock:
+            return len(self._connections)
 
     def close(self) -> None:
         """Wait up to `CLOSE_GRACE` for requests in flight, then close everything."""
@@ -126,14 +132,17 @@
     def _accept(self) -> None:
         poller = select.poll()
         poller.register(self._listener, select.POLLIN)
-        interval_ms = self._accept_interval.total_seconds() * 1000
+        poller.register(self._stop_signal, select.POLLIN)
         while not self._is_stopping:
-            if poller.poll(interval_ms):
+            poller.poll()
+            if not self._is_stopping:
                 self._accept_one()
+        poller.unregister(self._stop_signal)
         drop_new_connections(self._listener)
-        while poller.poll(ACCEPT_INTERVAL.total_seconds() * 1000):
+        while poller.poll(LAST_ACCEPT_WAIT.total_seconds() * 1000):
             self._accept_one()
         self._listener.close()
+        os.close(self._stop_signal)
 
     def _accept_one(self) -> None:
         try:
