Keep the watchdog running after an unexpected error

Cause: a request's thread may close its caller's connection while the watchdog asks whether the caller has left. poll() then rejects the descriptor -1 with a ValueError, and the watchdog's thread ended. From then on the instance noticed no caller that had left, no endpoint that was silent and no attempt that was lost. Change: a connection that is closed here counts as abandoned. An unexpected error is logged and ends the attempt that was inspected, not the thread.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -78,14 +78,15 @@
             self._check_timeouts()
             self._sink.check()
         except (OSError, OriolepaddleError) as error:
-            self._abort(error)
+            self.cancel(error)
 
     @property
     def is_sent(self) -> bool:
         """Whether the request may have reached the endpoint."""
         return self._is_sent
 
-    def _abort(self, error: Exception) -> None:
+    def cancel(self, error: Exception) -> None:
+        """Make the attempt fail with an error, unless it has ended."""
         # The lock prevents this attempt from ending and releasing its connection
         # meanwhile; the next attempt on that connection would be interrupted.
         with self._lock:
--- a/oriolepaddle/endpoints/watchdog.py
+++ b/oriolepaddle/endpoints/watchdog.py
@@ -3,8 +3,11 @@
 import threading
 from datetime import timedelta
 
+from loguru import logger
+
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.exchange import CurlExchange
+from oriolepaddle.errors import EndpointFailedError
 
 __all__ = ["DEFAULT_INTERVAL", "ExchangeWatchdog"]
 
@@ -60,4 +63,10 @@
             with self._lock:
                 exchanges = list(self._exchanges)
             for exchange in exchanges:
-                exchange.inspect()
+                try:
+                    exchange.inspect()
+                except Exception as error:  # noqa: BLE001 - the others must be inspected
+                    logger.opt(exception=error).error("an inspection failed")
+                    exchange.cancel(
+                        EndpointFailedError(f"the attempt can't be inspected: {error}")
+                    )
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -121,15 +121,17 @@
         self.answer(error.code.status, body, "application/json", headers)
 
     def is_abandoned(self) -> bool:
-        """Return whether the client has closed its connection."""
+        """Return whether the client, or another thread, has closed the connection."""
+        descriptor = self._connection.fileno()
+        if descriptor < 0:
+            return True
         poller = select.poll()
-        poller.register(self._connection, select.POLLIN | select.POLLRDHUP)
+        poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
         events = poller.poll(0)
         if not events:
             return False
-        if events[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
-            return True
-        return False
+        closed = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+        return bool(events[0][1] & closed)
 
     def _send(self, data: bytes) -> None:
         self._connection.sendall(data)
