Let the waits that regions announce grow old

Cause: the two hubs of a region told each other of the waits of other regions, and each took the other's word for new. Change: a wait carries its age when it is passed on, the latest word counts, and a region says so when it can run nothing (all evacuated, cold or unreachable).

--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -16,6 +16,7 @@
 )
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
+from oriolepaddle.gossip.numbers import to_seconds
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.gossip.socket import Address, DatagramSocket
 from oriolepaddle.limits import TokenNeed
@@ -297,9 +298,11 @@
         received_s = self._clock.monotonic_s()
         for item in announcement.waits or ():
             if item.region != own:
-                wait_s = item.wait_ms / 1000
                 state.loads.record_wait(
-                    item.region, item.service_name, wait_s, received_s
+                    item.region,
+                    item.service_name,
+                    to_seconds(item.wait_ms),
+                    received_s - to_seconds(item.age_ms or 0),
                 )
         if self._roster.region_of(announcement.sender.data_centre) != own:
             return
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -1,5 +1,7 @@
 """Composing announcements for hubs, members and other regions."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from oriolepaddle.clock import Clock
@@ -102,6 +104,7 @@
         self._roster = roster
         self._state = state
         self._hub_state: _HubState | None = None
+        self.estimate_wait_s = state.placer.estimate_s
 
     def compose(self, receiver: RosterEntry | None, contact: Contact) -> Announcement:
         """Return the announcement for a receiver; None stands for an unknown one."""
@@ -201,23 +204,34 @@
             self._hub_state = hub_state
         return hub_state
 
+    def list_services(self) -> Iterable[str]:
+        """Return the services whose waits are announced."""
+        document = self._state.catalog.document
+        return document.services if document else ()
+
     def _list_own_waits(self) -> list[RegionWait]:
-        state = self._state
         own = self._roster.own.region
-        document = state.catalog.document
         waits = []
-        for name in document.services if document else ():
-            wait_s = state.placer.estimate_s(name, TYPICAL_PROMPT_TOKENS)
-            if wait_s is not None:
-                waits.append(RegionWait(own, name, to_ms(wait_s)))
+        for name in self.list_services():
+            wait_s = self.estimate_wait_s(name, TYPICAL_PROMPT_TOKENS)
+            # Told as well if it is none, as others would send requests here until
+            # the last wait they know of is too old.
+            wait_s = float("inf") if wait_s is None else wait_s
+            waits.append(RegionWait(own, name, to_ms(wait_s), 0))
         return waits
 
     def _list_remote_waits(self) -> list[RegionWait]:
         own = self._roster.own.region
+        now_s = self._clock.monotonic_s()
         return [
-            RegionWait(region, service, to_ms(wait_s))
-            for region, service, wait_s in self._state.loads.waits()
-            if region != own
+            RegionWait(
+                item.region,
+                item.service,
+                to_ms(item.wait_s),
+                to_ms(now_s - item.announced_s),
+            )
+            for item in self._state.loads.waits()
+            if item.region != own
         ]
 
     def _list_members(self, is_same_region: bool) -> list[InstanceRecord]:
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -4,12 +4,14 @@
 import threading
 from datetime import timedelta
 
+import attrs
+
 from oriolepaddle.clock import Clock
 from oriolepaddle.edge.regions import PeerChoice, Residency, allows_region
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.roster import Roster
 
-__all__ = ["TYPICAL_PROMPT_TOKENS", "RegionLoads"]
+__all__ = ["TYPICAL_PROMPT_TOKENS", "AnnouncedWait", "RegionLoads"]
 
 TYPICAL_PROMPT_TOKENS = 2000
 """The prompt length for which a region's wait is announced."""
@@ -21,6 +23,29 @@
 """Wait that each forwarded request adds until the region announces it."""
 
 
+@attrs.frozen
+class AnnouncedWait:
+    """What a region announced of one service.
+
+    Attributes:
+        region: The region.
+        service: The service.
+        wait_s: Seconds to the first byte for a typical request; infinite if the
+            region can't run one.
+        announced_s: Monotonic time at which the region announced it.
+    """
+
+    region: str
+    service: str
+    wait_s: float
+    announced_s: float
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the region can run requests of the service."""
+        return self.wait_s < float("inf")
+
+
 class RegionLoads:
     """Chooses instances of other regions; a `RegionChooser`, thread-safe.
 
@@ -43,33 +68,35 @@
         self._round_trip_s = round_trip_s
         self._generator = generator
         self._lock = threading.Lock()
-        self._waits: dict[tuple[str, str], tuple[float, float]] = {}
+        self._waits: dict[tuple[str, str], AnnouncedWait] = {}
         self._forwarded_at_s: dict[tuple[str, str], list[float]] = {}
 
     def record_wait(
-        self, region: str, service: str, wait_s: float, received_s: float
+        self, region: str, service: str, wait_s: float, announced_s: float
     ) -> None:
-        """Record the announced wait of a region.
+        """Record the announced wait of a region, unless a later one is known.
 
         Args:
             region: The region.
             service: The service.
-            wait_s: Seconds to the first byte for a typical request.
-            received_s: Monotonic time at which it was received.
+            wait_s: Seconds to the first byte for a typical request; infinite if the
+                region can't run one.
+            announced_s: Monotonic time at which the region announced it. A wait that
+                is passed on does not become newer by that.
         """
         with self._lock:
             stored = self._waits.get((region, service))
-            if stored is None or stored[0] <= received_s:
-                self._waits[(region, service)] = (received_s, wait_s)
+            if stored is None or stored.announced_s <= announced_s:
+                self._waits[(region, service)] = AnnouncedWait(
+                    region, service, wait_s, announced_s
+                )
 
-    def waits(self) -> list[tuple[str, str, float]]:
-        """Return region, service and wait in seconds of each recent announcement."""
+    def waits(self) -> list[AnnouncedWait]:
+        """Return the recent announcements."""
         oldest_s = self._clock.monotonic_s() - MAX_WAIT_AGE.total_seconds()
         with self._lock:
             return [
-                (region, service, wait_s)
-                for (region, service), (received_s, wait_s) in self._waits.items()
-                if received_s >= oldest_s
+                item for item in self._waits.values() if item.announced_s >= oldest_s
             ]
 
     def choose(
@@ -79,14 +106,14 @@
         own = self._roster.own.region
         ready = self._group_ready()
         best: tuple[float, str] | None = None
-        for region, name, wait_s in self.waits():
-            if name != service or region == own or region not in ready:
+        for item in self.waits():
+            region = item.region
+            if item.service != service or region == own or region not in ready:
                 continue
-            if not allows_region(residency, region):
+            if not item.is_available or not allows_region(residency, region):
                 continue
-            wait_s += self._round_trip_s + self._estimate_forwarded_wait_s(
-                region, service
-            )
+            wait_s = item.wait_s + self._round_trip_s
+            wait_s += self._estimate_forwarded_wait_s(region, service)
             if best is None or wait_s < best[0]:
                 best = (wait_s, region)
         if best is None:
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -405,15 +405,17 @@
     Attributes:
      - region
      - service_name
-     - wait_ms
+     - wait_ms: The largest number if the region can run no request of the service.
+     - age_ms: The time since the region announced it.
 
     """
 
 
-    def __init__(self, region=None, service_name=None, wait_ms=None,):
+    def __init__(self, region=None, service_name=None, wait_ms=None, age_ms=None,):
         self.region = region
         self.service_name = service_name
         self.wait_ms = wait_ms
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -439,6 +441,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -461,6 +468,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1341,6 +1352,7 @@
     (1, TType.STRING, 'region', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(TokenBalance)
 TokenBalance.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -37,7 +37,10 @@
 struct RegionWait {
   1: required string region,
   2: required string service_name,
+  /** The largest number if the region can run no request of the service. */
   3: required i32 wait_ms,
+  /** The time since the region announced it. */
+  4: optional i32 age_ms,
 }
 
 /** The tokens of an organisation that an instance can spare, and that it needs. */
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -176,7 +176,7 @@
         """Return the expected time to the first byte of an uncached prompt.
 
         Returns:
-            None if no endpoint of this region can run it.
+            None if no endpoint of this region can run it, or all are unreachable.
         """
         job = Job(service, input_tokens=tokens)
         now_s = self._clock.monotonic_s()
@@ -185,6 +185,7 @@
                 load.estimate_first_byte_s(job, tokens, load.total_load(now_s))
                 + load.failure_penalty_s()
                 for load in self._list_loads(service, now_s)
+                if not load.is_blocked(now_s)
             ]
         return min(waits, default=None)
 
--- a/oriolepaddle/placement/tests/test_placer.py
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -71,6 +71,17 @@
         assert other.endpoint.id != choice.endpoint.id
 
 
+class TestEstimate:
+    def test_is_none_while_every_endpoint_is_unreachable(self, placer, catalog):
+        """Other regions would send their requests here while all of it is down."""
+        register(catalog, "e1")
+        assert placer.estimate_s(ENGINES, 2000) is not None
+        _, placed = run(placer, make_dossier("a"))
+        placed.fail(is_unreachable=True)
+        placed.end()
+        assert placer.estimate_s(ENGINES, 2000) is None
+
+
 class TestOverload:
     def test_refuses_at_once_what_would_begin_too_late(self, placer, catalog):
         """More long prompts arrive at once than one engine can prefill in time."""
