Resume streams of an endpoint that stops in their middle

Cause: an engine that hangs keeps its connections open. Change: StallDetector adds up the time in which an endpoint sends nothing to any request; after a second, or ten usual intervals, a stream that may be resumed goes on elsewhere. Time in which this instance was paused doesn't count, and what may run once is left running.

--- a/oriolepaddle/daemon/tests/test_edge_silence.py
+++ b/oriolepaddle/daemon/tests/test_edge_silence.py
@@ -1,3 +1,5 @@
+import http.client
+
 import pytest
 
 from oriolepaddle.daemon.tests.edge_fleet import DESK, ENGINES, EdgeFleet
@@ -50,3 +52,28 @@
         assert status in (502, 504)
         received = [len(fleet.runners[name].received) for name in ("d1", "d2")]
         assert sum(received) == 1
+
+
+class TestStalledStream:
+    """The failure: an engine stops in the middle of its streams and stays connected."""
+
+    def test_is_resumed_at_another_endpoint(self, fleet):
+        for name in ("e1", "e2"):
+            fleet.runners[name].behaviours.append(RunnerBehaviour.STALLED)
+        fleet.runners["e2"].behaviours.clear()
+        started_s = fleet.clock.monotonic_s()
+        bodies = [fleet.request("n1", "/chat/1", method="POST")[1] for _ in range(2)]
+        expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+        assert bodies == [expected, expected]
+        assert fleet.clock.monotonic_s() - started_s < MAX_DETECTION_S
+
+    def test_that_may_run_once_is_left_running(self, fleet):
+        for name in ("e1", "e2"):
+            fleet.runners[name].behaviours.append(RunnerBehaviour.STALLED)
+        response = fleet.send(
+            "n1", "/ask/1", method="POST", X_Oriolepaddle_Deadline_Ms="1500"
+        )
+        with pytest.raises(http.client.IncompleteRead):
+            response.read()
+        received = [len(fleet.runners[name].received) for name in ("e1", "e2")]
+        assert sum(received) == 1
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -6,6 +6,7 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad
+from oriolepaddle.placement.stall import StallDetector
 
 __all__ = ["PlacedRun"]
 
@@ -35,6 +36,7 @@
         self._job = job
         self._started_s = clock.monotonic_s()
         self._uncached_tokens = choice.uncached_tokens
+        self._stall_detector = StallDetector()
         self._has_first_byte = False
         self._last_event_s: float | None = None
         self._events = 0
@@ -72,12 +74,19 @@
         self._last_event_s = now_s
 
     def seems_lost(self) -> bool:
-        """Return whether its answer is overdue and probably lost."""
-        if self._has_first_byte:
-            return False
+        """Return whether its answer is overdue or stalled, and probably lost.
+
+        Must be called periodically; see `StallDetector`.
+        """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            return self._load.silence_detector.seems_lost(self._request_number, now_s)
+            silence_detector = self._load.silence_detector
+            if not self._has_first_byte:
+                return silence_detector.seems_lost(self._request_number, now_s)
+            interval_s = self._load.stream_stats.service.interval_s
+            return self._stall_detector.check(
+                now_s, silence_detector.last_activity_s, interval_s
+            )
 
     def end(self) -> None:
         """Record the end of the run, whatever its outcome."""
--- a/oriolepaddle/placement/silence.py
+++ b/oriolepaddle/placement/silence.py
@@ -59,6 +59,11 @@
         """Record that data was received from the endpoint."""
         self._last_activity_s = now_s
 
+    @property
+    def last_activity_s(self) -> float:
+        """Monotonic time at which data was last received; -inf if it never was."""
+        return self._last_activity_s
+
     @property
     def waiting(self) -> int:
         """Number of requests without an answer."""
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -16,6 +16,8 @@
 
 SEAL_VALUE = "3e1b.07"
 SILENCE_S = 5.0
+STALL_S = 30.0
+"""Longer than callers of streams wait for the next event."""
 
 
 class RunnerBehaviour(enum.StrEnum):
@@ -29,6 +31,7 @@
     UNSEALED = "unsealed"
     CUT_EVENT = "cut event"
     SILENT = "silent"
+    STALLED = "stalled"
 
 
 @attrs.frozen
@@ -87,6 +90,7 @@
         self.cold_ms = 0
         self.advertised_address = ""
         self._clock = SystemClock()
+        self._stopping = threading.Event()
         self._service = service
         self._zone = zone
         self._sequence = 0
@@ -99,6 +103,7 @@
 
     def stop(self) -> None:
         """Close all connections and stop serving."""
+        self._stopping.set()
         self._server.drop_connections()
         self._server.close()
 
@@ -186,6 +191,9 @@
                 writer.write(event[:7])
                 raise ConnectionResetError("the runner closes the connection")
             writer.write(event)
+            if behaviour is RunnerBehaviour.STALLED and number == first + 1:
+                self._stopping.wait(STALL_S)
+                raise ConnectionResetError("the runner closes the connection")
         writer.finish()
 
     def _pause(self, writer: AnswerWriter) -> None:
