Add up a region's work once for all replies of a hub

Cause: a hub added up the reports of all members for each reply, some times a second to each of them, so its work grew with their square. Change: the sum is made once in 0.1 s; what the receiver reported is taken off.

--- a/oriolepaddle/gossip/tests/test_work.py
+++ b/oriolepaddle/gossip/tests/test_work.py
@@ -1,3 +1,5 @@
+from datetime import timedelta
+
 import pytest
 
 from oriolepaddle.clock import ManualClock
@@ -88,3 +90,48 @@
         (work,) = read_datagram(data, secret).announcement.work
         assert work.prefill_tokens == work.memory_tokens == most
         assert work.reading_ms == work.expected_ms == most
+
+
+class TestSum:
+    """The load: a region of a hundred instances, all with requests at each endpoint."""
+
+    MEMBERS = 100
+    ENDPOINTS = 20
+
+    @pytest.fixture
+    def hub(self, clock):
+        hub = RegionWork(clock, FakePlacer({"e0": PeerLoad(1, 100)}))
+        for member in range(self.MEMBERS):
+            loads = {
+                f"e{number}": PeerLoad(1, 10 * member, 7, 0.25, 0.5)
+                for number in range(self.ENDPOINTS)
+            }
+            work = RegionWork(clock, FakePlacer(loads)).own()
+            hub.record_member_work(f"n{member}", work)
+        return hub
+
+    def test_leaves_out_the_receiver(self, hub):
+        for member in (0, 57):
+            work = {item.endpoint: item for item in hub.sum_others(f"n{member}")}
+            assert len(work) == self.ENDPOINTS
+            assert work["e5"].running == self.MEMBERS - 1
+            assert work["e5"].prefill_tokens == 10 * (sum(range(100)) - member)
+            assert work["e5"].expected_ms == 500 * (self.MEMBERS - 1)
+            assert work["e0"].running == self.MEMBERS
+
+    def test_follows_changes(self, hub, clock):
+        hub.sum_others("n1")
+        clock.advance(timedelta(milliseconds=100))
+        hub.record_member_work("n0", [])
+        work = {item.endpoint: item for item in hub.sum_others("n1")}
+        assert work["e5"].running == self.MEMBERS - 2
+
+    def test_cost_of_all_replies_is_linear_in_the_members(self, hub, monkeypatch):
+        additions = []
+        add = PeerLoad.add
+        monkeypatch.setattr(
+            PeerLoad, "add", lambda *loads: additions.append(1) or add(*loads)
+        )
+        for member in range(self.MEMBERS):
+            hub.sum_others(f"n{member}")
+        assert len(additions) <= 2 * self.MEMBERS * self.ENDPOINTS
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -88,6 +88,20 @@
             tuple(dict.fromkeys(self.sent_parts + other.sent_parts)),
         )
 
+    def subtract(self, other: "PeerLoad") -> "PeerLoad":
+        """Return the rest of a sum without one of its summands.
+
+        The sent parts stay, as another instance may have sent the same.
+        """
+        return PeerLoad(
+            self.running - other.running,
+            self.prefill_tokens - other.prefill_tokens,
+            self.memory_tokens - other.memory_tokens,
+            max(0.0, self.measured_prefill_s - other.measured_prefill_s),
+            max(0.0, self.expected_prefill_s - other.expected_prefill_s),
+            self.sent_parts,
+        )
+
 
 class EndpointLoad:
     """The state of one incarnation of an endpoint.
