Estimate the wait of forwarded requests from a region's endpoints

Cause: each request that an instance had forwarded in the last 0.6 s counted as 20 ms of wait, whatever the region. When a region lost its only endpoint of a plain service, its instances refused 40 requests a second as too slow elsewhere, while the other region's slots were at four tenths. Change: RegionCapacity finds from the catalog by how much one more request prolongs the wait: by slots, or by the prompt and the engines. Result: a test that plays this load failed first.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -32,7 +32,7 @@
 from oriolepaddle.limits import GrantingLimiter, PooledLimiter
 from oriolepaddle.logs import log_event
 from oriolepaddle.metrics import GatewayMetrics
-from oriolepaddle.placement import Placer
+from oriolepaddle.placement import Placer, RegionCapacity
 from oriolepaddle.platform import (
     DirectoryApplication,
     PlatformProtocol,
@@ -237,7 +237,14 @@
         self._draws = TokenDraws(
             clock, roster, self.pool, self._find_organisation, settings.gossip_port
         )
-        self._loads = RegionLoads(clock, roster, round_trip_s, self._generator)
+        capacity = RegionCapacity(clock, self.catalog, roster.region_of)
+        self._loads = RegionLoads(
+            clock,
+            roster,
+            round_trip_s,
+            self._generator,
+            capacity.estimate_added_wait_s,
+        )
         return EdgeContext(
             clock=clock,
             catalog=self.catalog,
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -19,8 +20,6 @@
 """Age beyond which an announced wait is ignored."""
 ANNOUNCEMENT_LAG_S = 0.6
 """Time until a forwarded request shows in the wait that its region announces."""
-WAIT_PER_FORWARDED_REQUEST_S = 0.02
-"""Wait that each forwarded request adds until the region announces it."""
 
 
 @attrs.frozen
@@ -54,6 +53,8 @@
         roster: The instances.
         round_trip_s: Round-trip time to another region.
         generator: Chooses among a region's instances, weighted by size.
+        estimate_added_wait_s: Returns the seconds by which a request of a service,
+            with some tokens, prolongs the wait of later ones in a region.
     """
 
     def __init__(
@@ -62,14 +63,16 @@
         roster: Roster,
         round_trip_s: float,
         generator: random.Random,
+        estimate_added_wait_s: Callable[[str, str, int], float],
     ) -> None:
         self._clock = clock
         self._roster = roster
         self._round_trip_s = round_trip_s
         self._generator = generator
+        self._estimate_added_wait_s = estimate_added_wait_s
         self._lock = threading.Lock()
         self._waits: dict[tuple[str, str], AnnouncedWait] = {}
-        self._forwarded_at_s: dict[tuple[str, str], list[float]] = {}
+        self._forwarded: dict[tuple[str, str], list[tuple[float, int]]] = {}
 
     def record_wait(
         self, region: str, service: str, wait_s: float, announced_s: float
@@ -133,18 +136,21 @@
     def record_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Record a forwarded request; see `RegionChooser`."""
         with self._lock:
-            forwarded_at_s = self._forwarded_at_s.setdefault(
-                (choice.region, service), []
-            )
-            forwarded_at_s.append(self._clock.monotonic_s())
+            forwarded = self._forwarded.setdefault((choice.region, service), [])
+            forwarded.append((self._clock.monotonic_s(), tokens))
 
     def _estimate_forwarded_wait_s(self, region: str, service: str) -> float:
+        """Return the wait that the region has not announced yet."""
         oldest_s = self._clock.monotonic_s() - ANNOUNCEMENT_LAG_S
         with self._lock:
-            forwarded_at_s = [
-                at_s
-                for at_s in self._forwarded_at_s.get((region, service), ())
-                if at_s > oldest_s
+            forwarded = [
+                item
+                for item in self._forwarded.get((region, service), ())
+                if item[0] > oldest_s
             ]
-            self._forwarded_at_s[(region, service)] = forwarded_at_s
-        return WAIT_PER_FORWARDED_REQUEST_S * len(forwarded_at_s)
+            self._forwarded[(region, service)] = forwarded
+        if not forwarded:
+            return 0.0
+        mean_tokens = sum(tokens for _, tokens in forwarded) // len(forwarded)
+        added_s = self._estimate_added_wait_s(region, service, mean_tokens)
+        return len(forwarded) * added_s
--- a/oriolepaddle/gossip/tests/fleet.py
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -83,7 +83,9 @@
             catalog=catalog,
             placer=placer,
             work=RegionWork(self.clock, placer),
-            loads=RegionLoads(self.clock, roster, 0.16, random.Random(1)),
+            loads=RegionLoads(
+                self.clock, roster, 0.16, random.Random(1), lambda *_: 0.02
+            ),
             limiter=limiter,
             draws=TokenDraws(
                 self.clock, roster, limiter, lambda name: ORGANISATION, PORT
--- a/oriolepaddle/gossip/tests/test_region_loads.py
+++ b/oriolepaddle/gossip/tests/test_region_loads.py
@@ -9,6 +9,10 @@
 
 REGIONS = {"nordur-a": "nordur", "sudur-a": "sudur"}
 
+ADDED_WAIT_S = 0.08 / 6
+"""That of one endpoint with six slots."""
+TARGET_S = 0.4
+
 
 def make_instance(name, data_centre):
     return EntryInstance(name, REGIONS[data_centre], data_centre, f"{name}:80")
@@ -25,7 +29,9 @@
 
     @pytest.fixture
     def loads(self, clock, roster):
-        loads = RegionLoads(clock, roster, 0.16, random.Random(1))
+        loads = RegionLoads(
+            clock, roster, 0.16, random.Random(1), lambda *_: ADDED_WAIT_S
+        )
         loads.record_wait("sudur", "desk", 0.05, clock.monotonic_s())
         return loads
 
@@ -54,3 +60,28 @@
         clock.advance(timedelta(seconds=3))
         self.record(clock, roster)
         assert loads.choose("desk", 0, ()) is None
+
+    def test_requests_of_a_lost_endpoint_are_forwarded(self, clock, roster, loads):
+        """The own region's only endpoint is gone, and 20 requests a second were there.
+
+        The other region has slots for more than 100 a second beside its own.
+        """
+        refused = 0
+        for _ in range(60):
+            self.record(clock, roster)
+            loads.record_wait("sudur", "desk", 0.05, clock.monotonic_s())
+            choice = loads.choose("desk", 0, ())
+            if choice.expected_s > TARGET_S:
+                refused += 1
+            else:
+                loads.record_sent(choice, "desk", 0)
+            clock.advance(timedelta(milliseconds=50))
+        assert refused == 0
+
+    def test_burst_beyond_the_region_is_refused(self, clock, roster, loads):
+        self.record(clock, roster)
+        forwarded = 0
+        while loads.choose("desk", 0, ()).expected_s <= TARGET_S:
+            loads.record_sent(loads.choose("desk", 0, ()), "desk", 0)
+            forwarded += 1
+        assert forwarded == pytest.approx((TARGET_S - 0.21) / ADDED_WAIT_S, abs=1)
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: choosing the endpoint with the lowest expected latency."""
 
+from oriolepaddle.placement.capacity import RegionCapacity
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job, PromptPart
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
@@ -19,5 +20,6 @@
     "Placer",
     "PlacementWeights",
     "PromptPart",
+    "RegionCapacity",
     "find_urgency",
 ]
