Learn the time of forwarded plain requests

Cause: the initial service time of 80 ms stood for requests that take 22 ms, so that a region which had lost its endpoint still refused a third of what the other region had slots for. Change: the service time learnt here, also from endpoints that are gone.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -237,7 +237,9 @@
         self._draws = TokenDraws(
             clock, roster, self.pool, self._find_organisation, settings.gossip_port
         )
-        capacity = RegionCapacity(clock, self.catalog, roster.region_of)
+        capacity = RegionCapacity(
+            clock, self.catalog, roster.region_of, placer.estimate_service_s
+        )
         self._loads = RegionLoads(
             clock,
             roster,
--- a/oriolepaddle/placement/capacity.py
+++ b/oriolepaddle/placement/capacity.py
@@ -8,10 +8,7 @@
 
 from oriolepaddle.catalog import Catalog, EndpointService
 from oriolepaddle.clock import Clock
-from oriolepaddle.placement.load import (
-    INITIAL_PREFILL_TOKENS_PER_S,
-    INITIAL_SERVICE_S,
-)
+from oriolepaddle.placement.load import INITIAL_PREFILL_TOKENS_PER_S
 
 __all__ = ["RegionCapacity"]
 
@@ -23,14 +20,21 @@
         clock: The time.
         catalog: The endpoints of all regions.
         region_of: Returns the region of a data centre.
+        estimate_service_s: Returns the seconds for which a plain request of a service
+            occupies its slot.
     """
 
     def __init__(
-        self, clock: Clock, catalog: Catalog, region_of: Callable[[str], str]
+        self,
+        clock: Clock,
+        catalog: Catalog,
+        region_of: Callable[[str], str],
+        estimate_service_s: Callable[[str], float],
     ) -> None:
         self._clock = clock
         self._catalog = catalog
         self._region_of = region_of
+        self._estimate_service_s = estimate_service_s
 
     def estimate_added_wait_s(self, region: str, service: str, tokens: int) -> float:
         """Return the seconds by which a request prolongs the wait of later ones.
@@ -55,7 +59,7 @@
         if not slots:
             return float("inf")
         if self._find_service(service).engine is None:
-            return INITIAL_SERVICE_S / max(1, sum(slots))
+            return self._estimate_service_s(service) / max(1, sum(slots))
         return tokens / INITIAL_PREFILL_TOKENS_PER_S / len(slots)
 
     def _find_service(self, name: str) -> EndpointService:
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -226,6 +226,11 @@
                 expected_s += load.expected_prefill_s
         return PeerLoad(running, prefill, memory, measured_s, expected_s)
 
+    @property
+    def service_s(self) -> float:
+        """The average seconds for which a request occupies its slot."""
+        return self._service_s
+
     def estimate_first_byte_s(
         self, job: Job, uncached_tokens: int, total: PeerLoad
     ) -> float:
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -17,7 +17,7 @@
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
-from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
 from oriolepaddle.placement.preferred import rank_preferred
 from oriolepaddle.placement.prefix_source import find_prefix_source
 from oriolepaddle.placement.run import PlacedRun
@@ -189,6 +189,19 @@
             ]
         return min(waits, default=None)
 
+    def estimate_service_s(self, service: str) -> float:
+        """Return the seconds for which a plain request occupies its slot.
+
+        Learnt from the endpoints that were used here, also if they are gone.
+        """
+        with self._lock:
+            learnt = [
+                load.service_s
+                for load in self._loads.values()
+                if load.endpoint.service == service
+            ]
+        return min(learnt, default=INITIAL_SERVICE_S)
+
     def _list_candidates(
         self, service: str, now_s: float, excluded: frozenset[str]
     ) -> list[EndpointLoad]:
--- a/oriolepaddle/placement/tests/test_capacity.py
+++ b/oriolepaddle/placement/tests/test_capacity.py
@@ -2,16 +2,17 @@
 
 from oriolepaddle.catalog import EndpointState
 from oriolepaddle.placement.capacity import RegionCapacity
-from oriolepaddle.placement.load import (
-    INITIAL_PREFILL_TOKENS_PER_S,
-    INITIAL_SERVICE_S,
-)
+from oriolepaddle.placement.load import INITIAL_PREFILL_TOKENS_PER_S
 from oriolepaddle.placement.tests.engines import DESK, ENGINES, register
 
+SERVICE_S = 0.024
+
 
 @pytest.fixture
 def capacity(clock, catalog):
-    return RegionCapacity(clock, catalog, lambda name: name.split("-")[0])
+    return RegionCapacity(
+        clock, catalog, lambda name: name.split("-")[0], lambda service: SERVICE_S
+    )
 
 
 class TestAddedWait:
@@ -20,7 +21,7 @@
         register(catalog, "d2", DESK)
         register(catalog, "far", DESK, data_centre="sudur-a")
         added_s = capacity.estimate_added_wait_s("nordur", DESK, 0)
-        assert added_s == pytest.approx(INITIAL_SERVICE_S / 12)
+        assert added_s == pytest.approx(SERVICE_S / 12)
 
     def test_of_an_engine_grows_with_the_prompt(self, capacity, catalog):
         for number in range(4):
--- a/oriolepaddle/placement/tests/test_placer.py
+++ b/oriolepaddle/placement/tests/test_placer.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from oriolepaddle.catalog import EndpointState
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement import Job, PeerLoad, Placer
 from oriolepaddle.placement.tests.engines import (
@@ -81,6 +82,17 @@
         placed.end()
         assert placer.estimate_s(ENGINES, 2000) is None
 
+    def test_service_time_outlives_its_endpoints(self, placer, catalog, clock):
+        register(catalog, "d1", DESK)
+        job = Job(DESK, max_first_byte_s=1.0)
+        for _ in range(60):
+            _, placed = run(placer, job)
+            clock.advance(timedelta(milliseconds=20))
+            placed.succeed()
+            placed.end()
+        register(catalog, "d1", DESK, state=EndpointState.LEAVING)
+        assert placer.estimate_service_s(DESK) == pytest.approx(0.02, abs=0.002)
+
 
 class TestOverload:
     def test_refuses_at_once_what_would_begin_too_late(self, placer, catalog):
