Let an aborted response close a connection that is gone already

Setting the reset could raise on a connection that the client had closed, in place of the error that ended the response. Reword the comment on unavailable regions.

--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -104,6 +104,7 @@
         self._roster = roster
         self._state = state
         self._hub_state: _HubState | None = None
+        # Public, like `list_services`, so that tests can replace it.
         self.estimate_wait_s = state.placer.estimate_s
 
     def compose(self, receiver: RosterEntry | None, contact: Contact) -> Announcement:
@@ -214,9 +215,10 @@
         waits = []
         for name in self.list_services():
             wait_s = self.estimate_wait_s(name, TYPICAL_PROMPT_TOKENS)
-            # Told as well if it is none, as others would send requests here until
-            # the last wait they know of is too old.
-            wait_s = float("inf") if wait_s is None else wait_s
+            if wait_s is None:
+                # Otherwise the others would send requests here until the last wait
+                # that they know of is too old.
+                wait_s = float("inf")
             waits.append(RegionWait(own, name, to_ms(wait_s), 0))
         return waits
 
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -1,5 +1,6 @@
 """Writes one HTTP response to a client."""
 
+import contextlib
 import json
 import select
 import socket
@@ -93,9 +94,14 @@
         Without a length or chunks the close itself ends the body, so the connection
         is reset instead.
         """
-        if self._ends_by_close and not self.is_finished:
-            value = struct.pack("@ii", 1, 0)
-            self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+        if not self._ends_by_close or self.is_finished:
+            return
+        reset_on_close = struct.pack("@ii", 1, 0)
+        # The client may have closed the connection already.
+        with contextlib.suppress(OSError):
+            self._connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close
+            )
 
     def answer(
         self, status: int, body: bytes, content_type: str, headers: Headers = ()
