Log the shared parts of prompts, and whether a failure was recorded as a crash

No line told which parts the runs at an ended endpoint had in common, nor whether the crash register got an entry. Both are needed to tell the hypotheses of the incident apart. No decision changes.

--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -352,13 +352,19 @@
         error: OriolepaddleError,
     ) -> None:
         answer = sink.answer
-        if endpoint is not None and sink.is_sent and answer is None:
-            if type(error) is EndpointFailedError:
-                self._context.crashes.record_crash(
-                    self._fingerprint, endpoint.incarnation
-                )
+        is_crash = (
+            endpoint is not None
+            and sink.is_sent
+            and answer is None
+            and type(error) is EndpointFailedError
+        )
+        if is_crash:
+            self._context.crashes.record_crash(self._fingerprint, endpoint.incarnation)
         self.log(
             "try_failed",
+            incarnation=endpoint.incarnation if endpoint else None,
+            is_crash=is_crash,
+            events=sink.events,
             reason=error.code.code,
             outcome=error.outcome.value,
             detail=error.message,
--- a/oriolepaddle/edge/exchange_log.py
+++ b/oriolepaddle/edge/exchange_log.py
@@ -8,6 +8,8 @@
 
 __all__ = ["ExchangeLog"]
 
+MAX_LOGGED_PARTS = 8
+
 
 class ExchangeLog:
     """Writes log events of a request with the state of its handling.
@@ -50,6 +52,9 @@
             hops=len(self._request.hops),
             expected_s=round(progress.expected_s, 3),
             prefix_source=progress.prefix_source,
+            shared_parts=[
+                part.id for part in self._request.shared_parts[:MAX_LOGGED_PARTS]
+            ],
             first_byte_s=self._round_elapsed(progress.first_byte_s),
             elapsed_s=self._round_elapsed(self._context.clock.monotonic_s()),
             **fields,
--- a/oriolepaddle/edge/request.py
+++ b/oriolepaddle/edge/request.py
@@ -52,6 +52,11 @@
     hops: tuple[str, ...] = ()
     earlier_runs: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other prompts may have too; the last one is its own."""
+        return self.parts[:-1]
+
     def without_hops(self) -> "EdgeRequest":
         """Return the request without the fields of a forwarded one."""
         return attrs.evolve(self, hops=(), earlier_runs=0)
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -32,6 +32,11 @@
         read_answer: Decodes the status and headers.
         recheck: Raises an error if the request may no longer be sent.
         on_first_byte: Called at the first byte of the body.
+
+    Attributes:
+        answer: The status and headers, or None before they are received.
+        is_sent: Whether the request may have reached the endpoint.
+        events: Complete events that this attempt has received.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self._is_event_stream = False
         self.answer: EndpointAnswer | None = None
         self.is_sent = False
+        self.events = 0
 
     def set_callbacks(
         self, on_activity: Callable[[], None], check_progress: Callable[[], None]
@@ -105,7 +111,9 @@
             if len(self._buffer) > MAX_BUFFERED_BYTES:
                 raise AnswerTruncatedError("the response is too large to be buffered")
             return
+        earlier_events = self._splitter.events
         complete_events = self._splitter.feed(data)
+        self.events += self._splitter.events - earlier_events
         if complete_events:
             self._write(complete_events)
 
