--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -70,6 +70,9 @@
         pause_s: Seconds before each event, or before a plain response.
         abandoned_count: Requests whose caller disconnected before the end.
         advertised_address: The address to register, if not the one listened on.
+        deadly_part: The part of a prompt that crashes the runner when it begins to
+            answer, unless it is the last one; empty for none.
+        has_crashed: Whether the runner has crashed.
     """
 
     def __init__(
@@ -89,6 +92,8 @@
         self.state = "ready"
         self.cold_ms = 0
         self.advertised_address = ""
+        self.deadly_part = ""
+        self.has_crashed = False
         self._clock = SystemClock()
         self._stopping = threading.Event()
         self._service = service
@@ -107,6 +112,12 @@
         self._server.drop_connections()
         self._server.close()
 
+    def crash(self) -> None:
+        """Refuse new connections and break off all responses, as a crash does."""
+        self.has_crashed = True
+        self._server.stop_accepting()
+        self._server.drop_connections()
+
     def describe(self) -> bytes:
         """Return the entry that it registers in the store."""
         self._sequence += 1
@@ -152,12 +163,20 @@
         if behaviour is RunnerBehaviour.SHED:
             writer.answer(503, b"", "text/plain", [(names.NOT_RUN, "1")])
             return
+        if self._is_deadly(headers.get(names.PROMPT_PREFIX.lower(), "")):
+            writer.start(200, [("Content-Type", "text/event-stream")])
+            self.crash()
+            raise ConnectionResetError("the runner crashes")
         try:
             self._answer(request, writer, behaviour)
         except OSError:
             self.abandoned_count += 1
             raise
 
+    def _is_deadly(self, prefix: str) -> bool:
+        shared_parts = [item.partition(":")[0] for item in prefix.split(",")[:-1]]
+        return self.deadly_part in shared_parts
+
     def _answer(
         self, request: Request, writer: AnswerWriter, behaviour: RunnerBehaviour
     ) -> None:
