Refuse parts of prompts that crash endpoints, not only whole requests

Cause: the crash register was keyed by a digest of the whole request, and no two of these requests are alike, so no entry ever reached two crashes. Runs whose response had begun recorded nothing.

Each end of an endpoint now records the parts of the prompts that had no event yet, the begun ones apart from the waiting ones. It is an end only if its address refuses connections, so a reset says nothing of the parts. An event of any response clears the parts of its prompt. What is left at two ends (three if it only waited, not within a second) is the cause; while others may be it as well, a request is refused if it has them all. Between suspicion and certainty suspects run one at a time at an instance. Reports merge, in any order, and the announcements carry those that a refusal rests on first, so restarted instances and both sides of a cut learn them. The attribution is shared with the quarantine of the own interface.

The announcement's field 13 is no longer sent; instances of an earlier build ignore the new one, and the other way round.

--- /dev/null
+++ b/oriolepaddle/crashes/ledger.py
@@ -0,0 +1,131 @@
+"""The reports of crashes that an instance knows."""
+
+import attrs
+
+from oriolepaddle.clock import Clock
+from oriolepaddle.crashes.report import CrashReport
+from oriolepaddle.crashes.verdicts import Verdicts, find_verdicts
+
+__all__ = ["CrashLedger"]
+
+RETENTION_S = 3600.0
+"""Time for which a crash counts. A crashing part is refused for as long, also where
+no instance runs any longer that saw the crashes."""
+MAX_REPORTS = 256
+MAX_PARTS_PER_REPORT = 32
+MAX_SENT_REPORTS = 16
+"""Reports in one announcement, about 60 bytes for each key."""
+SENT_WHEN_CLEARED_S = 10.0
+"""Time for which a report without suspects is still sent, so that other instances
+clear them too."""
+
+
+@attrs.frozen
+class _StoredReport:
+    report: CrashReport
+    changed_s: float
+
+
+class CrashLedger:
+    """Stores a bounded number of reports. Not thread-safe.
+
+    Args:
+        clock: The source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._stored: dict[str, _StoredReport] = {}
+        self._verdicts: Verdicts | None = None
+
+    def __len__(self) -> int:
+        return len(self._stored)
+
+    @property
+    def verdicts(self) -> Verdicts:
+        """The conclusions from the stored reports."""
+        if self._verdicts is None:
+            self._verdicts = find_verdicts(
+                item.report for item in self._stored.values()
+            )
+        return self._verdicts
+
+    def merge(self, report: CrashReport) -> bool:
+        """Merge a report; return whether it has anything new."""
+        if report.recorded_s < self._clock.monotonic_s() - RETENTION_S:
+            return False
+        stored = self._stored.get(report.incarnation)
+        merged = stored.report.merge(report) if stored else report
+        merged = attrs.evolve(
+            merged,
+            answering=_limit(merged.answering),
+            waiting=_limit(merged.waiting),
+            requests=_limit(merged.requests),
+        )
+        merged = attrs.evolve(merged, cleared=merged.cleared & merged.keys)
+        if stored is not None and merged == stored.report:
+            return False
+        self._stored[report.incarnation] = _StoredReport(
+            merged, self._clock.monotonic_s()
+        )
+        self._verdicts = None
+        return True
+
+    def clear(self, keys: frozenset[str]) -> frozenset[str]:
+        """Clear keys of all crashes so far; return those that were suspects."""
+        found: set[str] = set()
+        for stored in list(self._stored.values()):
+            report = stored.report
+            suspects = (keys & report.keys) - report.cleared
+            if suspects:
+                found |= suspects
+                self.merge(attrs.evolve(report, cleared=report.cleared | suspects))
+        return frozenset(found)
+
+    def expire(self) -> list[CrashReport]:
+        """Remove and return the reports that are too old or too many."""
+        oldest_s = self._clock.monotonic_s() - RETENTION_S
+        removed = [
+            item.report
+            for item in self._stored.values()
+            if item.report.recorded_s < oldest_s
+        ]
+        excess = len(self._stored) - len(removed) - MAX_REPORTS
+        if excess > 0:
+            removed += [item.report for item in self._rank()[-excess:]]
+        for report in removed:
+            self._stored.pop(report.incarnation, None)
+            self._verdicts = None
+        return removed
+
+    def reports(self) -> list[CrashReport]:
+        """Return all reports."""
+        return [item.report for item in self._stored.values()]
+
+    def select_to_send(self) -> list[CrashReport]:
+        """Return the reports that other instances need most."""
+        now_s = self._clock.monotonic_s()
+        return [
+            item.report
+            for item in self._rank()
+            if item.report.has_suspects or now_s - item.changed_s < SENT_WHEN_CLEARED_S
+        ][:MAX_SENT_REPORTS]
+
+    def _rank(self) -> list[_StoredReport]:
+        """Return the reports, first those that a refusal rests on, then the newest."""
+        verdicts = self.verdicts
+        accused = verdicts.causes | verdicts.rivals.keys()
+        return sorted(
+            self._stored.values(),
+            key=lambda item: (
+                not accused.isdisjoint(item.report.keys - item.report.cleared),
+                item.changed_s,
+            ),
+            reverse=True,
+        )
+
+
+def _limit(keys: frozenset[str]) -> frozenset[str]:
+    if len(keys) <= MAX_PARTS_PER_REPORT:
+        return keys
+    return frozenset(sorted(keys)[:MAX_PARTS_PER_REPORT])
--- /dev/null
+++ b/oriolepaddle/crashes/report.py
@@ -0,0 +1,59 @@
+"""What is known of the crash of one endpoint."""
+
+import attrs
+
+__all__ = ["CrashReport"]
+
+
+@attrs.frozen
+class CrashReport:
+    """The runs without an event at an endpoint when it crashed.
+
+    Merging takes the union of each field, so reports may arrive late, repeatedly and
+    in any order.
+
+    Attributes:
+        incarnation: The incarnation of the endpoint that crashed.
+        answering: Parts of prompts whose response had begun.
+        waiting: Parts of prompts whose response had not begun.
+        requests: Whole requests.
+        cleared: What has been answered since, and so is not the cause.
+        recorded_s: Monotonic time at which the crash was first seen; ignored by
+            equality.
+    """
+
+    incarnation: str
+    answering: frozenset[str] = frozenset()
+    waiting: frozenset[str] = frozenset()
+    requests: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+    recorded_s: float = attrs.field(default=0.0, eq=False)
+
+    @property
+    def keys(self) -> frozenset[str]:
+        """All that the crash may have been due to when it was seen."""
+        return self.answering | self.waiting | self.requests
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any key has not been cleared."""
+        return not self.keys <= self.cleared
+
+    def find_suspect_parts(self) -> frozenset[str]:
+        """Return the parts that may have caused the crash.
+
+        An endpoint crashes when it begins a response, so the parts of a run that only
+        waited are suspected only if no run's response had begun.
+        """
+        return (self.answering - self.cleared) or (self.waiting - self.cleared)
+
+    def merge(self, other: "CrashReport") -> "CrashReport":
+        """Return the union of two reports of the same crash, with this one's time."""
+        return CrashReport(
+            self.incarnation,
+            self.answering | other.answering,
+            self.waiting | other.waiting,
+            self.requests | other.requests,
+            self.cleared | other.cleared,
+            self.recorded_s,
+        )
--- a/oriolepaddle/quarantine/tests/test_attribution.py
+++ b/oriolepaddle/crashes/tests/test_attribution.py
@@ -1,4 +1,4 @@
-from oriolepaddle.quarantine._attribution import find_causes
+from oriolepaddle.crashes.attribution import find_causes
 from oriolepaddle.quarantine.crash import Crash
 
 E1, E2, E3, E4 = (Crash(name, "1") for name in ("e1", "e2", "e3", "e4"))
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -9,13 +9,14 @@
 from oriolepaddle.catalog import Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
+from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.daemon.edge_gauges import add_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.daemon.inspection_application import InspectionApplication
 from oriolepaddle.edge import EdgeApplication, EdgeContext, InstanceResolver
-from oriolepaddle.edge.crash_register import CrashRegister
 from oriolepaddle.edge.drain import Drain
+from oriolepaddle.edge.liveness import ConnectCheck
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.edge.retry_budget import FleetRetryBudget
 from oriolepaddle.edge.startup_retry import StartupRetry
@@ -261,7 +262,8 @@
                 settings.retry_window_s,
                 roster.count,
             ),
-            crashes=CrashRegister(clock),
+            crashes=CrashRegister(clock, self.metrics.count_crash_event),
+            liveness=ConnectCheck(),
             transport=EndpointTransport(
                 clock,
                 connect_timeout,
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -7,7 +7,8 @@
 
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.clock import Clock
-from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.crashes import CrashRegister
+from oriolepaddle.edge.liveness import LivenessCheck
 from oriolepaddle.edge.protocol import EdgeProtocol
 from oriolepaddle.edge.regions import RegionChooser
 from oriolepaddle.edge.retry_budget import FleetRetryBudget
@@ -33,7 +34,8 @@
         regions: Chooses instances of other regions.
         limiter: Enforces the rate limits of organisations.
         retry_budget: Bounds the number of retries.
-        crashes: Requests that crashed endpoints.
+        crashes: What crashed endpoints.
+        liveness: Tells whether an endpoint has ended.
         transport: Sends requests to endpoints.
         peer_transport: Sends requests to other instances.
         activity: Counts requests in flight.
@@ -55,6 +57,7 @@
     limiter: TokenLimiter
     retry_budget: FleetRetryBudget
     crashes: CrashRegister
+    liveness: LivenessCheck
     transport: EndpointTransport
     peer_transport: EndpointTransport
     activity: Activity
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -7,7 +7,7 @@
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import AdmittedRequest, admit, check_catalog_age
 from oriolepaddle.edge.context import EdgeContext
-from oriolepaddle.edge.crash_register import make_request_fingerprint
+from oriolepaddle.edge.crash_guard import CrashGuard
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.edge.exchange_log import ExchangeLog
 from oriolepaddle.edge.placing import make_job, place
@@ -35,6 +35,8 @@
 __all__ = ["EdgeExchange"]
 
 SERVER_ERROR = 500
+SUSPECT_WAIT_FRACTION = 0.5
+"""Fraction of the target time for which a suspect waits for another one's test."""
 T = TypeVar("T")
 _UNREACHABLE_ERRORS = (EndpointUnreachableError, EndpointReplacedError)
 """Errors after which an endpoint gets no requests for a while, as others would fail."""
@@ -60,7 +62,7 @@
         self._progress = ExchangeProgress(request.earlier_runs, not request.hops)
         self._log = ExchangeLog(context, request, self._progress)
         self._admitted: AdmittedRequest | None = None
-        self._fingerprint = ""
+        self._crash_guard: CrashGuard | None = None
         self._deadline_s = float("inf")
 
     def run(self) -> None:
@@ -80,11 +82,10 @@
                 code=ErrorCode.DRAINING,
                 retry_after=timedelta(0),
             )
-        self._fingerprint = make_request_fingerprint(self._request)
-        if context.crashes.is_refused(self._fingerprint):
-            raise RefusedError(
-                "the request has crashed endpoints", code=ErrorCode.QUARANTINED
-            )
+        self._crash_guard = CrashGuard(
+            context, self._request, admitted.service, self._check_caller
+        )
+        self._crash_guard.check()
         organisation = admitted.organisation
         # For a forwarded request, the instance that received it from the caller
         # has reserved the tokens.
@@ -159,13 +160,23 @@
         now_s = self._context.clock.monotonic_s()
         has_run = self._progress.runs > 0
         job = make_job(self._admitted, self._request, now_s, remaining_s, has_run)
-        choice = place(self._context, self._admitted, job, self._progress)
-        self._progress.attempts += 1
-        self._progress.expected_s = choice.expected_s
-        if isinstance(choice, PeerChoice):
-            self._send_to_peer(choice, job)
-        else:
-            self._send_to_endpoint(choice, job)
+        target_s = self._admitted.route.target.total_seconds()
+        wait_until_s = self._request.arrived_s + SUSPECT_WAIT_FRACTION * target_s
+        self._crash_guard.start_attempt(min(wait_until_s, self._deadline_s))
+        try:
+            choice = place(self._context, self._admitted, job, self._progress)
+            self._progress.attempts += 1
+            self._progress.expected_s = choice.expected_s
+            if isinstance(choice, PeerChoice):
+                self._send_to_peer(choice, job)
+            else:
+                self._send_to_endpoint(choice, job)
+        finally:
+            self._crash_guard.end_attempt()
+
+    def _check_caller(self) -> None:
+        if self._writer.is_abandoned():
+            raise ConnectionResetError("the caller disconnected")
 
     def _send_to_endpoint(self, choice: Choice, job: Job) -> None:
         context = self._context
@@ -278,7 +289,9 @@
         )
         if run is not None:
             sink.set_callbacks(
-                run.record_activity, lambda: self._check_progress(run, endpoint, sink)
+                run.record_activity,
+                lambda: self._check_progress(run, endpoint, sink),
+                self._crash_guard.record_first_event,
             )
         return sink
 
@@ -337,7 +350,7 @@
 
     def _record_answer(self) -> None:
         context = self._context
-        context.crashes.clear(self._fingerprint)
+        self._crash_guard.record_answer()
         context.metrics.requests.labels(self._admitted.route.name).inc()
         if not self._request.hops:
             context.retry_budget.record_request(self._admitted.service)
@@ -352,14 +365,9 @@
         error: OriolepaddleError,
     ) -> None:
         answer = sink.answer
-        is_crash = (
-            endpoint is not None
-            and sink.is_sent
-            and answer is None
-            and type(error) is EndpointFailedError
+        is_crash = endpoint is not None and self._crash_guard.record_failure(
+            endpoint, sink, error
         )
-        if is_crash:
-            self._context.crashes.record_crash(self._fingerprint, endpoint.incarnation)
         self.log(
             "try_failed",
             incarnation=endpoint.incarnation if endpoint else None,
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -54,6 +54,7 @@
         self._on_first_byte = on_first_byte
         self._on_activity: Callable[[], None] = lambda: None
         self._check_progress: Callable[[], None] = lambda: None
+        self._on_first_event: Callable[[], None] = lambda: None
         self._has_body_data = False
         self._buffer = bytearray()
         self._is_event_stream = False
@@ -62,7 +63,10 @@
         self.events = 0
 
     def set_callbacks(
-        self, on_activity: Callable[[], None], check_progress: Callable[[], None]
+        self,
+        on_activity: Callable[[], None],
+        check_progress: Callable[[], None],
+        on_first_event: Callable[[], None],
     ) -> None:
         """Set the functions that monitor the progress of the attempt.
 
@@ -70,9 +74,12 @@
             on_activity: Called when a part of the body is received.
             check_progress: Called periodically; raises an error if the attempt is
                 to be abandoned for another one.
+            on_first_event: Called when the first event is complete, or a successful
+                body of another kind.
         """
         self._on_activity = on_activity
         self._check_progress = check_progress
+        self._on_first_event = on_first_event
 
     def before_send(self) -> None:
         """Check again that the request may be sent; see `AnswerSink.before_send`."""
@@ -113,6 +120,8 @@
             return
         earlier_events = self._splitter.events
         complete_events = self._splitter.feed(data)
+        if complete_events and not self.events:
+            self._on_first_event()
         self.events += self._splitter.events - earlier_events
         if complete_events:
             self._write(complete_events)
@@ -139,6 +148,8 @@
                 raise AnswerTruncatedError("the stream ended without an event")
             self._writer.finish()
             return
+        if self.answer.is_success:
+            self._on_first_event()
         self._writer.start(self.answer.status, self.answer.headers, len(self._buffer))
         self._writer.write(bytes(self._buffer))
         self._writer.finish()
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -14,6 +14,7 @@
     add_grants,
     write_record,
 )
+from oriolepaddle.gossip.crashes import read_crash
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
 from oriolepaddle.gossip.numbers import to_seconds
@@ -288,14 +289,12 @@
         state.limiter.receive(
             {item.organisation: item.tokens for item in announcement.grants or ()}
         )
+        received_s = self._clock.monotonic_s()
         state.crashes.merge(
-            {
-                item.fingerprint: frozenset(item.lives)
-                for item in announcement.crashes or ()
-            }
+            (read_crash(item, received_s) for item in announcement.crashes or ()),
+            announcement.sender.instance,
         )
         own = self._roster.own.region
-        received_s = self._clock.monotonic_s()
         for item in announcement.waits or ():
             if item.region != own:
                 state.loads.record_wait(
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -5,6 +5,7 @@
 import attrs
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.gossip.crashes import write_crash
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
 from oriolepaddle.gossip.numbers import to_ms
@@ -12,7 +13,6 @@
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
     Announcement,
-    CrashRecord,
     InstanceRecord,
     RegionWait,
     TokenBalance,
@@ -37,7 +37,6 @@
 HUB_STATE_CACHE_S = 0.1
 """Time for which a hub sends its receivers the same state. It sends to tens of
 them a second, each two to four times a second."""
-MAX_CRASHES = 20
 
 
 @attrs.frozen
@@ -145,10 +144,8 @@
             knowledge_age_us=None if age_s == float("inf") else _to_us(age_s),
             delegates=False,
             crashes=[
-                CrashRecord(name, sorted(lives))
-                for name, lives in list(self._state.crashes.entries().items())[
-                    -MAX_CRASHES:
-                ]
+                write_crash(report, now_s)
+                for report in self._state.crashes.select_to_send()
             ],
         )
 
--- a/oriolepaddle/gossip/local.py
+++ b/oriolepaddle/gossip/local.py
@@ -5,7 +5,7 @@
 import attrs
 
 from oriolepaddle.catalog import Catalog
-from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.gossip.delegations import Delegations
 from oriolepaddle.gossip.draws import TokenDraws
 from oriolepaddle.gossip.region_loads import RegionLoads
@@ -28,7 +28,7 @@
         limiter: Tokens that are pooled here.
         draws: Draws of tokens.
         delegations: Which instance mints which instances' share of each rate.
-        crashes: Requests that crash endpoints.
+        crashes: What crashes endpoints.
         fetch_catalog: Called with the peer address of an instance whose catalog
             is newer.
     """
--- a/oriolepaddle/gossip/tests/fleet.py
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -8,7 +8,7 @@
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.config.model import Organisation
-from oriolepaddle.edge.crash_register import CrashRegister
+from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.gossip import (
     Announcer,
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -35,6 +35,9 @@
         self.retries = self._add_counter(
             "retry_decisions", "Decisions after failed tries.", "action", "reason"
         )
+        self.crash_events = self._add_counter(
+            "crash_events", "Events around crashes of endpoints.", "event"
+        )
         self.forwards = self._add_counter(
             "forwards", "Requests passed on to a data centre.", "data_centre"
         )
@@ -54,6 +57,10 @@
             "between_tokens_seconds", "Time between chunks.", TOKEN_BUCKETS_S
         )
 
+    def count_crash_event(self, event: str) -> None:
+        """Count an event around crashes of endpoints."""
+        self.crash_events.labels(event).inc()
+
     def add_gauge(
         self, name: str, description: str, read_value: Callable[[], float]
     ) -> None:
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -657,20 +657,28 @@
         return not (self == other)
 
 
-class CrashRecord(object):
+class EndpointCrash(object):
     """
-    Incarnations of endpoints that crashed while they ran a request.
+    The runs without an event at an endpoint when it crashed.
 
     Attributes:
-     - fingerprint
-     - lives
+     - incarnation
+     - answering: Parts of prompts whose response had begun, and of those that only waited.
+     - waiting
+     - requests: Digests of whole requests.
+     - cleared: What has been answered since, and so is not the cause.
+     - age_ms: The time since the crash, as instances do not share a clock.
 
     """
 
 
-    def __init__(self, fingerprint=None, lives=None,):
-        self.fingerprint = fingerprint
-        self.lives = lives
+    def __init__(self, incarnation=None, answering=None, waiting=None, requests=None, cleared=None, age_ms=None,):
+        self.incarnation = incarnation
+        self.answering = answering
+        self.waiting = waiting
+        self.requests = requests
+        self.cleared = cleared
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -683,19 +691,54 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.lives = []
+                    self.answering = []
                     (_etype10, _size7) = iprot.readListBegin()
                     for _i11 in range(_size7):
                         _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lives.append(_elem12)
+                        self.answering.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.waiting = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.waiting.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.requests.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.cleared = []
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cleared.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -705,26 +748,59 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('CrashRecord')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+        oprot.writeStructBegin('EndpointCrash')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.answering is not None:
+            oprot.writeFieldBegin('answering', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.answering))
+            for iter31 in self.answering:
+                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.lives is not None:
-            oprot.writeFieldBegin('lives', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRING, len(self.lives))
-            for iter13 in self.lives:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.waiting))
+            for iter32 in self.waiting:
+                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.requests))
+            for iter33 in self.requests:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.cleared))
+            for iter34 in self.cleared:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.fingerprint is None:
-            raise TProtocolException(message='Required field fingerprint is unset!')
-        if self.lives is None:
-            raise TProtocolException(message='Required field lives is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.answering is None:
+            raise TProtocolException(message='Required field answering is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        if self.cleared is None:
+            raise TProtocolException(message='Required field cleared is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
         return
 
     def __repr__(self):
@@ -756,16 +832,16 @@
      - waits
      - balances
      - grants
-     - crashes
      - members
      - counts: The number of instances that may be running, by data centre.
      - endpoints_age_us: Time since the endpoints in `catalog_digest` were confirmed to be complete.
      - echo_incarnation: The receiver's incarnation by whose clock `echo_us` was measured.
+     - crashes: 13 had the crashes of whole requests.
 
     """
 
 
-    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, crashes=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None,):
+    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None, crashes=None,):
         self.sender = sender
         self.sent_at_us = sent_at_us
         self.echo_us = echo_us
@@ -778,11 +854,11 @@
         self.waits = waits
         self.balances = balances
         self.grants = grants
-        self.crashes = crashes
         self.members = members
         self.counts = counts
         self.endpoints_age_us = endpoints_age_us
         self.echo_incarnation = echo_incarnation
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -837,77 +913,66 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EndpointWork()
-                        _elem19.read(iprot)
-                        self.work.append(_elem19)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = EndpointWork()
+                        _elem40.read(iprot)
+                        self.work.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.waits = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = RegionWait()
-                        _elem25.read(iprot)
-                        self.waits.append(_elem25)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = RegionWait()
+                        _elem46.read(iprot)
+                        self.waits.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.balances = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = TokenBalance()
-                        _elem31.read(iprot)
-                        self.balances.append(_elem31)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = TokenBalance()
+                        _elem52.read(iprot)
+                        self.balances.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = TokenGrant()
-                        _elem37.read(iprot)
-                        self.grants.append(_elem37)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.LIST:
-                    self.crashes = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = CrashRecord()
-                        _elem43.read(iprot)
-                        self.crashes.append(_elem43)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = TokenGrant()
+                        _elem58.read(iprot)
+                        self.grants.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = InstanceRecord()
-                        _elem49.read(iprot)
-                        self.members.append(_elem49)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = InstanceRecord()
+                        _elem64.read(iprot)
+                        self.members.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype51, _vtype52, _size50) = iprot.readMapBegin()
-                    for _i54 in range(_size50):
-                        _key55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val56 = iprot.readI32()
-                        self.counts[_key55] = _val56
+                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
+                    for _i69 in range(_size65):
+                        _key70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val71 = iprot.readI32()
+                        self.counts[_key70] = _val71
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -921,6 +986,17 @@
                     self.echo_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = EndpointCrash()
+                        _elem77.read(iprot)
+                        self.crashes.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -966,51 +1042,44 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter57 in self.work:
-                iter57.write(oprot)
+            for iter78 in self.work:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter58 in self.waits:
-                iter58.write(oprot)
+            for iter79 in self.waits:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
             oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter59 in self.balances:
-                iter59.write(oprot)
+            for iter80 in self.balances:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter60 in self.grants:
-                iter60.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.LIST, 13)
-            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter61 in self.crashes:
-                iter61.write(oprot)
+            for iter81 in self.grants:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter62 in self.members:
-                iter62.write(oprot)
+            for iter82 in self.members:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter63, viter64 in self.counts.items():
-                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
-                oprot.writeI32(viter64)
+            for kiter83, viter84 in self.counts.items():
+                oprot.writeString(kiter83.encode('utf-8') if sys.version_info[0] == 2 else kiter83)
+                oprot.writeI32(viter84)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_age_us is not None:
@@ -1021,6 +1090,13 @@
             oprot.writeFieldBegin('echo_incarnation', TType.I64, 17)
             oprot.writeI64(self.echo_incarnation)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter85 in self.crashes:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1367,11 +1443,15 @@
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.I64, 'tokens', None, None, ),  # 2
 )
-all_structs.append(CrashRecord)
-CrashRecord.thrift_spec = (
+all_structs.append(EndpointCrash)
+EndpointCrash.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'lives', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'answering', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'waiting', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'requests', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
 )
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
@@ -1388,11 +1468,12 @@
     (10, TType.LIST, 'waits', (TType.STRUCT, [RegionWait, None], False), None, ),  # 10
     (11, TType.LIST, 'balances', (TType.STRUCT, [TokenBalance, None], False), None, ),  # 11
     (12, TType.LIST, 'grants', (TType.STRUCT, [TokenGrant, None], False), None, ),  # 12
-    (13, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 13
+    None,  # 13
     (14, TType.LIST, 'members', (TType.STRUCT, [InstanceRecord, None], False), None, ),  # 14
     (15, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 15
     (16, TType.I64, 'endpoints_age_us', None, None, ),  # 16
     (17, TType.I64, 'echo_incarnation', None, None, ),  # 17
+    (18, TType.LIST, 'crashes', (TType.STRUCT, [EndpointCrash, None], False), None, ),  # 18
 )
 all_structs.append(Draw)
 Draw.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -56,10 +56,18 @@
   2: required i64 tokens,
 }
 
-/** Incarnations of endpoints that crashed while they ran a request. */
-struct CrashRecord {
-  1: required string fingerprint,
-  2: required list<string> lives,
+/** The runs without an event at an endpoint when it crashed. */
+struct EndpointCrash {
+  1: required string incarnation,
+  /** Parts of prompts whose response had begun, and of those that only waited. */
+  2: required list<string> answering,
+  3: required list<string> waiting,
+  /** Digests of whole requests. */
+  4: required list<string> requests,
+  /** What has been answered since, and so is not the cause. */
+  5: required list<string> cleared,
+  /** The time since the crash, as instances do not share a clock. */
+  6: required i32 age_ms,
 }
 
 /** The state that an instance sends to another several times a second. */
@@ -81,7 +89,6 @@
   10: optional list<RegionWait> waits,
   11: optional list<TokenBalance> balances,
   12: optional list<TokenGrant> grants,
-  13: optional list<CrashRecord> crashes,
   14: optional list<InstanceRecord> members,
   /** The number of instances that may be running, by data centre. */
   15: optional map<string, i32> counts,
@@ -89,6 +96,8 @@
   16: optional i64 endpoints_age_us,
   /** The receiver's incarnation by whose clock `echo_us` was measured. */
   17: optional i64 echo_incarnation,
+  /** 13 had the crashes of whole requests. */
+  18: optional list<EndpointCrash> crashes,
 }
 
 /** A request for an organisation's tokens. */
--- a/oriolepaddle/quarantine/_entries.py
+++ b/oriolepaddle/quarantine/_entries.py
@@ -14,8 +14,8 @@
 import xxhash
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.crashes.attribution import find_causes
 from oriolepaddle.peers.gen_py.quarantine.ttypes import CrashRecord, EntryRecord
-from oriolepaddle.quarantine._attribution import find_causes
 from oriolepaddle.quarantine._stored import CrashState, StoredEntry
 from oriolepaddle.quarantine._version import Version
 from oriolepaddle.quarantine.crash import Crash
