Treat an answer that ends inside its head as truncated

Callers got a 200 with an empty body, framed as complete, when an endpoint closed its connection in the middle of the head: curl reports the end of the connection there as the end of the answer, and the transport delivered what it had.

The transport now needs the blank line that ends a head.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -22,6 +22,7 @@
 
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
+_END_OF_HEAD = (b"\r\n", b"\n")
 
 
 class CurlExchange:
@@ -51,6 +52,7 @@
         self._last_byte_s = self._started_s
         self._status = 0
         self._headers: list[tuple[str, str]] = []
+        self._is_head_complete = False
         self._is_head_delivered = False
         self._is_sent = False
         self._error: Exception | None = None
@@ -68,6 +70,9 @@
         finally:
             with self._lock:
                 self._is_running = False
+        if self._error is None and not self._is_head_complete:
+            # curl takes the end of the connection inside a head for its end.
+            self._error = AnswerTruncatedError("the answer ended inside its head")
         self._deliver_head()
         if self._error is not None:
             raise self._error
@@ -119,6 +124,9 @@
         if text.startswith("HTTP/"):
             self._status = int(text.split()[1])
             self._headers = []
+            self._is_head_complete = False
+        elif line in _END_OF_HEAD:
+            self._is_head_complete = True
         elif ":" in text:
             name, _, value = text.partition(":")
             self._headers.append((name.strip(), value.strip()))
