--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -1,3 +1,4 @@
+import http.client
 import socket
 import threading
 import time
@@ -162,6 +163,25 @@
         expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
         assert bodies == {expected}
 
+    @pytest.mark.parametrize(
+        "behaviour",
+        [
+            RunnerBehaviour.ERROR,
+            RunnerBehaviour.SHED,
+            RunnerBehaviour.RESET,
+            RunnerBehaviour.FOREIGN,
+        ],
+    )
+    def test_gets_nothing_of_the_next_endpoints_failure(self, single, behaviour):
+        for name in ("e1", "e2"):
+            single.runners[name].behaviours.append(RunnerBehaviour.CUT_EVENT)
+            single.runners[name].behaviours.extend([behaviour] * 4)
+        response = single.send("n1", "/chat/1", method="POST")
+        with pytest.raises(http.client.IncompleteRead) as caught:
+            response.read()
+        expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+        assert expected.startswith(caught.value.partial)
+
     def test_that_cannot_be_resumed_is_visibly_cut(self, single):
         for name in ("e1", "e2"):
             single.runners[name].behaviours.append(RunnerBehaviour.CUT_EVENT)
