Send unchanged crash reports once a second, not with each announcement

A hub of a large region receives hundreds of announcements a second. Reports go out at once when one has changed, and are repeated as datagrams get lost.

--- a/oriolepaddle/crashes/ledger.py
+++ b/oriolepaddle/crashes/ledger.py
@@ -31,12 +31,16 @@
 
     Args:
         clock: The source of time.
+
+    Attributes:
+        changed_s: Monotonic time of the last change.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._stored: dict[str, _StoredReport] = {}
         self._verdicts: Verdicts | None = None
+        self.changed_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._stored)
@@ -55,6 +59,8 @@
         if report.recorded_s < self._clock.monotonic_s() - RETENTION_S:
             return False
         stored = self._stored.get(report.incarnation)
+        if stored is not None and stored.report.includes(report):
+            return False
         merged = stored.report.merge(report) if stored else report
         merged = attrs.evolve(
             merged,
@@ -65,9 +71,8 @@
         merged = attrs.evolve(merged, cleared=merged.cleared & merged.keys)
         if stored is not None and merged == stored.report:
             return False
-        self._stored[report.incarnation] = _StoredReport(
-            merged, self._clock.monotonic_s()
-        )
+        self.changed_s = self._clock.monotonic_s()
+        self._stored[report.incarnation] = _StoredReport(merged, self.changed_s)
         self._verdicts = None
         return True
 
--- a/oriolepaddle/crashes/register.py
+++ b/oriolepaddle/crashes/register.py
@@ -173,6 +173,11 @@
         for report in reports:
             self._merge(report, origin)
 
+    @property
+    def changed_s(self) -> float:
+        """Monotonic time at which a report last changed."""
+        return self._ledger.changed_s
+
     def select_to_send(self) -> list[CrashReport]:
         """Return the reports to send to other instances."""
         if len(self._ledger) == 0:
--- a/oriolepaddle/crashes/report.py
+++ b/oriolepaddle/crashes/report.py
@@ -47,6 +47,15 @@
         """
         return (self.answering - self.cleared) or (self.waiting - self.cleared)
 
+    def includes(self, other: "CrashReport") -> bool:
+        """Return whether another report of the same crash has nothing new."""
+        return (
+            other.answering <= self.answering
+            and other.waiting <= self.waiting
+            and other.requests <= self.requests
+            and other.cleared <= self.cleared
+        )
+
     def merge(self, other: "CrashReport") -> "CrashReport":
         """Return the union of two reports of the same crash, with this one's time."""
         return CrashReport(
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -13,6 +13,7 @@
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
     Announcement,
+    EndpointCrash,
     InstanceRecord,
     RegionWait,
     TokenBalance,
@@ -34,6 +35,8 @@
 MEMBERS_PER_REMOTE_REGION = 4
 """Instances of each remote region in an instance list: enough to forward requests
 to."""
+CRASHES_INTERVAL_S = 1.0
+"""Time after which unchanged crash reports are sent again, as datagrams are lost."""
 HUB_STATE_CACHE_S = 0.1
 """Time for which a hub sends its receivers the same state. It sends to tens of
 them a second, each two to four times a second."""
@@ -64,12 +67,14 @@
         balances: The token balances that it last reported.
         members_sent_s: When an instance list was last sent to it.
         sent_s: When an announcement was last sent to it.
+        crashes_sent_s: When crash reports were last sent to it.
     """
 
     last_announcement: LastAnnouncement = LastAnnouncement()
     balances: list[TokenBalance] = attrs.Factory(list)
     members_sent_s: float = float("-inf")
     sent_s: float = float("-inf")
+    crashes_sent_s: float = float("-inf")
 
 
 @attrs.frozen
@@ -143,12 +148,19 @@
             version=self._state.catalog.version,
             knowledge_age_us=None if age_s == float("inf") else _to_us(age_s),
             delegates=False,
-            crashes=[
-                write_crash(report, now_s)
-                for report in self._state.crashes.select_to_send()
-            ],
+            crashes=self._list_crashes(contact, now_s),
         )
 
+    def _list_crashes(
+        self, contact: Contact, now_s: float
+    ) -> list[EndpointCrash] | None:
+        crashes = self._state.crashes
+        is_due = now_s - contact.crashes_sent_s >= CRASHES_INTERVAL_S
+        if not is_due and crashes.changed_s < contact.crashes_sent_s:
+            return None
+        contact.crashes_sent_s = now_s
+        return [write_crash(report, now_s) for report in crashes.select_to_send()]
+
     def _add_delegation(
         self, announcement: Announcement, receiver: RosterEntry
     ) -> None:
