--- a/oriolepaddle/crashes/keys.py
+++ b/oriolepaddle/crashes/keys.py
@@ -49,7 +49,7 @@
         digest.update(len(field).to_bytes(8, "big") + field)
     parts = list(part_ids)[:MAX_PARTS]
     return RequestKeys(
-        f"request {digest.hexdigest()}",
+        f"request:{digest.hexdigest()}",
         frozenset(f"{service}/{_shorten(part)}" for part in parts),
     )
 
--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -106,6 +106,23 @@
             for item in sorted(self._catalog.endpoints(), key=lambda item: item.id)
         ]
 
+    def suspects(self) -> list[dict[str, Any]]:
+        """Return what is suspected of crashing endpoints, or refused because of it."""
+        return [
+            {
+                "fingerprint": entry.key,
+                "state": "quarantined" if entry.is_refused else "suspect",
+                "crashes": len(entry.crashes),
+                "endpoints": list(entry.crashes),
+                "age_s": round(entry.age_s, 3),
+            }
+            for entry in self._context.crashes.entries()
+        ]
+
+    def forget_suspect(self, key: str) -> dict[str, Any]:
+        """Clear a request or a part of a prompt, here and at the other instances."""
+        return {"fingerprint": key, "cleared": self._context.crashes.forget(key)}
+
     def limit(self, name: str) -> dict[str, Any]:
         """Return an organisation's limit and this instance's share of it.
 
--- a/oriolepaddle/daemon/inspection_application.py
+++ b/oriolepaddle/daemon/inspection_application.py
@@ -15,6 +15,7 @@
 
 API_PREFIX = "/v1/"
 EXPLAIN_PATH = "/v1/route/explain"
+QUARANTINE_PATH = "/v1/quarantine"
 LIMITS_PREFIX = "/v1/limits/"
 OK = 200
 
@@ -49,9 +50,13 @@
             return self._explain(request)
         if request.method == "GET" and request.path.startswith(LIMITS_PREFIX):
             return inspection.limit(request.path.removeprefix(LIMITS_PREFIX))
+        key = _find_quarantined_key(request)
+        if request.method == "DELETE" and key:
+            return inspection.forget_suspect(key)
         calls: dict[str, Callable[[], dict[str, Any]]] = {
             "/v1/status": inspection.status,
             "/v1/instances": lambda: {"instances": inspection.instances()},
+            QUARANTINE_PATH: lambda: {"entries": inspection.suspects()},
             "/v1/endpoints": lambda: {"endpoints": inspection.endpoints()},
         }
         call = calls.get(request.path)
@@ -67,3 +72,8 @@
         words = len(str(document.get("prompt") or "").split())
         route = read_text(document, "route")
         return self._inspection.explain(route, words or TYPICAL_PROMPT_TOKENS)
+
+
+def _find_quarantined_key(request: Request) -> str:
+    prefix = f"{QUARANTINE_PATH}/"
+    return request.path.removeprefix(prefix) if request.path.startswith(prefix) else ""
--- a/oriolepaddle/daemon/tests/test_edge_inspection.py
+++ b/oriolepaddle/daemon/tests/test_edge_inspection.py
@@ -3,6 +3,7 @@
 import pytest
 from typer.testing import CliRunner
 
+from oriolepaddle.crashes import RequestKeys
 from oriolepaddle.ctl.commands import app
 from oriolepaddle.daemon.tests.edge_fleet import (
     DESK,
@@ -13,6 +14,7 @@
 )
 
 TOKEN = "a token of the test fleet"
+LIST = ("quarantine", "list")
 
 
 @pytest.fixture(scope="module")
@@ -101,3 +103,23 @@
         assert values["oriolepaddle_store_calls"] >= 1
         assert values["oriolepaddle_peers_reachable"] == 1
         assert values["oriolepaddle_config_age_seconds"] < 10
+
+
+class TestQuarantine:
+    def test_shows_and_clears_what_crashes_endpoints(self, fleet):
+        crashes = fleet.instances["n1"].context.crashes
+        for name in ("e8@1", "e9@1"):
+            keys = RequestKeys(f"request:{name}", frozenset({"engines/dead"}))
+            crashes.record_crash(name, keys, has_begun=True)
+        entries = {item["fingerprint"]: item for item in read(fleet, *LIST)}
+        assert entries["engines/dead"]["state"] == "quarantined"
+        assert entries["engines/dead"]["endpoints"] == ["e8@1", "e9@1"]
+        assert entries["request:e8@1"]["state"] == "suspect"
+        metrics = run(fleet, "metrics").output
+        assert 'oriolepaddle_crash_events_total{event="crash_cause_found"} 1.0' in (
+            metrics
+        )
+        assert read(fleet, "quarantine", "clear", "engines/dead")["cleared"]
+        listed = {item["fingerprint"] for item in read(fleet, *LIST)}
+        assert "engines/dead" not in listed
+        assert run(fleet, "quarantine", "clear", "engines/dead").exit_code != 0
