Bound the crash reports of an announcement and the work of their attribution

Sixteen reports with long prompts would have exceeded a datagram, and with it all gossip would have failed; a test with the longest ids that callers may send found that the rivals of thousands of accused parts took minutes. Keys with the same evidence are now compared once, and only with those that share a crash.

--- a/oriolepaddle/crashes/attribution.py
+++ b/oriolepaddle/crashes/attribution.py
@@ -1,7 +1,10 @@
 """Attribution of crashes to what the crashed endpoints ran."""
 
+from collections import defaultdict
 from collections.abc import Hashable, Mapping, Set
-from typing import TypeVar
+from typing import Generic, TypeVar
+
+import attrs
 
 __all__ = ["find_causes", "find_rivals"]
 
@@ -25,18 +28,25 @@
         evidence: The weight of each crash as evidence against each key.
         limit: The sum of weights from which a key is accused.
     """
-    totals = {key: sum(found.values()) for key, found in evidence.items()}
-    accused = [key for key, total in totals.items() if total >= limit]
-    return {
-        key: frozenset(
-            other
-            for other in accused
-            if other != key
-            and totals[other] >= totals[key]
-            and _sum_outside(evidence[key], evidence[other]) < limit
-        )
-        for key in accused
-    }
+    groups = _group_accused(evidence, limit)
+    groups_by_crash: dict[Crash, list[_Group]] = defaultdict(list)
+    for group in groups:
+        for crash in group.weights:
+            groups_by_crash[crash].append(group)
+    rivals = {}
+    for group in groups:
+        # A rival shares a crash, as all others add up to the limit without it.
+        sharing = {
+            id(other): other
+            for crash in group.weights
+            for other in groups_by_crash[crash]
+        }
+        explaining = [
+            other for other in sharing.values() if other.explains(group, limit)
+        ]
+        keys = frozenset(key for other in explaining for key in other.keys)
+        rivals |= {key: keys - {key} for key in group.keys}
+    return rivals
 
 
 def find_causes(crashes: Mapping[Key, Set[Crash]], crash_limit: int) -> frozenset[Key]:
@@ -56,5 +66,34 @@
     return frozenset(key for key, others in rivals.items() if not others)
 
 
-def _sum_outside(found: Mapping[Crash, int], others: Mapping[Crash, int]) -> int:
-    return sum(weight for crash, weight in found.items() if crash not in others)
+@attrs.frozen(eq=False)
+class _Group(Generic[Key, Crash]):
+    """Keys with the same evidence against them, as the parts of one prompt have."""
+
+    keys: tuple[Key, ...]
+    weights: Mapping[Crash, int]
+    total: int
+
+    def explains(self, other: "_Group[Key, Crash]", limit: int) -> bool:
+        """Return whether these keys may be the cause of the other group's crashes."""
+        if self.total < other.total:
+            return False
+        outside = sum(
+            weight
+            for crash, weight in other.weights.items()
+            if crash not in self.weights
+        )
+        return outside < limit
+
+
+def _group_accused(
+    evidence: Mapping[Key, Mapping[Crash, int]], limit: int
+) -> list[_Group[Key, Crash]]:
+    keys_by_evidence: dict[frozenset, list[Key]] = defaultdict(list)
+    for key, weights in evidence.items():
+        if sum(weights.values()) >= limit:
+            keys_by_evidence[frozenset(weights.items())].append(key)
+    return [
+        _Group(tuple(keys), evidence[keys[0]], sum(evidence[keys[0]].values()))
+        for keys in keys_by_evidence.values()
+    ]
--- a/oriolepaddle/crashes/ledger.py
+++ b/oriolepaddle/crashes/ledger.py
@@ -14,7 +14,9 @@
 MAX_REPORTS = 256
 MAX_PARTS_PER_REPORT = 32
 MAX_SENT_REPORTS = 16
-"""Reports in one announcement, about 60 bytes for each key."""
+MAX_SENT_KEYS = 400
+"""Keys in one announcement; they have at most about 100 bytes each, and a datagram
+60,000."""
 SENT_WHEN_CLEARED_S = 10.0
 """Time for which a report without suspects is still sent, so that other instances
 clear them too."""
@@ -110,11 +112,17 @@
     def select_to_send(self) -> list[CrashReport]:
         """Return the reports that other instances need most."""
         now_s = self._clock.monotonic_s()
-        return [
-            item.report
-            for item in self._rank()
-            if item.report.has_suspects or now_s - item.changed_s < SENT_WHEN_CLEARED_S
-        ][:MAX_SENT_REPORTS]
+        selected: list[CrashReport] = []
+        key_count = 0
+        for item in self._rank():
+            report = item.report
+            is_recent = now_s - item.changed_s < SENT_WHEN_CLEARED_S
+            if report.has_suspects or is_recent:
+                key_count += len(report.keys) + len(report.cleared)
+                if key_count > MAX_SENT_KEYS or len(selected) == MAX_SENT_REPORTS:
+                    break
+                selected.append(report)
+        return selected
 
     def _rank(self) -> list[_StoredReport]:
         """Return the reports, first those that a refusal rests on, then the newest."""
