--- a/oriolepaddle/daemon/tests/test_faults.py
+++ b/oriolepaddle/daemon/tests/test_faults.py
@@ -272,6 +272,17 @@
         assert find_code(answer) == "quarantined"
         assert daemons[0].request("POST", CHAT, make_chat())[0] == 200
 
+    def test_with_a_shared_beginning_is_stopped_fleet_wide(self, running):
+        for engine in running.engines.values():
+            engine.faults.crash_on = "poison"
+        daemons = [running.daemons[name] for name in ("n1", "n2", "s1")]
+        system = {"role": "system", "content": "poison " * 400}
+        for number in range(12):
+            chat = make_chat(text=f"question {number}")
+            chat["messages"].insert(0, system)
+            daemons[number % 3].request("POST", CHAT, chat)
+        assert sum(engine.crashes for engine in running.engines.values()) <= 5
+
 
 class TestRacingOperators:
     def test_one_number_twice_ends_alike_everywhere(self, running):
