--- a/oriolepaddle/crashes/register.py
+++ b/oriolepaddle/crashes/register.py
@@ -226,6 +226,7 @@
                 incarnation=report.incarnation,
                 answering=sorted(report.answering),
                 waiting=sorted(report.waiting),
+                requests=sorted(report.requests),
                 cleared=sorted(report.cleared),
                 age_s=round(self._clock.monotonic_s() - report.recorded_s, 3),
             )
--- a/oriolepaddle/crashes/verdicts.py
+++ b/oriolepaddle/crashes/verdicts.py
@@ -23,6 +23,7 @@
 """Weight of a crash at which the run only waited: three are needed, as a busy
 endpoint has many such runs."""
 REQUEST_WEIGHT = 3
+"""Weight of a crash as evidence against a whole request: two are enough."""
 SIMULTANEOUS_S = 1.0
 """Crashes within this time count once against what only waited, since a failure of
 many endpoints at once is not the work of what they ran."""
@@ -87,12 +88,12 @@
 
 def _weigh_parts(ordered: list[CrashReport]) -> Evidence:
     evidence: Evidence = defaultdict(dict)
-    last_counted_s: dict[str, float] = {}
+    last_counted_s: dict[str, float] = defaultdict(lambda: float("-inf"))
     for report in ordered:
         for part in report.find_suspect_parts():
             if part in report.answering:
                 weight = ANSWERING_WEIGHT
-            elif report.recorded_s - last_counted_s.get(part, -1e9) < SIMULTANEOUS_S:
+            elif report.recorded_s - last_counted_s[part] < SIMULTANEOUS_S:
                 weight = 0
             else:
                 weight = WAITING_WEIGHT
