Test that reset connections accuse no part of a prompt

With a liveness check that takes every reset for an end, the test fails; so the check is what keeps sound prompts from being refused when connections are reset.

--- a/oriolepaddle/daemon/tests/test_edge_crashes.py
+++ b/oriolepaddle/daemon/tests/test_edge_crashes.py
@@ -1,6 +1,7 @@
 import pytest
 
 from oriolepaddle.daemon.tests.edge_fleet import ENGINES, EdgeFleet
+from oriolepaddle.platform.standins import RunnerBehaviour
 
 RUNNER_COUNT = 8
 MAX_CRASHES = 5
@@ -45,6 +46,18 @@
     return sum(runner.has_crashed for runner in fleet.runners.values())
 
 
+class TestResetConnections:
+    def test_refuse_no_part_of_the_prompts(self, fleet):
+        for runner in fleet.runners.values():
+            runner.behaviours.extend([RunnerBehaviour.CUT_BODY] * 3)
+        for number in range(2 * RUNNER_COUNT):
+            send_prompt(fleet, "n1", "5c1e", "91bd", f"a{number}")
+        for runner in fleet.runners.values():
+            runner.behaviours.clear()
+        for instance in ("n1", "n2"):
+            assert send_prompt(fleet, instance, "5c1e", "91bd", "b1")[0] == 200
+
+
 class TestCrashingPart:
     def test_does_not_crash_one_endpoint_after_another(self, fleet):
         statuses = send_deadly_prompts(fleet)
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -29,6 +29,7 @@
     RESET = "reset"
     FOREIGN = "foreign"
     UNSEALED = "unsealed"
+    CUT_BODY = "cut body"
     CUT_EVENT = "cut event"
     SILENT = "silent"
     STALLED = "stalled"
@@ -203,6 +204,8 @@
     ) -> None:
         first = int(request.headers.get(names.LAST_EVENT_ID, 0)) + 1
         writer.start(200, [("Content-Type", "text/event-stream"), *fields])
+        if behaviour is RunnerBehaviour.CUT_BODY:
+            raise ConnectionResetError("the runner closes the connection")
         for number in range(first, self.events + 1):
             self._pause(writer)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
