Choose anew for each crash which parts a full report keeps

Cause: a report kept the first 32 parts by name. Where many runs only waited, a part whose name sorts last was left out of every report, and never refused.

The choice is now by a hash that differs between crashes and is the same at all instances, and a report keeps 64 keys of each kind. The test, with 193 parts at each crash, failed before.

--- a/oriolepaddle/crashes/ledger.py
+++ b/oriolepaddle/crashes/ledger.py
@@ -1,6 +1,7 @@
 """The reports of crashes that an instance knows."""
 
 import attrs
+import xxhash
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.crashes.report import CrashReport
@@ -12,7 +13,8 @@
 """Time for which a crash counts. A crashing part is refused for as long, also where
 no instance runs any longer that saw the crashes."""
 MAX_REPORTS = 256
-MAX_PARTS_PER_REPORT = 32
+MAX_KEYS = 64
+"""Keys of each kind in one report: the parts of twenty prompts or more."""
 MAX_SENT_REPORTS = 16
 MAX_SENT_KEYS = 400
 """Keys in one announcement; they have at most about 100 bytes each, and a datagram
@@ -66,9 +68,9 @@
         merged = stored.report.merge(report) if stored else report
         merged = attrs.evolve(
             merged,
-            answering=_limit(merged.answering),
-            waiting=_limit(merged.waiting),
-            requests=_limit(merged.requests),
+            answering=_limit(merged.answering, report.incarnation),
+            waiting=_limit(merged.waiting, report.incarnation),
+            requests=_limit(merged.requests, report.incarnation),
         )
         merged = attrs.evolve(merged, cleared=merged.cleared & merged.keys)
         if stored is not None and merged == stored.report:
@@ -138,7 +140,14 @@
         )
 
 
-def _limit(keys: frozenset[str]) -> frozenset[str]:
-    if len(keys) <= MAX_PARTS_PER_REPORT:
+def _limit(keys: frozenset[str], incarnation: str) -> frozenset[str]:
+    """Return a bounded choice of keys, the same at all instances.
+
+    The choice differs between crashes, so what is at each of them is not always among
+    those left out.
+    """
+    if len(keys) <= MAX_KEYS:
         return keys
-    return frozenset(sorted(keys)[:MAX_PARTS_PER_REPORT])
+    seed = xxhash.xxh3_64_intdigest(incarnation.encode())
+    ranked = sorted(keys, key=lambda key: xxhash.xxh3_64_intdigest(key.encode(), seed))
+    return frozenset(ranked[:MAX_KEYS])
--- a/oriolepaddle/crashes/tests/test_register.py
+++ b/oriolepaddle/crashes/tests/test_register.py
@@ -5,7 +5,7 @@
 
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.crashes import CrashRegister, RequestKeys
-from oriolepaddle.crashes.ledger import MAX_REPORTS, RETENTION_S
+from oriolepaddle.crashes.ledger import MAX_KEYS, MAX_REPORTS, RETENTION_S
 from oriolepaddle.edge import EdgeRequest
 from oriolepaddle.edge.crash_guard import make_keys
 from oriolepaddle.errors import ErrorCode, RefusedError
@@ -125,6 +125,17 @@
             clock.advance(timedelta(seconds=2))
         assert is_refused(register, make_deadly("next"))
 
+    def test_is_found_among_more_parts_than_a_report_holds(self, register, clock):
+        for number in range(12):
+            crash = f"e{number}@1"
+            for other in range(3 * MAX_KEYS):
+                sound = make_prompt(f"{number}/{other}", f"s/{number}/{other}")
+                register.record_crash(crash, sound, has_begun=False)
+            deadly = make_prompt(f"deadly {number}", "s/zzz")
+            register.record_crash(crash, deadly, has_begun=False)
+            clock.advance(timedelta(seconds=2))
+        assert is_refused(register, make_prompt("next", "s/zzz"))
+
     def test_that_only_waited_is_not_suspected_of_anothers_crash(self, register):
         for number in range(4):
             crash = f"e{number}@1"
