--- a/oriolepaddle/crashes/verdicts.py
+++ b/oriolepaddle/crashes/verdicts.py
@@ -67,22 +67,19 @@
     ordered = sorted(reports, key=lambda report: report.recorded_s)
     evidence = _weigh_parts(ordered)
     rivals = find_rivals(evidence, EVIDENCE_LIMIT)
-    causes = {part for part, others in rivals.items() if not others}
-    explained = {crash for part in causes for crash in evidence[part]}
+    causes = {part: evidence[part] for part, others in rivals.items() if not others}
+    explained = frozenset().union(*causes.values())
     unexplained = {
         part: {crash: found[crash] for crash in found.keys() - explained}
         for part, found in evidence.items()
         if part not in causes
     }
-    causes |= _find_refused_requests(ordered, explained)
+    requests = _find_refused_requests(ordered, explained)
+    crashes = unexplained | causes | requests
     return Verdicts(
-        {
-            part: frozenset(found)
-            for part, found in {**unexplained, **_select(evidence, causes)}.items()
-            if found
-        },
-        frozenset(causes),
-        find_rivals(unexplained, EVIDENCE_LIMIT),
+        crashes={key: frozenset(found) for key, found in crashes.items() if found},
+        causes=frozenset(causes.keys() | requests.keys()),
+        rivals=find_rivals(unexplained, EVIDENCE_LIMIT),
     )
 
 
@@ -103,14 +100,16 @@
     return dict(evidence)
 
 
-def _find_refused_requests(ordered: list[CrashReport], explained: set[str]) -> set[str]:
-    totals: dict[str, int] = defaultdict(int)
+def _find_refused_requests(
+    ordered: list[CrashReport], explained: frozenset[str]
+) -> Evidence:
+    evidence: Evidence = defaultdict(dict)
     for report in ordered:
         if report.incarnation not in explained:
             for request in report.requests - report.cleared:
-                totals[request] += REQUEST_WEIGHT
-    return {name for name, total in totals.items() if total >= EVIDENCE_LIMIT}
-
-
-def _select(evidence: Evidence, keys: set[str]) -> Evidence:
-    return {key: found for key, found in evidence.items() if key in keys}
+                evidence[request][report.incarnation] = REQUEST_WEIGHT
+    return {
+        request: found
+        for request, found in evidence.items()
+        if sum(found.values()) >= EVIDENCE_LIMIT
+    }
