--- a/oriolepaddle/edge/crash_guard.py
+++ b/oriolepaddle/edge/crash_guard.py
@@ -83,6 +83,7 @@
         Returns:
             Whether the endpoint crashed.
         """
+        # A truncated response had begun, even if its head never was complete.
         is_truncated = type(error) is AnswerTruncatedError
         is_failed = type(error) is EndpointFailedError and sink.answer is None
         if not sink.is_sent or sink.events or not (is_truncated or is_failed):
