--- a/oriolepaddle/edge/crash_guard.py
+++ b/oriolepaddle/edge/crash_guard.py
@@ -1,7 +1,10 @@
 """Keeps one request from crashing endpoints."""
 
+import enum
 from collections.abc import Callable
 
+import attrs
+
 from oriolepaddle.catalog import RegisteredEndpoint
 from oriolepaddle.crashes import RequestKeys, SuspectRun, make_request_keys
 from oriolepaddle.edge.context import EdgeContext
@@ -13,7 +16,29 @@
     OriolepaddleError,
 )
 
-__all__ = ["CrashGuard", "make_keys"]
+__all__ = ["CrashEvidence", "CrashGuard", "RunEnd", "make_keys"]
+
+
+class CrashEvidence(enum.StrEnum):
+    """What the failure of a run was recorded as."""
+
+    NONE = "none"
+    CRASH = "crash"
+    BROKEN_CONNECTION = "broken connection"
+
+
+@attrs.frozen
+class RunEnd:
+    """What is known of a run that failed.
+
+    Attributes:
+        evidence: What it was recorded as.
+        has_ended: Whether the endpoint's process is known to have ended; None if that
+            was not checked.
+    """
+
+    evidence: CrashEvidence = CrashEvidence.NONE
+    has_ended: bool | None = None
 
 
 class CrashGuard:
@@ -66,6 +91,11 @@
             self._context.crashes.end(self._run)
             self._run = None
 
+    @property
+    def request_key(self) -> str:
+        """The key under which crashes of the whole request are recorded."""
+        return self._keys.request
+
     def record_first_event(self) -> None:
         """Clear the parts of the prompt: an endpoint has begun to answer it."""
         self._context.crashes.record_event(self._keys.parts)
@@ -77,27 +107,27 @@
 
     def record_failure(
         self, endpoint: RegisteredEndpoint, sink: EdgeSink, error: OriolepaddleError
-    ) -> bool:
-        """Record a crash, if there was one before the first event.
-
-        Returns:
-            Whether the endpoint crashed.
-        """
+    ) -> RunEnd:
+        """Record a crash, if there was one before the first event."""
         # A truncated response had begun, even if its head never was complete.
         is_truncated = type(error) is AnswerTruncatedError
         is_failed = type(error) is EndpointFailedError and sink.answer is None
         if not sink.is_sent or sink.events or not (is_truncated or is_failed):
-            return False
+            return RunEnd()
         context, keys = self._context, self._keys
         is_leaving = not context.catalog.may_send(endpoint)
-        if keys.parts and not is_leaving and context.liveness.has_ended(endpoint):
+        has_ended = None
+        if keys.parts and not is_leaving:
+            has_ended = context.liveness.has_ended(endpoint)
+        if has_ended:
             context.crashes.record_crash(
                 endpoint.incarnation, keys, has_begun=is_truncated
             )
-            return True
+            return RunEnd(CrashEvidence.CRASH, has_ended)
         if is_failed:
             context.crashes.record_broken_connection(endpoint.incarnation, keys)
-        return False
+            return RunEnd(CrashEvidence.BROKEN_CONNECTION, has_ended)
+        return RunEnd(has_ended=has_ended)
 
 
 def make_keys(request: EdgeRequest, service: str) -> RequestKeys:
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -7,7 +7,7 @@
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import AdmittedRequest, admit, check_catalog_age
 from oriolepaddle.edge.context import EdgeContext
-from oriolepaddle.edge.crash_guard import CrashGuard
+from oriolepaddle.edge.crash_guard import CrashGuard, RunEnd
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.edge.exchange_log import ExchangeLog
 from oriolepaddle.edge.placing import make_job, place
@@ -365,13 +365,15 @@
         error: OriolepaddleError,
     ) -> None:
         answer = sink.answer
-        is_crash = endpoint is not None and self._crash_guard.record_failure(
-            endpoint, sink, error
-        )
+        end = RunEnd()
+        if endpoint is not None:
+            end = self._crash_guard.record_failure(endpoint, sink, error)
         self.log(
             "try_failed",
             incarnation=endpoint.incarnation if endpoint else None,
-            is_crash=is_crash,
+            request_key=self._crash_guard.request_key,
+            evidence=end.evidence.value,
+            has_ended=end.has_ended,
             events=sink.events,
             reason=error.code.code,
             outcome=error.outcome.value,
