--- a/oriolepaddle/daemon/tests/test_edge_crashes.py
+++ b/oriolepaddle/daemon/tests/test_edge_crashes.py
@@ -1,12 +1,16 @@
+import time
+
 import pytest
 
 from oriolepaddle.daemon.tests.edge_fleet import ENGINES, EdgeFleet
-from oriolepaddle.platform.standins import RunnerBehaviour
+from oriolepaddle.platform.standins import CrashStage, RunnerBehaviour
 
 RUNNER_COUNT = 8
 MAX_CRASHES = 5
 """The number of crashes after which the platform's rules bind."""
 DEADLY_PART = "dead"
+DEADLY_BODY = b"deadly"
+REPORT_SPREAD_S = 0.3
 
 
 @pytest.fixture
@@ -69,3 +73,28 @@
         for instance in ("n1", "n2"):
             status, _ = send_prompt(fleet, instance, "5c1e", "91bd", "b1")
             assert status == 200
+
+
+class TestRepeatedRequest:
+    @pytest.mark.parametrize("path", ["/ask/1", "/chat/1"])
+    @pytest.mark.parametrize("stage", CrashStage)
+    def test_does_not_crash_one_endpoint_after_another(self, fleet, stage, path):
+        for runner in fleet.runners.values():
+            runner.deadly_body, runner.crash_stage = DEADLY_BODY, stage
+        assert send_until_refused(fleet, path) == 503
+        assert count_crashes(fleet) <= MAX_CRASHES
+
+
+def send_until_refused(fleet, path):
+    """Send one request to the instances in turn; return the last status."""
+    status = 0
+    for number in range(3 * RUNNER_COUNT):
+        response = fleet.send(
+            f"n{1 + number % 2}", path, method="POST", body=DEADLY_BODY
+        )
+        status = response.status
+        response.close()
+        if status == 503:
+            break
+        time.sleep(REPORT_SPREAD_S)
+    return status
--- /dev/null
+++ b/oriolepaddle/edge/tests/test_crash_guard.py
@@ -0,0 +1,255 @@
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+
+from oriolepaddle.catalog import EndpointState, RegisteredEndpoint
+from oriolepaddle.clock import ManualClock
+from oriolepaddle.crashes import CrashRegister
+from oriolepaddle.edge import AnswerKind, EdgeRequest, EndpointAnswer
+from oriolepaddle.edge.crash_guard import CrashGuard
+from oriolepaddle.errors import (
+    AnswerTruncatedError,
+    EndpointFailedError,
+    EndpointTimeoutError,
+    RefusedError,
+)
+from oriolepaddle.placement import PromptPart
+
+RUNS = 12
+MAX_RUNS = 3
+"""Endpoints that one request may crash before it is refused everywhere."""
+ANSWER = EndpointAnswer(AnswerKind.RAN, 200, (), is_stream=True)
+FAILED = EndpointFailedError("connection reset")
+TRUNCATED = AnswerTruncatedError("the answer broke off")
+SILENT = EndpointTimeoutError("no first byte of the answer within 2.0 s")
+PARTS = (PromptPart("5c1e", 700), PromptPart("a1", 100))
+
+
+def make_sink(answer=None, events=0):
+    return SimpleNamespace(is_sent=True, answer=answer, events=events)
+
+
+STAGES = {
+    "before an answer": (FAILED, make_sink()),
+    "inside the head": (TRUNCATED, make_sink()),
+    "before an event": (TRUNCATED, make_sink(ANSWER)),
+    "after an event": (TRUNCATED, make_sink(ANSWER, events=1)),
+}
+
+
+class Endpoints:
+    """Endpoints of which each runs one request and crashes, or is cut off."""
+
+    def __init__(self, refuses_connections=True):
+        self.refuses_connections = refuses_connections
+        self.count = 0
+        self.replaced = set()
+
+    def add(self):
+        self.count += 1
+        return RegisteredEndpoint(
+            f"e{self.count}", 1, "s", "127.0.0.1:9", "a", 6, EndpointState.READY
+        )
+
+    def find_incarnation(self, endpoint_id):
+        return f"{endpoint_id}@{2 if endpoint_id in self.replaced else 1}"
+
+    def may_send(self, endpoint):
+        return True
+
+    def has_ended(self, endpoint):
+        return self.refuses_connections
+
+
+class Instance:
+    def __init__(self, clock, endpoints):
+        self.crashes = CrashRegister(clock)
+        self.context = SimpleNamespace(
+            clock=clock, crashes=self.crashes, catalog=endpoints, liveness=endpoints
+        )
+
+    def start(self, request):
+        guard = CrashGuard(self.context, request, "s", lambda: None)
+        guard.check()
+        guard.start_attempt(self.context.clock.monotonic_s())
+        return guard
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def endpoints():
+    return Endpoints()
+
+
+@pytest.fixture
+def instances(clock, endpoints):
+    return [Instance(clock, endpoints) for _ in range(2)]
+
+
+def make_request(number=0, parts=(), **changes):
+    values = {
+        "id": f"9c41d07be2a3{number:04x}",
+        "method": "POST",
+        "host": "h",
+        "path": "/a",
+        "target": "/a",
+        "headers": (),
+        "body": b"body",
+        "key": "k",
+        "arrived_s": 0.0,
+        "parts": parts,
+    }
+    return EdgeRequest(**(values | changes))
+
+
+def exchange_reports(instances):
+    for sender in instances:
+        for receiver in instances:
+            if sender is not receiver:
+                receiver.crashes.merge(sender.crashes.select_to_send(), "peer")
+
+
+def break_off(guard, endpoints, stage):
+    error, sink = STAGES[stage]
+    endpoint = endpoints.add()
+    if sink.events:
+        guard.record_first_event()
+    guard.record_failure(endpoint, sink, error)
+    guard.end_attempt()
+
+
+def count_runs(instances, clock, endpoints, stage, make):
+    """Return how many runs of a request crash endpoints until it is refused."""
+    for number in range(RUNS):
+        try:
+            guard = instances[number % len(instances)].start(make(number))
+        except RefusedError:
+            return number
+        break_off(guard, endpoints, stage)
+        exchange_reports(instances)
+        clock.advance(timedelta(seconds=2))
+    return RUNS
+
+
+class TestRepeatedRequest:
+    @pytest.mark.parametrize("parts", [(), PARTS], ids=["no part", "one part"])
+    @pytest.mark.parametrize("stage", STAGES)
+    def test_that_crashes_each_endpoint_is_refused(
+        self, instances, clock, endpoints, stage, parts
+    ):
+        runs = count_runs(
+            instances, clock, endpoints, stage, lambda n: make_request(n, parts)
+        )
+        assert runs <= MAX_RUNS
+
+    @pytest.mark.parametrize("stage", STAGES)
+    def test_is_refused_though_the_endpoints_are_back_at_once(
+        self, instances, clock, endpoints, stage
+    ):
+        endpoints.refuses_connections = False
+        runs = count_runs(instances, clock, endpoints, stage, make_request)
+        assert runs <= MAX_RUNS
+
+    def test_is_refused_with_another_id_in_its_body(self, instances, clock, endpoints):
+        def make(number):
+            request = make_request(number)
+            body = b'{"id": "%s"}' % request.id.encode()
+            return make_request(number, body=body)
+
+        runs = count_runs(instances, clock, endpoints, "before an answer", make)
+        assert runs <= MAX_RUNS
+
+    def test_is_refused_with_another_description_of_its_prompt(
+        self, instances, clock, endpoints
+    ):
+        def make(number):
+            parts = (*PARTS[:1], PromptPart(f"session {number}", 100))
+            return make_request(number, parts)
+
+        runs = count_runs(instances, clock, endpoints, "after an event", make)
+        assert runs <= MAX_RUNS
+
+    def test_is_not_cleared_by_the_failure_of_another_endpoint(
+        self, instances, clock, endpoints
+    ):
+        for number in range(2):
+            guard = instances[0].start(make_request(number))
+            break_off(guard, endpoints, "before an answer")
+            guard.record_answer(EndpointAnswer(AnswerKind.RAN, 500, ()))
+        with pytest.raises(RefusedError):
+            instances[0].start(make_request(9))
+
+    def test_does_not_accuse_its_parts_alone(self, instances, clock, endpoints):
+        count_runs(
+            instances,
+            clock,
+            endpoints,
+            "before an event",
+            lambda n: make_request(n, PARTS),
+        )
+        instances[0].start(make_request(99, PARTS, body=b"sound"))
+
+    def test_is_refused_though_its_endpoints_only_fall_silent(
+        self, instances, clock, endpoints
+    ):
+        for _ in range(MAX_RUNS):
+            guard = instances[0].start(make_request())
+            endpoint = endpoints.add()
+            guard.record_failure(endpoint, make_sink(), SILENT)
+            guard.end_attempt()
+            endpoints.replaced.add(endpoint.id)
+            clock.advance(timedelta(seconds=3))
+            instances[0].crashes.resolve_silent_runs(endpoints.find_incarnation)
+        with pytest.raises(RefusedError):
+            instances[0].start(make_request())
+
+
+class TestSoundRequest:
+    """Guards against refusing what endpoints ran when another request crashed them."""
+
+    @pytest.mark.parametrize("stage", STAGES)
+    def test_is_served_after_the_cause_is_found(
+        self, instances, clock, endpoints, stage
+    ):
+        for number in range(MAX_RUNS):
+            crasher = instances[0].start(make_request(number))
+            sound = instances[0].start(make_request(number, body=b"sound"))
+            if number < MAX_RUNS - 1:
+                error, sink = STAGES[stage]
+                endpoint = endpoints.add()
+                for guard in (crasher, sound):
+                    guard.record_failure(endpoint, sink, error)
+                    guard.end_attempt()
+            else:
+                break_off(crasher, endpoints, stage)
+            clock.advance(timedelta(seconds=2))
+        instances[0].start(make_request(9, body=b"sound"))
+
+    def test_that_is_cut_off_twice_is_served(self, instances, clock, endpoints):
+        for number in range(2):
+            guard = instances[0].start(make_request(number))
+            break_off(guard, endpoints, "after an event")
+            clock.advance(timedelta(seconds=2))
+        instances[0].start(make_request(9))
+
+    def test_that_is_answered_between_is_served(self, instances, clock, endpoints):
+        for number in range(RUNS):
+            guard = instances[0].start(make_request(number))
+            break_off(guard, endpoints, "after an event")
+            instances[0].start(make_request(number)).record_answer(ANSWER)
+            clock.advance(timedelta(seconds=2))
+
+    def test_whose_runs_time_out_at_endpoints_that_live_is_served(
+        self, instances, clock, endpoints
+    ):
+        for number in range(RUNS):
+            guard = instances[0].start(make_request(number))
+            guard.record_failure(endpoints.add(), make_sink(), SILENT)
+            guard.end_attempt()
+            clock.advance(timedelta(seconds=3))
+            instances[0].crashes.resolve_silent_runs(endpoints.find_incarnation)
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -12,10 +12,11 @@
 from oriolepaddle.platform import names
 from oriolepaddle.web import AnswerWriter, HttpServer
 
-__all__ = ["ReceivedRequest", "RunnerBehaviour", "RunnerStandin"]
+__all__ = ["CrashStage", "ReceivedRequest", "RunnerBehaviour", "RunnerStandin"]
 
 SEAL_VALUE = "3e1b.07"
 SILENCE_S = 5.0
+EVENT_LEAD_S = 0.05
 STALL_S = 30.0
 """Longer than callers of streams wait for the next event."""
 
@@ -35,6 +36,15 @@
     STALLED = "stalled"
 
 
+class CrashStage(enum.StrEnum):
+    """How far a response comes before the runner crashes."""
+
+    BEFORE_ANSWER = "before the answer"
+    AFTER_HEAD = "after the head"
+    AFTER_EVENT = "after an event"
+    IN_BODY = "in the body"
+
+
 @attrs.frozen
 class ReceivedRequest:
     """A request as the runner received it.
@@ -73,6 +83,8 @@
         advertised_address: The address to register, if not the one listened on.
         deadly_part: The part of a prompt that crashes the runner when it begins to
             answer, unless it is the last one; empty for none.
+        deadly_body: The body of the requests that crash the runner; None for none.
+        crash_stage: How far its response to such a request comes.
         has_crashed: Whether the runner has crashed.
     """
 
@@ -94,6 +106,8 @@
         self.cold_ms = 0
         self.advertised_address = ""
         self.deadly_part = ""
+        self.deadly_body: bytes | None = None
+        self.crash_stage = CrashStage.BEFORE_ANSWER
         self.has_crashed = False
         self._clock = SystemClock()
         self._stopping = threading.Event()
@@ -168,12 +182,32 @@
             writer.start(200, [("Content-Type", "text/event-stream")])
             self.crash()
             raise ConnectionResetError("the runner crashes")
+        if body == self.deadly_body and behaviour is RunnerBehaviour.ANSWER:
+            self._crash_during(writer, headers)
         try:
             self._answer(request, writer, behaviour)
         except OSError:
             self.abandoned_count += 1
             raise
 
+    def _crash_during(self, writer: AnswerWriter, headers: dict[str, str]) -> None:
+        stage = self.crash_stage
+        fields = [
+            (names.REQUEST_ID, headers.get(names.REQUEST_ID.lower(), "")),
+            (names.SEAL, f"{SEAL_VALUE}.{self.id}"),
+        ]
+        if stage is CrashStage.IN_BODY:
+            writer.start(200, [("Content-Type", "text/plain"), *fields], 100)
+            writer.write(b"half")
+        elif stage is not CrashStage.BEFORE_ANSWER:
+            writer.start(200, [("Content-Type", "text/event-stream"), *fields])
+        if stage is CrashStage.AFTER_EVENT:
+            writer.write(b"id: 1\ndata: piece 1\n\n")
+            # The event is read before the connection breaks.
+            threading.Event().wait(EVENT_LEAD_S)
+        self.crash()
+        raise ConnectionResetError("the runner crashes")
+
     def _is_deadly(self, prefix: str) -> bool:
         shared_parts = [item.partition(":")[0] for item in prefix.split(",")[:-1]]
         return self.deadly_part in shared_parts
