Count every cut run against the whole request

Callers saw endpoints end one after another under one request. Cause: a run left evidence only if it broke off before its first event, and without parts of a prompt only before any answer; the endpoint's own 500 after a repeat cleared it; endpoints that were back at once or silent were no crash; another id in the body or another description of the prompt made it another request. The class: evidence depends on how a failure looks, and not on what failed.

Change: any run that is cut off counts against its whole request, for less if it had an event or the endpoint wasn't seen to end, unless the request was cut off before it began. Runs that got no answer count once the list of endpoints shows their end. Only a successful answer clears the whole request. A part is no cause while one request was at all of its crashes, and a request that shares all its crashes with another is left until a third crash decides. Reports are indexed by key, so that a cut stream doesn't make every instance weigh all reports again.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -173,6 +173,16 @@
             return False
         return not self.is_evacuated(known.data_centre)
 
+    def is_replaced(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether a later incarnation of an endpoint is registered."""
+        known = self._endpoints.get(endpoint.id)
+        return known is not None and known.started_at_ms > endpoint.started_at_ms
+
+    def find_incarnation(self, endpoint_id: str) -> str | None:
+        """Return the current incarnation of an endpoint, or None if it is gone."""
+        known = self._endpoints.get(endpoint_id)
+        return known.incarnation if known else None
+
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether no requests may be sent to a data centre."""
         return data_centre in self._evacuated.values()
--- a/oriolepaddle/crashes/ledger.py
+++ b/oriolepaddle/crashes/ledger.py
@@ -20,8 +20,8 @@
 """Keys in one announcement; they have at most about 100 bytes each, and a datagram
 60,000."""
 SENT_WHEN_CLEARED_S = 10.0
-"""Time for which a report without suspects is still sent, so that other instances
-clear them too."""
+"""Time for which a report without suspects, and requests that were cut off, are still
+sent, so that all instances have them."""
 
 
 @attrs.frozen
@@ -43,6 +43,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._stored: dict[str, _StoredReport] = {}
+        self._incarnations: dict[str, set[str]] = {}
         self._verdicts: Verdicts | None = None
         self.changed_s = float("-inf")
 
@@ -71,20 +72,30 @@
             answering=_limit(merged.answering, report.incarnation),
             waiting=_limit(merged.waiting, report.incarnation),
             requests=_limit(merged.requests, report.incarnation),
+            cut=_limit(merged.cut, report.incarnation),
         )
         merged = attrs.evolve(merged, cleared=merged.cleared & merged.keys)
         if stored is not None and merged == stored.report:
             return False
         self.changed_s = self._clock.monotonic_s()
-        self._stored[report.incarnation] = _StoredReport(merged, self.changed_s)
-        self._verdicts = None
+        self._store(merged, stored.report if stored else None)
         return True
 
+    def is_suspect(self, key: str) -> bool:
+        """Return whether a key was at a crash and has not been cleared of it."""
+        return any(
+            key not in self._stored[incarnation].report.cleared
+            for incarnation in self._incarnations.get(key, ())
+        )
+
     def clear(self, keys: frozenset[str]) -> frozenset[str]:
         """Clear keys of all crashes so far; return those that were suspects."""
         found: set[str] = set()
-        for stored in list(self._stored.values()):
-            report = stored.report
+        incarnations: set[str] = set()
+        for key in keys:
+            incarnations |= self._incarnations.get(key, set())
+        for incarnation in incarnations:
+            report = self._stored[incarnation].report
             suspects = (keys & report.keys) - report.cleared
             if suspects:
                 found |= suspects
@@ -103,8 +114,7 @@
         if excess > 0:
             removed += [item.report for item in self._rank()[-excess:]]
         for report in removed:
-            self._stored.pop(report.incarnation, None)
-            self._verdicts = None
+            self._remove(report)
         return removed
 
     def reports(self) -> list[CrashReport]:
@@ -114,18 +124,51 @@
     def select_to_send(self) -> list[CrashReport]:
         """Return the reports that other instances need most."""
         now_s = self._clock.monotonic_s()
+        verdicts = self.verdicts
         selected: list[CrashReport] = []
         key_count = 0
         for item in self._rank():
             report = item.report
-            is_recent = now_s - item.changed_s < SENT_WHEN_CLEARED_S
-            if report.has_suspects or is_recent:
+            if now_s - item.changed_s >= SENT_WHEN_CLEARED_S:
+                # All instances have the others by now, and merge what a later crash
+                # adds to them.
+                report = attrs.evolve(report, cut=report.cut & verdicts.causes)
+                is_due = report.has_suspects
+            else:
+                is_due = True
+            if is_due:
                 key_count += len(report.keys) + len(report.cleared)
                 if key_count > MAX_SENT_KEYS or len(selected) == MAX_SENT_REPORTS:
                     break
                 selected.append(report)
         return selected
 
+    def _store(self, report: CrashReport, previous: CrashReport | None) -> None:
+        self._stored[report.incarnation] = _StoredReport(report, self.changed_s)
+        before = previous or CrashReport(report.incarnation)
+        self._drop_from_index(before.keys - report.keys, report.incarnation)
+        for key in report.keys:
+            self._incarnations.setdefault(key, set()).add(report.incarnation)
+        # A whole request at one crash decides nothing, and most reports have many.
+        changed = report.find_changes(before)
+        parts = report.parts | before.parts
+        if not changed.isdisjoint(parts) or any(
+            len(self._incarnations.get(key, ())) > 1 for key in changed
+        ):
+            self._verdicts = None
+
+    def _remove(self, report: CrashReport) -> None:
+        if self._stored.pop(report.incarnation, None) is not None:
+            self._drop_from_index(report.keys, report.incarnation)
+            self._verdicts = None
+
+    def _drop_from_index(self, keys: frozenset[str], incarnation: str) -> None:
+        for key in keys:
+            incarnations = self._incarnations.get(key, set())
+            incarnations.discard(incarnation)
+            if not incarnations:
+                self._incarnations.pop(key, None)
+
     def _rank(self) -> list[_StoredReport]:
         """Return the reports, first those that a refusal rests on, then the newest."""
         verdicts = self.verdicts
--- a/oriolepaddle/crashes/register.py
+++ b/oriolepaddle/crashes/register.py
@@ -11,6 +11,7 @@
 from oriolepaddle.crashes.ledger import CrashLedger
 from oriolepaddle.crashes.report import CrashReport
 from oriolepaddle.crashes.runs import SuspectRun, SuspectRuns
+from oriolepaddle.crashes.silence import SilentRun, SilentRuns
 from oriolepaddle.crashes.verdicts import Verdicts
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.logs import log_event
@@ -61,6 +62,7 @@
         self._lock = threading.Lock()
         self._ledger = CrashLedger(clock)
         self._runs = SuspectRuns()
+        self._silent_runs = SilentRuns()
         self._changed = threading.Event()
 
     def check(self, keys: RequestKeys) -> None:
@@ -110,6 +112,13 @@
             self._clock.wait(changed, CALLER_CHECK_INTERVAL)
             check_caller()
 
+    def was_cut(self, keys: RequestKeys) -> bool:
+        """Return whether a run of the whole request was cut off before."""
+        if len(self._ledger) == 0:
+            return False
+        with self._lock:
+            return self._ledger.is_suspect(keys.request)
+
     def end(self, run: SuspectRun) -> None:
         """Record the end of a run."""
         if run is not _UNSUSPECTED_RUN:
@@ -149,6 +158,51 @@
             OWN_ORIGIN,
         )
 
+    def record_cut(self, incarnation: str, keys: RequestKeys) -> None:
+        """Record that a response broke off, which sound ones do as well.
+
+        It counts only against the same request.
+        """
+        self._merge(
+            CrashReport(
+                incarnation,
+                cut=frozenset({keys.request}),
+                recorded_s=self._clock.monotonic_s(),
+            ),
+            OWN_ORIGIN,
+        )
+
+    def record_silence(
+        self, endpoint_id: str, incarnation: str, keys: RequestKeys
+    ) -> None:
+        """Record that a run got no complete response, but its connection held.
+
+        It counts like a response that broke off once the endpoint turns out to have
+        ended; see `resolve_silent_runs`.
+        """
+        with self._lock:
+            self._silent_runs.add(
+                SilentRun(endpoint_id, incarnation, keys, self._clock.monotonic_s())
+            )
+
+    def resolve_silent_runs(
+        self, find_incarnation: Callable[[str], str | None]
+    ) -> None:
+        """Record the silent runs whose endpoint has ended since.
+
+        Args:
+            find_incarnation: Returns the current incarnation of an endpoint by its
+                id, or None if it is not registered.
+        """
+        if len(self._silent_runs) == 0:
+            return
+        with self._lock:
+            ended = self._silent_runs.remove_ended(
+                find_incarnation, self._clock.monotonic_s()
+            )
+        for run in ended:
+            self.record_cut(run.incarnation, run.keys)
+
     def record_broken_connection(self, incarnation: str, keys: RequestKeys) -> None:
         """Record that a connection broke without a response; it may be a crash.
 
@@ -202,8 +256,8 @@
             verdicts = self._ledger.verdicts
             found: dict[str, list[CrashReport]] = {}
             for report in self._ledger.reports():
-                suspects = report.find_suspect_parts()
-                for key in suspects | (report.requests - report.cleared):
+                requests = report.requests | (report.cut & verdicts.causes)
+                for key in report.find_suspect_parts() | (requests - report.cleared):
                     found.setdefault(key, []).append(report)
         return [
             CrashEntry(
@@ -227,6 +281,7 @@
                 answering=sorted(report.answering),
                 waiting=sorted(report.waiting),
                 requests=sorted(report.requests),
+                cut=sorted(report.cut),
                 cleared=sorted(report.cleared),
                 age_s=round(self._clock.monotonic_s() - report.recorded_s, 3),
             )
--- a/oriolepaddle/crashes/report.py
+++ b/oriolepaddle/crashes/report.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen
 class CrashReport:
-    """The runs without an event at an endpoint when it crashed.
+    """The runs at an endpoint when it crashed or broke them off.
 
     Merging takes the union of each field, so reports may arrive late, repeatedly and
     in any order.
@@ -16,7 +16,9 @@
         incarnation: The incarnation of the endpoint that crashed.
         answering: Parts of prompts whose response had begun.
         waiting: Parts of prompts whose response had not begun.
-        requests: Whole requests.
+        requests: Whole requests without an event.
+        cut: Whole requests that were cut off later, or without a sign that the
+            endpoint ended.
         cleared: What has been answered since, and so is not the cause.
         recorded_s: Monotonic time at which the crash was first seen; ignored by
             equality.
@@ -26,13 +28,24 @@
     answering: frozenset[str] = frozenset()
     waiting: frozenset[str] = frozenset()
     requests: frozenset[str] = frozenset()
+    cut: frozenset[str] = frozenset()
     cleared: frozenset[str] = frozenset()
     recorded_s: float = attrs.field(default=0.0, eq=False)
 
     @property
     def keys(self) -> frozenset[str]:
         """All that the crash may have been due to when it was seen."""
-        return self.answering | self.waiting | self.requests
+        return self.parts | self.whole_requests
+
+    @property
+    def parts(self) -> frozenset[str]:
+        """All parts of prompts."""
+        return self.answering | self.waiting
+
+    @property
+    def whole_requests(self) -> frozenset[str]:
+        """All whole requests."""
+        return self.requests | self.cut
 
     @property
     def has_suspects(self) -> bool:
@@ -47,12 +60,23 @@
         """
         return (self.answering - self.cleared) or (self.waiting - self.cleared)
 
+    def find_changes(self, earlier: "CrashReport") -> frozenset[str]:
+        """Return the keys that differ from another report of the same crash."""
+        return (
+            (self.answering ^ earlier.answering)
+            | (self.waiting ^ earlier.waiting)
+            | (self.requests ^ earlier.requests)
+            | (self.cut ^ earlier.cut)
+            | (self.cleared ^ earlier.cleared)
+        )
+
     def includes(self, other: "CrashReport") -> bool:
         """Return whether another report of the same crash has nothing new."""
         return (
             other.answering <= self.answering
             and other.waiting <= self.waiting
             and other.requests <= self.requests
+            and other.cut <= self.cut
             and other.cleared <= self.cleared
         )
 
@@ -63,6 +87,7 @@
             self.answering | other.answering,
             self.waiting | other.waiting,
             self.requests | other.requests,
+            self.cut | other.cut,
             self.cleared | other.cleared,
             self.recorded_s,
         )
--- a/oriolepaddle/crashes/verdicts.py
+++ b/oriolepaddle/crashes/verdicts.py
@@ -1,7 +1,9 @@
 """Conclusions from the reports of crashes.
 
-Answers the load in which one part of many prompts, no two alike, crashes every
-endpoint that begins to answer it, while sound prompts share all other parts.
+Answers two loads: one part of many prompts, no two alike, crashes every endpoint that
+begins to answer it, while sound prompts share all other parts; and one request that
+is sent again crashes every endpoint that runs it, at any stage of its response, while
+sound requests are cut off beside it.
 """
 
 from collections import defaultdict
@@ -24,9 +26,15 @@
 endpoint has many such runs."""
 REQUEST_WEIGHT = 3
 """Weight of a crash as evidence against a whole request: two are enough."""
+CUT_WEIGHT = 2
+"""Weight of a request that was cut off later, or without a sign of a crash: three are
+needed, as long streams are often cut off by what others do."""
+REQUEST_CRASH_LIMIT = 3
+"""Crashes after which a whole request is refused even if another one was at all of
+them too."""
 SIMULTANEOUS_S = 1.0
-"""Crashes within this time count once against what only waited, since a failure of
-many endpoints at once is not the work of what they ran."""
+"""Crashes within this time count once against what only waited or was cut off, since
+a failure of many endpoints at once is not the work of what they ran."""
 Evidence = dict[str, dict[str, int]]
 
 
@@ -37,7 +45,8 @@
     Attributes:
         crashes: The crashes that each suspect may have caused.
         causes: The keys that are known to be a cause.
-        rivals: The keys that explain the crashes of an accused part as well.
+        rivals: The keys that explain the crashes of an accused part as well: parts,
+            and whole requests that were at all of them.
     """
 
     crashes: Mapping[str, frozenset[str]] = attrs.Factory(dict)
@@ -53,8 +62,7 @@
         if not keys.all.isdisjoint(self.causes):
             return True
         return any(
-            part in self.rivals and self.rivals[part] <= keys.parts
-            for part in keys.parts
+            part in self.rivals and self.rivals[part] <= keys.all for part in keys.parts
         )
 
     def find_suspects(self, keys: RequestKeys) -> frozenset[str]:
@@ -65,21 +73,24 @@
 def find_verdicts(reports: Iterable[CrashReport]) -> Verdicts:
     """Return the conclusions from all reports."""
     ordered = sorted(reports, key=lambda report: report.recorded_s)
-    evidence = _weigh_parts(ordered)
-    rivals = find_rivals(evidence, EVIDENCE_LIMIT)
-    causes = {part: evidence[part] for part, others in rivals.items() if not others}
+    parts = _weigh_parts(ordered)
+    requests = _weigh_requests(ordered)
+    rivals = _find_part_rivals(parts, requests)
+    causes = {part: parts[part] for part, others in rivals.items() if not others}
     explained = frozenset().union(*causes.values())
     unexplained = {
-        part: {crash: found[crash] for crash in found.keys() - explained}
-        for part, found in evidence.items()
+        part: _leave_out(found, explained)
+        for part, found in parts.items()
         if part not in causes
     }
-    requests = _find_refused_requests(ordered, explained)
-    crashes = unexplained | causes | requests
+    refused = _find_refused_requests(
+        {key: _leave_out(found, explained) for key, found in requests.items()}
+    )
+    crashes = unexplained | causes | refused
     return Verdicts(
         crashes={key: frozenset(found) for key, found in crashes.items() if found},
-        causes=frozenset(causes.keys() | requests.keys()),
-        rivals=find_rivals(unexplained, EVIDENCE_LIMIT),
+        causes=frozenset(causes.keys() | refused.keys()),
+        rivals=_find_part_rivals(unexplained, requests),
     )
 
 
@@ -100,16 +111,40 @@
     return dict(evidence)
 
 
-def _find_refused_requests(
-    ordered: list[CrashReport], explained: frozenset[str]
-) -> Evidence:
+def _weigh_requests(ordered: list[CrashReport]) -> Evidence:
     evidence: Evidence = defaultdict(dict)
+    last_counted_s: dict[str, float] = defaultdict(lambda: float("-inf"))
     for report in ordered:
-        if report.incarnation not in explained:
-            for request in report.requests - report.cleared:
-                evidence[request][report.incarnation] = REQUEST_WEIGHT
+        for request in report.whole_requests - report.cleared:
+            if request in report.requests:
+                weight = REQUEST_WEIGHT
+            elif report.recorded_s - last_counted_s[request] < SIMULTANEOUS_S:
+                weight = 0
+            else:
+                weight = CUT_WEIGHT
+            if weight:
+                last_counted_s[request] = report.recorded_s
+            evidence[request][report.incarnation] = weight
+    return {request: found for request, found in evidence.items() if len(found) > 1}
+
+
+def _leave_out(found: dict[str, int], explained: frozenset[str]) -> dict[str, int]:
+    return {crash: weight for crash, weight in found.items() if crash not in explained}
+
+
+def _find_part_rivals(parts: Evidence, requests: Evidence) -> dict[str, frozenset[str]]:
+    rivals = find_rivals(parts, EVIDENCE_LIMIT)
+    for part in rivals:
+        crashes = parts[part].keys()
+        repeated = [key for key, found in requests.items() if crashes <= found.keys()]
+        rivals[part] |= frozenset(repeated)
+    return rivals
+
+
+def _find_refused_requests(evidence: Evidence) -> Evidence:
+    rivals = find_rivals(evidence, EVIDENCE_LIMIT)
     return {
-        request: found
-        for request, found in evidence.items()
-        if sum(found.values()) >= EVIDENCE_LIMIT
+        request: evidence[request]
+        for request, others in rivals.items()
+        if not others or len(evidence[request]) >= REQUEST_CRASH_LIMIT
     }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -153,6 +153,7 @@
             log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
         self.roster.set_own(ready, self._drain.is_active)
         self.context.placer.refresh_cold_shares()
+        self.context.crashes.resolve_silent_runs(self.catalog.find_incarnation)
 
     def _follows_store(self) -> bool:
         max_age_s = self._settings.max_catalog_age.total_seconds()
--- a/oriolepaddle/daemon/tests/test_edge_crashes.py
+++ b/oriolepaddle/daemon/tests/test_edge_crashes.py
@@ -1,3 +1,5 @@
+import contextlib
+import http.client
 import time
 
 import pytest
@@ -93,7 +95,8 @@
             f"n{1 + number % 2}", path, method="POST", body=DEADLY_BODY
         )
         status = response.status
-        response.close()
+        with contextlib.suppress(http.client.HTTPException, OSError):
+            response.read()
         if status == 503:
             break
         time.sleep(REPORT_SPREAD_S)
--- a/oriolepaddle/edge/crash_guard.py
+++ b/oriolepaddle/edge/crash_guard.py
@@ -7,17 +7,22 @@
 
 from oriolepaddle.catalog import RegisteredEndpoint
 from oriolepaddle.crashes import RequestKeys, SuspectRun, make_request_keys
+from oriolepaddle.edge.answer import EndpointAnswer
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.edge.sink import EdgeSink
 from oriolepaddle.errors import (
     AnswerTruncatedError,
     EndpointFailedError,
+    EndpointTimeoutError,
     OriolepaddleError,
 )
 
 __all__ = ["CrashEvidence", "CrashGuard", "RunEnd", "make_keys"]
 
+MIN_ID_LENGTH = 8
+"""Length below which a caller's id may occur in a request by chance."""
+
 
 class CrashEvidence(enum.StrEnum):
     """What the failure of a run was recorded as."""
@@ -25,6 +30,8 @@
     NONE = "none"
     CRASH = "crash"
     BROKEN_CONNECTION = "broken connection"
+    CUT = "cut"
+    SILENCE = "silence"
 
 
 @attrs.frozen
@@ -62,6 +69,7 @@
         self._keys = make_keys(request, service)
         self._check_caller = check_caller
         self._run: SuspectRun | None = None
+        self._was_cut = False
 
     def check(self) -> None:
         """Refuse the request if it is known to crash endpoints.
@@ -81,9 +89,9 @@
             RefusedError: The request was not run.
             OSError: The caller has disconnected.
         """
-        self._run = self._context.crashes.start(
-            self._keys, wait_until_s, self._check_caller
-        )
+        crashes = self._context.crashes
+        self._run = crashes.start(self._keys, wait_until_s, self._check_caller)
+        self._was_cut = crashes.was_cut(self._keys)
 
     def end_attempt(self) -> None:
         """Let other requests with the same suspects run."""
@@ -101,39 +109,81 @@
         self._context.crashes.record_event(self._keys.parts)
         self.end_attempt()
 
-    def record_answer(self) -> None:
-        """Clear the whole request: an endpoint has answered it."""
-        self._context.crashes.record_event({self._keys.request})
+    def record_answer(self, answer: EndpointAnswer) -> None:
+        """Clear the whole request if an endpoint has run it to its end.
+
+        A failure doesn't show that the request is harmless: the endpoint may not have
+        begun to run it.
+        """
+        if answer.is_success:
+            self._context.crashes.record_event({self._keys.request})
 
     def record_failure(
         self, endpoint: RegisteredEndpoint, sink: EdgeSink, error: OriolepaddleError
     ) -> RunEnd:
-        """Record a crash, if there was one before the first event."""
+        """Record what the failure of a run says about the request and its parts.
+
+        Only a crash before the first event counts against the parts of the prompt. Any
+        run that was cut off counts against the whole request.
+        """
+        if not sink.is_sent:
+            return RunEnd()
+        if isinstance(error, EndpointTimeoutError):
+            return self.record_silence(endpoint, sink)
         # A truncated response had begun, even if its head never was complete.
-        is_truncated = type(error) is AnswerTruncatedError
+        is_truncated = type(error) is AnswerTruncatedError and (
+            sink.answer is None or sink.answer.is_success
+        )
         is_failed = type(error) is EndpointFailedError and sink.answer is None
-        if not sink.is_sent or sink.events or not (is_truncated or is_failed):
+        if not (is_truncated or is_failed):
             return RunEnd()
-        context, keys = self._context, self._keys
-        is_leaving = not context.catalog.may_send(endpoint)
-        has_ended = None
-        if keys.parts and not is_leaving:
-            has_ended = context.liveness.has_ended(endpoint)
+        has_ended = None if sink.events else self._has_ended(endpoint)
+        crashes, incarnation = self._context.crashes, endpoint.incarnation
         if has_ended:
-            context.crashes.record_crash(
-                endpoint.incarnation, keys, has_begun=is_truncated
-            )
-            return RunEnd(CrashEvidence.CRASH, has_ended)
-        if is_failed:
-            context.crashes.record_broken_connection(endpoint.incarnation, keys)
-            return RunEnd(CrashEvidence.BROKEN_CONNECTION, has_ended)
-        return RunEnd(has_ended=has_ended)
+            evidence = CrashEvidence.CRASH
+            crashes.record_crash(incarnation, self._keys, has_begun=is_truncated)
+        elif is_failed or self._was_cut:
+            # A single failure doesn't cut off runs that began after one another's ends.
+            evidence = CrashEvidence.BROKEN_CONNECTION
+            crashes.record_broken_connection(incarnation, self._keys)
+        else:
+            evidence = CrashEvidence.CUT
+            crashes.record_cut(incarnation, self._keys)
+        return RunEnd(evidence, has_ended)
+
+    def record_silence(self, endpoint: RegisteredEndpoint, sink: EdgeSink) -> RunEnd:
+        """Record a run that was given up; it counts if its endpoint has ended."""
+        if not sink.is_sent:
+            return RunEnd()
+        self._context.crashes.record_silence(
+            endpoint.id, endpoint.incarnation, self._keys
+        )
+        return RunEnd(CrashEvidence.SILENCE)
+
+    def _has_ended(self, endpoint: RegisteredEndpoint) -> bool | None:
+        """Return whether an endpoint crashed; None if its end may be a planned one."""
+        catalog = self._context.catalog
+        if catalog.is_replaced(endpoint):
+            return True
+        if not catalog.may_send(endpoint):
+            return None
+        return self._context.liveness.has_ended(endpoint)
 
 
 def make_keys(request: EdgeRequest, service: str) -> RequestKeys:
-    """Return the keys of a request, which do not depend on its caller."""
+    """Return the keys of a request, which do not depend on its caller.
+
+    The caller's id is left out, as it is new each time that the request is sent. The
+    description of the prompt in the header counts only if there is no body that has
+    the prompt itself.
+    """
     texts = [request.method, request.host, request.target]
-    texts += [part.id for part in request.parts]
+    if not request.body:
+        texts += [part.id for part in request.parts]
     content = [text.encode("latin-1", "replace") for text in texts]
+    content.append(request.body)
+    if len(request.id) >= MIN_ID_LENGTH:
+        request_id = request.id.encode("latin-1", "replace")
+        content = [item.replace(request_id, b"") for item in content]
     part_ids = [part.id for part in request.shared_parts]
-    return make_request_keys(service, [*content, request.body], part_ids)
+    return make_request_keys(service, content, part_ids)
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -209,6 +209,9 @@
             run.fail(isinstance(error, _UNREACHABLE_ERRORS))
             self._record_failure(endpoint, sink, error)
             raise
+        except OSError:
+            self._crash_guard.record_silence(endpoint, sink)
+            raise
         finally:
             run.end()
             self._progress.count_attempt(sink)
@@ -226,7 +229,11 @@
                 progress.failed_answer = sink
                 raise error
         # Without a retry, the endpoint's error response goes to the caller.
+        self._finish(sink)
+
+    def _finish(self, sink: EdgeSink) -> None:
         sink.complete()
+        self._crash_guard.record_answer(sink.answer)
 
     def _send_to_peer(self, peer: PeerChoice, job: Job) -> None:
         context = self._context
@@ -245,7 +252,7 @@
         request = self._make_request(headers, ConnectionReuse.ANY)
         try:
             context.peer_transport.run(peer.address, request, sink)
-            sink.complete()
+            self._finish(sink)
         except OriolepaddleError as error:
             self._record_failure(None, sink, error)
             raise
@@ -350,7 +357,6 @@
 
     def _record_answer(self) -> None:
         context = self._context
-        self._crash_guard.record_answer()
         context.metrics.requests.labels(self._admitted.route.name).inc()
         if not self._request.hops:
             context.retry_budget.record_request(self._admitted.service)
--- a/oriolepaddle/edge/tests/test_crash_guard.py
+++ b/oriolepaddle/edge/tests/test_crash_guard.py
@@ -55,6 +55,9 @@
     def find_incarnation(self, endpoint_id):
         return f"{endpoint_id}@{2 if endpoint_id in self.replaced else 1}"
 
+    def is_replaced(self, endpoint):
+        return False
+
     def may_send(self, endpoint):
         return True
 
@@ -155,6 +158,14 @@
         runs = count_runs(instances, clock, endpoints, stage, make_request)
         assert runs <= MAX_RUNS
 
+    def test_is_refused_though_its_runs_follow_each_other_at_once(
+        self, instances, clock, endpoints
+    ):
+        for _ in range(MAX_RUNS):
+            break_off(instances[0].start(make_request()), endpoints, "after an event")
+        with pytest.raises(RefusedError):
+            instances[0].start(make_request())
+
     def test_is_refused_with_another_id_in_its_body(self, instances, clock, endpoints):
         def make(number):
             request = make_request(number)
@@ -237,6 +248,14 @@
             clock.advance(timedelta(seconds=2))
         instances[0].start(make_request(9))
 
+    def test_that_a_failure_of_many_endpoints_cuts_off_is_served(
+        self, instances, clock, endpoints
+    ):
+        guards = [instances[0].start(make_request(number)) for number in range(RUNS)]
+        for guard in guards:
+            break_off(guard, endpoints, "after an event")
+        instances[0].start(make_request(99))
+
     def test_that_is_answered_between_is_served(self, instances, clock, endpoints):
         for number in range(RUNS):
             guard = instances[0].start(make_request(number))
--- a/oriolepaddle/gossip/crashes.py
+++ b/oriolepaddle/gossip/crashes.py
@@ -14,6 +14,7 @@
         answering=sorted(report.answering),
         waiting=sorted(report.waiting),
         requests=sorted(report.requests),
+        cut=sorted(report.cut),
         cleared=sorted(report.cleared),
         age_ms=to_ms(now_s - report.recorded_s),
     )
@@ -26,6 +27,7 @@
         frozenset(record.answering),
         frozenset(record.waiting),
         frozenset(record.requests),
+        frozenset(record.cut or ()),
         frozenset(record.cleared),
         now_s - to_seconds(record.age_ms),
     )
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -659,26 +659,28 @@
 
 class EndpointCrash(object):
     """
-    The runs without an event at an endpoint when it crashed.
+    The runs at an endpoint when it crashed or broke them off.
 
     Attributes:
      - incarnation
      - answering: Parts of prompts whose response had begun, and of those that only waited.
      - waiting
-     - requests: Digests of whole requests.
+     - requests: Digests of whole requests without an event.
      - cleared: What has been answered since, and so is not the cause.
      - age_ms: The time since the crash, as instances do not share a clock.
+     - cut: Digests of whole requests that were cut off later, or without a crash seen.
 
     """
 
 
-    def __init__(self, incarnation=None, answering=None, waiting=None, requests=None, cleared=None, age_ms=None,):
+    def __init__(self, incarnation=None, answering=None, waiting=None, requests=None, cleared=None, age_ms=None, cut=None,):
         self.incarnation = incarnation
         self.answering = answering
         self.waiting = waiting
         self.requests = requests
         self.cleared = cleared
         self.age_ms = age_ms
+        self.cut = cut
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -739,6 +741,16 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.cut = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cut.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -756,35 +768,42 @@
         if self.answering is not None:
             oprot.writeFieldBegin('answering', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.answering))
-            for iter31 in self.answering:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter37 in self.answering:
+                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.waiting))
-            for iter32 in self.waiting:
-                oprot.writeString(iter32.encode('utf-8') if sys.version_info[0] == 2 else iter32)
+            for iter38 in self.waiting:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.requests))
-            for iter33 in self.requests:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.requests:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared is not None:
             oprot.writeFieldBegin('cleared', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.cleared))
-            for iter34 in self.cleared:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter40 in self.cleared:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
             oprot.writeFieldBegin('age_ms', TType.I32, 6)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.cut is not None:
+            oprot.writeFieldBegin('cut', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.cut))
+            for iter41 in self.cut:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -913,66 +932,66 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = EndpointWork()
-                        _elem40.read(iprot)
-                        self.work.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EndpointWork()
+                        _elem47.read(iprot)
+                        self.work.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.waits = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = RegionWait()
-                        _elem46.read(iprot)
-                        self.waits.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = RegionWait()
+                        _elem53.read(iprot)
+                        self.waits.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.balances = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = TokenBalance()
-                        _elem52.read(iprot)
-                        self.balances.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = TokenBalance()
+                        _elem59.read(iprot)
+                        self.balances.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = TokenGrant()
-                        _elem58.read(iprot)
-                        self.grants.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = TokenGrant()
+                        _elem65.read(iprot)
+                        self.grants.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = InstanceRecord()
-                        _elem64.read(iprot)
-                        self.members.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = InstanceRecord()
+                        _elem71.read(iprot)
+                        self.members.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.MAP:
                     self.counts = {}
-                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
-                    for _i69 in range(_size65):
-                        _key70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val71 = iprot.readI32()
-                        self.counts[_key70] = _val71
+                    (_ktype73, _vtype74, _size72) = iprot.readMapBegin()
+                    for _i76 in range(_size72):
+                        _key77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val78 = iprot.readI32()
+                        self.counts[_key77] = _val78
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -989,11 +1008,11 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = EndpointCrash()
-                        _elem77.read(iprot)
-                        self.crashes.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = EndpointCrash()
+                        _elem84.read(iprot)
+                        self.crashes.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1042,44 +1061,44 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter78 in self.work:
-                iter78.write(oprot)
+            for iter85 in self.work:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter79 in self.waits:
-                iter79.write(oprot)
+            for iter86 in self.waits:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
             oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter80 in self.balances:
-                iter80.write(oprot)
+            for iter87 in self.balances:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter81 in self.grants:
-                iter81.write(oprot)
+            for iter88 in self.grants:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter82 in self.members:
-                iter82.write(oprot)
+            for iter89 in self.members:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter83, viter84 in self.counts.items():
-                oprot.writeString(kiter83.encode('utf-8') if sys.version_info[0] == 2 else kiter83)
-                oprot.writeI32(viter84)
+            for kiter90, viter91 in self.counts.items():
+                oprot.writeString(kiter90.encode('utf-8') if sys.version_info[0] == 2 else kiter90)
+                oprot.writeI32(viter91)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_age_us is not None:
@@ -1093,8 +1112,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter85 in self.crashes:
-                iter85.write(oprot)
+            for iter92 in self.crashes:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1452,6 +1471,7 @@
     (4, TType.LIST, 'requests', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.LIST, 'cut', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -56,18 +56,20 @@
   2: required i64 tokens,
 }
 
-/** The runs without an event at an endpoint when it crashed. */
+/** The runs at an endpoint when it crashed or broke them off. */
 struct EndpointCrash {
   1: required string incarnation,
   /** Parts of prompts whose response had begun, and of those that only waited. */
   2: required list<string> answering,
   3: required list<string> waiting,
-  /** Digests of whole requests. */
+  /** Digests of whole requests without an event. */
   4: required list<string> requests,
   /** What has been answered since, and so is not the cause. */
   5: required list<string> cleared,
   /** The time since the crash, as instances do not share a clock. */
   6: required i32 age_ms,
+  /** Digests of whole requests that were cut off later, or without a crash seen. */
+  7: optional list<string> cut,
 }
 
 /** The state that an instance sends to another several times a second. */
