--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_edge_signals.py
@@ -0,0 +1,88 @@
+import itertools
+import threading
+import time
+
+import pytest
+
+from oriolepaddle.daemon.tests.edge_fleet import DESK, EdgeFleet
+
+SETTLING_S = 2.0
+"""Time in which all instances learn of a signal; the platform allows six seconds."""
+WINDOW_S = 4.0
+LOAD_S = 6.0
+SENDERS = 6
+PAUSE_S = 0.05
+
+
+@pytest.fixture
+def fleet():
+    fleet = EdgeFleet()
+    for name in ("d1", "d2", "d3"):
+        fleet.add_runner(name, DESK)
+    for name in ("n1", "n2", "n3"):
+        fleet.add_instance(name)
+    fleet.await_ready()
+    yield fleet
+    fleet.close()
+
+
+def send_load(fleet, duration_s, path="/read/1"):
+    """Send requests to all instances at once; return their statuses."""
+    statuses = []
+    until_s = time.monotonic() + duration_s
+
+    def _send(names):
+        for name in names:
+            if time.monotonic() >= until_s:
+                return
+            statuses.append(fleet.request(name, path)[0])
+            time.sleep(PAUSE_S)
+
+    instances = list(fleet.instances)
+    threads = [
+        threading.Thread(
+            target=_send,
+            args=(itertools.cycle(instances[n % 3 :] + instances[: n % 3]),),
+        )
+        for n in range(SENDERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def count_in_windows(runner, from_s):
+    """Return the most requests that a runner received in any window."""
+    times = [item.received_s for item in runner.received if item.received_s >= from_s]
+    return max(
+        (sum(start <= at < start + WINDOW_S for at in times) for start in times),
+        default=0,
+    )
+
+
+def allowed_requests(limit_per_s):
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+class TestLimit:
+    @pytest.mark.parametrize("limit", [1, 4])
+    def test_of_an_endpoint_is_kept_by_all_instances_together(self, fleet, limit):
+        limited = fleet.runners["d1"]
+        limited.limit = str(limit)
+        started_s = time.monotonic()
+        statuses = send_load(fleet, SETTLING_S + LOAD_S)
+        received = count_in_windows(limited, started_s + SETTLING_S)
+        assert received <= allowed_requests(limit)
+        assert statuses.count(200) > 0.95 * len(statuses)
+
+    def test_of_all_endpoints_is_kept_and_used(self, fleet):
+        for runner in fleet.runners.values():
+            runner.limit = "2"
+        started_s = time.monotonic()
+        statuses = send_load(fleet, SETTLING_S + LOAD_S)
+        for runner in fleet.runners.values():
+            received = count_in_windows(runner, started_s + SETTLING_S)
+            assert 0.5 * 2 * WINDOW_S <= received <= allowed_requests(2)
+        assert set(statuses) == {200, 503}
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -12,6 +12,7 @@
 NOT_RUN = "X-Oriolepaddle-Not-Run"
 LOAD = "X-Oriolepaddle-Server-Load"
 PREFIX_SOURCE = "Kv-Fetch"
+LIMIT = "Server-Limit"
 INSTANCE = "X-Oriolepaddle-Instance"
 
 RESERVED = frozenset(
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -86,6 +86,7 @@
         deadly_body: The body of the requests that crash the runner; None for none.
         crash_stage: How far its response to such a request comes.
         has_crashed: Whether the runner has crashed.
+        limit: The requests a second that it names as its limit, as text; None for none.
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         self.deadly_body: bytes | None = None
         self.crash_stage = CrashStage.BEFORE_ANSWER
         self.has_crashed = False
+        self.limit: str | None = None
         self._clock = SystemClock()
         self._stopping = threading.Event()
         self._service = service
@@ -176,7 +178,8 @@
         if behaviour in (RunnerBehaviour.RESET, RunnerBehaviour.SILENT):
             raise ConnectionResetError("the runner closes the connection")
         if behaviour is RunnerBehaviour.SHED:
-            writer.answer(503, b"", "text/plain", [(names.NOT_RUN, "1")])
+            fields = [(names.NOT_RUN, "1"), *self._describe_itself()]
+            writer.answer(503, b"", "text/plain", fields)
             return
         if self._is_deadly(headers.get(names.PROMPT_PREFIX.lower(), "")):
             writer.start(200, [("Content-Type", "text/event-stream")])
@@ -190,6 +193,9 @@
             self.abandoned_count += 1
             raise
 
+    def _describe_itself(self) -> list[tuple[str, str]]:
+        return [] if self.limit is None else [(names.LIMIT, self.limit)]
+
     def _crash_during(self, writer: AnswerWriter, headers: dict[str, str]) -> None:
         stage = self.crash_stage
         fields = [
@@ -219,6 +225,7 @@
         if behaviour is RunnerBehaviour.FOREIGN:
             request_id = "another"
         fields = [(names.REQUEST_ID, request_id), (names.LOAD, "1,0,6")]
+        fields += self._describe_itself()
         if behaviour is not RunnerBehaviour.UNSEALED:
             fields.append((names.SEAL, f"{SEAL_VALUE}.{self.id}"))
         if behaviour is RunnerBehaviour.ERROR:
