--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -102,10 +102,19 @@
                 "state": item.state.value,
                 "is_cold": now_s < item.cold_until_s,
                 "may_get_work": self._catalog.may_send(item),
+                **self._describe_limit(item.incarnation, now_s),
             }
             for item in sorted(self._catalog.endpoints(), key=lambda item: item.id)
         ]
 
+    def _describe_limit(self, incarnation: str, now_s: float) -> dict[str, Any]:
+        entry = self._context.signals.find_entry(incarnation)
+        return {
+            "limit_per_s": entry.limit_per_s if entry else None,
+            "limit_age_s": round(now_s - entry.stated_s, 3) if entry else None,
+            "limit_origin": entry.origin if entry else None,
+        }
+
     def suspects(self) -> list[dict[str, Any]]:
         """Return what is suspected of crashing endpoints, or refused because of it."""
         return [
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -42,6 +42,7 @@
     decode_document,
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
+from oriolepaddle.signals import SignalBoard
 from oriolepaddle.web import Application, HttpServer, ServerLimits
 from oriolepaddle.web.activity import Activity
 
@@ -105,6 +106,7 @@
         )
         self._exchange = CatalogExchange(clock, self.catalog, decode_document)
         self.metrics = GatewayMetrics()
+        self.signals = SignalBoard(clock, self.metrics.count_signal_event)
         self.context = self._make_context()
         add_gauges(
             self.metrics,
@@ -264,6 +266,7 @@
                 roster.count,
             ),
             crashes=CrashRegister(clock, self.metrics.count_crash_event),
+            signals=self.signals,
             liveness=ConnectCheck(),
             transport=EndpointTransport(
                 clock,
--- a/oriolepaddle/edge/answer.py
+++ b/oriolepaddle/edge/answer.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from oriolepaddle.signals import EndpointSignals
+
 __all__ = ["AnswerKind", "EndpointAnswer"]
 
 
@@ -32,6 +34,7 @@
         headers: Header fields to send to the caller.
         is_stream: Whether the body is an event stream.
         load: The numbers of running and waiting requests at the endpoint, or None.
+        signals: What the endpoint says of itself.
     """
 
     kind: AnswerKind
@@ -39,6 +42,12 @@
     headers: tuple[tuple[str, str], ...]
     is_stream: bool = False
     load: tuple[int, int] | None = None
+    signals: EndpointSignals = EndpointSignals()
+
+    @property
+    def is_of_endpoint(self) -> bool:
+        """Whether the endpoint that the request was sent to wrote the response."""
+        return self.kind in (AnswerKind.RAN, AnswerKind.NOT_RUN)
 
     @property
     def is_success(self) -> bool:
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -17,6 +17,7 @@
 from oriolepaddle.limits import TokenLimiter
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.placement import Placer
+from oriolepaddle.signals import SignalBoard
 from oriolepaddle.web.activity import Activity
 
 __all__ = ["EdgeContext"]
@@ -35,6 +36,7 @@
         limiter: Enforces the rate limits of organisations.
         retry_budget: Bounds the number of retries.
         crashes: What crashed endpoints.
+        signals: What endpoints say of themselves.
         liveness: Tells whether an endpoint has ended.
         transport: Sends requests to endpoints.
         peer_transport: Sends requests to other instances.
@@ -57,6 +59,7 @@
     limiter: TokenLimiter
     retry_budget: FleetRetryBudget
     crashes: CrashRegister
+    signals: SignalBoard
     liveness: LivenessCheck
     transport: EndpointTransport
     peer_transport: EndpointTransport
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -6,6 +6,7 @@
 
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import AdmittedRequest, admit, check_catalog_age
+from oriolepaddle.edge.answer import EndpointAnswer
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.crash_guard import CrashGuard, RunEnd
 from oriolepaddle.edge.event_splitter import EventSplitter
@@ -284,13 +285,22 @@
                 run.record_first_byte()
             self._record_first_byte()
 
-        protocol = self._context.protocol
+        started_s = self._context.clock.monotonic_s()
+
+        def _read_answer(status: int, headers: Headers) -> EndpointAnswer:
+            answer = self._context.protocol.read_answer(
+                self._request.id, status, headers
+            )
+            if endpoint is not None and answer.is_of_endpoint:
+                self._context.signals.record(
+                    endpoint.incarnation, answer.signals, started_s
+                )
+            return answer
+
         sink = EdgeSink(
             self._writer,
             self._splitter,
-            lambda status, headers: protocol.read_answer(
-                self._request.id, status, headers
-            ),
+            _read_answer,
             lambda: self._recheck(endpoint),
             _on_first_byte,
         )
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -38,6 +38,9 @@
         self.crash_events = self._add_counter(
             "crash_events", "Events around crashes of endpoints.", "event"
         )
+        self.signal_events = self._add_counter(
+            "signal_events", "Events around what endpoints say of themselves.", "event"
+        )
         self.forwards = self._add_counter(
             "forwards", "Requests passed on to a data centre.", "data_centre"
         )
@@ -61,6 +64,10 @@
         """Count an event around crashes of endpoints."""
         self.crash_events.labels(event).inc()
 
+    def count_signal_event(self, event: str) -> None:
+        """Count an event around what endpoints say of themselves."""
+        self.signal_events.labels(event).inc()
+
     def add_gauge(
         self, name: str, description: str, read_value: Callable[[], float]
     ) -> None:
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -15,6 +15,8 @@
 LIMIT = "Server-Limit"
 INSTANCE = "X-Oriolepaddle-Instance"
 
+SIGNALS = frozenset((LIMIT.lower(),))
+"""Header fields in which an endpoint tells of itself."""
 RESERVED = frozenset(
     name.lower()
     for name in (
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -9,6 +9,7 @@
 from oriolepaddle.errors import MalformedRequestError
 from oriolepaddle.placement import PromptPart
 from oriolepaddle.platform import names
+from oriolepaddle.platform.signals import read_signals
 
 __all__ = ["PlatformProtocol"]
 
@@ -147,6 +148,7 @@
             ),
             is_stream=fields.get("content-type", "").startswith(EVENT_STREAM),
             load=_read_load(fields.get(names.LOAD.lower())),
+            signals=read_signals(headers),
         )
 
 
--- /dev/null
+++ b/oriolepaddle/platform/signals.py
@@ -0,0 +1,38 @@
+"""Decodes what an endpoint says of itself in the headers of its answers."""
+
+import re
+
+from oriolepaddle.logs import log_event
+from oriolepaddle.platform import names
+from oriolepaddle.signals import EndpointSignals
+
+__all__ = ["read_signals"]
+
+MAX_LOGGED_CHARACTERS = 40
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_NO_SIGNALS = EndpointSignals()
+
+
+def read_signals(headers: tuple[tuple[str, str], ...]) -> EndpointSignals:
+    """Return the signals of an answer; what can't be read is ignored and logged."""
+    values: dict[str, list[str]] = {}
+    for name, value in headers:
+        if name.lower() in names.SIGNALS:
+            values.setdefault(name.lower(), []).append(value)
+    if not values:
+        return _NO_SIGNALS
+    return EndpointSignals(limit_per_s=_read_decimal(names.LIMIT, values))
+
+
+def _read_decimal(name: str, values: dict[str, list[str]]) -> float | None:
+    found = values.get(name.lower(), [])
+    if not found:
+        return None
+    if len(found) == 1 and _DECIMAL.fullmatch(found[0].strip()):
+        return float(found[0])
+    log_event(
+        "endpoint_signal_ignored",
+        field=name,
+        values=[value[:MAX_LOGGED_CHARACTERS] for value in found[:2]],
+    )
+    return None
--- /dev/null
+++ b/oriolepaddle/signals/__init__.py
@@ -0,0 +1,7 @@
+"""What endpoints say of themselves in their answers."""
+
+from oriolepaddle.signals.board import SignalBoard
+from oriolepaddle.signals.limit import LimitEntry
+from oriolepaddle.signals.signals import EndpointSignals
+
+__all__ = ["EndpointSignals", "LimitEntry", "SignalBoard"]
--- /dev/null
+++ b/oriolepaddle/signals/limit.py
@@ -0,0 +1,23 @@
+"""The limit that one incarnation of an endpoint names."""
+
+import attrs
+
+__all__ = ["LimitEntry"]
+
+
+@attrs.frozen
+class LimitEntry:
+    """What is known of an endpoint's limit.
+
+    Attributes:
+        incarnation: The incarnation of the endpoint.
+        limit_per_s: Requests a second from all instances together; None if the
+            endpoint has lifted its limit.
+        stated_s: Monotonic time as of which the endpoint is known to have said so.
+        origin: The instance that heard it.
+    """
+
+    incarnation: str
+    limit_per_s: float | None
+    stated_s: float
+    origin: str
--- /dev/null
+++ b/oriolepaddle/signals/signals.py
@@ -0,0 +1,17 @@
+"""The signals of one answer."""
+
+import attrs
+
+__all__ = ["EndpointSignals"]
+
+
+@attrs.frozen
+class EndpointSignals:
+    """What an answer says of its endpoint.
+
+    Attributes:
+        limit_per_s: The requests a second that the endpoint takes from all instances
+            together, or None if it names no limit.
+    """
+
+    limit_per_s: float | None = None
