Keep the limit that an endpoint names, over all instances together

Cause: nothing read Server-Limit, and placing went by load and prompt alone. The class: what the other side says of itself in an answer is passed on instead of acted upon.

Change: the limit is shared out like an organisation's rate, by the same limiter, leases and draws: hubs mint it for the instances of their region and use it themselves, others draw single requests where no endpoint without a limit can serve in time. Limits spread inside a region by gossip with their age; the newest statement applies, and an answer without a limit lifts it only if its request was sent after the limit was last heard. What lacks a permit is refused at once with the hub's delay, extended at random.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -42,7 +42,7 @@
     decode_document,
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
-from oriolepaddle.signals import SignalBoard
+from oriolepaddle.signals import EndpointPermits, SignalBoard
 from oriolepaddle.web import Application, HttpServer, ServerLimits
 from oriolepaddle.web.activity import Activity
 
@@ -107,6 +107,12 @@
         self._exchange = CatalogExchange(clock, self.catalog, decode_document)
         self.metrics = GatewayMetrics()
         self.signals = SignalBoard(clock, self.metrics.count_signal_event)
+        self.permits = EndpointPermits(
+            clock,
+            self.signals,
+            self._find_cold_share,
+            self.metrics.count_signal_event,
+        )
         self.context = self._make_context()
         add_gauges(
             self.metrics,
@@ -156,6 +162,7 @@
         self.roster.set_own(ready, self._drain.is_active)
         self.context.placer.refresh_cold_shares()
         self.context.crashes.resolve_silent_runs(self.catalog.find_incarnation)
+        self.permits.forget_lifted()
 
     def _follows_store(self) -> bool:
         max_age_s = self._settings.max_catalog_age.total_seconds()
@@ -234,6 +241,7 @@
             self.catalog,
             lambda name: roster.region_of(name) == own_region,
             self._find_cold_share,
+            permits=self.permits,
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect_timeout = timedelta(seconds=settings.connect_timeout_s)
@@ -241,6 +249,14 @@
         self._draws = TokenDraws(
             clock, roster, self.pool, self._find_organisation, settings.gossip_port
         )
+        self._permit_draws = TokenDraws(
+            clock,
+            roster,
+            self.permits.limiter,
+            self.permits.find_rate,
+            settings.gossip_port,
+        )
+        self.permits.connect(self._permit_draws)
         capacity = RegionCapacity(
             clock, self.catalog, roster.region_of, placer.estimate_service_s
         )
@@ -267,6 +283,7 @@
             ),
             crashes=CrashRegister(clock, self.metrics.count_crash_event),
             signals=self.signals,
+            permits=self.permits,
             liveness=ConnectCheck(),
             transport=EndpointTransport(
                 clock,
@@ -284,6 +301,7 @@
             startup_retry=StartupRetry(clock),
             count_instances=roster.count_region,
             is_refusing=self._drain.is_refusing,
+            generator=self._generator,
         )
 
     def _find_share(self) -> float:
@@ -308,6 +326,8 @@
             loads=self._loads,
             limiter=self.pool,
             draws=self._draws,
+            permit_draws=self._permit_draws,
+            signals=self.signals,
             delegations=self._delegations,
             crashes=self.context.crashes,
             fetch_catalog=self._exchange.request_fetch,
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -1,5 +1,6 @@
 """The components that request handling uses."""
 
+import random
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -17,7 +18,7 @@
 from oriolepaddle.limits import TokenLimiter
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.placement import Placer
-from oriolepaddle.signals import SignalBoard
+from oriolepaddle.signals import EndpointPermits, SignalBoard
 from oriolepaddle.web.activity import Activity
 
 __all__ = ["EdgeContext"]
@@ -37,6 +38,7 @@
         retry_budget: Bounds the number of retries.
         crashes: What crashed endpoints.
         signals: What endpoints say of themselves.
+        permits: Permits for endpoints with a limit.
         liveness: Tells whether an endpoint has ended.
         transport: Sends requests to endpoints.
         peer_transport: Sends requests to other instances.
@@ -49,6 +51,7 @@
         count_instances: Returns the number of instances of this region.
         is_refusing: Returns whether a new request that may take the given number
             of seconds is refused, as the instance shuts down.
+        generator: The source of randomness for retry delays.
     """
 
     clock: Clock
@@ -60,6 +63,7 @@
     retry_budget: FleetRetryBudget
     crashes: CrashRegister
     signals: SignalBoard
+    permits: EndpointPermits
     liveness: LivenessCheck
     transport: EndpointTransport
     peer_transport: EndpointTransport
@@ -70,3 +74,4 @@
     startup_retry: StartupRetry
     count_instances: Callable[[], int]
     is_refusing: Callable[[float], bool]
+    generator: random.Random
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -23,6 +23,11 @@
 instances act on it at once, the less accurate it is."""
 MAX_LOCAL_FAILURES = 2
 """Endpoints that failed a request before its whole region is treated as unreliable."""
+MAX_DRAWS = 2
+"""Endpoints for which a request draws a permit; a silent hub costs 0.06 s each."""
+MAX_RETURN_SPREAD = 2.0
+"""Factor up to which the retry delay is extended, so that callers who wait for the same
+permit don't return together."""
 RETRY_AFTER = timedelta(milliseconds=200)
 """Retry delay sent to callers whose region of residency cannot serve them now."""
 
@@ -78,6 +83,11 @@
             choice = context.placer.choose(job, progress.excluded)
         except RefusedError as error:
             refusal = error
+    if refusal is not None:
+        try:
+            choice = _choose_with_drawn_permit(context, job, progress)
+        except RefusedError as error:
+            refusal = error
     peer = None
     if progress.may_forward:
         peer = context.regions.choose(job.service, job.input_tokens, admitted.residency)
@@ -95,6 +105,33 @@
     return choice
 
 
+def _choose_with_drawn_permit(
+    context: EdgeContext, job: Job, progress: ExchangeProgress
+) -> Choice | None:
+    """Return an endpoint with a limit for which a hub has a permit, or None.
+
+    Raises:
+        RefusedError: There are such endpoints, but no permit for any of them.
+    """
+    limited = context.placer.list_without_permit(job, progress.excluded)
+    refusals = []
+    for endpoint in limited[:MAX_DRAWS]:
+        try:
+            context.permits.draw(endpoint.incarnation)
+        except RefusedError as error:
+            refusals.append(error)
+            continue
+        return context.placer.choose(job, permitted=endpoint)
+    if not refusals:
+        return None
+    wait = min(error.retry_after or RETRY_AFTER for error in refusals)
+    raise RefusedError(
+        f"the endpoints of {job.service} take no more requests for now",
+        code=ErrorCode.OVERLOADED,
+        retry_after=wait * context.generator.uniform(1.0, MAX_RETURN_SPREAD),
+    )
+
+
 def _make_refusal(peer: PeerChoice | None, job: Job) -> RefusedError:
     if peer is None:
         return RefusedError(
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -1,3 +1,4 @@
+import random
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -27,7 +28,7 @@
 
     context = SimpleNamespace(
         region="nordur",
-        placer=SimpleNamespace(choose=choose),
+        placer=SimpleNamespace(choose=choose, list_without_permit=lambda *_: []),
         regions=SimpleNamespace(choose=lambda *_: peer),
         count_instances=lambda: instances,
     )
@@ -122,3 +123,47 @@
         with pytest.raises(RefusedError) as caught:
             place_job(refusal, make_peer(0.9))
         assert caught.value is refusal
+
+
+class TestLimitedEndpoints:
+    """Endpoints that lack nothing but a permit, which hubs may have."""
+
+    def place(self, draw):
+        endpoint = SimpleNamespace(incarnation="e1@1")
+
+        def _choose(job, excluded=(), permitted=None):
+            if permitted is None:
+                raise RefusedError("no permit", code=ErrorCode.NO_ENDPOINT)
+            return Choice(permitted, 0.05, 0)
+
+        context = SimpleNamespace(
+            region="nordur",
+            placer=SimpleNamespace(
+                choose=_choose, list_without_permit=lambda *_: [endpoint]
+            ),
+            permits=SimpleNamespace(draw=draw),
+            generator=random.Random(1),
+            regions=SimpleNamespace(choose=lambda *_: None),
+            count_instances=lambda: 1,
+        )
+        admitted = SimpleNamespace(allows_region=lambda _: True, residency=())
+        progress = SimpleNamespace(excluded=set(), may_forward=True)
+        return place(context, admitted, JOB, progress)
+
+    def test_run_the_request_with_a_drawn_permit(self):
+        drawn = []
+        choice = self.place(drawn.append)
+        assert drawn == [choice.endpoint.incarnation] == ["e1@1"]
+
+    def test_refuse_it_at_once_with_the_hubs_delay_extended_at_random(self):
+        def _refuse(incarnation):
+            raise RefusedError("none left", retry_after=timedelta(seconds=1))
+
+        delays = set()
+        for _ in range(3):
+            with pytest.raises(RefusedError) as caught:
+                self.place(_refuse)
+            assert caught.value.code is ErrorCode.OVERLOADED
+            delays.add(caught.value.retry_after)
+        assert min(delays) >= timedelta(seconds=1)
+        assert max(delays) <= timedelta(seconds=2)
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -19,6 +19,7 @@
 from oriolepaddle.gossip.local import LocalState
 from oriolepaddle.gossip.numbers import to_seconds
 from oriolepaddle.gossip.roster import Roster
+from oriolepaddle.gossip.signals import read_limit
 from oriolepaddle.gossip.socket import Address, DatagramSocket
 from oriolepaddle.limits import TokenNeed
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
@@ -26,6 +27,7 @@
     Datagram,
     InstanceRecord,
 )
+from oriolepaddle.signals import LIMIT_PREFIX
 
 __all__ = ["Announcer"]
 
@@ -78,7 +80,7 @@
         self._lock = threading.Lock()
         self._contacts: dict[str, Contact] = {}
         self._socket = DatagramSocket(address, secret, self._handle_datagram)
-        state.draws.socket = self._socket
+        state.draws.socket = state.permit_draws.socket = self._socket
 
     def start(self) -> None:
         """Start sending and receiving."""
@@ -187,9 +189,14 @@
         if datagram.announcement is not None:
             self._handle_announcement(datagram.announcement, address)
         elif datagram.draw is not None:
-            self._state.draws.answer(datagram.draw, address)
+            state = self._state
+            is_permit = datagram.draw.organisation.startswith(LIMIT_PREFIX)
+            draws = state.permit_draws if is_permit else state.draws
+            draws.answer(datagram.draw, address)
         elif datagram.reply is not None:
+            # Each ignores the replies to the other's draws, by their numbers.
             self._state.draws.receive(datagram.reply)
+            self._state.permit_draws.receive(datagram.reply)
 
     def _handle_announcement(
         self, announcement: Announcement, address: Address
@@ -294,6 +301,11 @@
             (read_crash(item, received_s) for item in announcement.crashes or ()),
             announcement.sender.instance,
         )
+        sender = announcement.sender.instance
+        limits = [
+            read_limit(item, received_s, sender) for item in announcement.limits or ()
+        ]
+        state.signals.merge(entry for entry in limits if entry is not None)
         own = self._roster.own.region
         for item in announcement.waits or ():
             if item.region != own:
--- a/oriolepaddle/gossip/local.py
+++ b/oriolepaddle/gossip/local.py
@@ -12,6 +12,7 @@
 from oriolepaddle.gossip.work import RegionWork
 from oriolepaddle.limits import GrantingLimiter
 from oriolepaddle.placement import Placer
+from oriolepaddle.signals import SignalBoard
 
 __all__ = ["LocalState"]
 
@@ -27,8 +28,10 @@
         loads: The expected waits of other regions.
         limiter: Tokens that are pooled here.
         draws: Draws of tokens.
+        permit_draws: Draws of permits for endpoints with a limit.
         delegations: Which instance mints which instances' share of each rate.
         crashes: What crashes endpoints.
+        signals: What endpoints say of themselves.
         fetch_catalog: Called with the peer address of an instance whose catalog
             is newer.
     """
@@ -39,6 +42,8 @@
     loads: RegionLoads
     limiter: GrantingLimiter
     draws: TokenDraws
+    permit_draws: TokenDraws
     delegations: Delegations
     crashes: CrashRegister
+    signals: SignalBoard
     fetch_catalog: Callable[[str], None]
--- a/oriolepaddle/gossip/tests/fleet.py
+++ b/oriolepaddle/gossip/tests/fleet.py
@@ -21,6 +21,7 @@
 )
 from oriolepaddle.limits import GrantingLimiter
 from oriolepaddle.placement import Placer
+from oriolepaddle.signals import EndpointPermits, SignalBoard
 
 ROUND = timedelta(milliseconds=250)
 REGIONS = {"nordur-a": "nordur", "nordur-b": "nordur", "sudur-a": "sudur"}
@@ -79,6 +80,12 @@
             lambda: delegations.count() / roster.count(),
             lambda name: ORGANISATION,
         )
+        signals = SignalBoard(self.clock)
+        permits = EndpointPermits(
+            self.clock,
+            signals,
+            lambda: delegations.count() / roster.count_possible_neighbours(),
+        )
         state = LocalState(
             catalog=catalog,
             placer=placer,
@@ -90,7 +97,11 @@
             draws=TokenDraws(
                 self.clock, roster, limiter, lambda name: ORGANISATION, PORT
             ),
+            permit_draws=TokenDraws(
+                self.clock, roster, permits.limiter, permits.find_rate, PORT
+            ),
             delegations=delegations,
+            signals=signals,
             crashes=CrashRegister(self.clock),
             fetch_catalog=lambda address: self.fetch(catalog, address),
         )
@@ -106,9 +117,14 @@
         )
         announcer._socket.close()
         announcer._socket = FakeSocket(self, host)
+        permits.connect(state.permit_draws)
         announcer._port = PORT
         self.instances[name] = SimpleNamespace(
-            host=host, roster=roster, state=state, announcer=announcer
+            host=host,
+            roster=roster,
+            state=state,
+            announcer=announcer,
+            permits=permits,
         )
         return self.instances[name]
 
--- a/oriolepaddle/limits/granting.py
+++ b/oriolepaddle/limits/granting.py
@@ -124,6 +124,17 @@
                 if organisation is not None:
                     self._account(organisation).granted.add(tokens)
 
+    def drop_unknown(self) -> None:
+        """Drop the accounts of what is no longer configured."""
+        if not self._accounts:
+            return
+        with self._lock:
+            self._accounts = {
+                name: account
+                for name, account in self._accounts.items()
+                if self._find_organisation(name) is not None
+            }
+
     def _account(self, organisation: Organisation) -> TokenAccount:
         now_s = self._clock.monotonic_s()
         account = self._accounts.get(organisation.id)
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -834,6 +834,91 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    The limit that an endpoint of the sender's region named, or has lifted.
+
+    Attributes:
+     - incarnation
+     - age_ms: The time since the endpoint is known to have said so.
+     - limit_per_s: Requests a second from all instances together; absent if lifted.
+
+    """
+
+
+    def __init__(self, incarnation=None, age_ms=None, limit_per_s=None,):
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+        self.limit_per_s = limit_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Announcement(object):
     """
     The state that an instance sends to another several times a second.
@@ -856,11 +941,12 @@
      - endpoints_age_us: Time since the endpoints in `catalog_digest` were confirmed to be complete.
      - echo_incarnation: The receiver's incarnation by whose clock `echo_us` was measured.
      - crashes: 13 had the crashes of whole requests.
+     - limits: Only to instances of the same region.
 
     """
 
 
-    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None, crashes=None,):
+    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None, crashes=None, limits=None,):
         self.sender = sender
         self.sent_at_us = sent_at_us
         self.echo_us = echo_us
@@ -878,6 +964,7 @@
         self.endpoints_age_us = endpoints_age_us
         self.echo_incarnation = echo_incarnation
         self.crashes = crashes
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1016,6 +1103,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = EndpointLimit()
+                        _elem90.read(iprot)
+                        self.limits.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1061,44 +1159,44 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter85 in self.work:
-                iter85.write(oprot)
+            for iter91 in self.work:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter86 in self.waits:
-                iter86.write(oprot)
+            for iter92 in self.waits:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
             oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter87 in self.balances:
-                iter87.write(oprot)
+            for iter93 in self.balances:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter88 in self.grants:
-                iter88.write(oprot)
+            for iter94 in self.grants:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter89 in self.members:
-                iter89.write(oprot)
+            for iter95 in self.members:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter90, viter91 in self.counts.items():
-                oprot.writeString(kiter90.encode('utf-8') if sys.version_info[0] == 2 else kiter90)
-                oprot.writeI32(viter91)
+            for kiter96, viter97 in self.counts.items():
+                oprot.writeString(kiter96.encode('utf-8') if sys.version_info[0] == 2 else kiter96)
+                oprot.writeI32(viter97)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_age_us is not None:
@@ -1112,8 +1210,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter92 in self.crashes:
-                iter92.write(oprot)
+            for iter98 in self.crashes:
+                iter98.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter99 in self.limits:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1144,7 +1249,7 @@
 
 class Draw(object):
     """
-    A request for an organisation's tokens.
+    A request for an organisation's tokens, or for permits for an endpoint.
 
     Attributes:
      - number
@@ -1473,6 +1578,13 @@
     (6, TType.I32, 'age_ms', None, None, ),  # 6
     (7, TType.LIST, 'cut', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+)
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
     None,  # 0
@@ -1494,6 +1606,7 @@
     (16, TType.I64, 'endpoints_age_us', None, None, ),  # 16
     (17, TType.I64, 'echo_incarnation', None, None, ),  # 17
     (18, TType.LIST, 'crashes', (TType.STRUCT, [EndpointCrash, None], False), None, ),  # 18
+    (19, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 19
 )
 all_structs.append(Draw)
 Draw.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -72,6 +72,15 @@
   7: optional list<string> cut,
 }
 
+/** The limit that an endpoint of the sender's region named, or has lifted. */
+struct EndpointLimit {
+  1: required string incarnation,
+  /** The time since the endpoint is known to have said so. */
+  2: required i32 age_ms,
+  /** Requests a second from all instances together; absent if lifted. */
+  3: optional double limit_per_s,
+}
+
 /** The state that an instance sends to another several times a second. */
 struct Announcement {
   1: required InstanceRecord sender,
@@ -100,9 +109,11 @@
   17: optional i64 echo_incarnation,
   /** 13 had the crashes of whole requests. */
   18: optional list<EndpointCrash> crashes,
+  /** Only to instances of the same region. */
+  19: optional list<EndpointLimit> limits,
 }
 
-/** A request for an organisation's tokens. */
+/** A request for an organisation's tokens, or for permits for an endpoint. */
 struct Draw {
   1: required i64 number,
   2: required string organisation,
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -18,6 +18,7 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
+from oriolepaddle.placement.permits import FreePermits, Permits
 from oriolepaddle.placement.preferred import rank_preferred
 from oriolepaddle.placement.prefix_source import find_prefix_source
 from oriolepaddle.placement.run import PlacedRun
@@ -46,6 +47,7 @@
         find_cold_share: Returns this instance's share of the request rate of cold
             endpoints; the shares of a region's instances add up to at most 1.
         weights: Weights of the cost terms beside the time to the first byte.
+        permits: Decides which requests endpoints with a limit get.
     """
 
     def __init__(
@@ -55,22 +57,31 @@
         is_local: Callable[[str], bool],
         find_cold_share: Callable[[], float] = lambda: 1.0,
         weights: PlacementWeights | None = None,
+        permits: Permits | None = None,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
         self._is_local = is_local
         self._find_cold_share = find_cold_share
         self._weights = weights or PlacementWeights()
+        self._permits = permits or FreePermits()
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
         self._service_stats: dict[str, ServiceStreamStats] = {}
 
-    def choose(self, job: Job, excluded: Iterable[str] = ()) -> Choice:
+    def choose(
+        self,
+        job: Job,
+        excluded: Iterable[str] = (),
+        permitted: RegisteredEndpoint | None = None,
+    ) -> Choice:
         """Return the endpoint with the lowest cost.
 
         Args:
             job: The request.
             excluded: Incarnations of endpoints that have already failed the request.
+            permitted: The only endpoint to choose from, for which a permit has been
+                acquired; None if there is none.
 
         Raises:
             RefusedError: No endpoint may run it (`NO_ENDPOINT`), or the best one is
@@ -78,7 +89,10 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            loads = self._list_candidates(job.service, now_s, frozenset(excluded))
+            if permitted is None:
+                loads = self._list_candidates(job.service, now_s, frozenset(excluded))
+            else:
+                loads = [self._find_load(permitted, now_s)]
             if not loads:
                 raise RefusedError(
                     f"no endpoint of {job.service} can run the request now",
@@ -99,9 +113,34 @@
             if load.is_cold(now_s):
                 # Acquired under the lock, so that no two requests get the same permit.
                 load.cold_bucket.acquire(now_s, self._find_cold_share())
+            if permitted is None:
+                self._permits.acquire(load.endpoint.incarnation)
             source = find_prefix_source(job, load, loads, preferred, now_s)
         return attrs.evolve(choice, prefix_source=source)
 
+    def list_without_permit(
+        self, job: Job, excluded: Iterable[str] = ()
+    ) -> list[RegisteredEndpoint]:
+        """Return the endpoints that lack nothing but a permit, lowest cost first."""
+        now_s = self._clock.monotonic_s()
+        ignored = frozenset(excluded)
+        with self._lock:
+            loads = [
+                load
+                for load in self._list_sendable(job.service, now_s)
+                if load.endpoint.incarnation not in ignored
+                and not load.is_blocked(now_s)
+                and self._is_warm_enough(load, now_s)
+                and not self._permits.can_acquire(load.endpoint.incarnation)
+            ]
+            scored = self._score_all(loads, [], job, now_s)
+        in_time = [
+            (cost_s, load.endpoint)
+            for cost_s, choice, load in scored
+            if choice.expected_s <= job.max_first_byte_s
+        ]
+        return [endpoint for _, endpoint in sorted(in_time, key=lambda item: item[0])]
+
     def explain(self, job: Job) -> tuple[EndpointScore, ...]:
         """Return the endpoints' scores for a request, lowest cost first."""
         now_s = self._clock.monotonic_s()
@@ -242,20 +281,28 @@
             load.endpoint, expected_s, uncached, load.is_blocked(now_s)
         )
 
-    def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
-        loads = [
+    def _list_sendable(self, service: str, now_s: float) -> list[EndpointLoad]:
+        return [
             self._find_load(endpoint, now_s)
             for endpoint in self._catalog.endpoints()
             if endpoint.service == service
             and self._is_local(endpoint.data_centre)
             and self._catalog.may_send(endpoint)
         ]
+
+    def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
+        loads = self._list_sendable(service, now_s)
         for load in loads:
             load.log_silence_change(now_s)
         usable = [load for load in loads if self._is_usable(load, now_s)]
         return [load for load in usable if not load.is_blocked(now_s)] or usable
 
     def _is_usable(self, load: EndpointLoad, now_s: float) -> bool:
+        return self._is_warm_enough(load, now_s) and self._permits.can_acquire(
+            load.endpoint.incarnation
+        )
+
+    def _is_warm_enough(self, load: EndpointLoad, now_s: float) -> bool:
         if not load.is_cold(now_s):
             return True
         return load.cold_bucket.can_acquire(now_s, self._find_cold_share())
--- a/oriolepaddle/signals/__init__.py
+++ b/oriolepaddle/signals/__init__.py
@@ -2,6 +2,13 @@
 
 from oriolepaddle.signals.board import SignalBoard
 from oriolepaddle.signals.limit import LimitEntry
+from oriolepaddle.signals.permits import LIMIT_PREFIX, EndpointPermits
 from oriolepaddle.signals.signals import EndpointSignals
 
-__all__ = ["EndpointSignals", "LimitEntry", "SignalBoard"]
+__all__ = [
+    "LIMIT_PREFIX",
+    "EndpointPermits",
+    "EndpointSignals",
+    "LimitEntry",
+    "SignalBoard",
+]
--- a/oriolepaddle/signals/board.py
+++ b/oriolepaddle/signals/board.py
@@ -13,6 +13,11 @@
 OWN_ORIGIN = "own"
 MAX_ENTRIES = 8_192
 """Twice the endpoints of the largest fleet in the capacity page."""
+MAX_SENT = 64
+"""Limits in one announcement."""
+MIN_GAIN_S = 0.5
+"""Time by which another instance's statement of the same limit must be newer. Each hop
+makes a statement look newer by its delay."""
 
 
 class SignalBoard:
@@ -30,6 +35,7 @@
         self._count = count
         self._lock = threading.Lock()
         self._limits: dict[str, LimitEntry] = {}
+        self._sent_count = 0
 
     def record(self, incarnation: str, signals: EndpointSignals, sent_s: float) -> None:
         """Record the signals of an answer whose head has just been received.
@@ -45,20 +51,28 @@
         # An answer without a limit may have been on its way when another one named it,
         # so it says nothing of the time after its request was sent.
         stated_s = sent_s if limit_per_s is None else self._clock.monotonic_s()
-        self.merge((LimitEntry(incarnation, limit_per_s, stated_s, OWN_ORIGIN),))
+        self._store(LimitEntry(incarnation, limit_per_s, stated_s, OWN_ORIGIN), 0.0)
 
     def merge(self, entries: Iterable[LimitEntry]) -> None:
-        """Merge limits; for each incarnation the newest statement applies."""
+        """Merge what another instance knows; the newest statement applies.
+
+        Args:
+            entries: Its entries, with times by this instance's clock.
+        """
         for entry in entries:
-            with self._lock:
-                known = self._limits.get(entry.incarnation)
-                if known is not None and known.stated_s >= entry.stated_s:
-                    continue
-                self._limits[entry.incarnation] = entry
-                self._drop_oldest()
-            previous = known.limit_per_s if known else None
-            if entry.limit_per_s != previous:
-                self._report_limit(entry, previous)
+            known = self._limits.get(entry.incarnation)
+            is_same = known is not None and known.limit_per_s == entry.limit_per_s
+            self._store(entry, MIN_GAIN_S if is_same else 0.0)
+
+    def select_to_send(self) -> list[LimitEntry]:
+        """Return the entries for the next announcement, each in its turn."""
+        if not self._limits:
+            return []
+        with self._lock:
+            entries = list(self._limits.values())
+            start = self._sent_count % len(entries)
+            self._sent_count += MAX_SENT
+        return (entries[start:] + entries[:start])[:MAX_SENT]
 
     def find_limit(self, incarnation: str) -> float | None:
         """Return the requests a second that an endpoint takes, or None."""
@@ -69,6 +83,17 @@
         """Return what is known of an endpoint's limit, or None."""
         return self._limits.get(incarnation)
 
+    def _store(self, entry: LimitEntry, min_gain_s: float) -> None:
+        with self._lock:
+            known = self._limits.get(entry.incarnation)
+            if known is not None and entry.stated_s <= known.stated_s + min_gain_s:
+                return
+            self._limits[entry.incarnation] = entry
+            self._drop_oldest()
+        previous = known.limit_per_s if known else None
+        if entry.limit_per_s != previous:
+            self._report_limit(entry, previous)
+
     def _drop_oldest(self) -> None:
         if len(self._limits) <= MAX_ENTRIES:
             return
