Survive odd entries among those of the endpoints

Cause: an entry nested 100,000 deep or with 1e999 as slots or born raised RecursionError or OverflowError, which ended the thread that follows the store; ports out of range, numbers too large and lone surrogates were accepted and raised later, in gossip, in the check of an address and in the log. The class: text from outside is checked for what was expected to be wrong.

Evidence: the tests, a fuzzing of entries and one of the store's items among them, fail on the commit before and pass now.

--- a/oriolepaddle/catalog/__init__.py
+++ b/oriolepaddle/catalog/__init__.py
@@ -2,6 +2,7 @@
 
 from oriolepaddle.catalog.caller_limits import CallerLimits
 from oriolepaddle.catalog.catalog import Catalog
+from oriolepaddle.catalog.checks import check_endpoint
 from oriolepaddle.catalog.document import ConfigDocument
 from oriolepaddle.catalog.endpoint import EndpointState, RegisteredEndpoint
 from oriolepaddle.catalog.engine import EngineProfile
@@ -35,4 +36,5 @@
     "RegisteredEndpoint",
     "RepeatRule",
     "ServiceWeight",
+    "check_endpoint",
 ]
--- a/oriolepaddle/catalog/follower.py
+++ b/oriolepaddle/catalog/follower.py
@@ -10,7 +10,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.backoff import Backoff
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.logs import log_event
+from oriolepaddle.logs import log_event, log_unforeseen
 
 __all__ = ["CatalogFollower"]
 
@@ -110,6 +110,11 @@
             except PlatformUnavailableError as error:
                 self._record_failure(error)
                 pause = self._backoff.draw()
+            except Exception as error:  # noqa: BLE001 - the store must be followed on
+                log_unforeseen("catalog", error)
+                # What was read may have been applied in part.
+                self._catalog.reset_watch_revision()
+                pause = self._backoff.draw()
             self._clock.wait(self._stopping, pause)
 
     def _record_success(self) -> None:
--- a/oriolepaddle/daemon/catalog_exchange.py
+++ b/oriolepaddle/daemon/catalog_exchange.py
@@ -9,10 +9,15 @@
 from cattrs.errors import BaseValidationError
 from werkzeug.wrappers import Request
 
-from oriolepaddle.catalog import Catalog, CatalogSnapshot, ConfigDocument
+from oriolepaddle.catalog import (
+    Catalog,
+    CatalogSnapshot,
+    ConfigDocument,
+    check_endpoint,
+)
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.logs import log_event
+from oriolepaddle.logs import log_event, log_unforeseen
 from oriolepaddle.publication.client import PlatformClient, parse_json
 from oriolepaddle.web import AnswerWriter, Application
 
@@ -81,6 +86,8 @@
                 self._fetch(address)
             except PlatformUnavailableError as error:
                 log_event("catalog_not_fetched", peer=address, reason=error.message)
+            except Exception as error:  # noqa: BLE001 - later fetches must be made
+                log_unforeseen("catalog-fetch", error)
 
     def _fetch(self, address: str) -> None:
         client = PlatformClient(address, FETCH_TIMEOUT)
@@ -135,7 +142,11 @@
 
 def _decode_snapshot(body: bytes) -> CatalogSnapshot:
     try:
-        return cattrs.structure(parse_json(SNAPSHOT_PATH, body), CatalogSnapshot)
+        fields = parse_json(SNAPSHOT_PATH, body)
+        snapshot = cattrs.structure(fields, CatalogSnapshot)
+        for endpoint in snapshot.endpoints:
+            check_endpoint(endpoint)
+        return snapshot
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
         raise PlatformUnavailableError(
             f"a peer's catalog could not be decoded: {error}"
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -22,6 +22,7 @@
 from oriolepaddle.gossip.signals import read_limit
 from oriolepaddle.gossip.socket import Address, DatagramSocket
 from oriolepaddle.limits import TokenNeed
+from oriolepaddle.logs import log_unforeseen
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
     Announcement,
     Datagram,
@@ -97,7 +98,10 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            self._send_round()
+            try:
+                self._send_round()
+            except Exception as error:  # noqa: BLE001 - the next round must be sent
+                log_unforeseen("gossip", error)
             self._clock.wait(self._stopping, timedelta(seconds=self._interval_s()))
 
     def _interval_s(self) -> float:
--- a/oriolepaddle/gossip/socket.py
+++ b/oriolepaddle/gossip/socket.py
@@ -7,7 +7,7 @@
 
 from oriolepaddle.errors import MalformedRequestError
 from oriolepaddle.gossip.codec import read_datagram, write_datagram
-from oriolepaddle.logs import log_event
+from oriolepaddle.logs import log_event, log_unforeseen
 from oriolepaddle.peers.gen_py.gossip.ttypes import Datagram
 
 __all__ = ["Address", "DatagramSocket"]
@@ -62,8 +62,8 @@
         """Send a datagram; one that cannot be sent is logged and dropped."""
         try:
             self._socket.sendto(write_datagram(datagram, self._secret), address)
-        except (OSError, OverflowError) as error:
-            # A number too large for its field must not end the sender's thread.
+        except (OSError, OverflowError, UnicodeEncodeError) as error:
+            # A value that doesn't fit into its field must not end the sender's thread.
             log_event("datagram_not_sent", address=address[0], reason=str(error))
 
     def _receive(self) -> None:
@@ -82,3 +82,5 @@
                 )
             except OSError as error:
                 log_event("datagram_not_received", reason=str(error))
+            except Exception as error:  # noqa: BLE001 - later ones must be received
+                log_unforeseen("gossip-receive", error)
--- a/oriolepaddle/platform/document.py
+++ b/oriolepaddle/platform/document.py
@@ -1,6 +1,5 @@
 """Decoding the published configuration."""
 
-import json
 from datetime import timedelta
 from typing import Any
 
@@ -17,6 +16,7 @@
 from oriolepaddle.config import digest_key
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.platform.decoding import DECODE_ERRORS, parse_fields
 
 __all__ = ["decode_document"]
 
@@ -32,9 +32,8 @@
         PlatformUnavailableError: The document is invalid.
     """
     try:
-        fields = json.loads(text)
-        return _decode(fields, text)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return _decode(parse_fields(text), text)
+    except DECODE_ERRORS as error:
         raise PlatformUnavailableError(
             f"the published configuration is invalid: {error!r}"
         ) from error
--- a/oriolepaddle/platform/registration.py
+++ b/oriolepaddle/platform/registration.py
@@ -1,10 +1,10 @@
 """Decodes the entries with which endpoints register."""
 
-import json
 from typing import Any
 
-from oriolepaddle.catalog import EndpointState, RegisteredEndpoint
+from oriolepaddle.catalog import EndpointState, RegisteredEndpoint, check_endpoint
 from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.platform.decoding import DECODE_ERRORS, parse_fields
 
 __all__ = ["decode_endpoint"]
 
@@ -25,36 +25,29 @@
         PlatformUnavailableError: The entry is not a valid endpoint.
     """
     try:
-        return _decode(endpoint_id, json.loads(text), read_at_s)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        endpoint = _decode(endpoint_id, parse_fields(text), read_at_s)
+        check_endpoint(endpoint)
+        return endpoint
+    except DECODE_ERRORS as error:
         raise _make_error(endpoint_id, repr(error)) from error
 
 
 def _decode(
     endpoint_id: str, fields: dict[str, Any], read_at_s: float
 ) -> RegisteredEndpoint:
-    address = fields["address"]
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise _make_error(endpoint_id, f"the address {address!r} is not IP:port")
     slots = fields["slots"]
     cold_left_ms = fields.get("coldLeftMs", 0)
     started_at_ms = fields.get("born", 0)
     if not (
         _is_number(slots) and _is_number(cold_left_ms) and _is_number(started_at_ms)
     ):
-        raise _make_error(endpoint_id, "slots, coldLeftMs or born is not a number")
-    texts = (endpoint_id, fields["service"], fields["zone"])
-    if not all(isinstance(text, str) and text for text in texts):
-        raise _make_error(
-            endpoint_id, "its id, service or zone is not a nonempty string"
-        )
+        raise ValueError("slots, coldLeftMs or born is not a number")
     return RegisteredEndpoint(
         id=endpoint_id,
         # The start of this incarnation of the process, not of the machine.
         started_at_ms=int(started_at_ms),
         service=fields["service"],
-        address=address,
+        address=fields["address"],
         data_centre=fields["zone"],
         slots=max(1, int(slots)),
         state=_STATES[fields["state"]],
--- a/oriolepaddle/platform/store.py
+++ b/oriolepaddle/platform/store.py
@@ -14,6 +14,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import PlatformUnavailableError
 from oriolepaddle.logs import log_event
+from oriolepaddle.platform.decoding import DECODE_ERRORS
 from oriolepaddle.platform.document import decode_document
 from oriolepaddle.platform.registration import decode_endpoint
 from oriolepaddle.publication.client import PlatformClient, parse_json
@@ -27,6 +28,9 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
+MAX_UNREADABLE = 256
+"""Entries that are logged as unreadable."""
+MAX_LOGGED_CHARACTERS = 300
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
 
@@ -89,11 +93,11 @@
 
     def _decode(self, items: list[dict[str, Any]]) -> Iterator[CatalogChange]:
         for item in items:
-            key = item.get("key", "")
             try:
-                change = self._decode_item(key, item)
-            except PlatformUnavailableError as error:
-                self._log_unreadable_once(key, error)
+                change = self._decode_item(item["key"], item)
+            except (PlatformUnavailableError, *DECODE_ERRORS) as error:
+                # The other entries hold.
+                self._log_unreadable_once(item, error)
                 continue
             if change is not None:
                 yield change
@@ -102,6 +106,7 @@
         # The store marks deleted keys as tombstones.
         if item.get("tombstone"):
             return CatalogChange(key, is_removed=True)
+        key.encode()
         if key.startswith(EVACUATION_PREFIX):
             return CatalogChange(key, evacuated=key.removeprefix(EVACUATION_PREFIX))
         if key == CONFIGURATION_KEY:
@@ -115,11 +120,14 @@
             return CatalogChange(key, endpoint=endpoint)
         return None
 
-    def _log_unreadable_once(self, key: str, error: PlatformUnavailableError) -> None:
-        if key in self._unreadable_keys:
+    def _log_unreadable_once(self, item: object, error: Exception) -> None:
+        key = ascii(item.get("key") if isinstance(item, dict) else item)
+        key = key[:MAX_LOGGED_CHARACTERS]
+        if key in self._unreadable_keys or len(self._unreadable_keys) == MAX_UNREADABLE:
             return
         self._unreadable_keys.add(key)
-        log_event("store_entry_unreadable", key=key, reason=error.message)
+        reason = repr(error)[:MAX_LOGGED_CHARACTERS]
+        log_event("store_entry_unreadable", key=key, reason=reason)
 
 
 def _decode_value(item: dict[str, Any]) -> bytes:
--- a/oriolepaddle/platform/tests/test_store.py
+++ b/oriolepaddle/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 from datetime import timedelta
 
 import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
 
 from oriolepaddle.catalog import HistoryGoneError
 from oriolepaddle.clock import SystemClock
@@ -10,6 +11,12 @@
 
 DOCUMENT = b'{"version": 3}'
 NOW = timedelta(0)
+ODD_ENTRIES = [
+    b"[" * 100_000,
+    b'{"slots": 1e999, "address": "10.0.0.1:80"}',
+    b'{"version": 1e999, "routes": []}',
+    b'{"service": "\\ud800", "address": "10.0.0.1:80"}',
+]
 
 
 @pytest.fixture
@@ -48,6 +55,20 @@
         standin.put("unknown/key", b"{}")
         assert [item.key for item in store.read().changes] == ["servers/i-1"]
 
+    @settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=60,
+        suppress_health_check=[HealthCheck.function_scoped_fixture],
+    )
+    @given(odd=st.binary(max_size=60) | st.sampled_from(ODD_ENTRIES))
+    def test_any_odd_entry_leaves_the_others_followed(self, standin, store, entry, odd):
+        standin.put("servers/odd", odd)
+        standin.put("op/config", odd)
+        standin.put("servers/i-1", entry)
+        keys = [item.key for item in store.read().changes if item.endpoint]
+        assert keys == ["servers/i-1"]
+
     @pytest.mark.parametrize("mode", [StoreMode.BUSY, StoreMode.RESET])
     def test_failure_is_a_typed_error(self, standin, store, mode):
         standin.mode = mode
--- a/oriolepaddle/publication/client.py
+++ b/oriolepaddle/publication/client.py
@@ -105,7 +105,7 @@
     """
     try:
         return json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformUnavailableError(f"the response to {path} is not JSON") from error
 
 
