Answer requests late in the grace of a stop before the exit

Cause: requests that another instance forwarded were taken in a drain whatever their deadline, and what was still in flight at the end of the grace was cut by the exit, requests that may not be repeated among them. The class: a bound that holds for one way in and not for the other.

Change: in a drain, a forwarded request is refused once it could outlast the exit; what is in flight 0.4 s before it gets 504 with the outcome unknown and is not repeated.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -300,7 +300,7 @@
             max_catalog_age=settings.max_catalog_age,
             startup_retry=StartupRetry(clock),
             count_instances=roster.count_region,
-            is_refusing=self._drain.is_refusing,
+            drain=self._drain,
             generator=self._generator,
         )
 
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -9,6 +9,7 @@
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.clock import Clock
 from oriolepaddle.crashes import CrashRegister
+from oriolepaddle.edge.drain import Drain
 from oriolepaddle.edge.liveness import LivenessCheck
 from oriolepaddle.edge.protocol import EdgeProtocol
 from oriolepaddle.edge.regions import RegionChooser
@@ -49,8 +50,7 @@
             key are refused.
         startup_retry: Retries admission while this instance starts.
         count_instances: Returns the number of instances of this region.
-        is_refusing: Returns whether a new request that may take the given number
-            of seconds is refused, as the instance shuts down.
+        drain: Decides what is still served while this instance shuts down.
         generator: The source of randomness for retry delays.
     """
 
@@ -73,5 +73,5 @@
     max_catalog_age: timedelta
     startup_retry: StartupRetry
     count_instances: Callable[[], int]
-    is_refusing: Callable[[float], bool]
+    drain: Drain
     generator: random.Random
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -77,7 +77,8 @@
         admitted = self._retry_during_startup(lambda: admit(context, self._request))
         self._admitted = admitted
         self._set_deadline(admitted)
-        if context.is_refusing(self._remaining_s()) and not self._request.hops:
+        is_forwarded = bool(self._request.hops)
+        if context.drain.is_refusing(self._remaining_s(), is_forwarded):
             raise RefusedError(
                 "this instance is shutting down",
                 code=ErrorCode.DRAINING,
@@ -304,7 +305,9 @@
             lambda: self._recheck(endpoint),
             _on_first_byte,
         )
-        if run is not None:
+        if run is None:
+            sink.set_callbacks(lambda: None, self._check_drain, lambda: None)
+        else:
             sink.set_callbacks(
                 run.record_activity,
                 lambda: self._check_progress(run, endpoint, sink),
@@ -312,6 +315,17 @@
             )
         return sink
 
+    def _check_drain(self) -> None:
+        """End an attempt that would be cut off by the exit of the process.
+
+        Raises:
+            EndpointDeadlineError: There is no time left.
+        """
+        if self._context.drain.is_ending():
+            raise EndpointDeadlineError(
+                "this instance shuts down before the response is complete"
+            )
+
     def _check_progress(
         self, run: PlacedRun, endpoint: RegisteredEndpoint, sink: EdgeSink
     ) -> None:
@@ -321,8 +335,10 @@
         for the transport and doesn't access its progress.
 
         Raises:
-            EndpointTimeoutError: The request is to be retried at another endpoint.
+            EndpointTimeoutError: The request is to be retried at another endpoint, or
+                this instance shuts down.
         """
+        self._check_drain()
         if not sink.is_sent or not run.seems_lost():
             return
         error = EndpointTimeoutError(
@@ -411,7 +427,7 @@
         return is_allowed
 
     def _is_retry_allowed(self, error: OriolepaddleError, active_runs: int = 0) -> bool:
-        if self._admitted is None:
+        if self._admitted is None or self._context.drain.is_ending():
             return False
         return may_retry(
             self._progress,
--- a/oriolepaddle/edge/tests/test_drain.py
+++ b/oriolepaddle/edge/tests/test_drain.py
@@ -47,3 +47,13 @@
 
     def test_times_out_at_the_limit(self, clock):
         assert begin_drain(clock, True, 7.5).has_timed_out()
+
+    def test_accepts_forwarded_requests_that_end_before_it_stops(self, clock):
+        drain = begin_drain(clock, True, 4.0)
+        assert not drain.is_refusing(3.0, is_forwarded=True)
+        assert drain.is_refusing(4.0, is_forwarded=True)
+
+    def test_answers_what_is_in_flight_just_before_it_stops(self, clock):
+        assert not begin_drain(clock, True, 7.0).is_ending()
+        assert begin_drain(clock, True, 7.2).is_ending()
+        assert not Drain(clock, REFUSE_AFTER, LIMIT, lambda: True).is_ending()
