Send nothing to an endpoint that says in an answer that it leaves

Cause: Server-Leaving was passed on and not read, so an endpoint got requests until the list of endpoints showed its leaving, or its end. Change: the board of signals keeps it by incarnation, and Catalog.may_send asks it, so that placing, the check right before the send and the search for prefixes all do; the list doesn't undo it. It spreads inside the region by gossip.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -1,7 +1,7 @@
 """The catalog of routes, keys and endpoints of an instance."""
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import attrs
@@ -33,10 +33,15 @@
 
     Args:
         clock: The source of time, for the age of the data.
+        is_leaving: Returns whether an incarnation has said in an answer that it leaves,
+            which its entry may not show yet.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, is_leaving: Callable[[str], bool] = lambda name: False
+    ) -> None:
         self._clock = clock
+        self._is_leaving = is_leaving
         self._lock = threading.Lock()
         self._document: ConfigDocument | None = None
         self._endpoints: dict[str, RegisteredEndpoint] = {}
@@ -171,6 +176,8 @@
             return False
         if known.state is not EndpointState.READY:
             return False
+        if self._is_leaving(endpoint.incarnation):
+            return False
         return not self.is_evacuated(known.data_centre)
 
     def is_replaced(self, endpoint: RegisteredEndpoint) -> bool:
--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -102,14 +102,15 @@
                 "state": item.state.value,
                 "is_cold": now_s < item.cold_until_s,
                 "may_get_work": self._catalog.may_send(item),
-                **self._describe_limit(item.incarnation, now_s),
+                **self._describe_signals(item.incarnation, now_s),
             }
             for item in sorted(self._catalog.endpoints(), key=lambda item: item.id)
         ]
 
-    def _describe_limit(self, incarnation: str, now_s: float) -> dict[str, Any]:
+    def _describe_signals(self, incarnation: str, now_s: float) -> dict[str, Any]:
         entry = self._context.signals.find_entry(incarnation)
         return {
+            "is_leaving": self._context.signals.is_leaving(incarnation),
             "limit_per_s": entry.limit_per_s if entry else None,
             "limit_age_s": round(now_s - entry.stated_s, 3) if entry else None,
             "limit_origin": entry.origin if entry else None,
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -90,7 +90,9 @@
             settings.caller_address,
             settings.size * settings.cores,
         )
-        self.catalog = Catalog(clock)
+        self.metrics = GatewayMetrics()
+        self.signals = SignalBoard(clock, self.metrics.count_signal_event)
+        self.catalog = Catalog(clock, self.signals.is_leaving)
         incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
         self.roster = Roster(clock, own, incarnation, settings.peer_address, regions)
         self._drain = Drain(
@@ -105,8 +107,6 @@
             clock, self._store, self.catalog, self._generator, self._follows_store
         )
         self._exchange = CatalogExchange(clock, self.catalog, decode_document)
-        self.metrics = GatewayMetrics()
-        self.signals = SignalBoard(clock, self.metrics.count_signal_event)
         self.permits = EndpointPermits(
             clock,
             self.signals,
--- a/oriolepaddle/daemon/tests/test_edge_signals.py
+++ b/oriolepaddle/daemon/tests/test_edge_signals.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oriolepaddle.daemon.tests.edge_fleet import DESK, EdgeFleet
+from oriolepaddle.platform.standins import RunnerBehaviour
 
 SETTLING_S = 2.0
 """Time in which all instances learn of a signal; the platform allows six seconds."""
@@ -86,3 +87,36 @@
             received = count_in_windows(runner, started_s + SETTLING_S)
             assert 0.5 * 2 * WINDOW_S <= received <= allowed_requests(2)
         assert set(statuses) == {200, 503}
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        "behaviour",
+        [RunnerBehaviour.ANSWER, RunnerBehaviour.ERROR, RunnerBehaviour.SHED],
+    )
+    def test_endpoint_gets_nothing_after_the_answer_that_says_so(
+        self, fleet, behaviour
+    ):
+        leaving = fleet.runners["d1"]
+        leaving.tells_leaving = True
+        leaving.behaviours.extend([behaviour] * 100)
+        send_load(fleet, SETTLING_S)
+        told_s = time.monotonic()
+        assert leaving.received
+        statuses = send_load(fleet, SETTLING_S)
+        assert count_in_windows(leaving, told_s) == 0
+        assert set(statuses) == {200}
+
+    def test_next_incarnation_gets_requests(self, fleet):
+        leaving = fleet.runners["d1"]
+        leaving.tells_leaving = True
+        send_load(fleet, SETTLING_S)
+        leaving.tells_leaving = False
+        leaving.born_ms += 1
+        # A new endpoint is expected to be slower than those that are known.
+        for name in ("d2", "d3"):
+            fleet.runners[name].limit = "1"
+        fleet.register("d1")
+        told_s = time.monotonic()
+        send_load(fleet, SETTLING_S)
+        assert count_in_windows(leaving, told_s) > 0
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -19,7 +19,7 @@
 from oriolepaddle.gossip.local import LocalState
 from oriolepaddle.gossip.numbers import to_seconds
 from oriolepaddle.gossip.roster import Roster
-from oriolepaddle.gossip.signals import read_limit
+from oriolepaddle.gossip.signals import read_leaving, read_limit
 from oriolepaddle.gossip.socket import Address, DatagramSocket
 from oriolepaddle.limits import TokenNeed
 from oriolepaddle.logs import log_unforeseen
@@ -310,6 +310,10 @@
             read_limit(item, received_s, sender) for item in announcement.limits or ()
         ]
         state.signals.merge(entry for entry in limits if entry is not None)
+        state.signals.merge_leaving(
+            read_leaving(item, received_s, sender)
+            for item in announcement.leaving or ()
+        )
         own = self._roster.own.region
         for item in announcement.waits or ():
             if item.region != own:
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -11,7 +11,7 @@
 from oriolepaddle.gossip.numbers import to_ms
 from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
 from oriolepaddle.gossip.roster import Roster
-from oriolepaddle.gossip.signals import write_limit
+from oriolepaddle.gossip.signals import write_leaving, write_limit
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
     Announcement,
     EndpointCrash,
@@ -125,6 +125,10 @@
                 write_limit(entry, now_s)
                 for entry in self._state.signals.select_to_send()
             ]
+            announcement.leaving = [
+                write_leaving(entry, now_s)
+                for entry in self._state.signals.select_leaving_to_send()
+            ]
         if is_same_region and receiver.id in region_hubs:
             announcement.work = self._state.work.own()
             self._add_delegation(announcement, receiver)
--- a/oriolepaddle/gossip/signals.py
+++ b/oriolepaddle/gossip/signals.py
@@ -1,12 +1,12 @@
-"""Conversion of endpoints' limits to and from records of announcements."""
+"""Conversion of endpoints' signals to and from records of announcements."""
 
 import math
 
 from oriolepaddle.gossip.numbers import to_ms, to_seconds
-from oriolepaddle.peers.gen_py.gossip.ttypes import EndpointLimit
-from oriolepaddle.signals import LimitEntry
+from oriolepaddle.peers.gen_py.gossip.ttypes import EndpointLimit, LeavingEndpoint
+from oriolepaddle.signals import LeavingEntry, LimitEntry
 
-__all__ = ["read_limit", "write_limit"]
+__all__ = ["read_leaving", "read_limit", "write_leaving", "write_limit"]
 
 
 def write_limit(entry: LimitEntry, now_s: float) -> EndpointLimit:
@@ -30,3 +30,13 @@
     return LimitEntry(
         record.incarnation, limit_per_s, now_s - to_seconds(record.age_ms), origin
     )
+
+
+def write_leaving(entry: LeavingEntry, now_s: float) -> LeavingEndpoint:
+    """Return the record that announces a leaving endpoint to other instances."""
+    return LeavingEndpoint(entry.incarnation, to_ms(now_s - entry.heard_s))
+
+
+def read_leaving(record: LeavingEndpoint, now_s: float, origin: str) -> LeavingEntry:
+    """Return a leaving endpoint with its time by this instance's clock."""
+    return LeavingEntry(record.incarnation, now_s - to_seconds(record.age_ms), origin)
--- a/oriolepaddle/gossip/tests/test_signals.py
+++ b/oriolepaddle/gossip/tests/test_signals.py
@@ -83,3 +83,12 @@
         names = [f"n{number}" for number in range(12)]
         times = send_all(fleet, 20, names)
         assert count_in_windows(times) <= ALLOWED
+
+
+class TestLeaving:
+    def test_reaches_all_instances_of_the_region(self, fleet):
+        name_limit(fleet, "n7", EndpointSignals(is_leaving=True))
+        fleet.run(timedelta(seconds=2))
+        for name, instance in fleet.instances.items():
+            is_known = instance.state.signals.is_leaving(ENDPOINT)
+            assert is_known is name.startswith("n")
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -919,6 +919,80 @@
         return not (self == other)
 
 
+class LeavingEndpoint(object):
+    """
+    An endpoint of the sender's region that has said that it leaves.
+
+    Attributes:
+     - incarnation
+     - age_ms
+
+    """
+
+
+    def __init__(self, incarnation=None, age_ms=None,):
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingEndpoint')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Announcement(object):
     """
     The state that an instance sends to another several times a second.
@@ -942,11 +1016,12 @@
      - echo_incarnation: The receiver's incarnation by whose clock `echo_us` was measured.
      - crashes: 13 had the crashes of whole requests.
      - limits: Only to instances of the same region.
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None, crashes=None, limits=None,):
+    def __init__(self, sender=None, sent_at_us=None, echo_us=None, held_us=None, version=None, knowledge_age_us=None, catalog_digest=None, delegates=None, work=None, waits=None, balances=None, grants=None, members=None, counts=None, endpoints_age_us=None, echo_incarnation=None, crashes=None, limits=None, leaving=None,):
         self.sender = sender
         self.sent_at_us = sent_at_us
         self.echo_us = echo_us
@@ -965,6 +1040,7 @@
         self.echo_incarnation = echo_incarnation
         self.crashes = crashes
         self.limits = limits
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1114,6 +1190,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = LeavingEndpoint()
+                        _elem96.read(iprot)
+                        self.leaving.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1159,44 +1246,44 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter91 in self.work:
-                iter91.write(oprot)
+            for iter97 in self.work:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter92 in self.waits:
-                iter92.write(oprot)
+            for iter98 in self.waits:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.balances is not None:
             oprot.writeFieldBegin('balances', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.balances))
-            for iter93 in self.balances:
-                iter93.write(oprot)
+            for iter99 in self.balances:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter94 in self.grants:
-                iter94.write(oprot)
+            for iter100 in self.grants:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter95 in self.members:
-                iter95.write(oprot)
+            for iter101 in self.members:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.counts))
-            for kiter96, viter97 in self.counts.items():
-                oprot.writeString(kiter96.encode('utf-8') if sys.version_info[0] == 2 else kiter96)
-                oprot.writeI32(viter97)
+            for kiter102, viter103 in self.counts.items():
+                oprot.writeString(kiter102.encode('utf-8') if sys.version_info[0] == 2 else kiter102)
+                oprot.writeI32(viter103)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_age_us is not None:
@@ -1210,15 +1297,22 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter98 in self.crashes:
-                iter98.write(oprot)
+            for iter104 in self.crashes:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter99 in self.limits:
-                iter99.write(oprot)
+            for iter105 in self.limits:
+                iter105.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter106 in self.leaving:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1585,6 +1679,12 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
 )
+all_structs.append(LeavingEndpoint)
+LeavingEndpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
     None,  # 0
@@ -1607,6 +1707,7 @@
     (17, TType.I64, 'echo_incarnation', None, None, ),  # 17
     (18, TType.LIST, 'crashes', (TType.STRUCT, [EndpointCrash, None], False), None, ),  # 18
     (19, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 19
+    (20, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 20
 )
 all_structs.append(Draw)
 Draw.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -81,6 +81,12 @@
   3: optional double limit_per_s,
 }
 
+/** An endpoint of the sender's region that has said that it leaves. */
+struct LeavingEndpoint {
+  1: required string incarnation,
+  2: required i32 age_ms,
+}
+
 /** The state that an instance sends to another several times a second. */
 struct Announcement {
   1: required InstanceRecord sender,
@@ -111,6 +117,7 @@
   18: optional list<EndpointCrash> crashes,
   /** Only to instances of the same region. */
   19: optional list<EndpointLimit> limits,
+  20: optional list<LeavingEndpoint> leaving,
 }
 
 /** A request for an organisation's tokens, or for permits for an endpoint. */
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -13,9 +13,10 @@
 LOAD = "X-Oriolepaddle-Server-Load"
 PREFIX_SOURCE = "Kv-Fetch"
 LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
 INSTANCE = "X-Oriolepaddle-Instance"
 
-SIGNALS = frozenset((LIMIT.lower(),))
+SIGNALS = frozenset((LIMIT.lower(), LEAVING.lower()))
 """Header fields in which an endpoint tells of itself."""
 RESERVED = frozenset(
     name.lower()
--- a/oriolepaddle/platform/signals.py
+++ b/oriolepaddle/platform/signals.py
@@ -8,6 +8,7 @@
 
 __all__ = ["read_signals"]
 
+FLAG = "1"
 MAX_LOGGED_CHARACTERS = 40
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _NO_SIGNALS = EndpointSignals()
@@ -21,7 +22,21 @@
             values.setdefault(name.lower(), []).append(value)
     if not values:
         return _NO_SIGNALS
-    return EndpointSignals(limit_per_s=_read_decimal(names.LIMIT, values))
+    return EndpointSignals(
+        limit_per_s=_read_decimal(names.LIMIT, values),
+        is_leaving=_read_flag(names.LEAVING, values),
+    )
+
+
+def _read_flag(name: str, values: dict[str, list[str]]) -> bool:
+    found = [value.strip(" \t") for value in values.get(name.lower(), [])]
+    if not found:
+        return False
+    # Repeating the field does not make it ambiguous.
+    if set(found) == {FLAG}:
+        return True
+    _report_ignored(name, found)
+    return False
 
 
 def _read_decimal(name: str, values: dict[str, list[str]]) -> float | None:
@@ -31,9 +46,13 @@
     text = found[0].strip(" \t")
     if len(found) == 1 and _DECIMAL.fullmatch(text):
         return float(text)
+    _report_ignored(name, found)
+    return None
+
+
+def _report_ignored(name: str, found: list[str]) -> None:
     log_event(
         "endpoint_signal_ignored",
         field=name,
         values=[value[:MAX_LOGGED_CHARACTERS] for value in found[:2]],
     )
-    return None
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -87,6 +87,8 @@
         crash_stage: How far its response to such a request comes.
         has_crashed: Whether the runner has crashed.
         limit: The requests a second that it names as its limit, as text; None for none.
+        born_ms: Unix time of the start that it registers, in milliseconds.
+        tells_leaving: Whether it says in its answers that it leaves.
     """
 
     def __init__(
@@ -111,6 +113,8 @@
         self.crash_stage = CrashStage.BEFORE_ANSWER
         self.has_crashed = False
         self.limit: str | None = None
+        self.born_ms = 1_788_000_000_000
+        self.tells_leaving = False
         self._clock = SystemClock()
         self._stopping = threading.Event()
         self._service = service
@@ -147,7 +151,7 @@
             "state": self.state,
             "coldLeftMs": self.cold_ms,
             "seq": self._sequence,
-            "born": 1_788_000_000_000,
+            "born": self.born_ms,
         }
         return json.dumps(fields).encode()
 
@@ -194,7 +198,8 @@
             raise
 
     def _describe_itself(self) -> list[tuple[str, str]]:
-        return [] if self.limit is None else [(names.LIMIT, self.limit)]
+        fields = [] if self.limit is None else [(names.LIMIT, self.limit)]
+        return fields + ([(names.LEAVING, "1")] if self.tells_leaving else [])
 
     def _crash_during(self, writer: AnswerWriter, headers: dict[str, str]) -> None:
         stage = self.crash_stage
--- a/oriolepaddle/platform/tests/test_signals.py
+++ b/oriolepaddle/platform/tests/test_signals.py
@@ -39,3 +39,15 @@
     def test_is_never_negative_and_bounded(self, value):
         limit = read_signals((("Server-Limit", value),)).limit_per_s
         assert limit is None or 0 <= limit < 1e9
+
+
+class TestLeaving:
+    @pytest.mark.parametrize("headers", [("1",), (" 1 ",), ("1", "1")])
+    def test_is_said_by_a_one(self, headers):
+        fields = tuple(("Server-Leaving", value) for value in headers)
+        assert read_signals(fields).is_leaving
+
+    @pytest.mark.parametrize("headers", [(), ("0",), ("",), ("true",), ("1", "0")])
+    def test_is_not_said_by_anything_else(self, headers):
+        fields = tuple(("Server-Leaving", value) for value in headers)
+        assert not read_signals(fields).is_leaving
--- a/oriolepaddle/signals/__init__.py
+++ b/oriolepaddle/signals/__init__.py
@@ -1,7 +1,7 @@
 """What endpoints say of themselves in their answers."""
 
 from oriolepaddle.signals.board import SignalBoard
-from oriolepaddle.signals.limit import LimitEntry
+from oriolepaddle.signals.entries import LeavingEntry, LimitEntry
 from oriolepaddle.signals.permits import LIMIT_PREFIX, EndpointPermits
 from oriolepaddle.signals.signals import EndpointSignals
 
@@ -9,6 +9,7 @@
     "LIMIT_PREFIX",
     "EndpointPermits",
     "EndpointSignals",
+    "LeavingEntry",
     "LimitEntry",
     "SignalBoard",
 ]
--- a/oriolepaddle/signals/board.py
+++ b/oriolepaddle/signals/board.py
@@ -5,7 +5,7 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.logs import log_event
-from oriolepaddle.signals.limit import LimitEntry
+from oriolepaddle.signals.entries import LeavingEntry, LimitEntry
 from oriolepaddle.signals.signals import EndpointSignals
 
 __all__ = ["SignalBoard"]
@@ -15,6 +15,9 @@
 """Twice the endpoints of the largest fleet in the capacity page."""
 MAX_SENT = 64
 """Limits in one announcement."""
+LEAVING_SENT_S = 10.0
+"""Time for which a leaving endpoint is announced; the list of endpoints has it after
+a few seconds."""
 MIN_GAIN_S = 0.5
 """Time by which another instance's statement of the same limit must be newer. Each hop
 makes a statement look newer by its delay."""
@@ -35,6 +38,7 @@
         self._count = count
         self._lock = threading.Lock()
         self._limits: dict[str, LimitEntry] = {}
+        self._leaving: dict[str, LeavingEntry] = {}
         self._sent_count = 0
 
     def record(self, incarnation: str, signals: EndpointSignals, sent_s: float) -> None:
@@ -45,6 +49,9 @@
             signals: The signals.
             sent_s: Monotonic time before which the request was not sent.
         """
+        if signals.is_leaving:
+            now_s = self._clock.monotonic_s()
+            self.merge_leaving((LeavingEntry(incarnation, now_s, OWN_ORIGIN),))
         limit_per_s = signals.limit_per_s
         if limit_per_s is None and incarnation not in self._limits:
             return
@@ -64,6 +71,38 @@
             is_same = known is not None and known.limit_per_s == entry.limit_per_s
             self._store(entry, MIN_GAIN_S if is_same else 0.0)
 
+    def merge_leaving(self, entries: Iterable[LeavingEntry]) -> None:
+        """Merge endpoints that leave; an incarnation that leaves never returns."""
+        for entry in entries:
+            with self._lock:
+                if entry.incarnation in self._leaving:
+                    continue
+                self._leaving[entry.incarnation] = entry
+                if len(self._leaving) > MAX_ENTRIES:
+                    del self._leaving[next(iter(self._leaving))]
+            self._count("endpoint_leaving")
+            log_event(
+                "endpoint_leaving",
+                incarnation=entry.incarnation,
+                origin=entry.origin,
+                age_s=round(self._clock.monotonic_s() - entry.heard_s, 3),
+            )
+
+    def is_leaving(self, incarnation: str) -> bool:
+        """Return whether an endpoint has said that it leaves."""
+        return incarnation in self._leaving
+
+    def select_leaving_to_send(self) -> list[LeavingEntry]:
+        """Return the endpoints that began to leave recently, for other instances."""
+        if not self._leaving:
+            return []
+        oldest_s = self._clock.monotonic_s() - LEAVING_SENT_S
+        with self._lock:
+            recent = [
+                entry for entry in self._leaving.values() if entry.heard_s >= oldest_s
+            ]
+        return recent[-MAX_SENT:]
+
     def select_to_send(self) -> list[LimitEntry]:
         """Return the entries for the next announcement, each in its turn."""
         if not self._limits:
--- a/oriolepaddle/signals/limit.py
+++ b/oriolepaddle/signals/entries.py
@@ -1,8 +1,8 @@
-"""The limit that one incarnation of an endpoint names."""
+"""What is known of one incarnation of an endpoint."""
 
 import attrs
 
-__all__ = ["LimitEntry"]
+__all__ = ["LeavingEntry", "LimitEntry"]
 
 
 @attrs.frozen
@@ -21,3 +21,18 @@
     limit_per_s: float | None
     stated_s: float
     origin: str
+
+
+@attrs.frozen
+class LeavingEntry:
+    """An endpoint that has said that it leaves.
+
+    Attributes:
+        incarnation: The incarnation of the endpoint.
+        heard_s: Monotonic time at which it was first heard.
+        origin: The instance that heard it.
+    """
+
+    incarnation: str
+    heard_s: float
+    origin: str
--- a/oriolepaddle/signals/permits.py
+++ b/oriolepaddle/signals/permits.py
@@ -14,7 +14,7 @@
 from oriolepaddle.limits import GrantingLimiter, PooledLimiter, TokenPool
 from oriolepaddle.logs import log_event
 from oriolepaddle.signals.board import SignalBoard
-from oriolepaddle.signals.limit import LimitEntry
+from oriolepaddle.signals.entries import LimitEntry
 
 __all__ = ["LIMIT_PREFIX", "EndpointPermits"]
 
--- a/oriolepaddle/signals/signals.py
+++ b/oriolepaddle/signals/signals.py
@@ -12,6 +12,8 @@
     Attributes:
         limit_per_s: The requests a second that the endpoint takes from all instances
             together, or None if it names no limit.
+        is_leaving: Whether the endpoint will end and wants no more requests.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
