Honour the pause that an endpoint asks for when it refuses a request

Cause: the Retry-After of an endpoint's 503 was not read, so the instance that was refused sent on. Change: a pause binds the instance that was told, from the end of the head, at most max_endpoint_pause_s; placing and the check right before the send leave the endpoint out. What waited is placed elsewhere, or refused at once with the delay that is left. After it one request at a time is sent, and twice as many with each success.

Result: TestPause fails on the commit before (the endpoint gets requests in its pause, and callers get the usual delay) and passes.

--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -110,6 +110,7 @@
     def _describe_signals(self, incarnation: str, now_s: float) -> dict[str, Any]:
         entry = self._context.signals.find_entry(incarnation)
         return {
+            "pause_s": round(self._context.permits.remaining_pause_s(incarnation), 3),
             "is_leaving": self._context.signals.is_leaving(incarnation),
             "limit_per_s": entry.limit_per_s if entry else None,
             "limit_age_s": round(now_s - entry.stated_s, 3) if entry else None,
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -111,6 +111,7 @@
             clock,
             self.signals,
             self._find_cold_share,
+            timedelta(seconds=settings.max_endpoint_pause_s),
             self.metrics.count_signal_event,
         )
         self.context = self._make_context()
--- a/oriolepaddle/daemon/tests/test_edge_signals.py
+++ b/oriolepaddle/daemon/tests/test_edge_signals.py
@@ -120,3 +120,38 @@
         told_s = time.monotonic()
         send_load(fleet, SETTLING_S)
         assert count_in_windows(leaving, told_s) > 0
+
+
+class TestPause:
+    PAUSE_S = 3.0
+
+    def test_endpoint_gets_nothing_until_its_end(self, fleet):
+        paused = fleet.runners["d1"]
+        paused.retry_after = str(self.PAUSE_S)
+        paused.behaviours.extend([RunnerBehaviour.SHED] * 100)
+        for name in ("d2", "d3"):
+            fleet.runners[name].limit = "5"
+        send_load(fleet, 1.0)
+        answered_s = paused.received[0].received_s
+        assert len(paused.received) >= len(fleet.instances)
+        paused.behaviours.clear()
+        paused.received.clear()
+        send_load(fleet, self.PAUSE_S - 0.5 - (time.monotonic() - answered_s))
+        assert paused.received == []
+        send_load(fleet, 2.0)
+        assert paused.received
+
+    def test_of_all_endpoints_is_told_to_callers(self, fleet):
+        for runner in fleet.runners.values():
+            runner.retry_after = str(self.PAUSE_S)
+            runner.behaviours.extend([RunnerBehaviour.SHED] * 100)
+        for name in fleet.instances:
+            for _ in range(3):
+                fleet.request(name, "/read/1")
+        counts = [len(runner.received) for runner in fleet.runners.values()]
+        started_s = time.monotonic()
+        response = fleet.send("n1", "/read/1")
+        assert response.status == 503
+        assert 1.0 < float(response.headers["Retry-After"]) <= 2 * self.PAUSE_S
+        assert time.monotonic() - started_s < 0.3
+        assert counts == [len(runner.received) for runner in fleet.runners.values()]
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -6,7 +6,7 @@
 
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import AdmittedRequest, admit, check_catalog_age
-from oriolepaddle.edge.answer import EndpointAnswer
+from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.crash_guard import CrashGuard, RunEnd
 from oriolepaddle.edge.event_splitter import EventSplitter
@@ -293,8 +293,11 @@
                 self._request.id, status, headers
             )
             if endpoint is not None and answer.is_of_endpoint:
-                self._context.signals.record(
-                    endpoint.incarnation, answer.signals, started_s
+                self._context.permits.record(
+                    endpoint.incarnation,
+                    answer.signals,
+                    started_s,
+                    has_run=answer.kind is AnswerKind.RAN,
                 )
             return answer
 
@@ -368,7 +371,10 @@
             check_catalog_age(self._context)
         if self._context.catalog.version != self._admitted.version:
             self._admit_again()
-        if endpoint is not None and not self._context.catalog.may_send(endpoint):
+        if endpoint is None:
+            return
+        pause_s = self._context.permits.remaining_pause_s(endpoint.incarnation)
+        if pause_s > 0 or not self._context.catalog.may_send(endpoint):
             raise EndpointRefusedError(
                 f"requests may no longer be sent to {endpoint.id}"
             )
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -97,7 +97,7 @@
                 raise RefusedError(
                     f"no endpoint of {job.service} can run the request now",
                     code=ErrorCode.NO_ENDPOINT,
-                    retry_after=RETRY_AFTER,
+                    retry_after=self._find_retry_after(job.service, now_s),
                 )
             preferred = rank_preferred((load.endpoint.id for load in loads), job)
             scored = self._score_all(loads, preferred, job, now_s)
@@ -131,6 +131,7 @@
                 if load.endpoint.incarnation not in ignored
                 and not load.is_blocked(now_s)
                 and self._is_warm_enough(load, now_s)
+                and self._permits.may_send(load.endpoint.incarnation, load.running)
                 and not self._permits.can_acquire(load.endpoint.incarnation)
             ]
             scored = self._score_all(loads, [], job, now_s)
@@ -290,6 +291,16 @@
             and self._catalog.may_send(endpoint)
         ]
 
+    def _find_retry_after(self, service: str, now_s: float) -> timedelta:
+        """Return when the first endpoint's pause ends, or the usual retry delay."""
+        pauses_s = [
+            self._permits.remaining_pause_s(load.endpoint.incarnation)
+            for load in self._list_sendable(service, now_s)
+        ]
+        if not pauses_s or min(pauses_s) <= 0:
+            return RETRY_AFTER
+        return max(RETRY_AFTER, timedelta(seconds=min(pauses_s)))
+
     def _list_loads(self, service: str, now_s: float) -> list[EndpointLoad]:
         loads = self._list_sendable(service, now_s)
         for load in loads:
@@ -298,8 +309,11 @@
         return [load for load in usable if not load.is_blocked(now_s)] or usable
 
     def _is_usable(self, load: EndpointLoad, now_s: float) -> bool:
-        return self._is_warm_enough(load, now_s) and self._permits.can_acquire(
-            load.endpoint.incarnation
+        incarnation = load.endpoint.incarnation
+        return (
+            self._is_warm_enough(load, now_s)
+            and self._permits.may_send(incarnation, load.running)
+            and self._permits.can_acquire(incarnation)
         )
 
     def _is_warm_enough(self, load: EndpointLoad, now_s: float) -> bool:
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -14,9 +14,10 @@
 PREFIX_SOURCE = "Kv-Fetch"
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 INSTANCE = "X-Oriolepaddle-Instance"
 
-SIGNALS = frozenset((LIMIT.lower(), LEAVING.lower()))
+SIGNALS = frozenset((LIMIT.lower(), LEAVING.lower(), RETRY_AFTER.lower()))
 """Header fields in which an endpoint tells of itself."""
 RESERVED = frozenset(
     name.lower()
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -148,7 +148,7 @@
             ),
             is_stream=fields.get("content-type", "").startswith(EVENT_STREAM),
             load=_read_load(fields.get(names.LOAD.lower())),
-            signals=read_signals(headers),
+            signals=read_signals(status, headers),
         )
 
 
--- a/oriolepaddle/platform/signals.py
+++ b/oriolepaddle/platform/signals.py
@@ -1,6 +1,8 @@
 """Decodes what an endpoint says of itself in the headers of its answers."""
 
 import re
+from datetime import timedelta
+from http import HTTPStatus
 
 from oriolepaddle.logs import log_event
 from oriolepaddle.platform import names
@@ -14,7 +16,7 @@
 _NO_SIGNALS = EndpointSignals()
 
 
-def read_signals(headers: tuple[tuple[str, str], ...]) -> EndpointSignals:
+def read_signals(status: int, headers: tuple[tuple[str, str], ...]) -> EndpointSignals:
     """Return the signals of an answer; what can't be read is ignored and logged."""
     values: dict[str, list[str]] = {}
     for name, value in headers:
@@ -22,9 +24,13 @@
             values.setdefault(name.lower(), []).append(value)
     if not values:
         return _NO_SIGNALS
+    delay_s = None
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        delay_s = _read_decimal(names.RETRY_AFTER, values)
     return EndpointSignals(
         limit_per_s=_read_decimal(names.LIMIT, values),
         is_leaving=_read_flag(names.LEAVING, values),
+        retry_after=None if delay_s is None else timedelta(seconds=delay_s),
     )
 
 
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -88,6 +88,7 @@
         has_crashed: Whether the runner has crashed.
         limit: The requests a second that it names as its limit, as text; None for none.
         born_ms: Unix time of the start that it registers, in milliseconds.
+        retry_after: The seconds of `Retry-After` in refusals, as text; None for none.
         tells_leaving: Whether it says in its answers that it leaves.
     """
 
@@ -114,6 +115,7 @@
         self.has_crashed = False
         self.limit: str | None = None
         self.born_ms = 1_788_000_000_000
+        self.retry_after: str | None = None
         self.tells_leaving = False
         self._clock = SystemClock()
         self._stopping = threading.Event()
@@ -183,6 +185,8 @@
             raise ConnectionResetError("the runner closes the connection")
         if behaviour is RunnerBehaviour.SHED:
             fields = [(names.NOT_RUN, "1"), *self._describe_itself()]
+            if self.retry_after is not None:
+                fields.append((names.RETRY_AFTER, self.retry_after))
             writer.answer(503, b"", "text/plain", fields)
             return
         if self._is_deadly(headers.get(names.PROMPT_PREFIX.lower(), "")):
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -126,6 +126,13 @@
         low=0,
         high=3600,
     )
+    max_endpoint_pause_s: float = setting(
+        600.0,
+        "Longest pause in seconds that an endpoint may ask for with Retry-After; a "
+        "longer one would take it away for good after one mistaken value.",
+        low=1,
+        high=86_400,
+    )
     max_log_lines_per_s: int = setting(
         1000,
         "Maximum log lines per second; further lines are only counted.",
--- a/oriolepaddle/signals/permits.py
+++ b/oriolepaddle/signals/permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to endpoints that name a limit.
+"""Permits to send requests to endpoints that name a limit or ask for a pause.
 
 Answers the load in which one endpoint in need takes a request a second, or less, from
 hundreds of instances together. An instance's own fraction of that is no whole request,
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
@@ -15,6 +16,8 @@
 from oriolepaddle.logs import log_event
 from oriolepaddle.signals.board import SignalBoard
 from oriolepaddle.signals.entries import LimitEntry
+from oriolepaddle.signals.pauses import EndpointPauses
+from oriolepaddle.signals.signals import EndpointSignals
 
 __all__ = ["LIMIT_PREFIX", "EndpointPermits"]
 
@@ -29,6 +32,7 @@
 """Time after which an endpoint that takes nothing may get a request, whose answer says
 whether that has changed."""
 MIN_RATE_PER_S = 1 / ZERO_PAUSE_S
+DEFAULT_MAX_PAUSE = timedelta(minutes=10)
 REQUEST = 1.0
 
 
@@ -42,6 +46,7 @@
         board: The limits of the endpoints.
         find_share: Returns this instance's share of the rates of its region's
             endpoints; the shares of the region's instances add up to at most 1.
+        max_pause: The longest pause of an endpoint.
         count: Called with the name of each event, for metrics.
     """
 
@@ -50,14 +55,42 @@
         clock: Clock,
         board: SignalBoard,
         find_share: Callable[[], float],
+        max_pause: timedelta = DEFAULT_MAX_PAUSE,
         count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self._clock = clock
         self._board = board
         self._count = count
+        self._pauses = EndpointPauses(clock, max_pause)
         self.limiter = GrantingLimiter(clock, find_share, self.find_rate)
         self._pooled: PooledLimiter | None = None
 
+    def record(
+        self, incarnation: str, signals: EndpointSignals, sent_s: float, has_run: bool
+    ) -> None:
+        """Record the signals of an answer whose head has just been received.
+
+        Args:
+            incarnation: The incarnation of the endpoint that answered.
+            signals: The signals.
+            sent_s: Monotonic time before which the request was not sent.
+            has_run: Whether the endpoint has taken the request.
+        """
+        self._board.record(incarnation, signals, sent_s)
+        if signals.retry_after is not None:
+            self._count("endpoint_paused")
+            self._pauses.begin(incarnation, signals.retry_after)
+        elif has_run:
+            self._pauses.record_success(incarnation)
+
+    def may_send(self, incarnation: str, in_flight: int) -> bool:
+        """Return whether an endpoint doesn't pause; see `Permits.may_send`."""
+        return self._pauses.may_send(incarnation, in_flight)
+
+    def remaining_pause_s(self, incarnation: str) -> float:
+        """Return the seconds until an endpoint's pause ends, 0 without one."""
+        return self._pauses.remaining_s(incarnation)
+
     def connect(self, pool: TokenPool) -> None:
         """Set the pool from which permits of the hubs are drawn."""
         self._pooled = PooledLimiter(self.limiter, pool)
