--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -128,11 +128,12 @@
             loads = [
                 load
                 for load in self._list_sendable(job.service, now_s)
-                if load.endpoint.incarnation not in ignored
+                # Most endpoints have no limit, so this goes first.
+                if not self._permits.can_acquire(load.endpoint.incarnation)
+                and load.endpoint.incarnation not in ignored
                 and not load.is_blocked(now_s)
                 and self._is_warm_enough(load, now_s)
                 and self._permits.may_send(load.endpoint.incarnation, load.running)
-                and not self._permits.can_acquire(load.endpoint.incarnation)
             ]
             scored = self._score_all(loads, [], job, now_s)
         in_time = [
