Have the soak's runners name limits, ask for pauses and say that they leave

On a line of its own, so that a seed still draws the faults that it drew before. Planned seeds check the limits and the leaving.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,12 @@
 
 __all__ = ["Faults"]
 
+SIGNALS = ("name_limit", "tell_leaving", "ask_for_pause")
+"""What runners say of themselves, drawn apart from the other faults, so that a seed
+still draws the same ones of these."""
+LIMITS_PER_S = ("0", "0.5", "2")
+LIMIT_DURATION_S = 11.0
+
 PAUSE_RANGE_S = (0.3, 2.5)
 DURATION_RANGE_S = (0.3, 4.0)
 STOP_TIMEOUT_S = 15
@@ -57,6 +63,9 @@
             threading.Thread(target=self._run, args=(number, seed), daemon=True)
             for number in range(thread_count)
         ]
+        self._threads.append(
+            threading.Thread(target=self._run_signals, args=(seed,), daemon=True)
+        )
 
     def start(self) -> None:
         """Start to inject faults."""
@@ -76,6 +85,37 @@
             self.events.append((now_s(), kind))
             getattr(self, f"_{kind}")(generator)
 
+    def _run_signals(self, seed: int) -> None:
+        generator = random.Random(f"signals/{seed}")
+        while not self._stopping.wait(generator.uniform(*PAUSE_RANGE_S)):
+            kind = generator.choice(SIGNALS)
+            # The other runner of each service and region says nothing.
+            names = [name for name in self._fleet.runners if name.endswith("-0")]
+            self.events.append((now_s(), kind))
+            getattr(self, f"_{kind}")(generator, generator.choice(names))
+
+    def _name_limit(self, generator: random.Random, name: str) -> None:
+        runner, since_s = self._fleet.runners[name], now_s()
+        runner.limit = generator.choice(LIMITS_PER_S)
+        self._stopping.wait(LIMIT_DURATION_S)
+        self._fleet.limits.append((name, float(runner.limit), since_s, now_s()))
+        runner.limit = None
+
+    def _tell_leaving(self, generator: random.Random, name: str) -> None:
+        runner, since_s = self._fleet.runners[name], now_s()
+        runner.tells_leaving = True
+        self._stopping.wait(LEAVE_DURATION_S)
+        self._fleet.told_leaving.append((name, since_s, now_s()))
+        runner.tells_leaving = False
+        runner.born_ms += 1
+
+    def _ask_for_pause(self, generator: random.Random, name: str) -> None:
+        runner = self._fleet.runners[name]
+        runner.retry_after = str(generator.choice((0.5, 2, 4)))
+        runner.behaviours.extend([RunnerBehaviour.SHED] * 3)
+        self._wait_for_duration(generator)
+        runner.retry_after = None
+
     def _wait_for_duration(self, generator: random.Random) -> None:
         self._stopping.wait(generator.uniform(*DURATION_RANGE_S))
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -61,6 +61,9 @@
         self.revoked: dict[str, float] = {}
         self.leaving_since: dict[str, float] = {}
         self.absences: list[tuple[str, float, float]] = []
+        self.limits: list[tuple[str, float, float, float]] = []
+        self.told_leaving: list[tuple[str, float, float]] = []
+        self.instances_each = instances_each
         self._make_runners()
         for number, host in enumerate(hosts):
             data_centre = list(REGIONS)[number // instances_each]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,10 @@
 """Time within which a revoked key must stop working, as deployments require."""
 DRAIN_LIMIT_S = 4.0
 """Time after which a leaving endpoint must get no new work."""
+LIMIT_SETTLING_S, LIMIT_WINDOW_S = 6.0, 4.0
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+"""A limit is kept from the settling time on, in each window, within the factor and the
+slack, as the platform's rules say."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses which guarantee that a request has not run and will not run."""
 ID_FIELD = names.REQUEST_ID.lower()
@@ -28,10 +32,35 @@
     violations += _check_revoked(fleet, sent, runs)
     if is_planned_only:
         violations += _check_leaving(fleet)
+        violations += _check_limits(fleet)
         violations += _check_lost(sent, runs)
     return violations
 
 
+def _check_limits(fleet: SoakFleet) -> list[str]:
+    violations = []
+    for name, limit_per_s, since_s, until_s in fleet.limits:
+        first_s = since_s + LIMIT_SETTLING_S
+        times = [item.received_s for item in list(fleet.runners[name].received)]
+        times = [at_s for at_s in times if first_s <= at_s < until_s]
+        allowed = LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        # An instance that has restarted meanwhile may send one before it is told.
+        allowed += fleet.instances_each
+        for start_s in times:
+            count = sum(start_s <= at_s < start_s + LIMIT_WINDOW_S for at_s in times)
+            if count > allowed:
+                violations.append(f"{name}: {count} requests at {limit_per_s} a second")
+                break
+    for name, since_s, until_s in fleet.told_leaving:
+        times = [item.received_s for item in list(fleet.runners[name].received)]
+        told_s = min((at_s for at_s in times if at_s >= since_s), default=until_s)
+        late = [at_s for at_s in times if told_s + DRAIN_LIMIT_S < at_s < until_s]
+        # Each instance has to be told once, by an answer or by another instance.
+        if len(late) > fleet.instances_each:
+            violations.append(f"{name}: {len(late)} requests after it said it leaves")
+    return violations
+
+
 def _collect_runs(fleet: SoakFleet) -> dict[str, list[ReceivedRequest]]:
     runs = defaultdict(list)
     for runner in fleet.runners.values():
