Bound the remaining time of a cold endpoint, not its end

Cause: check_endpoint compared cold_until_s, which counts from the start of the machine, with a year, so a machine that is up for longer would have rejected every cold endpoint. The new test fails without the change.

--- a/oriolepaddle/catalog/checks.py
+++ b/oriolepaddle/catalog/checks.py
@@ -11,15 +11,17 @@
 """The platform's bound for keys in bytes."""
 MAX_SLOTS = 100_000
 MAX_STARTED_AT_MS = 2**53
-MAX_COLD_S = 365 * 86_400.0
-"""Above it a time of readiness is a mistake; counted from the monotonic clock, which
-begins with the machine."""
+MAX_COLD_S = 86_400.0
 MAX_PORT = 65_535
 
 
-def check_endpoint(endpoint: RegisteredEndpoint) -> None:
+def check_endpoint(endpoint: RegisteredEndpoint, now_s: float) -> None:
     """Check that an endpoint's fields are in range.
 
+    Args:
+        endpoint: The endpoint.
+        now_s: The time to which `cold_until_s` refers.
+
     Raises:
         ValueError: A field is out of range or has another type.
     """
@@ -34,7 +36,8 @@
         raise ValueError("its number of slots is out of range")
     if not 0 <= endpoint.started_at_ms <= MAX_STARTED_AT_MS:
         raise ValueError("its time of start is out of range")
-    if not math.isfinite(endpoint.cold_until_s) or endpoint.cold_until_s > MAX_COLD_S:
+    cold_s = endpoint.cold_until_s - now_s
+    if not math.isfinite(cold_s) or cold_s > MAX_COLD_S:
         raise ValueError("the time for which it is cold is out of range")
 
 
--- a/oriolepaddle/daemon/catalog_exchange.py
+++ b/oriolepaddle/daemon/catalog_exchange.py
@@ -145,7 +145,7 @@
         fields = parse_json(SNAPSHOT_PATH, body)
         snapshot = cattrs.structure(fields, CatalogSnapshot)
         for endpoint in snapshot.endpoints:
-            check_endpoint(endpoint)
+            check_endpoint(endpoint, now_s=0.0)
         return snapshot
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
         raise PlatformUnavailableError(
--- a/oriolepaddle/platform/registration.py
+++ b/oriolepaddle/platform/registration.py
@@ -26,7 +26,7 @@
     """
     try:
         endpoint = _decode(endpoint_id, parse_fields(text), read_at_s)
-        check_endpoint(endpoint)
+        check_endpoint(endpoint, read_at_s)
         return endpoint
     except DECODE_ERRORS as error:
         raise _make_error(endpoint_id, repr(error)) from error
--- a/oriolepaddle/platform/tests/test_registration.py
+++ b/oriolepaddle/platform/tests/test_registration.py
@@ -53,6 +53,7 @@
             {"born": "x"},
             {"coldLeftMs": True},
             {"coldLeftMs": 1e300},
+            {"coldLeftMs": 1e12},
             {"slots": 1e300},
             {"slots": 2**60},
             {"slots": 10**18},
@@ -71,6 +72,11 @@
         with pytest.raises(PlatformUnavailableError):
             decode(**changes)
 
+    def test_cold_one_is_accepted_by_a_machine_that_is_up_for_years(self):
+        entry = json.dumps(ENTRY | {"coldLeftMs": 2500}).encode()
+        up_s = 5 * 365 * 86_400.0
+        assert decode_endpoint("i-1", entry, up_s).cold_until_s == up_s + 2.5
+
     @pytest.mark.parametrize("number", ["1e999", "-1e999", "9" * 4200, "NaN"])
     @pytest.mark.parametrize("field", ["slots", "born", "coldLeftMs", "seq"])
     def test_number_too_large_is_a_typed_error(self, field, number):
@@ -114,6 +120,6 @@
             endpoint = decode_endpoint("i-1", text, 100.0)
         except PlatformUnavailableError:
             return
-        check_endpoint(endpoint)
+        check_endpoint(endpoint, 100.0)
         endpoint.service.encode()
         assert 0 < split_address(endpoint.address)[1] < 2**16
