--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -321,10 +321,12 @@
     def _check_drain(self) -> None:
         """End an attempt that would be cut off by the exit of the process.
 
+        A response that has begun can only be cut, so it may still end in time.
+
         Raises:
             EndpointDeadlineError: There is no time left.
         """
-        if self._context.drain.is_ending():
+        if self._context.drain.is_ending() and not self._writer.is_started:
             raise EndpointDeadlineError(
                 "this instance shuts down before the response is complete"
             )
