Spread the return of callers after a pause as well

Cause: only the delay of a missing permit was extended at random; callers who were refused because all endpoints pause came back together at the end.

--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -25,9 +25,11 @@
 """Endpoints that failed a request before its whole region is treated as unreliable."""
 MAX_DRAWS = 2
 """Endpoints for which a request draws a permit; a silent hub costs 0.06 s each."""
+MIN_SPREAD_DELAY = timedelta(milliseconds=500)
+"""Retry delay above which callers wait for a permit or the end of a pause."""
 MAX_RETURN_SPREAD = 2.0
-"""Factor up to which the retry delay is extended, so that callers who wait for the same
-permit don't return together."""
+"""Factor up to which such a delay is extended, so that the callers don't return
+together."""
 RETRY_AFTER = timedelta(milliseconds=200)
 """Retry delay sent to callers whose region of residency cannot serve them now."""
 
@@ -101,10 +103,18 @@
     ):
         return peer
     if choice is None:
-        raise refusal or _make_refusal(peer, job)
+        raise _spread_return(context, refusal or _make_refusal(peer, job))
     return choice
 
 
+def _spread_return(context: EdgeContext, refusal: RefusedError) -> RefusedError:
+    """Extend a long retry delay at random, as many callers wait for the same moment."""
+    delay = refusal.retry_after
+    if delay is not None and delay > MIN_SPREAD_DELAY:
+        refusal.retry_after = delay * context.generator.uniform(1.0, MAX_RETURN_SPREAD)
+    return refusal
+
+
 def _choose_with_drawn_permit(
     context: EdgeContext, job: Job, progress: ExchangeProgress
 ) -> Choice | None:
@@ -128,7 +138,7 @@
     raise RefusedError(
         f"the endpoints of {job.service} take no more requests for now",
         code=ErrorCode.OVERLOADED,
-        retry_after=wait * context.generator.uniform(1.0, MAX_RETURN_SPREAD),
+        retry_after=wait,
     )
 
 
