--- a/oriolepaddle/faults/rows/fleet.py
+++ b/oriolepaddle/faults/rows/fleet.py
@@ -1,10 +1,12 @@
-"""A join, a drain, an engine command and a quarantine report under each fault."""
+"""A join, a drain, an engine command, a quarantine report and an endpoint's signal."""
 
 from oriolepaddle.faults.cell import impossible, shown, unproved
 from oriolepaddle.faults.row import Row
 from oriolepaddle.faults.sources import (
     commands,
     daemon,
+    edge_signals,
+    gossip_signals,
     limits,
     membership,
     order_fleet,
@@ -15,6 +17,8 @@
     quarantine_narrowing,
     quarantine_spread,
     recovery,
+    signal_board,
+    signal_pauses,
 )
 from oriolepaddle.faults.step import Step
 
@@ -194,4 +198,33 @@
         ),
         racing=unproved("no test lets two operators clear one entry at once"),
     ),
+    Row(
+        step=Step.SIGNAL,
+        kill=unproved("no test restarts an instance that has heard a signal"),
+        freeze=unproved("no test suspends an instance between choice and send"),
+        cut_one_way=unproved("the tests cut instances off in both directions"),
+        cut_both_ways=shown(
+            gossip_signals("TestLimit::test_is_kept_while_instances_are_cut_off")
+        ),
+        slow=unproved("no test slows an instance that draws permits"),
+        silent=unproved("no test makes a hub unresponsive to draws"),
+        platform_down=_PLATFORM_NOT_INVOLVED,
+        platform_stale=_PLATFORM_NOT_INVOLVED,
+        list_late=shown(
+            edge_signals(
+                "TestLeaving::test_endpoint_gets_nothing_after_the_answer_that_says_so"
+            )
+        ),
+        lost=unproved("no test loses single announcements of signals"),
+        late=shown(
+            signal_board(
+                "TestLimit::test_is_not_lifted_by_an_earlier_request_that_is_answered_late"
+            ),
+            signal_board(
+                "TestLimit::test_that_another_instance_heard_earlier_replaces_nothing"
+            ),
+        ),
+        doubled=shown(signal_pauses("TestPause::test_is_not_cut_by_a_shorter_one")),
+        racing=impossible("operators set no signal"),
+    ),
 )
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -4,7 +4,9 @@
     "admission",
     "commands",
     "daemon",
+    "edge_signals",
     "endpoints",
+    "gossip_signals",
     "hand_over",
     "limits",
     "membership",
@@ -21,6 +23,8 @@
     "recovery",
     "router",
     "router_failure",
+    "signal_board",
+    "signal_pauses",
     "streams",
     "sync",
     "ticket",
@@ -40,7 +44,9 @@
 admission = _TestFile("admission/tests/test_admission.py")
 commands = _TestFile("commands/tests/test_issuer.py")
 daemon = _TestFile("daemon/tests/test_faults.py")
+edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
 endpoints = _TestFile("endpoints/tests/test_transport.py")
+gossip_signals = _TestFile("gossip/tests/test_signals.py")
 hand_over = _TestFile("limits/tests/test_hand_over.py")
 limits = _TestFile("limits/tests/test_faults.py")
 membership = _TestFile("membership/tests/test_membership.py")
@@ -57,6 +63,8 @@
 recovery = _TestFile("config/tests/test_recovery.py")
 router = _TestFile("routing/tests/test_router.py")
 router_failure = _TestFile("routing/tests/test_endpoint_failure.py")
+signal_board = _TestFile("signals/tests/test_board.py")
+signal_pauses = _TestFile("signals/tests/test_pauses.py")
 streams = _TestFile("streams/tests/test_stream.py")
 sync = _TestFile("config/tests/test_sync.py")
 ticket = _TestFile("config/tests/test_ticket.py")
--- a/oriolepaddle/faults/step.py
+++ b/oriolepaddle/faults/step.py
@@ -32,3 +32,4 @@
     DRAIN = "drain"
     COMMAND = "engine command"
     QUARANTINE = "quarantine report"
+    SIGNAL = "endpoint signal"
