Count what an endless head's reader accepts, not what the kernel buffers

KNOWN-RED, once 4,108,288 bytes sent where 4,000,000 are allowed. Traced by a run: a sender whose reader stops has 4.6 to 4.9 MB in the sockets' buffers with the defaults of this machine, and 0.7 to 1.3 MB with a send buffer of 64 KiB (three runs each).

--- a/oriolepaddle/endpoints/tests/test_endless.py
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -18,6 +18,8 @@
 MAX_SENT_BYTES = 24_000_000
 """Accepted bytes of one answer: the largest buffered body, and the sockets' buffers."""
 MAX_HEAD_BYTES = 4_000_000
+SEND_BUFFER_BYTES = 65_536
+"""Otherwise the kernel alone takes more than a head may have before a slow reader."""
 DEADLINE_S = 20.0
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNK = b"2000\r\n" + b"x" * 0x2000 + b"\r\n"
@@ -46,6 +48,7 @@
 
     def run(self):
         connection, _ = self.listener.accept()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         with connection, contextlib.suppress(OSError):
             connection.recv(65536)
             for part in self.parts:
