--- a/review/harness.py
+++ b/review/harness.py
@@ -6,9 +6,11 @@
 """
 
 import base64
+import contextlib
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -43,6 +45,8 @@
 """Bounds of the site cmp-maturo that the deploy file or a script uses."""
 MEMORY_MB = 300
 """`memory_mb` of the machines of the site cmp-maturo."""
+MAX_FDS = 4100
+"""`fds` of the machines of the site cmp-maturo."""
 READY_TIMEOUT_S = 40.0
 
 
@@ -144,6 +148,15 @@
             self._changed.notify_all()
         return time.monotonic()
 
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        with self._changed:
+            self._revision += 1
+            if self._items.pop(key, None) is not None:
+                event = {"key": key, "revision": self._revision, "tombstone": True}
+                self._events.append(event)
+                self._changed.notify_all()
+
     def read_range(self, query: dict[str, str]) -> dict:
         """Return the items with a prefix."""
         prefix, after = query.get("pathPrefix", ""), query.get("after", "")
@@ -200,9 +213,21 @@
         self._slots = threading.Semaphore(slots)
         self._sequence = 0
         self._born = int(time.time() * 1000)
+        self.state = "ready"
+        self._channels: set[socket.socket] = set()
         runner = self
 
         class Handler(_Handler):
+            def setup(self) -> None:
+                """Remember the channel, to close it when the runner ends."""
+                super().setup()
+                runner._channels.add(self.connection)
+
+            def finish(self) -> None:
+                """Forget the channel."""
+                runner._channels.discard(self.connection)
+                super().finish()
+
             def handle_one_request(self) -> None:
                 """Serve one request; a broken connection ends the handler."""
                 try:
@@ -229,12 +254,20 @@
             "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
-            "state": "ready",
+            "state": self.state,
             "coldLeftMs": 0,
             "seq": self._sequence,
             "born": self._born,
         }
 
+    def end(self) -> None:
+        """Close the listener and all channels, as the end of its process does."""
+        self._server.shutdown()
+        self._server.server_close()
+        for channel in list(self._channels):
+            with contextlib.suppress(OSError):
+                channel.shutdown(socket.SHUT_RDWR)
+
     def _run(self, handler: _Handler, body: bytes) -> None:
         headers = {name.lower(): value for name, value in handler.headers.items()}
         expected = headers.get((PREFIX + "Expect-Instance").lower())
@@ -349,6 +382,17 @@
         found = re.search(r"VmRSS:\s+(\d+) kB", text)
         return int(found.group(1)) / 1024 if found else 0.0
 
+    def limit_descriptors(self, count: int) -> None:
+        """Limit the descriptors of the process, as the platform does (`maxFds`)."""
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (count, count))
+
+    def count_descriptors(self) -> int:
+        """Return how many descriptors the process has, 0 if it has ended."""
+        try:
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return 0
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -415,9 +459,30 @@
 
     def _beat(self) -> None:
         while not self._closing.wait(1.2):
-            for runner in self.runners:
+            for runner in list(self.runners):
                 self.store.put(f"servers/{runner.id}", runner.describe())
 
+    def replace_runner(self, old: Runner, new: Runner, linger_s: float) -> None:
+        """Replace a runner as a release does: the new one starts, the old one drains.
+
+        Args:
+            old: The runner that reports that it drains, and ends `linger_s` later.
+            new: The runner that takes its place.
+            linger_s: The time for which the old one goes on serving.
+        """
+        self.add_runner(new)
+        old.state = "draining"
+        self.store.put(f"servers/{old.id}", old.describe())
+
+        def end() -> None:
+            self.runners.remove(old)
+            self.store.delete(f"servers/{old.id}")
+            old.end()
+
+        timer = threading.Timer(linger_s, end)
+        timer.daemon = True
+        timer.start()
+
     def close(self) -> None:
         """End all processes that were started."""
         self._closing.set()
