--- a/review/harness.py
+++ b/review/harness.py
@@ -356,6 +356,7 @@
 
     def start(self) -> None:
         """Start the process."""
+        self.log.touch()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 self._command,
@@ -416,12 +417,15 @@
         self.store.put(f"servers/{runner.id}", runner.describe())
         return runner
 
-    def add_gateways(self, places: dict[str, str], zones: dict[str, str]) -> None:
-        """Start one gateway for each name.
+    def add_gateways(
+        self, places: dict[str, str], zones: dict[str, str], starts: bool = True
+    ) -> None:
+        """Add one gateway for each name.
 
         Args:
             places: The zone of each gateway, by its name.
             zones: The region of each zone.
+            starts: Whether to start their processes.
         """
         hosts = [f"127.{40 + os.getpid() % 100}.7.{i + 1}" for i in range(len(places))]
         ports = _find_ports(hosts)
@@ -444,7 +448,8 @@
             }
             gateway = Gateway(name, settings, Path(self._folder.name))
             # The deploy file fixes the port of the metrics.
-            gateway.start()
+            if starts:
+                gateway.start()
             self.gateways.append(gateway)
         threading.Thread(target=self._beat, daemon=True).start()
 
