--- a/review/harness.py
+++ b/review/harness.py
@@ -47,6 +47,7 @@
 """`memory_mb` of the machines of the site cmp-maturo."""
 MAX_FDS = 4100
 """`fds` of the machines of the site cmp-maturo."""
+METRICS_PORT = 9464
 READY_TIMEOUT_S = 40.0
 
 
@@ -427,7 +428,7 @@
             zones: The region of each zone.
             starts: Whether to start their processes.
         """
-        hosts = [f"127.{40 + os.getpid() % 100}.7.{i + 1}" for i in range(len(places))]
+        hosts = _find_hosts(len(places))
         ports = _find_ports(hosts)
         for (name, zone), host in zip(places.items(), hosts, strict=True):
             settings = {
@@ -447,7 +448,6 @@
                 "platform": {"address": self.store.address},
             }
             gateway = Gateway(name, settings, Path(self._folder.name))
-            # The deploy file fixes the port of the metrics.
             if starts:
                 gateway.start()
             self.gateways.append(gateway)
@@ -611,6 +611,21 @@
     return host, int(port)
 
 
+def _find_hosts(count: int) -> list[str]:
+    # The deploy file fixes the port of the metrics, so it must be free on each host.
+    first = os.getpid()
+    for number in range(first, first + 200):
+        hosts = [f"127.{20 + number % 200}.7.{i + 1}" for i in range(count)]
+        try:
+            for host in hosts:
+                with socket.create_server((host, METRICS_PORT)):
+                    pass
+        except OSError:
+            continue
+        return hosts
+    raise CaseError("no free hosts")
+
+
 def _find_ports(hosts: list[str]) -> dict[str, int]:
     ports = {}
     held = []
