Log how many keys a configuration holds and whether routes need them

Their lines have organisation null on a closed route, and nothing told a withdrawal that was not applied from one that opened the routes. configuration_adopted now has keys and needs_keys.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -282,7 +282,13 @@
         if document.version <= previous:
             return
         self._document = document
-        log_event("configuration_adopted", version=document.version, replaced=previous)
+        log_event(
+            "configuration_adopted",
+            version=document.version,
+            replaced=previous,
+            keys=len(document.organisations),
+            needs_keys=document.needs_keys,
+        )
 
     def _register(self, endpoint: RegisteredEndpoint) -> None:
         known = self._endpoints.get(endpoint.id)
