Require keys under a configuration whose organisations hold none

Cause: the document kept organisations under the digests of their keys only, and routes needed keys if that index had an entry. An empty index stood for two things: a configuration without organisations, which needs no keys, and one whose organisations hold none, which serves nobody. Evidence: configuration_adopted of the last version has keys 0 and needs_keys false, so the withdrawal was applied and read wrongly.

Change: organisations are kept by id, apart from the keys, and are None where the document has no list of them. Only then does no route need a key. Without the list's entries, with entries that have no keys, an empty field or none, all closed routes are refused with 401. This also keeps the rate of an organisation without keys, whose account was dropped and began anew, with a whole burst, when a key was given back.

--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -119,7 +119,7 @@
         parameters = self._scenario.parameters
         profile = EngineProfile(parameters.slots, parameters.cache_tokens)
         services = {SERVICE: EndpointService(SERVICE, engine=profile)}
-        document = ConfigDocument(1, {}, services, {}, CallerLimits(), b"")
+        document = ConfigDocument(1, {}, services, None, {}, CallerLimits(), b"")
         changes = [CatalogChange("document", document=document)]
         for number, speed in enumerate(self._scenario.engines):
             name = f"e{number}"
--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -286,7 +286,7 @@
             "configuration_adopted",
             version=document.version,
             replaced=previous,
-            keys=len(document.organisations),
+            keys=len(document.keys),
             needs_keys=document.needs_keys,
         )
 
--- a/oriolepaddle/catalog/document.py
+++ b/oriolepaddle/catalog/document.py
@@ -18,7 +18,9 @@
         version: Higher versions replace lower ones.
         routes: Routes by host, ordered from the longest prefix to the shortest.
         services: Services by name.
-        organisations: Organisations by the SHA-256 of each of their keys.
+        organisations: Organisations by id, also those without a key. None if the
+            document has no list of organisations: only then is no key required.
+        keys: Organisations by the SHA-256 of each of their keys.
         limits: Limits on callers' connections and requests.
         source: The document as published, to be sent to peers that don't have it.
     """
@@ -26,18 +28,14 @@
     version: int
     routes: dict[str, tuple[HostRoute, ...]]
     services: dict[str, EndpointService]
-    organisations: dict[str, RatedOrganisation]
+    organisations: dict[str, RatedOrganisation] | None
+    keys: dict[str, RatedOrganisation]
     limits: CallerLimits
     source: bytes = attrs.field(repr=False, eq=False)
-    _by_id: dict[str, RatedOrganisation] = attrs.field(init=False, repr=False, eq=False)
-
-    @_by_id.default
-    def _index_organisations(self) -> dict[str, RatedOrganisation]:
-        return {item.id: item for item in self.organisations.values()}
 
     def find_organisation(self, organisation_id: str) -> RatedOrganisation | None:
-        """Return the organisation with an id, or None if none with a key has it."""
-        return self._by_id.get(organisation_id)
+        """Return the organisation with an id, or None."""
+        return (self.organisations or {}).get(organisation_id)
 
     def find_route(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix that matches a path, or None."""
@@ -49,4 +47,4 @@
     @property
     def needs_keys(self) -> bool:
         """Whether routes that are not open require an API key."""
-        return bool(self.organisations)
+        return self.organisations is not None
--- a/oriolepaddle/catalog/tests/test_catalog.py
+++ b/oriolepaddle/catalog/tests/test_catalog.py
@@ -25,7 +25,7 @@
 
 
 def make_document(version):
-    return ConfigDocument(version, {}, {}, {}, CallerLimits(), b"")
+    return ConfigDocument(version, {}, {}, None, {}, CallerLimits(), b"")
 
 
 @pytest.fixture
--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -138,7 +138,7 @@
         """Return an organisation's limit and this instance's share of it.
 
         Raises:
-            RefusedError: No organisation of that name has a key.
+            RefusedError: No organisation has that name.
         """
         document = self._catalog.document
         entry = document.find_organisation(name) if document else None
--- a/oriolepaddle/edge/admission.py
+++ b/oriolepaddle/edge/admission.py
@@ -26,7 +26,7 @@
         route: The route that matches the request.
         service: The service that is to run the request.
         organisation: The organisation that owns the key; None on open routes
-            and where the configuration has no keys.
+            and where the configuration requires no keys.
     """
 
     version: int
@@ -105,7 +105,7 @@
         raise AuthenticationError(
             "this route requires an API key", code=ErrorCode.KEY_MISSING
         )
-    organisation = document.organisations.get(digest_key(request.key))
+    organisation = document.keys.get(digest_key(request.key))
     if organisation is None:
         raise AuthenticationError("the API key is unknown or withdrawn")
     return organisation
--- a/oriolepaddle/gossip/tests/test_catalog_staleness.py
+++ b/oriolepaddle/gossip/tests/test_catalog_staleness.py
@@ -52,7 +52,7 @@
 
     def read(self):
         version = self.versions[-1][0]
-        document = ConfigDocument(version, {}, {}, {}, CallerLimits(), b"")
+        document = ConfigDocument(version, {}, {}, None, {}, CallerLimits(), b"")
         changes = [CatalogChange("op/config", document=document)]
         changes += [
             CatalogChange(f"servers/{name}", endpoint=make_endpoint(name))
--- a/oriolepaddle/placement/tests/conftest.py
+++ b/oriolepaddle/placement/tests/conftest.py
@@ -20,7 +20,7 @@
 @pytest.fixture
 def catalog(clock):
     catalog = Catalog(clock)
-    document = ConfigDocument(1, {}, SERVICES, {}, CallerLimits(), b"")
+    document = ConfigDocument(1, {}, SERVICES, None, {}, CallerLimits(), b"")
     change = CatalogChange("c", document=document)
     catalog.apply(CatalogReading((change,), 1, is_whole=True), 0.0)
     return catalog
--- a/oriolepaddle/platform/document.py
+++ b/oriolepaddle/platform/document.py
@@ -44,11 +44,13 @@
     for item in fields.get("routes", ()):
         route = _decode_route(item)
         routes.setdefault(route.host, []).append(route)
-    organisations = {}
-    for item in fields.get("tenants", ()):
+    organisations: dict[str, RatedOrganisation] = {}
+    keys: dict[str, RatedOrganisation] = {}
+    for item in fields.get("tenants") or ():
         organisation = _decode_organisation(item)
-        for key in item.get("apiKeys", ()):
-            organisations[digest_key(key)] = organisation
+        organisations[organisation.id] = organisation
+        for key in item.get("apiKeys") or ():
+            keys[digest_key(key)] = organisation
     services = [_decode_service(item) for item in fields.get("services", ())]
     return ConfigDocument(
         version=int(fields["version"]),
@@ -57,7 +59,9 @@
             for host, host_routes in routes.items()
         },
         services={service.name: service for service in services},
-        organisations=organisations,
+        # An empty list leaves nobody to serve; a document without one needs no keys.
+        organisations=organisations if "tenants" in fields else None,
+        keys=keys,
         limits=_decode_limits(fields.get("limits") or {}),
         source=text,
     )
--- a/oriolepaddle/platform/tests/test_document.py
+++ b/oriolepaddle/platform/tests/test_document.py
@@ -33,6 +33,7 @@
     "burst": 2000,
     "homeRegions": ["sudur"],
 }
+NO_KEYS = {name: value for name, value in TENANT.items() if name != "apiKeys"}
 
 
 def decode(**fields):
@@ -85,7 +86,7 @@
     def test_each_key_finds_its_organisation(self):
         document = decode(tenants=[TENANT])
         for key in TENANT["apiKeys"]:
-            rated = document.organisations[digest_key(key)]
+            rated = document.keys[digest_key(key)]
             assert rated.id == "huka270"
             assert rated.is_token_rated
             assert rated.plain_tokens == 200
@@ -95,6 +96,20 @@
     def test_without_organisations_no_key_is_needed(self):
         assert not decode(routes=[ROUTE]).needs_keys
 
+    @pytest.mark.parametrize(
+        "tenants",
+        [[], None, [TENANT | {"apiKeys": []}], [TENANT | {"apiKeys": None}], [NO_KEYS]],
+    )
+    def test_organisations_without_keys_leave_routes_closed(self, tenants):
+        document = decode(routes=[ROUTE], tenants=tenants)
+        assert document.needs_keys
+        assert not document.keys
+
+    def test_organisation_without_keys_keeps_its_rate(self):
+        document = decode(tenants=[TENANT | {"apiKeys": []}])
+        rated = document.find_organisation("huka270")
+        assert rated.organisation.rate_tokens_per_s == 1000
+
 
 class TestInvalidDocument:
     @pytest.mark.parametrize(
