Read an empty API key as a missing one

What callers could do: with an empty X-Api-Key header, cookie or query parameter, or an Authorization header whose key is only white space, a request was looked up by the digest of the empty text. If a configuration holds that digest, as it does when an operator's script hashes an unset variable, anybody is served for the organisation.

Both interfaces kept the empty text as a key that was presented. Now it is none, and the request is refused as key_missing.

Failed before: 5 cases of test_keys.py (the key was found) and 3 of test_protocol.py.

--- a/oriolepaddle/gateway/keys.py
+++ b/oriolepaddle/gateway/keys.py
@@ -20,7 +20,7 @@
     """Return the API key that a request contains, or None.
 
     The key may be in the `Authorization` (bearer), `X-Api-Key` or `Api-Key` header,
-    or in a cookie or query parameter with one of `KEY_NAMES`.
+    or in a cookie or query parameter with one of `KEY_NAMES`. An empty one is no key.
 
     Raises:
         AuthenticationError: The request contains different keys.
@@ -28,6 +28,7 @@
     keys = set(_find_in_headers(request))
     keys |= {request.cookies[name] for name in KEY_NAMES if name in request.cookies}
     keys |= {request.args[name] for name in KEY_NAMES if name in request.args}
+    keys.discard("")
     if len(keys) > 1:
         raise AuthenticationError("the request contains more than one API key")
     return keys.pop() if keys else None
--- a/oriolepaddle/gateway/tests/test_keys.py
+++ b/oriolepaddle/gateway/tests/test_keys.py
@@ -1,8 +1,12 @@
+import json
+
 import pytest
 
-from oriolepaddle.errors import AuthenticationError, MalformedRequestError
+from oriolepaddle.config import parse_ticket
+from oriolepaddle.errors import AuthenticationError, ErrorCode, MalformedRequestError
 from oriolepaddle.gateway.keys import find_presented_key
 from oriolepaddle.gateway.tests.conftest import KEY, make_chat, make_request
+from oriolepaddle.standins import make_key
 
 KEY_PLACES = [
     ({"Authorization": f"Bearer {KEY}"}, ""),
@@ -28,6 +32,25 @@
         assert parsed.key.id == "k1"
         assert not contains_key(parsed)
 
+    # An empty key is no key, also where a ticket has the digest of an empty one.
+    @pytest.mark.parametrize(
+        ("headers", "query"),
+        [
+            ({"X-Api-Key": ""}, ""),
+            ({"Api-Key": " "}, ""),
+            ({"Authorization": "Bearer \x0b"}, ""),
+            ({"Cookie": "api_key=;"}, ""),
+            ({}, "?api_key="),
+        ],
+    )
+    def test_empty_one_is_refused_as_missing(self, config, parser, headers, query):
+        ticket = {"number": 2, "objects": [make_key("empty", "norddal", "")]}
+        config.merge(parse_ticket(json.dumps(ticket)).entries)
+        path = "/v1/chat/completions" + query
+        with pytest.raises(AuthenticationError) as raised:
+            parser.parse(make_request(path=path, data=make_chat(), headers=headers))
+        assert raised.value.code is ErrorCode.KEY_MISSING
+
     def test_different_keys_are_refused(self):
         headers = {"Authorization": "Bearer a", "X-Api-Key": "b"}
         with pytest.raises(AuthenticationError):
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -174,7 +174,7 @@
 def _read_key(value: str | None) -> str | None:
     if value is None or not value.lower().startswith(KEY_SCHEME):
         return None
-    return value[len(KEY_SCHEME) :].strip()
+    return value[len(KEY_SCHEME) :].strip() or None
 
 
 def _read_numbers(
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -41,6 +41,10 @@
             ("91bd", 410),
         ]
 
+    @pytest.mark.parametrize("value", ["Token ", "token   ", "Token \x0b", "Token"])
+    def test_empty_key_is_read_as_a_missing_one(self, value):
+        assert read(Authorization=value).key is None
+
     def test_key_and_connection_fields_are_not_forwarded(self):
         request = read(
             Authorization="Token secret",
