Check that a route is still open before a request without a key is sent

What callers saw, in the own interface: a request without a key that was accepted on an open route and then waited, for its turn or for a retry, ran there after a ticket had closed the route; a stream went on for as long as it liked.

It now gets the route as well and asks whether it is still there and open, as it asks for the key. The platform's interface admits such a request anew (EdgeExchange._admit_again), and orders look their route up again already.

--- a/oriolepaddle/errors/code.py
+++ b/oriolepaddle/errors/code.py
@@ -54,7 +54,7 @@
         "key_withdrawn",
         401,
         Outcome.UNKNOWN,
-        "The key was withdrawn while the answer was being sent.",
+        "The key was withdrawn, or the route closed, while the answer was being sent.",
     )
     ROUTE_UNKNOWN = (
         "route_unknown",
--- a/oriolepaddle/gateway/authenticator.py
+++ b/oriolepaddle/gateway/authenticator.py
@@ -68,16 +68,30 @@
             )
         return Caller(key, organisation)
 
-    def recheck(self, key: Key | None) -> None:
-        """Check that a key is still valid and belongs to the same organisation.
+    def recheck(self, route: Route, key: Key | None) -> None:
+        """Check that a request may still be served with its key, or without one.
+
+        Args:
+            route: The route as it was when the request was authenticated.
+            key: The caller's key, or None if the route was open.
 
         Raises:
-            AuthenticationError: The key was withdrawn or reassigned.
+            AuthenticationError: The key was withdrawn or reassigned, or the route is
+                no longer open.
         """
         if key is None:
+            self._recheck_open(route)
             return
         current = self._config.key_by_digest(key.digest)
         if current is None or current.organisation != key.organisation:
             raise AuthenticationError(
                 "the API key was withdrawn", code=ErrorCode.KEY_WITHDRAWN
             )
+
+    def _recheck_open(self, route: Route) -> None:
+        current = self._config.route(route.id)
+        if current is None or not current.open:
+            raise AuthenticationError(
+                "the route is no longer open to requests without a key",
+                code=ErrorCode.KEY_WITHDRAWN,
+            )
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -244,7 +244,7 @@
     def _recheck(self) -> None:
         # The process may have been suspended since the request was admitted.
         try:
-            self._context.authenticator.recheck(self._request.key)
+            self._context.authenticator.recheck(self._request.route, self._request.key)
         except AuthenticationError as error:
             raise AuthenticationError(error.message) from error
         if self._endpoint is None:
--- a/oriolepaddle/gateway/relay.py
+++ b/oriolepaddle/gateway/relay.py
@@ -139,7 +139,7 @@
 
     def check(self) -> None:
         """Check the key and the caller's connection; see `AnswerSink.check`."""
-        self._authenticator.recheck(self._request.key)
+        self._authenticator.recheck(self._request.route, self._request.key)
         now_s = self._clock.monotonic_s()
         if now_s < self._next_abandoned_check_at_s:
             return
