Refuse a request whose key moves to another organisation before it is sent

What an endpoint saw: a request that waited for an endpoint while a configuration gave its key to another organisation ran with the name of the organisation before (UNASKED), on the tokens of the organisation before.

The check right before the send admitted the request anew, but compared only whether an organisation was needed, and the header fields had been written from the earlier admission. A change of the organisation now refuses the request as not run, to come back at once; the next attempt reserves and runs for the new one.

Failed before: both cases of TestKeyOfAnotherOrganisation (200, run for norddal).

--- a/oriolepaddle/daemon/tests/test_edge_keys.py
+++ b/oriolepaddle/daemon/tests/test_edge_keys.py
@@ -1,4 +1,5 @@
 import http.client
+import json
 
 import pytest
 
@@ -11,6 +12,7 @@
     await_true,
     make_document,
 )
+from oriolepaddle.platform import decode_document
 
 NEVER_ISSUED = "key-of-nobody"
 NORDDAL, SUDURVIK = "norddal", "sudurvik"
@@ -101,6 +103,32 @@
         assert runs_for(fleet) == [NORDDAL]
 
 
+class TestKeyOfAnotherOrganisation:
+    # A key that moves while its request waits must not run it for the old organisation.
+    @pytest.mark.parametrize("path", ["/read/1", "/book/1"])
+    def test_request_does_not_run_for_the_organisation_before(
+        self, fleet, monkeypatch, path
+    ):
+        start(fleet)
+        instance = fleet.instances["n1"]
+        run = instance.context.transport.run
+
+        def move_key_and_run(*arguments):
+            moved = make_document(2, tenants=[{"name": SUDURVIK, "apiKeys": [KEY]}])
+            instance.catalog.accept_document(
+                decode_document(json.dumps(moved).encode())
+            )
+            run(*arguments)
+
+        monkeypatch.setattr(instance.context.transport, "run", move_key_and_run)
+        response = fleet.send("n1", path)
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+        assert runs_for(fleet) == []
+        assert fleet.request("n1", path)[0] == 200
+        assert runs_for(fleet) == [SUDURVIK]
+
+
 class TestWithoutOrganisations:
     def test_no_key_is_needed(self, fleet):
         document = make_document(2)
--- a/oriolepaddle/edge/admission.py
+++ b/oriolepaddle/edge/admission.py
@@ -46,12 +46,16 @@
         return allows_region(self.residency, region)
 
     def is_placed_like(self, other: "AdmittedRequest") -> bool:
-        """Return whether service, residency and need for a key are the same."""
-        return (
-            self.service == other.service
-            and self.residency == other.residency
-            and (self.organisation is None) == (other.organisation is None)
-        )
+        """Return whether the service and the residency are the same."""
+        return self.service == other.service and self.residency == other.residency
+
+    def is_charged_like(self, other: "AdmittedRequest") -> bool:
+        """Return whether the request runs for the same organisation, or for none."""
+        return self._organisation_id == other._organisation_id
+
+    @property
+    def _organisation_id(self) -> str | None:
+        return self.organisation.id if self.organisation else None
 
 
 def admit(context: EdgeContext, request: EdgeRequest) -> AdmittedRequest:
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -38,6 +38,8 @@
 SERVER_ERROR = 500
 SUSPECT_WAIT_FRACTION = 0.5
 """Fraction of the target time for which a suspect waits for another one's test."""
+REASSIGNED_RETRY_AFTER = timedelta(milliseconds=50)
+"""Retry delay sent to callers whose key was given to another organisation."""
 T = TypeVar("T")
 _UNREACHABLE_ERRORS = (EndpointUnreachableError, EndpointReplacedError)
 """Errors after which an endpoint gets no requests for a while, as others would fail."""
@@ -384,6 +386,13 @@
     def _admit_again(self) -> None:
         previous = self._admitted
         self._admitted = admit(self._context, self._request)
+        if not self._admitted.is_charged_like(previous):
+            # The tokens were reserved for the one before, which the headers name.
+            raise RefusedError(
+                "the request's organisation changed before the request was sent",
+                code=ErrorCode.NOT_READY,
+                retry_after=REASSIGNED_RETRY_AFTER,
+            )
         if not self._admitted.is_placed_like(previous):
             raise EndpointRefusedError(
                 "the configuration changed before the request was sent"
