Confirm no configuration while the store holds one that can't be read

What callers saw: if the newest configuration could not be decoded, an instance logged it once and went on with the one before, confirmed as current by every later reading. A key that the newest one withdraws ran on without end.

The store's reader skipped the entry, as it does for endpoints, and the catalog took the rest of the reading as a confirmation. Now such an entry, and a removed one, is a change of its own (configuration_lost): readings confirm the endpoints but not the configuration, so that requests with a key are refused with 503 within the withdrawal bound until a configuration can be read. Open routes are served on.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -44,6 +44,8 @@
         self._is_leaving = is_leaving
         self._lock = threading.Lock()
         self._document: ConfigDocument | None = None
+        # The store holds a configuration that this instance doesn't know.
+        self._is_document_lost = False
         self._endpoints: dict[str, RegisteredEndpoint] = {}
         self._pending_removals: dict[str, float] = {}
         self._evacuated: dict[str, str] = {}
@@ -120,6 +122,9 @@
     def apply(self, reading: CatalogReading, requested_at_s: float) -> None:
         """Apply a reading of the store.
 
+        While the store's configuration can't be read, the one known here is not
+        confirmed as current, since the other may withdraw keys.
+
         Args:
             reading: The result of a call.
             requested_at_s: Monotonic time just before the call.
@@ -129,10 +134,11 @@
             if is_current and reading.is_whole:
                 self._drop_missing(reading.changes)
             for change in reading.changes:
-                if is_current or change.document is not None:
+                if is_current or change.concerns_document:
                     self._apply_change(change)
             self._last_read_at_s = max(self._last_read_at_s, requested_at_s)
-            self._confirmed_at_s = max(self._confirmed_at_s, requested_at_s)
+            if not self._is_document_lost:
+                self._confirmed_at_s = max(self._confirmed_at_s, requested_at_s)
             if is_current:
                 self._watch_revision = reading.revision
                 self._endpoints_confirmed_at_s = max(
@@ -270,7 +276,11 @@
         if change.is_removed:
             self._remove(change.key)
         elif change.document is not None:
+            self._is_document_lost = False
             self._adopt(change.document)
+        elif change.is_document_lost:
+            self._is_document_lost = True
+            log_event("configuration_lost", version=self.version)
         elif change.evacuated is not None:
             self._evacuated = self._evacuated | {change.key: change.evacuated}
             log_event("data_centre_evacuated", data_centre=change.evacuated)
--- a/oriolepaddle/catalog/source.py
+++ b/oriolepaddle/catalog/source.py
@@ -23,6 +23,7 @@
     Attributes:
         key: The key in the store.
         document: A new configuration.
+        is_document_lost: Whether the configuration was removed or can't be read.
         endpoint: A new or changed endpoint.
         evacuated: A data centre to which no requests may be sent.
         is_removed: Whether the key was removed.
@@ -33,6 +34,12 @@
     endpoint: RegisteredEndpoint | None = None
     evacuated: str | None = None
     is_removed: bool = False
+    is_document_lost: bool = False
+
+    @property
+    def concerns_document(self) -> bool:
+        """Whether the configuration has changed."""
+        return self.document is not None or self.is_document_lost
 
 
 @attrs.frozen
--- a/oriolepaddle/catalog/tests/test_catalog.py
+++ b/oriolepaddle/catalog/tests/test_catalog.py
@@ -72,6 +72,39 @@
         assert catalog.age_s() == float("inf")
 
 
+class TestUnreadableDocument:
+    # A document that can't be read may withdraw keys: it must not confirm the old one.
+    UNREADABLE = CatalogChange("op/config", is_document_lost=True)
+    READABLE = CatalogChange("op/config", document=make_document(4))
+
+    @pytest.fixture
+    def current(self, catalog):
+        change = CatalogChange("op/config", document=make_document(3))
+        apply(catalog, change, is_whole=True)
+        return catalog
+
+    @pytest.mark.parametrize("is_whole", [True, False])
+    def test_does_not_confirm_the_document_before(self, current, clock, is_whole):
+        clock.advance(timedelta(seconds=5))
+        apply(current, self.UNREADABLE, is_whole=is_whole, requested_at_s=4.0)
+        apply(current, requested_at_s=5.0)
+        assert (current.version, current.age_s()) == (3, 5.0)
+
+    def test_endpoints_are_still_confirmed(self, current, clock):
+        clock.advance(timedelta(seconds=5))
+        apply(current, self.UNREADABLE, REGISTERED, requested_at_s=4.0)
+        assert current.endpoints_age_s() == 1.0
+        assert current.may_send(ENDPOINT)
+
+    def test_next_readable_one_is_confirmed(self, current, clock):
+        clock.advance(timedelta(seconds=5))
+        apply(current, self.UNREADABLE, requested_at_s=3.0)
+        apply(current, self.READABLE, requested_at_s=4.0)
+        assert (current.version, current.age_s()) == (4, 1.0)
+        apply(current, requested_at_s=5.0)
+        assert current.age_s() == 0.0
+
+
 class TestEndpoints:
     def test_leaving_endpoint_gets_no_requests(self, catalog):
         apply(catalog, REGISTERED)
--- a/oriolepaddle/daemon/tests/test_edge_keys.py
+++ b/oriolepaddle/daemon/tests/test_edge_keys.py
@@ -129,6 +129,21 @@
         assert runs_for(fleet) == [SUDURVIK]
 
 
+class TestUnreadableConfiguration:
+    # A configuration that can't be read may withdraw any key.
+    def test_keys_are_refused_until_it_can_be_read(self, fleet):
+        instance = fleet.add_instance("n1", withdrawal_bound_ms=4000)
+        fleet.await_ready()
+        assert fleet.request("n1", "/read/1")[0] == 200
+        fleet.publish(make_document(2, tenants=[{"name": NORDDAL, "apiKeys": 7}]))
+        await_true(lambda: fleet.request("n1", "/read/1")[0] == 503)
+        assert instance.catalog.version == 1
+        assert request_statuses(fleet) == {503}
+        assert fleet.request("n1", "/open/1", key=None)[0] == 200
+        publish(fleet, 3, WITHOUT_KEYS)
+        assert request_statuses(fleet) == {401}
+
+
 class TestWithoutOrganisations:
     def test_no_key_is_needed(self, fleet):
         document = make_document(2)
--- a/oriolepaddle/platform/store.py
+++ b/oriolepaddle/platform/store.py
@@ -33,6 +33,7 @@
 MAX_LOGGED_CHARACTERS = 300
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
+_LOST_DOCUMENT = CatalogChange(CONFIGURATION_KEY, is_document_lost=True)
 
 
 class PlatformStore:
@@ -98,13 +99,15 @@
             except (PlatformUnavailableError, *DECODE_ERRORS) as error:
                 # The other entries hold.
                 self._log_unreadable_once(item, error)
-                continue
+                change = _LOST_DOCUMENT if _is_configuration(item) else None
             if change is not None:
                 yield change
 
     def _decode_item(self, key: str, item: dict[str, Any]) -> CatalogChange | None:
         # The store marks deleted keys as tombstones.
         if item.get("tombstone"):
+            if key == CONFIGURATION_KEY:
+                return _LOST_DOCUMENT
             return CatalogChange(key, is_removed=True)
         key.encode()
         if key.startswith(EVACUATION_PREFIX):
@@ -130,6 +133,10 @@
         log_event("store_entry_unreadable", key=key, reason=reason)
 
 
+def _is_configuration(item: object) -> bool:
+    return isinstance(item, dict) and item.get("key") == CONFIGURATION_KEY
+
+
 def _decode_value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item["value"], validate=True)
--- a/oriolepaddle/platform/tests/test_store.py
+++ b/oriolepaddle/platform/tests/test_store.py
@@ -69,6 +69,14 @@
         keys = [item.key for item in store.read().changes if item.endpoint]
         assert keys == ["servers/i-1"]
 
+    @pytest.mark.parametrize("odd", [b"", b"null", b"{}", b"\xff", *ODD_ENTRIES])
+    def test_unreadable_configuration_is_told_from_an_absent_one(
+        self, standin, store, odd
+    ):
+        assert store.read().changes == ()
+        standin.put("op/config", odd)
+        assert [item.is_document_lost for item in store.read().changes] == [True]
+
     @pytest.mark.parametrize("mode", [StoreMode.BUSY, StoreMode.RESET])
     def test_failure_is_a_typed_error(self, standin, store, mode):
         standin.mode = mode
@@ -87,6 +95,13 @@
         assert reading.changes[1].evacuated == "nordur-a"
         assert reading.revision == revision + 3
 
+    def test_removed_configuration_is_lost(self, standin, store):
+        standin.put("op/config", DOCUMENT)
+        revision = store.read().revision
+        standin.delete("op/config")
+        changes = store.watch(revision, NOW).changes
+        assert [item.is_document_lost for item in changes] == [True]
+
     def test_raises_an_error_when_the_history_is_gone(self, standin, store, entry):
         revision = store.read().revision
         standin.put("servers/i-1", entry)
