Reject a published document whose lists and flags have another type

What could happen: keys given as one text made each of its letters a key; a route with public "false", or any text, was open; resumable "false" let a request run twice.

Lists and flags are now read by two functions that accept the type, or absence, and nothing else; such a document is unreadable, so that the one before is no longer confirmed.

--- a/oriolepaddle/platform/decoding.py
+++ b/oriolepaddle/platform/decoding.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, TypeVar
 
-__all__ = ["DECODE_ERRORS", "parse_fields"]
+__all__ = ["DECODE_ERRORS", "parse_fields", "read_flag", "read_list"]
 
 DECODE_ERRORS = (
     ValueError,
@@ -39,6 +39,34 @@
     return document
 
 
+def read_list(fields: dict[str, Any], name: str) -> list[Any]:
+    """Return a list, empty if the field is absent or null.
+
+    Raises:
+        ValueError: The field is of another type.
+    """
+    value = fields.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ValueError(f"{name} is not a list")
+    return value
+
+
+def read_flag(fields: dict[str, Any], name: str) -> bool:
+    """Return a flag, False if the field is absent or null.
+
+    Raises:
+        ValueError: The field is of another type.
+    """
+    value = fields.get(name)
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} is neither true nor false")
+    return value
+
+
 def _parse_float(text: str) -> float:
     return _check_range(float(text), text)
 
--- a/oriolepaddle/platform/document.py
+++ b/oriolepaddle/platform/document.py
@@ -16,7 +16,12 @@
 from oriolepaddle.config import digest_key
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.errors import PlatformUnavailableError
-from oriolepaddle.platform.decoding import DECODE_ERRORS, parse_fields
+from oriolepaddle.platform.decoding import (
+    DECODE_ERRORS,
+    parse_fields,
+    read_flag,
+    read_list,
+)
 
 __all__ = ["decode_document"]
 
@@ -41,17 +46,17 @@
 
 def _decode(fields: dict[str, Any], text: bytes) -> ConfigDocument:
     routes: dict[str, list[HostRoute]] = {}
-    for item in fields.get("routes", ()):
+    for item in read_list(fields, "routes"):
         route = _decode_route(item)
         routes.setdefault(route.host, []).append(route)
     organisations: dict[str, RatedOrganisation] = {}
     keys: dict[str, RatedOrganisation] = {}
-    for item in fields.get("tenants") or ():
+    for item in read_list(fields, "tenants"):
         organisation = _decode_organisation(item)
         organisations[organisation.id] = organisation
-        for key in item.get("apiKeys") or ():
+        for key in read_list(item, "apiKeys"):
             keys[digest_key(key)] = organisation
-    services = [_decode_service(item) for item in fields.get("services", ())]
+    services = [_decode_service(item) for item in read_list(fields, "services")]
     return ConfigDocument(
         version=int(fields["version"]),
         routes={
@@ -71,7 +76,7 @@
     kind = item["kind"]
     services = tuple(
         ServiceWeight(part["service"], float(part["weight"]))
-        for part in item.get("split") or ()
+        for part in read_list(item, "split")
     )
     gap_ms = item.get("gapTargetMs")
     return HostRoute(
@@ -79,7 +84,7 @@
         host=item["host"].lower(),
         path_prefix=item["pathPrefix"],
         services=services or (ServiceWeight(item["service"]),),
-        repeat_rule=_find_repeat_rule(kind, bool(item.get("resumable"))),
+        repeat_rule=_find_repeat_rule(kind, read_flag(item, "resumable")),
         is_stream=kind == STREAM,
         # The longest time that the caller waits for the response.
         timeout=_to_duration(item["timeoutMs"]),
@@ -90,8 +95,8 @@
         priority=int(item.get("priority") or 0),
         # Counts all runs including the first, not only retries.
         max_attempts=max(1, int(item.get("maxAttempts") or 1)),
-        open=bool(item.get("public")),
-        residency=tuple(item.get("homeRegions") or ()),
+        open=read_flag(item, "public"),
+        residency=tuple(read_list(item, "homeRegions")),
     )
 
 
@@ -128,7 +133,7 @@
             id=item["name"],
             rate_tokens_per_s=rate,
             burst_tokens=float(item.get("burst") or rate),
-            residency=tuple(item.get("homeRegions") or ()),
+            residency=tuple(read_list(item, "homeRegions")),
         ),
         priority=None if priority is None else int(priority),
         is_token_rated=item.get("unit") == TOKEN_UNIT,
--- a/oriolepaddle/platform/tests/test_document.py
+++ b/oriolepaddle/platform/tests/test_document.py
@@ -111,6 +111,32 @@
         assert rated.organisation.rate_tokens_per_s == 1000
 
 
+class TestFieldsThatDecideAboutKeys:
+    # A text or a number in their place must neither make keys nor open a route.
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"tenants": [TENANT | {"apiKeys": "second"}]},
+            {"tenants": [TENANT | {"apiKeys": {"second": 1}}]},
+            {"tenants": [TENANT | {"apiKeys": [["second"]]}]},
+            {"tenants": {"huka270": TENANT}},
+            {"tenants": "huka270"},
+            {"tenants": 0},
+            {"routes": [ROUTE | {"public": "false"}]},
+            {"routes": [ROUTE | {"public": 1}]},
+            {"routes": [ROUTE | {"resumable": "false"}]},
+        ],
+    )
+    def test_of_another_type_make_the_document_invalid(self, fields):
+        with pytest.raises(PlatformUnavailableError):
+            decode(**fields)
+
+    def test_absent_ones_leave_the_route_closed(self):
+        item = {name: value for name, value in ROUTE.items() if name != "public"}
+        route = decode(routes=[item]).find_route("desk.example", "/chat/1")
+        assert not route.open
+
+
 class TestInvalidDocument:
     @pytest.mark.parametrize(
         "text",
