Parse requests strictly with httptools

Cause: the header parser of the standard library ends a header at such a line. The request's end was then found without its length.

Change: httptools checks each line and each chunk; it is fed line by line, so that the connection stands at the first byte after a request. A refusal gets 400, a log line with the reason (request_malformed), a count (malformed_requests), and closes the connection.

Failed before: test_request_hidden_behind_a_malformed_line_is_not_served (2), test_target_is_not_normalised[//a//b], test_chunked_body_with_extensions_and_a_trailer, test_has_the_status_of_its_reason[//read/1].

--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -15,6 +15,7 @@
     "store_calls": "Calls to the store so far.",
     "peers_reachable": "Instances that were heard of late.",
     "requests_in_flight": "Requests being served.",
+    "malformed_requests": "Requests that could not be read, so far.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
 }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -124,6 +124,9 @@
                 "store_calls": lambda: self._follower.call_count,
                 "peers_reachable": lambda: len(self.roster.alive()),
                 "requests_in_flight": lambda: self.context.activity.count,
+                "malformed_requests": lambda: sum(
+                    server.malformed_requests for server in self._servers
+                ),
                 "ready": self.is_ready,
                 "draining": lambda: self._drain.is_active,
             },
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -85,6 +85,7 @@
             ("/read/1", None, 401),
             ("/read/1", "wrong", 401),
             ("/open/1", None, 200),
+            ("//read/1", KEY, 404),
         ],
     )
     def test_has_the_status_of_its_reason(self, single, path, key, expected):
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -9,66 +9,62 @@
 
 from loguru import logger
 from werkzeug.exceptions import HTTPException
-from werkzeug.serving import WSGIRequestHandler
 from werkzeug.wrappers import Request
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, MalformedRequestError, OriolepaddleError
+from oriolepaddle.logs import log_event
 from oriolepaddle.web.application import Application
+from oriolepaddle.web.environ import make_environ
 from oriolepaddle.web.limits import ServerLimits
+from oriolepaddle.web.parser import RequestHead, RequestParser
 from oriolepaddle.web.reader import BoundedSocketReader
 from oriolepaddle.web.writer import AnswerWriter
 
 __all__ = ["HttpConnection"]
 
 
-class HttpConnection(WSGIRequestHandler):
+class HttpConnection:
     """Serves the requests of one connection, one after the other.
 
-    Requests are parsed by werkzeug. Responses are not written by its handler, which
-    closes each connection and cannot abort a response before its end.
-
     Args:
         connection: The client's socket.
         address: The client's address.
-        server: The server, with `application`, `limits`, `clock`, `is_draining`,
-            `is_closed` and the attributes that werkzeug's handler reads.
-    """
+        server: The server, with `application`, `limits`, `clock`, `server_address`,
+            `ssl_context`, `malformed_requests`, `is_draining` and `is_closed`.
 
-    protocol_version = "HTTP/1.1"
+    Attributes:
+        connection: The client's socket.
+        idle_since_s: Monotonic time of the last response, or of the connection.
+    """
 
-    def __init__(self, connection: socket.socket, address: Any, server: Any) -> None:
+    def __init__(
+        self, connection: socket.socket, address: tuple[str, int], server: Any
+    ) -> None:
         self._clock: Clock = server.clock
         self._limits: ServerLimits = server.limits
         self._application: Application = server.application
+        self._server = server
+        self._address = address
         self._lock = threading.Lock()
         self._is_waiting = True
         self._is_closing = False
         self._has_served = False
         self.idle_since_s = self._clock.monotonic_s()
-        super().__init__(connection, address, server)
-
-    def setup(self) -> None:
-        """Wrap the socket; called by the base class."""
-        self.connection = self.request
+        self.connection = connection
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._reader = BoundedSocketReader(self.connection, self._clock)
-        self.rfile = io.BufferedReader(self._reader, 16_384)
-        self.wfile = io.BytesIO()
+        self._reader = BoundedSocketReader(connection, self._clock)
+        self._stream = io.BufferedReader(self._reader, STREAM_BUFFER_BYTES)
 
-    def finish(self) -> None:
-        """Close the streams; called by the base class."""
-        self.rfile.close()
-
-    def handle(self) -> None:
+    def serve(self) -> None:
         """Serve requests until the connection must be closed."""
-        self.close_connection = False
-        while not self.close_connection:
-            try:
-                self._serve_request()
-            except OSError as error:
-                logger.debug("connection ended: {}", error)
-                return
+        try:
+            while self._serve_request():
+                pass
+        except OSError as error:
+            logger.debug("connection ended: {}", error)
+        finally:
+            self._stream.close()
 
     @property
     def is_idle(self) -> bool:
@@ -87,14 +83,14 @@
         _shut_down(self.connection)
         return True
 
-    def _serve_request(self) -> None:
+    def _serve_request(self) -> bool:
+        """Serve one request; return whether another may follow."""
         if not self._wait_for_request():
-            self.close_connection = True
-            return
+            return False
         writer = AnswerWriter(self.connection, self._limits.write_timeout)
         request_id = uuid.uuid4().hex
         try:
-            request = self._read_request(writer)
+            request = self._read_request_or_log(writer)
             request_id = request.environ["oriolepaddle.request_id"]
             self._application.handle(request, writer)
         except OriolepaddleError as error:
@@ -110,8 +106,7 @@
             self._respond_with_error(writer, wrapped, request_id)
         finally:
             writer.abort()
-        if not writer.keep_alive or not writer.is_finished:
-            self.close_connection = True
+        return writer.keep_alive and writer.is_finished
 
     def _wait_for_request(self) -> bool:
         self._is_waiting = True
@@ -121,7 +116,7 @@
             limits.idle_timeout, limits.max_header_bytes, ErrorCode.HEADER_TOO_LARGE
         )
         try:
-            is_open = bool(self.rfile.peek(1))
+            is_open = bool(self._stream.peek(1))
         except MalformedRequestError:
             return False
         with self._lock:
@@ -130,100 +125,51 @@
                 return False
             self._is_waiting = False
             self._has_served = True
-        return is_open and not self.server.is_closed
+        return is_open and not self._server.is_closed
+
+    def _read_request_or_log(self, writer: AnswerWriter) -> Request:
+        try:
+            return self._read_request(writer)
+        except MalformedRequestError as error:
+            self._server.malformed_requests += 1
+            log_event(
+                "request_malformed",
+                client=self._address[0],
+                reason=error.code.code,
+                detail=error.message,
+            )
+            raise
 
     def _read_request(self, writer: AnswerWriter) -> Request:
         limits = self._limits
         self._reader.set_limits(
             limits.header_timeout, limits.max_header_bytes, ErrorCode.HEADER_TOO_LARGE
         )
-        self.raw_requestline = self.rfile.readline(limits.max_header_bytes)
-        if not self.parse_request():
-            writer.keep_alive = False
-            raise MalformedRequestError("the request line or headers are malformed")
-        writer.keep_alive = not self.close_connection and not self.server.is_draining
-        writer.is_head = self.command == "HEAD"
-        writer.is_chunked_allowed = self.request_version >= "HTTP/1.1"
-        if self.headers.get("Expect", "").lower() == "100-continue":
+        parser = RequestParser(self._stream)
+        head = parser.read_head(limits.max_header_bytes)
+        writer.keep_alive = head.is_kept_alive and not self._server.is_draining
+        writer.is_head = head.method == "HEAD"
+        writer.is_chunked_allowed = head.version == "1.1"
+        if [item.lower() for item in head.values("expect")] == ["100-continue"]:
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._reader.set_limits(
             limits.body_timeout,
             limits.max_body_bytes + FRAMING_ALLOWANCE_BYTES,
             ErrorCode.BODY_TOO_LARGE,
         )
-        return self._make_request()
+        return self._make_request(head, parser.read_body(head, limits.max_body_bytes))
 
-    def _make_request(self) -> Request:
-        self._check_header_size()
-        environ = self.make_environ()
-        self._check_framing(environ)
-        self._read_body(environ)
+    def _make_request(self, head: RequestHead, body: bytes) -> Request:
+        server = self._server
+        environ = make_environ(
+            head, body, self._address, server.server_address, server.ssl_context
+        )
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         if not _is_request_id(request_id):
             request_id = uuid.uuid4().hex
         environ["oriolepaddle.request_id"] = request_id
         return Request(environ)
 
-    def _check_header_size(self) -> None:
-        # The buffered stream may hold more than the reader's limit, so the size of
-        # the parsed header is checked again.
-        size = len(self.raw_requestline)
-        size += sum(len(name) + len(value) + 4 for name, value in self.headers.items())
-        if size > self._limits.max_header_bytes:
-            raise MalformedRequestError(
-                f"the header is larger than {self._limits.max_header_bytes} bytes",
-                code=ErrorCode.HEADER_TOO_LARGE,
-            )
-
-    def _read_body(self, environ: dict[str, Any]) -> None:
-        stream = environ["wsgi.input"]
-        if environ.get("wsgi.input_terminated"):
-            body = self._read_chunked(stream)
-        else:
-            body = self._read_exactly(int(environ.get("CONTENT_LENGTH") or 0))
-        environ["wsgi.input"] = io.BytesIO(body)
-        environ["CONTENT_LENGTH"] = str(len(body))
-
-    def _read_exactly(self, length: int) -> bytes:
-        body = self.rfile.read(length)
-        if len(body) < length:
-            raise ConnectionResetError(
-                "the client disconnected before the end of the body"
-            )
-        return body
-
-    def _read_chunked(self, stream: io.RawIOBase) -> bytes:
-        max_bytes = self._limits.max_body_bytes
-        try:
-            body = stream.read(max_bytes + 1)
-        except OSError as error:
-            raise MalformedRequestError(f"invalid chunked body: {error}") from error
-        if len(body) > max_bytes:
-            raise MalformedRequestError(
-                f"the body is larger than {max_bytes} bytes",
-                code=ErrorCode.BODY_TOO_LARGE,
-            )
-        return body
-
-    def _check_framing(self, environ: dict[str, Any]) -> None:
-        length = environ.get("CONTENT_LENGTH")
-        coding = environ.get("HTTP_TRANSFER_ENCODING")
-        if length and coding:
-            raise MalformedRequestError(
-                "Content-Length and Transfer-Encoding are mutually exclusive"
-            )
-        if coding and coding.strip().lower() != "chunked":
-            raise MalformedRequestError("only the chunked transfer coding is supported")
-        if not length:
-            return
-        if not length.isascii() or not length.isdigit():
-            raise MalformedRequestError("Content-Length must be a number")
-        if int(length) > self._limits.max_body_bytes:
-            raise MalformedRequestError(
-                f"the body is larger than {self._limits.max_body_bytes} bytes",
-                code=ErrorCode.BODY_TOO_LARGE,
-            )
-
     def _respond_with_error(
         self, writer: AnswerWriter, error: OriolepaddleError, request_id: str
     ) -> None:
@@ -243,18 +189,11 @@
         while remaining_reads and self.connection.recv(65_536):
             remaining_reads -= 1
 
-    def send_error(self, code: int, *args: Any, **kwargs: Any) -> None:
-        """Do nothing: `_read_request` reports requests that the parser rejects."""
-
-    def log_request(self, *args: Any, **kwargs: Any) -> None:
-        """Do nothing: the application logs each request."""
-
-    def log_error(self, *args: Any, **kwargs: Any) -> None:
-        """Do nothing: errors are logged with their codes."""
-
 
 FIRST_REQUEST_GRACE = timedelta(seconds=1)
 FRAMING_ALLOWANCE_BYTES = 65_536
+"""Bytes of chunk sizes, extensions and trailers beside the body."""
+STREAM_BUFFER_BYTES = 16_384
 LINGER_TIMEOUT = timedelta(milliseconds=200)
 LINGER_MAX_READS = 200
 MAX_REQUEST_ID_LENGTH = 128
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -44,10 +44,11 @@
         limits: The limits of connections and requests.
         tls: The TLS context, or None for plain TCP.
         name: A name for threads and logs.
-    """
 
-    multithread = True
-    multiprocess = False
+    Attributes:
+        refused_connections: Connections that were refused as all threads were taken.
+        malformed_requests: Requests that could not be read.
+    """
 
     def __init__(
         self,
@@ -68,6 +69,7 @@
         self._is_stopping = False
         self._stop_signal = os.eventfd(0)
         self.refused_connections = 0
+        self.malformed_requests = 0
         self._listener = create_server((host, port), backlog=BACKLOG)
         self.server_address = self._listener.getsockname()
         self.port = self.server_address[1]
@@ -124,11 +126,6 @@
             with contextlib.suppress(OSError):
                 connection.connection.shutdown(SHUT_RDWR)
 
-    def add(self, connection: HttpConnection) -> None:
-        """Register a connection that is being served."""
-        with self._lock:
-            self._connections.add(connection)
-
     def _accept(self) -> None:
         poller = select.poll()
         poller.register(self._listener, select.POLLIN)
@@ -194,7 +191,7 @@
         client = connection
         try:
             client = self._wrap_tls(connection)
-            _TrackedConnection(client, address, self)
+            self._serve_tracked(HttpConnection(client, address, self))
         except (OSError, ssl.SSLError) as error:
             logger.debug("connection of server {} failed: {}", self._name, error)
         finally:
@@ -207,21 +204,12 @@
         connection.settimeout(self.limits.header_timeout.total_seconds())
         return self.ssl_context.wrap_socket(connection, server_side=True)
 
-    def _remove(self, connection: HttpConnection) -> None:
-        with self._changed:
-            self._connections.discard(connection)
-            self._changed.notify_all()
-
-
-class _TrackedConnection(HttpConnection):
-    """A connection that is registered at its server while it is served."""
-
-    def setup(self) -> None:
-        """Wrap the socket and register the connection."""
-        super().setup()
-        self.server.add(self)
-
-    def finish(self) -> None:
-        """Remove the connection from the server and close its streams."""
-        self.server._remove(self)
-        super().finish()
+    def _serve_tracked(self, connection: HttpConnection) -> None:
+        with self._lock:
+            self._connections.add(connection)
+        try:
+            connection.serve()
+        finally:
+            with self._changed:
+                self._connections.discard(connection)
+                self._changed.notify_all()
--- a/oriolepaddle/web/tests/test_server.py
+++ b/oriolepaddle/web/tests/test_server.py
@@ -13,12 +13,14 @@
     def __init__(self):
         self.release = threading.Event()
         self.entered = threading.Event()
+        self.paths = []
 
     def handle(self, request, writer):
         if request.path == "/wait":
             self.entered.set()
             self.release.wait(10)
         body = request.get_data()
+        self.paths.append(request.environ["RAW_URI"])
         writer.answer(200, request.method.encode() + b" " + body, "text/plain")
 
 
@@ -116,6 +118,34 @@
         assert error["outcome"] == "not run"
         assert send(server, b"GET / HTTP/1.1\r\n\r\n")[0] == 200
 
+    # The rest of a refused request must not be served as the next one.
+    @pytest.mark.parametrize(
+        "line", [b"no header field\r\n", b"Content-Length : 40\r\n"]
+    )
+    def test_request_hidden_behind_a_malformed_line_is_not_served(self, server, line):
+        hidden = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nHost: x\r\n" + line
+        head += b"Content-Length: %d\r\n\r\n" % len(hidden)
+        with connect(server) as connection:
+            connection.sendall(head + hidden)
+            assert read_response(connection)[0] == 400
+            assert connection.recv(1000) == b""
+        assert server.application.paths == []
+        assert server.malformed_requests == 1
+
+    @pytest.mark.parametrize("target", ["//a//b", "/a/../b", "/%2e%2e/b"])
+    def test_target_is_not_normalised(self, server, target):
+        send(server, f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        assert server.application.paths == [target]
+
+    def test_chunked_body_with_extensions_and_a_trailer_is_served(self, server):
+        chunks = b"3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with connect(server) as connection:
+            for _ in range(2):
+                connection.sendall(head + chunks)
+                assert read_response(connection) == (200, b"POST abcde")
+
     def test_full_pool_refuses_new_connection(self):
         server = make_server(max_connections=1)
         with connect(server) as busy:
