Send the target to endpoints byte by byte

Cause: the target went to libcurl as a part of a URL, which it normalises: dot segments, plain and encoded, and %7e. Found on the related path: the own interface chose the route by the decoded path and encoded it anew, so that a%2Fb arrived as a/b.

Change: the target is set as the request's target; the URL has the address alone. The own interface matches and passes on the path as sent.

--- a/oriolepaddle/endpoints/request.py
+++ b/oriolepaddle/endpoints/request.py
@@ -29,7 +29,7 @@
     Attributes:
         id: Value of the `X-Request-Id` header; empty to send none.
         method: HTTP method.
-        path: Path with the query.
+        path: Path with the query, sent as it is.
         headers: Header fields, without the caller's key.
         body: Request body.
         is_idempotent: Whether the request may be sent to the endpoint twice.
--- a/oriolepaddle/endpoints/tests/test_transport.py
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -107,6 +107,34 @@
     engine.close()
 
 
+class TestTarget:
+    # An endpoint must run the path that selected the route.
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "/order/lodi/../cremona/7",
+            "/read/../order/7",
+            "/a/./b",
+            "/a/%2e%2e/b",
+            "/a/%2E/b",
+            "/..",
+            "//a//b",
+            "/a?",
+            "/a?b=/../c",
+            "/a%2Fb;c=d",
+            "/%7euser/~user",
+            '/a|b\\c"',
+        ],
+    )
+    @pytest.mark.parametrize("method", ["GET", "HEAD", "POST", "DELETE"])
+    def test_is_sent_byte_by_byte(self, transport, clock, path, method):
+        server = DroppingServer()
+        request = make_request(clock, method=method, path=path, body=b"")
+        transport.run(server.address, request, CollectingSink())
+        line = server.requests[0].partition(b"\r\n")[0]
+        assert line == f"{method} {path} HTTP/1.1".encode()
+
+
 class TestEndpointTransport:
     def test_streams_whole_answer(self, transport, engine, clock):
         sink = CollectingSink()
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -90,7 +90,9 @@
     def _set_options(
         self, handle: pycurl.Curl, address: str, request: EndpointRequest
     ) -> None:
-        handle.setopt(pycurl.URL, f"http://{address}{request.path}")
+        handle.setopt(pycurl.URL, f"http://{address}/")
+        # libcurl would normalise the path of a URL.
+        handle.setopt(pycurl.REQUEST_TARGET, request.path)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.FOLLOWLOCATION, 0)
--- a/oriolepaddle/gateway/keys.py
+++ b/oriolepaddle/gateway/keys.py
@@ -35,14 +35,22 @@
 
 
 def scrub_query(query: str, key: str | None) -> str:
-    """Return a query string without the parameters that contain a key."""
-    pairs = parse_qsl(query, keep_blank_values=True)
+    """Return a query string without the parameters that contain a key.
+
+    Args:
+        query: The query with its question mark, or nothing. It is returned as it is
+            if it has no such parameter.
+        key: The key that the caller presented, or None.
+    """
+    pairs = parse_qsl(query.removeprefix("?"), keep_blank_values=True)
     remaining = [
         (name, value)
         for name, value in pairs
         if name.lower() not in KEY_NAMES and not (key and key in name + value)
     ]
-    return query if remaining == pairs else urlencode(remaining)
+    if remaining == pairs:
+        return query
+    return f"?{urlencode(remaining)}" if remaining else ""
 
 
 def scrub_body(body: bytes, key: str | None) -> bytes:
--- a/oriolepaddle/gateway/parser.py
+++ b/oriolepaddle/gateway/parser.py
@@ -2,7 +2,7 @@
 
 import json
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import unquote, urlsplit, urlunsplit
 
 from werkzeug.wrappers import Request
 
@@ -76,13 +76,14 @@
         body = request.get_data()
         forwarded = self._signer.check(request, body)
         document = None
-        if request.path in COMPLETION_PATHS:
+        path = _read_target(request)[0]
+        if path in COMPLETION_PATHS:
             document = _parse_document(request, body)
             route = self._find_route(document["model"], RouteKind.MODEL)
-        elif request.path == ORDERS_PATH:
+        elif path == ORDERS_PATH:
             route = self._find_route(_read_order_route(body), RouteKind.SERVICE)
         else:
-            route = self._find_route(find_service(request.path), RouteKind.SERVICE)
+            route = self._find_route(find_service(path), RouteKind.SERVICE)
         presented_key = find_presented_key(request)
         caller = self._authenticate(route, presented_key, forwarded)
         if not route.open:
@@ -120,7 +121,10 @@
         forwarded: ForwardedRequest | None,
     ) -> CallerRequest:
         prompt = _read_prompt(document) if document is not None else ""
-        query = (request, route, presented_key)
+        path, query = _read_target(request)
+        if not route.open:
+            _check_path(path, presented_key)
+            query = scrub_query(query, presented_key)
         is_safe = request.method in _SAFE_METHODS
         deadline_s = route.deadline_s
         if forwarded is not None:
@@ -128,8 +132,8 @@
         return CallerRequest(
             id=request.environ["oriolepaddle.request_id"],
             method=request.method,
-            path=_make_path(_strip_service_prefix(request.path, route), *query),
-            caller_path=_make_path(request.path, *query),
+            path=_strip_service_prefix(path, route) + query,
+            caller_path=path + query,
             headers=_select_headers(request, route),
             body=body,
             route=route,
@@ -239,16 +243,18 @@
     return "/" + path[len(SERVICE_PREFIX) :].partition("/")[2]
 
 
-def _make_path(
-    path: str, request: Request, route: Route, presented_key: str | None
-) -> str:
-    if presented_key and presented_key in path and not route.open:
+def _read_target(request: Request) -> tuple[str, str]:
+    """Return the path and the query with its question mark, both as sent."""
+    target = request.environ["REQUEST_URI"]
+    if not target.startswith("/"):
+        target = urlunsplit(("", "", *urlsplit(target)[2:]))
+    path, mark, query = target.partition("?")
+    return path, mark + query
+
+
+def _check_path(path: str, presented_key: str | None) -> None:
+    if presented_key and presented_key in unquote(path):
         raise MalformedRequestError("the path contains the API key")
-    query = request.query_string.decode("latin-1")
-    if not route.open:
-        query = scrub_query(query, presented_key)
-    path = quote(path, safe="/:@!$&'()*+,;=-._~")
-    return f"{path}?{query}" if query else path
 
 
 def _select_headers(request: Request, route: Route) -> tuple[tuple[str, str], ...]:
--- a/oriolepaddle/gateway/tests/test_keys.py
+++ b/oriolepaddle/gateway/tests/test_keys.py
@@ -61,6 +61,7 @@
         [
             {"data": make_chat(messages=[{"role": "user", "content": f"is {KEY} it"}])},
             {"path": f"/services/visit-desk/{KEY}"},
+            {"path": f"/services/visit-desk/%6B{KEY[1:]}"},
             {"path": "/services/visit-desk/x", "data": f"plain {KEY}".encode()},
         ],
     )
--- a/oriolepaddle/gateway/tests/test_parser.py
+++ b/oriolepaddle/gateway/tests/test_parser.py
@@ -48,6 +48,25 @@
         assert parsed.is_idempotent
         assert parsed.prompt_tokens > 0
 
+    # An endpoint must run the path that the caller sent.
+    @pytest.mark.parametrize(
+        "path",
+        ["/a/../b", "/a%2Fb", "/%2e%2e/b", "/a%20b", "//a", "/a;b=c?", "/a?b=%2F&&c"],
+    )
+    def test_path_of_a_service_is_kept_as_sent(self, parser, path):
+        target = "/services/visit-desk" + path
+        parsed = parser.parse(make_request("GET", target, headers=BEARER))
+        assert parsed.path == path
+        assert parsed.caller_path == target
+
+    @pytest.mark.parametrize(
+        "target", ["/v1/chat%2Fcompletions", "/services%2Fvisit-desk/a", "//services/x"]
+    )
+    def test_path_selects_the_route_as_sent(self, parser, target):
+        with pytest.raises(OriolepaddleError) as raised:
+            parser.parse(make_request(path=target, data=make_chat(), headers=BEARER))
+        assert raised.value.code is ErrorCode.ROUTE_UNKNOWN
+
     @pytest.mark.parametrize("body", INVALID_BODIES)
     def test_invalid_body_is_refused_as_not_run(self, parser, body):
         with pytest.raises(OriolepaddleError) as caught:
