Send names beyond ASCII and fields without a value to endpoints

What callers saw: with an organisation's name or an endpoint's id beyond ASCII every request ended in an internal error, as libcurl's binding encodes text as ASCII; a header field without a value was not passed on, as libcurl leaves such a field out. Fields are written as bytes in UTF-8, and empty ones in the form that libcurl sends.

--- a/oriolepaddle/endpoints/tests/test_transport.py
+++ b/oriolepaddle/endpoints/tests/test_transport.py
@@ -135,6 +135,20 @@
         assert line == f"{method} {path} HTTP/1.1".encode()
 
 
+class TestHeaderFields:
+    # An organisation's name need not be ASCII, and a field need not have a value.
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [("Þórshöfn", "X-Field: Þórshöfn"), ("", "X-Field:"), ("a b", "X-Field: a b")],
+    )
+    def test_are_sent(self, transport, clock, value, expected):
+        server = DroppingServer()
+        request = make_request(clock, headers=(("X-Field", value),))
+        transport.run(server.address, request, CollectingSink())
+        lines = [line.strip() for line in server.requests[0].split(b"\r\n")]
+        assert expected.encode() in lines
+
+
 class TestEndpointTransport:
     def test_streams_whole_answer(self, transport, engine, clock):
         sink = CollectingSink()
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -114,12 +114,17 @@
             handle.setopt(pycurl.POSTFIELDSIZE, len(request.body))
             handle.setopt(pycurl.POSTFIELDS, request.body)
             handle.setopt(pycurl.CUSTOMREQUEST, request.method)
-        headers = [f"{name}: {value}" for name, value in request.headers]
+        headers = [_write_field(name, value) for name, value in request.headers]
         if request.id:
-            headers.append(f"X-Request-Id: {request.id}")
-        headers.append("Expect:")
+            headers.append(_write_field("X-Request-Id", request.id))
+        headers.append(b"Expect:")
         handle.setopt(pycurl.HTTPHEADER, headers)
 
 
+def _write_field(name: str, value: str) -> bytes:
+    # libcurl takes a field with nothing after its colon as one to leave out.
+    return f"{name}: {value}".encode() if value.strip() else f"{name};".encode()
+
+
 def _to_ms(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
