Deliver signals on a thread of their own, caught before the modules are loaded

A SIGHUP in the first 0.6 s ended a process.

Cause: the interpreter runs a handler on the main thread, between two instructions. The main thread sleeps without a limit; a signal that comes after its last instruction, or that the kernel gives to another thread, leaves the handler pending. Shown at will: with SIGTERM at another thread, a process that sleeps on an event does not end (5 s; it ends at the next signal). The handler was installed after the modules were loaded.

Change: the interpreter also writes each signal to a pipe at once. It is set up before the modules are loaded, and a thread reads from it and sets the event. serve, serve-edge and the stand-ins have it; SIGHUP no longer ends serve. Handlers do nothing any more, so none runs inside a lock of the main thread.

Failed before: 2 of TestStart (the process had no handler yet; SIGHUP ended it).

--- a/oriolepaddle/daemon/tests/test_imports.py
+++ b/oriolepaddle/daemon/tests/test_imports.py
@@ -1,7 +1,7 @@
 import subprocess
 import sys
 
-EDGE = "oriolepaddle.daemon.__main__, oriolepaddle.daemon.edge_instance"
+EDGE = "oriolepaddle.daemon.command, oriolepaddle.daemon.edge_instance"
 UNUSED_PACKAGES = (
     "admission",
     "commands",
--- a/oriolepaddle/settings/tests/test_settings.py
+++ b/oriolepaddle/settings/tests/test_settings.py
@@ -2,7 +2,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from oriolepaddle.daemon.__main__ import EXIT_SETTINGS, app
+from oriolepaddle.daemon.command import EXIT_SETTINGS, app
 from oriolepaddle.settings import Settings, find_problems
 from oriolepaddle.settings.seeds import parse_seeds
 
--- a/oriolepaddle/standins/__main__.py
+++ b/oriolepaddle/standins/__main__.py
@@ -1,11 +1,11 @@
 """Command line that runs a stand-in as a process."""
 
-import signal
 import threading
 from typing import Annotated
 
 import typer
 
+from oriolepaddle.process_signals import catch_signals
 from oriolepaddle.standins.engine import EngineStandin
 from oriolepaddle.standins.service import ServiceStandin
 
@@ -41,8 +41,7 @@
 
 def _serve(standin: EngineStandin | ServiceStandin) -> None:
     stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    catch_signals().deliver(lambda number: stopping.set())
     standin.start()
     print(f"listening on {standin.address}", flush=True)
     stopping.wait()
