Close idle connections to endpoints that are gone

What callers saw: each replaced endpoint left some 120 descriptors at an instance for good.

Cause: the pool dropped an expired handle only when its address was used again, which never happens for an endpoint that is gone; nothing bounded the sum. The class of fault: a resource is released by the next use of its key. On the related path, a listener without descriptors failed accept in a loop, logged each time, and a send without one blamed the endpoint as unreachable.

Change: expired handles of all addresses are closed once a round, in both interfaces; idle handles are bounded over all addresses. Above four fifths of the limit an instance closes its idle connections (descriptors_short). Without descriptors a listener closes idle connections and then refuses with 503 and Retry-After from a descriptor that it holds in reserve (descriptors_exhausted); sends close idle connections, then are refused as overloaded, not run. Gauges: descriptors, idle_endpoint_connections.

--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -16,6 +16,8 @@
     "peers_reachable": "Instances that were heard of late.",
     "requests_in_flight": "Requests being served.",
     "malformed_requests": "Requests that could not be read, so far.",
+    "descriptors": "Open descriptors of the process; -1 if they can't be counted.",
+    "idle_endpoint_connections": "Kept connections to endpoints and instances.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
 }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -11,6 +11,7 @@
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
+from oriolepaddle.daemon.descriptors import DescriptorWatch
 from oriolepaddle.daemon.edge_gauges import add_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.daemon.inspection_application import InspectionApplication
@@ -127,11 +128,16 @@
                 "malformed_requests": lambda: sum(
                     server.malformed_requests for server in self._servers
                 ),
+                "descriptors": lambda: self._descriptors.count(),
+                "idle_endpoint_connections": lambda: sum(
+                    transport.idle_count for transport in self._transports()
+                ),
                 "ready": self.is_ready,
                 "draining": lambda: self._drain.is_active,
             },
         )
         self._announcer = self._make_announcer()
+        self._descriptors = DescriptorWatch(clock, self._close_idle_connections)
         self._servers = self._make_servers()
 
     def start(self) -> None:
@@ -167,6 +173,15 @@
         self.context.placer.refresh_cold_shares()
         self.context.crashes.resolve_silent_runs(self.catalog.find_incarnation)
         self.permits.forget_lifted()
+        for transport in self._transports():
+            transport.close_expired()
+        self._descriptors.check()
+
+    def _transports(self) -> tuple[EndpointTransport, EndpointTransport]:
+        return self.context.transport, self.context.peer_transport
+
+    def _close_idle_connections(self) -> int:
+        return sum(transport.close_idle() for transport in self._transports())
 
     def _follows_store(self) -> bool:
         max_age_s = self._settings.max_catalog_age.total_seconds()
@@ -404,4 +419,5 @@
             self._clock,
             limits,
             name=name,
+            free_descriptors=self._close_idle_connections,
         )
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -1,6 +1,7 @@
 """One attempt of a request on one curl handle."""
 
 import threading
+from datetime import timedelta
 
 import pycurl
 
@@ -14,12 +15,17 @@
     EndpointFailedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    ErrorCode,
     OriolepaddleError,
     Outcome,
+    RefusedError,
 )
 
 __all__ = ["CurlExchange"]
 
+SHORTAGE_RETRY_AFTER = timedelta(seconds=1)
+_SHORTAGE_ERRORS = (pycurl.E_OUT_OF_MEMORY, pycurl.E_FAILED_INIT)
+"""Errors of a handle that gets no descriptors for its own pipes."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
 _END_OF_HEAD = (b"\r\n", b"\n")
@@ -173,6 +179,13 @@
         if self._error is not None:
             return self._error
         if not self._is_sent:
+            if self._handle.has_no_descriptor or number in _SHORTAGE_ERRORS:
+                # The endpoint may be sound, and others would fail as well.
+                return RefusedError(
+                    f"no descriptor is free for a connection: {text}",
+                    code=ErrorCode.OVERLOADED,
+                    retry_after=SHORTAGE_RETRY_AFTER,
+                )
             return EndpointUnreachableError(f"connection failed: {text}")
         if number == pycurl.E_OPERATION_TIMEDOUT:
             return EndpointDeadlineError(text)
--- a/oriolepaddle/endpoints/handles.py
+++ b/oriolepaddle/endpoints/handles.py
@@ -1,9 +1,11 @@
 """Pool of curl handles with their open connections."""
 
 import contextlib
+import errno
 import socket
 import threading
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -24,21 +26,34 @@
 may drop the state of an idle connection before the server's timeout."""
 
 
+MAX_IDLE_TOTAL = 1024
+"""Idle handles for all addresses together; each holds up to four descriptors."""
+_SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
+
+
 class PooledHandle:
     """A curl handle and a reference to the socket of its connection.
 
     The reference lets another thread abort a transfer that blocks the thread of
     the handle.
 
+    Args:
+        free_descriptors: Called when the process has no descriptor left for a
+            connection; closes others that are idle.
+
     Attributes:
         curl: The curl handle.
         idle_since_s: Monotonic time at which the handle became idle.
         keep_alive_timeout_s: Idle timeout from the server's `Keep-Alive` header,
             or None if it sent none.
+        has_no_descriptor: Whether the last connection failed for want of a
+            descriptor.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, free_descriptors: Callable[[], object]) -> None:
         self.curl = pycurl.Curl()
+        self._free_descriptors = free_descriptors
+        self.has_no_descriptor = False
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s: float | None = None
         self._socket: socket.socket | None = None
@@ -46,6 +61,7 @@
     def prepare(self) -> None:
         """Reset the options and retain the connection."""
         self.curl.reset()
+        self.has_no_descriptor = False
         self.curl.setopt(pycurl.MAXCONNECTS, 1)
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
 
@@ -61,10 +77,20 @@
         self.curl.close()
         self._close_socket()
 
-    def _open_socket(self, purpose: int, address: Any) -> socket.socket:
+    def _open_socket(self, purpose: int, address: Any) -> socket.socket | int:
         self._close_socket()
-        self._socket = socket.socket(address.family, address.socktype, address.protocol)
-        return self._socket
+        for _ in range(2):
+            try:
+                self._socket = socket.socket(
+                    address.family, address.socktype, address.protocol
+                )
+                return self._socket
+            except OSError as error:
+                if error.errno not in _SHORTAGE_ERRORS:
+                    raise
+                self._free_descriptors()
+        self.has_no_descriptor = True
+        return pycurl.SOCKET_BAD
 
     def _close_socket(self) -> None:
         if self._socket is not None:
@@ -80,14 +106,21 @@
         max_connection_idle: Idle time after which a handle is not reused, since a
             middlebox on the path may have dropped the state of its connection.
         max_idle_handles: Maximum number of idle handles for one address.
+        max_idle_total: Maximum number of idle handles for all addresses.
     """
 
     def __init__(
-        self, clock: Clock, max_connection_idle: timedelta, max_idle_handles: int = 64
+        self,
+        clock: Clock,
+        max_connection_idle: timedelta,
+        max_idle_handles: int = 64,
+        max_idle_total: int = MAX_IDLE_TOTAL,
     ) -> None:
         self._clock = clock
         self._max_connection_idle_s = max_connection_idle.total_seconds()
         self._max_idle_handles = max_idle_handles
+        self._max_idle_total = max_idle_total
+        self._idle_count = 0
         self._lock = threading.Lock()
         self._idle: dict[str, deque[PooledHandle]] = {}
 
@@ -109,8 +142,10 @@
                 not reuse_only_if_surely_open or self._is_surely_open(idle[-1])
             ):
                 handle = idle.pop()
+                self._idle_count -= 1
+            self._forget_if_empty(address)
         _close_all(expired)
-        handle = handle or PooledHandle()
+        handle = handle or PooledHandle(self.close_all)
         handle.prepare()
         return handle
 
@@ -129,27 +164,70 @@
         with self._lock:
             idle = self._idle.setdefault(address, deque())
             idle.append(handle)
-            surplus = [idle.popleft()] if len(idle) > self._max_idle_handles else []
-            surplus += self._remove_expired(address)
+            self._idle_count += 1
+            surplus = self._remove_expired(address)
+            if len(idle) > self._max_idle_handles:
+                surplus.append(self._remove_oldest(address))
+            elif self._idle_count > self._max_idle_total:
+                surplus.append(self._remove_oldest(self._find_oldest_address()))
         _close_all(surplus)
 
-    def close_idle_except(self, addresses: set[str]) -> None:
-        """Close the idle handles of all addresses but these."""
+    @property
+    def idle_count(self) -> int:
+        """The number of idle handles."""
+        return self._idle_count
+
+    @property
+    def address_count(self) -> int:
+        """The number of addresses with idle handles."""
+        return len(self._idle)
+
+    def close_expired(self) -> int:
+        """Close the handles of all addresses that are idle for too long.
+
+        Handles of an address that is used no more would stay open otherwise.
+
+        Returns:
+            The number of handles that were closed.
+        """
+        with self._lock:
+            handles = []
+            for address in list(self._idle):
+                handles += self._remove_expired(address)
+                self._forget_if_empty(address)
+        _close_all(handles)
+        return len(handles)
+
+    def close_all(self) -> int:
+        """Close all idle handles; return their number."""
         with self._lock:
-            unused = [address for address in self._idle if address not in addresses]
-            handles = [
-                handle for address in unused for handle in self._idle.pop(address)
-            ]
+            handles = [handle for idle in self._idle.values() for handle in idle]
+            self._idle.clear()
+            self._idle_count = 0
         _close_all(handles)
+        return len(handles)
 
     def _remove_expired(self, address: str) -> list[PooledHandle]:
         idle = self._idle.get(address, deque())
         min_idle_since_s = self._clock.monotonic_s() - self._max_connection_idle_s
         expired = []
         while idle and idle[0].idle_since_s < min_idle_since_s:
-            expired.append(idle.popleft())
+            expired.append(self._remove_oldest(address))
         return expired
 
+    def _remove_oldest(self, address: str) -> PooledHandle:
+        handle = self._idle[address].popleft()
+        self._idle_count -= 1
+        self._forget_if_empty(address)
+        return handle
+
+    def _find_oldest_address(self) -> str:
+        return min(self._idle, key=lambda address: self._idle[address][0].idle_since_s)
+
+    def _forget_if_empty(self, address: str) -> None:
+        if not self._idle.get(address, True):
+            del self._idle[address]
+
 
 def _close_all(handles: list[PooledHandle]) -> None:
     for handle in handles:
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -81,11 +81,20 @@
     def close(self) -> None:
         """Stop the watchdog and close the idle connections."""
         self._watchdog.close()
-        self._handles.close_idle_except(set())
+        self._handles.close_all()
 
-    def close_idle_except(self, addresses: set[str]) -> None:
-        """Close the idle connections to all addresses but these."""
-        self._handles.close_idle_except(addresses)
+    @property
+    def idle_count(self) -> int:
+        """The number of idle connections."""
+        return self._handles.idle_count
+
+    def close_expired(self) -> int:
+        """Close the connections that are idle for too long; return their number."""
+        return self._handles.close_expired()
+
+    def close_idle(self) -> int:
+        """Close all idle connections; return their number."""
+        return self._handles.close_all()
 
     def _set_options(
         self, handle: pycurl.Curl, address: str, request: EndpointRequest
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -1,10 +1,12 @@
 """An HTTP server with a bounded pool of threads."""
 
 import contextlib
+import errno
 import os
 import select
 import ssl
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from socket import SHUT_RDWR, create_server, socket
@@ -13,9 +15,11 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
+from oriolepaddle.logs import log_event
 from oriolepaddle.web.application import Application
 from oriolepaddle.web.connection import HttpConnection
 from oriolepaddle.web.limits import ServerLimits
+from oriolepaddle.web.spare_descriptor import SpareDescriptor
 from oriolepaddle.web.syn_filter import drop_new_connections
 from oriolepaddle.web.writer import AnswerWriter
 
@@ -27,6 +31,11 @@
 CLOSE_GRACE = timedelta(seconds=1.5)
 REFUSAL_TIMEOUT = timedelta(milliseconds=50)
 REFUSAL_ATTEMPTS = 4
+SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE)
+SHORTAGE_CLOSE_COUNT = 16
+"""Idle connections that are closed for one that finds no descriptor."""
+SHORTAGE_PAUSE = timedelta(milliseconds=10)
+SHORTAGE_LOG_INTERVAL = timedelta(seconds=1)
 
 
 class HttpServer:
@@ -44,6 +53,8 @@
         limits: The limits of connections and requests.
         tls: The TLS context, or None for plain TCP.
         name: A name for threads and logs.
+        free_descriptors: Closes idle connections to other servers when no descriptor
+            is left for one of a client; returns their number.
 
     Attributes:
         refused_connections: Connections that were refused as all threads were taken.
@@ -59,6 +70,7 @@
         limits: ServerLimits | None = None,
         tls: ssl.SSLContext | None = None,
         name: str = "http",
+        free_descriptors: Callable[[], int] = lambda: 0,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -74,6 +86,9 @@
         self.server_address = self._listener.getsockname()
         self.port = self.server_address[1]
         self._name = name
+        self._free_descriptors = free_descriptors
+        self._spare = SpareDescriptor()
+        self._next_shortage_log_s = float("-inf")
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
         self._free_threads = threading.Semaphore(self.limits.max_connections)
         self._lock = threading.Lock()
@@ -117,6 +132,7 @@
         self.is_closed = True
         self.drop_connections()
         self._executor.shutdown(wait=True)
+        self._spare.give()
 
     def drop_connections(self) -> None:
         """Shut down every open connection; the listener stays open."""
@@ -145,13 +161,43 @@
         try:
             connection, address = self._listener.accept()
         except OSError as error:
-            logger.warning("{} cannot accept a connection: {}", self._name, error)
+            if error.errno in SHORTAGE_ERRORS:
+                self._bear_shortage()
+            else:
+                logger.warning("{} cannot accept a connection: {}", self._name, error)
             return
         if self._reserve_thread():
             self._executor.submit(self._serve, connection, address)
         else:
             self._refuse(connection)
 
+    def _bear_shortage(self) -> None:
+        """Free descriptors for the connection that waits, or refuse it."""
+        self._log_shortage()
+        if self._free_descriptors() + self._close_idle(SHORTAGE_CLOSE_COUNT):
+            # The threads of the closed connections release their descriptors now.
+            self.clock.wait(threading.Event(), SHORTAGE_PAUSE)
+            return
+        if self._spare.give():
+            self._refuse_waiting()
+        else:
+            self.clock.wait(threading.Event(), SHORTAGE_PAUSE)
+        self._spare.take()
+
+    def _refuse_waiting(self) -> None:
+        try:
+            connection, _ = self._listener.accept()
+        except OSError as error:
+            logger.debug("{} can't refuse a connection: {}", self._name, error)
+            return
+        self._refuse(connection)
+
+    def _log_shortage(self) -> None:
+        now_s = self.clock.monotonic_s()
+        if now_s >= self._next_shortage_log_s:
+            self._next_shortage_log_s = now_s + SHORTAGE_LOG_INTERVAL.total_seconds()
+            log_event("descriptors_exhausted", listener=self._name)
+
     def _reserve_thread(self) -> bool:
         if self._free_threads.acquire(blocking=False):
             return True
