Bound the bodies that a process holds, and apply the published limits

Bodies above 4,000,000 bytes got 413 whatever the configuration says.

Cause: 8 MB were buffered for each response, 4 MB for each request's body, and nothing bounded the sum. The published limits were decoded and not applied.

A body may grow while as many bytes as it holds remain free, so that small ones find room beside any number of endless ones. A response without room is relayed as it arrives where the request may run only once, or the response has a length; otherwise the attempt ends. A request's body without room is refused with 503, not run. Both interfaces have it. The published limits are applied to callers and forwarded requests, and checked.

--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -18,6 +18,8 @@
     "malformed_requests": "Requests that could not be read, so far.",
     "descriptors": "Open descriptors of the process; -1 if they can't be counted.",
     "idle_endpoint_connections": "Kept connections to endpoints and instances.",
+    "buffered_bytes": "Bytes of bodies held in memory.",
+    "buffers_refused": "Bodies or parts that found no memory, so far.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
 }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -5,8 +5,11 @@
 import threading
 from datetime import timedelta
 
+import attrs
+
 from oriolepaddle.addresses import split_address
-from oriolepaddle.catalog import Catalog, CatalogFollower
+from oriolepaddle.buffers import make_budget
+from oriolepaddle.catalog import CallerLimits, Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.crashes import CrashRegister
@@ -62,6 +65,7 @@
 """An instance that is no hub reads the store itself once its catalog is older than this
 fraction of the age above which it no longer trusts keys. Hubs distribute a new catalog
 within about two seconds."""
+FORWARDING_HEADER_BYTES = 4096
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 MIN_DRAIN_TIME = timedelta(seconds=4)
 """Callers cache a resolved address for some seconds and are served until then."""
@@ -82,6 +86,7 @@
         self._generator = random.Random(secrets.randbits(64))
         self._started_s = clock.monotonic_s()
         self._was_ready = False
+        self._limits: CallerLimits | None = None
         self.drain_requested = threading.Event()
         regions = parse_regions(settings.regions)
         own = EntryInstance(
@@ -115,6 +120,7 @@
             timedelta(seconds=settings.max_endpoint_pause_s),
             self.metrics.count_signal_event,
         )
+        self.buffers = make_budget(settings.memory_mb)
         self.context = self._make_context()
         add_gauges(
             self.metrics,
@@ -132,6 +138,8 @@
                 "idle_endpoint_connections": lambda: sum(
                     transport.idle_count for transport in self._transports()
                 ),
+                "buffered_bytes": lambda: self.buffers.used_bytes,
+                "buffers_refused": lambda: self.buffers.refused,
                 "ready": self.is_ready,
                 "draining": lambda: self._drain.is_active,
             },
@@ -176,6 +184,21 @@
         for transport in self._transports():
             transport.close_expired()
         self._descriptors.check()
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        document = self.catalog.document
+        if document is None or document.limits is self._limits:
+            return
+        self._limits = document.limits
+        callers, _, peers, *_ = self._servers
+        callers.limits = attrs.evolve(callers.limits, **attrs.asdict(self._limits))
+        # Forwarded requests have the fields of the instances that forwarded them.
+        peers.limits = attrs.evolve(
+            peers.limits,
+            max_header_bytes=self._limits.max_header_bytes + FORWARDING_HEADER_BYTES,
+            max_body_bytes=self._limits.max_body_bytes,
+        )
 
     def _transports(self) -> tuple[EndpointTransport, EndpointTransport]:
         return self.context.transport, self.context.peer_transport
@@ -321,6 +344,7 @@
             count_instances=roster.count_region,
             drain=self._drain,
             generator=self._generator,
+            buffers=self.buffers,
         )
 
     def _find_share(self) -> float:
@@ -420,4 +444,5 @@
             limits,
             name=name,
             free_descriptors=self._close_idle_connections,
+            buffers=self.buffers,
         )
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from oriolepaddle.addresses import split_address
+from oriolepaddle.buffers import make_budget
 from oriolepaddle.clock import Clock
 from oriolepaddle.peers import PeerIdentity, PeerServer
 from oriolepaddle.publication import Instance
@@ -27,12 +28,16 @@
         settings: Addresses, limits and TLS files.
         clock: The clock of the limits.
         identity: This instance in its current incarnation.
+
+    Attributes:
+        buffers: Bounds the bodies that the process holds.
     """
 
     def __init__(
         self, settings: Settings, clock: Clock, identity: PeerIdentity
     ) -> None:
         self._settings = settings
+        self.buffers = make_budget(settings.memory_mb)
         limits = make_server_limits(settings)
         host, port = split_address(settings.caller_address)
         self.callers = HttpServer(
@@ -43,6 +48,7 @@
             limits,
             _make_tls(settings.caller_tls_certificate, settings.caller_tls_key),
             name="caller",
+            buffers=self.buffers,
         )
         host, port = split_address(settings.operator_address)
         self.operators = HttpServer(
--- a/oriolepaddle/daemon/serving.py
+++ b/oriolepaddle/daemon/serving.py
@@ -75,6 +75,7 @@
             lambda route: self.admissions.estimated_wait_s(route),
         )
         self.admissions = RouteAdmissions(clock, self.router, Aim(settings.aim))
+        self._buffers = listeners.buffers
         self.context = self._make_context(generator)
         self.runner = GatewayOrderRunner(self.context, fleet.config)
         self.orders = OrderComponents(settings, clock, fleet, listeners, self.runner)
@@ -113,6 +114,7 @@
             activity=Activity(clock),
             metrics=self.metrics,
             stall_timeout_s=settings.stall_timeout_s,
+            buffers=self._buffers,
         )
 
     def _make_application(self) -> CallerApplication:
--- a/oriolepaddle/daemon/tests/test_edge.py
+++ b/oriolepaddle/daemon/tests/test_edge.py
@@ -244,6 +244,25 @@
         fleet.store.mode = StoreMode.SERVING
         await_true(lambda: fleet.request("n1", "/read/1")[0] == 200)
 
+    @pytest.mark.parametrize(
+        ("limits", "size", "expected"),
+        [
+            ({"maxBodyBytes": 2000}, 2001, 413),
+            ({"maxBodyBytes": 2000}, 2000, 200),
+            ({"maxBodyBytes": 4_194_304}, 4_194_304, 200),
+            ({"maxHeaderBytes": 100}, 10, 431),
+        ],
+    )
+    def test_published_limits_are_applied(self, single, limits, size, expected):
+        single.publish(make_document(2, limits=limits))
+        await_true(lambda: single.instances["n1"].catalog.version == 2)
+        body = b"x" * size
+        await_true(
+            lambda: (
+                single.request("n1", "/read/1", method="POST", body=body)[0] == expected
+            )
+        )
+
     def test_survives_lost_history(self, single):
         single.store.forget_history()
         single.publish(make_document(3, routes=[]))
--- a/oriolepaddle/edge/answer.py
+++ b/oriolepaddle/edge/answer.py
@@ -35,6 +35,7 @@
         is_stream: Whether the body is an event stream.
         load: The numbers of running and waiting requests at the endpoint, or None.
         signals: What the endpoint says of itself.
+        length: The length of the body in bytes, or None if it was not declared.
     """
 
     kind: AnswerKind
@@ -43,6 +44,7 @@
     is_stream: bool = False
     load: tuple[int, int] | None = None
     signals: EndpointSignals = EndpointSignals()
+    length: int | None = None
 
     @property
     def is_of_endpoint(self) -> bool:
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.clock import Clock
 from oriolepaddle.crashes import CrashRegister
@@ -52,6 +53,7 @@
         count_instances: Returns the number of instances of this region.
         drain: Decides what is still served while this instance shuts down.
         generator: The source of randomness for retry delays.
+        buffers: Bounds the bytes that requests hold in memory.
     """
 
     clock: Clock
@@ -75,3 +77,4 @@
     count_instances: Callable[[], int]
     drain: Drain
     generator: random.Random
+    buffers: BufferBudget
--- a/oriolepaddle/edge/event_splitter.py
+++ b/oriolepaddle/edge/event_splitter.py
@@ -50,6 +50,11 @@
             self.last_id = ids[-1].decode("latin-1").strip()
         return complete
 
+    @property
+    def partial_bytes(self) -> int:
+        """The size of the incomplete event."""
+        return len(self._partial_event)
+
     @property
     def is_between_events(self) -> bool:
         """Whether no part of a further event is buffered."""
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -93,10 +93,15 @@
         organisation = admitted.organisation
         # For a forwarded request, the instance that received it from the caller
         # has reserved the tokens.
-        if organisation is None or not organisation.is_limited or self._request.hops:
-            self._run_attempts()
-        else:
-            self._run_reserved(organisation)
+        is_unlimited = organisation is None or not organisation.is_limited
+        try:
+            if is_unlimited or self._request.hops:
+                self._run_attempts()
+            else:
+                self._run_reserved(organisation)
+        finally:
+            if self._progress.failed_answer is not None:
+                self._progress.failed_answer.discard()
 
     def _retry_during_startup(self, action: Callable[[], T]) -> T:
         request = self._request
@@ -218,7 +223,7 @@
             raise
         finally:
             run.end()
-            self._progress.count_attempt(sink)
+            self._end_attempt(sink)
 
     def _complete(self, sink: EdgeSink) -> None:
         progress = self._progress
@@ -261,7 +266,12 @@
             self._record_failure(None, sink, error)
             raise
         finally:
-            progress.count_attempt(sink)
+            self._end_attempt(sink)
+
+    def _end_attempt(self, sink: EdgeSink) -> None:
+        self._progress.count_attempt(sink)
+        if sink is not self._progress.failed_answer:
+            sink.discard()
 
     def _make_request(
         self, headers: Headers, reuse: ConnectionReuse
@@ -309,6 +319,8 @@
             _read_answer,
             lambda: self._recheck(endpoint),
             _on_first_byte,
+            self._context.buffers,
+            self._may_relay_early,
         )
         if run is None:
             sink.set_callbacks(lambda: None, self._check_drain, lambda: None)
@@ -320,6 +332,15 @@
             )
         return sink
 
+    def _may_relay_early(self, answer: EndpointAnswer) -> bool:
+        """Return whether a response may go to the caller before it is complete."""
+        rule = self._admitted.route.repeat_rule
+        if rule is RepeatRule.ONCE:
+            return True
+        # Another endpoint may answer a request that can be repeated, unless this body
+        # is merely large.
+        return rule is RepeatRule.IDEMPOTENT and answer.length is not None
+
     def _check_drain(self) -> None:
         """End an attempt that would be cut off by the exit of the process.
 
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from oriolepaddle.buffers import BodyBuffer, BufferBudget
 from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.errors import (
@@ -16,7 +17,10 @@
 
 __all__ = ["EdgeSink"]
 
-MAX_BUFFERED_BYTES = 8_000_000
+MAX_BODY_BYTES = 8_000_000
+"""The largest body that is relayed, other than an event stream."""
+MIN_COUNTED_BYTES = 4096
+"""Size of an incomplete event from which it counts against the budget."""
 _OUTCOME_FIELD = "x-request-outcome"
 
 
@@ -24,7 +28,8 @@
     """An `AnswerSink` for one attempt.
 
     Events are relayed as soon as they are complete. Any other body is buffered until
-    it is complete, so that a truncated one is never relayed.
+    it is complete, so that a truncated one is never relayed, unless the process has no
+    memory left for it. Then it is relayed as it arrives, or the attempt ends.
 
     Args:
         writer: Writes the response to the caller.
@@ -32,6 +37,9 @@
         read_answer: Decodes the status and headers.
         recheck: Raises an error if the request may no longer be sent.
         on_first_byte: Called at the first byte of the body.
+        budget: Bounds the bytes that are buffered.
+        may_relay_early: Whether a body that can't be buffered may be relayed before it
+            is complete, after which the request can't be repeated.
 
     Attributes:
         answer: The status and headers, or None before they are received.
@@ -46,6 +54,8 @@
         read_answer: Callable[[int, tuple[tuple[str, str], ...]], EndpointAnswer],
         recheck: Callable[[], None],
         on_first_byte: Callable[[], None],
+        budget: BufferBudget,
+        may_relay_early: Callable[[EndpointAnswer], bool] = lambda answer: False,
     ) -> None:
         self._writer = writer
         self._splitter = splitter
@@ -56,7 +66,10 @@
         self._check_progress: Callable[[], None] = lambda: None
         self._on_first_event: Callable[[], None] = lambda: None
         self._has_body_data = False
-        self._buffer = bytearray()
+        self._buffer = BodyBuffer(budget)
+        self._may_relay_early = may_relay_early
+        self._body_bytes = 0
+        self._is_relaying = False
         self._is_event_stream = False
         self.answer: EndpointAnswer | None = None
         self.is_sent = False
@@ -114,12 +127,11 @@
             self._has_body_data = True
             self._on_first_byte()
         if not self._is_event_stream:
-            self._buffer += data
-            if len(self._buffer) > MAX_BUFFERED_BYTES:
-                raise AnswerTruncatedError("the response is too large to be buffered")
+            self._take_body(data)
             return
         earlier_events = self._splitter.events
         complete_events = self._splitter.feed(data)
+        self._count_partial_event()
         if complete_events and not self.events:
             self._on_first_event()
         self.events += self._splitter.events - earlier_events
@@ -150,16 +162,50 @@
             return
         if self.answer.is_success:
             self._on_first_event()
-        self._writer.start(self.answer.status, self.answer.headers, len(self._buffer))
-        self._writer.write(bytes(self._buffer))
+        if not self._is_relaying:
+            self._relay_buffer(len(self._buffer))
         self._writer.finish()
 
+    def discard(self) -> None:
+        """Drop what is buffered; the response can't be completed any more."""
+        self._buffer.discard()
+
+    def _take_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_BODY_BYTES:
+            raise AnswerTruncatedError(
+                f"the response is larger than {MAX_BODY_BYTES} bytes"
+            )
+        if not self._is_relaying and self._buffer.append(data):
+            return
+        if not self._is_relaying:
+            if not self._may_relay_early(self.answer):
+                raise _make_memory_error()
+            self._is_relaying = True
+            self._relay_buffer(self.answer.length)
+        self._writer.write(data)
+
+    def _relay_buffer(self, length: int | None) -> None:
+        self._writer.start(self.answer.status, self.answer.headers, length)
+        self._writer.write(self._buffer.data)
+        self._buffer.discard()
+
+    def _count_partial_event(self) -> None:
+        size = self._splitter.partial_bytes
+        counted = size if size >= MIN_COUNTED_BYTES else 0
+        if not self._buffer.hold(counted):
+            raise _make_memory_error()
+
     def _write(self, data: bytes) -> None:
         if not self._writer.is_started and self.answer is not None:
             self._writer.start(self.answer.status, self.answer.headers)
         self._writer.write(data)
 
 
+def _make_memory_error() -> AnswerTruncatedError:
+    return AnswerTruncatedError("no memory is left to buffer the response")
+
+
 def _check_peer_refusal(status: int, headers: tuple[tuple[str, str], ...]) -> None:
     # Only other instances send this header field, never endpoints.
     for name, value in headers:
--- a/oriolepaddle/endpoints/tests/test_endless.py
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
 from oriolepaddle.edge.event_splitter import EventSplitter
@@ -90,6 +91,7 @@
         lambda status, headers: answer,
         lambda: None,
         lambda: None,
+        BufferBudget(MAX_SENT_BYTES),
     )
 
 
--- a/oriolepaddle/gateway/collector.py
+++ b/oriolepaddle/gateway/collector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from oriolepaddle.buffers import BodyBuffer, BufferBudget
 from oriolepaddle.errors import (
     AnswerMismatchedError,
     AnswerTruncatedError,
@@ -23,14 +24,17 @@
         request_id: The id of the request. A response with another id is rejected.
         recheck: Called just before the order is sent; raises an error if the order
             may no longer be run.
+        budget: Bounds the bytes that are collected.
     """
 
-    def __init__(self, request_id: str, recheck: Callable[[], None]) -> None:
+    def __init__(
+        self, request_id: str, recheck: Callable[[], None], budget: BufferBudget
+    ) -> None:
         self._request_id = request_id
         self._recheck = recheck
         self._status = 0
         self._headers: tuple[tuple[str, str], ...] = ()
-        self._body = bytearray()
+        self._body = BodyBuffer(budget)
 
     def before_send(self) -> None:
         """Check the order again; see `AnswerSink.before_send`."""
@@ -55,7 +59,8 @@
 
     def on_data(self, data: bytes) -> None:
         """Store a part of the body; see `AnswerSink.on_data`."""
-        self._body += data
+        if not self._body.append(data):
+            raise AnswerTruncatedError("no memory is left to collect the response")
         if len(self._body) > MAX_ANSWER_BYTES:
             raise AnswerTruncatedError(
                 f"the response is larger than {MAX_ANSWER_BYTES} bytes"
@@ -69,6 +74,10 @@
         return OrderAnswer(
             status=self._status,
             headers=self._headers,
-            body=bytes(self._body),
+            body=bytes(self._body.data),
             request_id=self._request_id,
         )
+
+    def discard(self) -> None:
+        """Drop what was collected."""
+        self._body.discard()
--- a/oriolepaddle/gateway/context.py
+++ b/oriolepaddle/gateway/context.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.staleness import StalenessGuard
 from oriolepaddle.endpoints import EndpointTransport
@@ -37,3 +38,4 @@
     activity: Activity
     metrics: GatewayMetrics
     stall_timeout_s: float
+    buffers: BufferBudget
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -70,6 +70,7 @@
             context.authenticator,
             context.metrics,
             self._recheck,
+            context.buffers,
         )
         self._routing = make_routing_request(request)
         self._excluded: frozenset[str] = frozenset()
@@ -93,6 +94,7 @@
         finally:
             if reservation is not None:
                 reservation.settle(self._count_used_tokens())
+            self._relay.discard()
 
     def _reserve(self) -> Reservation | None:
         request = self._request
--- a/oriolepaddle/gateway/order_runner.py
+++ b/oriolepaddle/gateway/order_runner.py
@@ -64,7 +64,9 @@
                     f"the order may no longer be sent to {endpoint.id}"
                 )
 
-        collector = AnswerCollector(request.request_id, _check_before_send)
+        collector = AnswerCollector(
+            request.request_id, _check_before_send, self._context.buffers
+        )
         handle = self._context.router.start(routing, endpoint)
         is_failed = True
         try:
@@ -72,13 +74,14 @@
                 endpoint.address, self._make_request(request, routing.route), collector
             )
             is_failed = False
+            return collector.make_answer()
         except OriolepaddleError as error:
             if isinstance(error, (EndpointUnreachableError, EndpointTimeoutError)):
                 self._context.router.record_endpoint_failure(endpoint.id)
             raise
         finally:
             handle.finish(0, is_failed)
-        return collector.make_answer()
+            collector.discard()
 
     def _choose(self, routing: RoutingRequest) -> Endpoint:
         try:
--- a/oriolepaddle/gateway/relay.py
+++ b/oriolepaddle/gateway/relay.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from oriolepaddle.buffers import BodyBuffer, BufferBudget
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import (
     AnswerMismatchedError,
@@ -63,6 +64,7 @@
         metrics: Records the measured times.
         recheck: Called just before the request is sent; raises an error if the
             request may no longer be run.
+        budget: Bounds the bytes that are buffered.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         authenticator: Authenticator,
         metrics: GatewayMetrics,
         recheck: Callable[[], None],
+        budget: BufferBudget,
     ) -> None:
         self._clock = clock
         self._request = request
@@ -87,7 +90,7 @@
         self._check = AnswerCheck(request.id, needs_request_id=is_model)
         self._body = EventBody(self._check, StreamLimits())
         self._head = StreamHead()
-        self._buffer = bytearray()
+        self._buffer = BodyBuffer(budget)
         self._on_first_data: Callable[[], None] | None = None
 
     @property
@@ -107,7 +110,7 @@
 
     def begin(self, on_first_data: Callable[[], None]) -> None:
         """Prepare for the response, or the rest of it, from a new connection."""
-        self._buffer.clear()
+        self._buffer.discard()
         self._on_first_data = on_first_data
 
     def before_send(self) -> None:
@@ -160,9 +163,13 @@
         self._writer.start(
             self._head.status, self._response_headers(), len(self._buffer)
         )
-        self._writer.write(bytes(self._buffer))
+        self._writer.write(self._buffer.data)
         self._writer.finish()
 
+    def discard(self) -> None:
+        """Drop what is buffered."""
+        self._buffer.discard()
+
     def write_truncation_event(self, error: OriolepaddleError) -> None:
         """End a stream that the caller already receives with an error event."""
         event = make_truncation_event(error, self._request.id, self.resume_offset)
@@ -182,10 +189,10 @@
         """
         if self._head.is_event_stream:
             return self.resume_offset
-        if not self._buffer:
+        if not len(self._buffer):
             return 0
         try:
-            return int(json.loads(self._buffer)["usage"]["completion_tokens"])
+            return int(json.loads(self._buffer.data)["usage"]["completion_tokens"])
         except (ValueError, KeyError, TypeError):
             return self._request.output_tokens
 
@@ -223,7 +230,8 @@
         self._writer.write(data)
 
     def _append_to_buffer(self, data: bytes) -> None:
-        self._buffer += data
+        if not self._buffer.append(data):
+            raise AnswerTruncatedError("no memory is left to buffer the response")
         if len(self._buffer) > MAX_BUFFERED_BYTES:
             raise AnswerTruncatedError(
                 f"the response is larger than {MAX_BUFFERED_BYTES} bytes"
--- a/oriolepaddle/gateway/tests/test_relay.py
+++ b/oriolepaddle/gateway/tests/test_relay.py
@@ -1,6 +1,7 @@
 import attrs
 import pytest
 
+from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.errors import (
     AnswerMismatchedError,
@@ -54,7 +55,12 @@
 
 
 @pytest.fixture
-def make_relay(parser, config, writer):
+def budget():
+    return BufferBudget(1000)
+
+
+@pytest.fixture
+def make_relay(parser, config, writer, budget):
     def make_relay(**changes):
         headers = {"Authorization": f"Bearer {KEY}"}
         parsed = parser.parse(make_request(data=make_chat(), headers=headers))
@@ -65,12 +71,26 @@
             Authenticator(config),
             GatewayMetrics(),
             lambda: None,
+            budget,
         )
 
     return make_relay
 
 
 class TestBufferedResponse:
+    # Bodies without end must not exhaust the memory of the process.
+    def test_without_room_ends_with_an_error_and_returns_the_memory(
+        self, make_relay, writer, budget
+    ):
+        relay = make_relay()
+        relay.on_head(200, (REQUEST_ID_HEADER,))
+        with pytest.raises(AnswerTruncatedError):
+            for _ in range(20):
+                relay.on_data(b"x" * 100)
+        assert not writer.is_started
+        relay.discard()
+        assert budget.used_bytes == 0
+
     def test_is_buffered_until_it_is_complete(self, make_relay, writer):
         relay = make_relay()
         relay.on_head(200, (REQUEST_ID_HEADER,))
--- a/oriolepaddle/platform/document.py
+++ b/oriolepaddle/platform/document.py
@@ -143,17 +143,24 @@
 
 def _decode_limits(item: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
+    header_ms = _read_limit(item, "headerTimeoutMs")
+    idle_ms = _read_limit(item, "idleTimeoutMs")
     return CallerLimits(
-        max_header_bytes=int(item.get("maxHeaderBytes") or default.max_header_bytes),
-        max_body_bytes=int(item.get("maxBodyBytes") or default.max_body_bytes),
-        header_timeout=_to_duration(item["headerTimeoutMs"])
-        if item.get("headerTimeoutMs")
-        else default.header_timeout,
-        idle_timeout=_to_duration(item["idleTimeoutMs"])
-        if item.get("idleTimeoutMs")
-        else default.idle_timeout,
+        max_header_bytes=_read_limit(item, "maxHeaderBytes")
+        or default.max_header_bytes,
+        max_body_bytes=_read_limit(item, "maxBodyBytes") or default.max_body_bytes,
+        header_timeout=_to_duration(header_ms) if header_ms else default.header_timeout,
+        idle_timeout=_to_duration(idle_ms) if idle_ms else default.idle_timeout,
     )
 
 
+def _read_limit(item: dict[str, Any], name: str) -> int:
+    """Return a whole number, 0 if the field is absent, null or 0."""
+    value = item.get(name) or 0
+    if value and int(value) < 1:
+        raise ValueError(f"{name} is too small")
+    return int(value)
+
+
 def _to_duration(milliseconds: float) -> timedelta:
     return timedelta(milliseconds=float(milliseconds))
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -149,6 +149,7 @@
             is_stream=fields.get("content-type", "").startswith(EVENT_STREAM),
             load=_read_load(fields.get(names.LOAD.lower())),
             signals=read_signals(status, headers),
+            length=_read_length(fields.get("content-length")),
         )
 
 
@@ -206,6 +207,13 @@
     return tuple(parts)
 
 
+def _read_length(value: str | None) -> int | None:
+    # libcurl has read it already, and rejects a response whose length is malformed.
+    if value is None or not value.isascii() or not value.isdigit():
+        return None
+    return int(value)
+
+
 def _read_load(value: str | None) -> tuple[int, int] | None:
     numbers = (value or "").split(",")
     if len(numbers) < 2 or not all(item.strip().isdecimal() for item in numbers[:2]):
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -10,7 +10,7 @@
 
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.platform import names
-from oriolepaddle.web import AnswerWriter, HttpServer
+from oriolepaddle.web import AnswerWriter, HttpServer, ServerLimits
 
 __all__ = ["CrashStage", "ReceivedRequest", "RunnerBehaviour", "RunnerStandin"]
 
@@ -18,6 +18,7 @@
 SILENCE_S = 5.0
 EVENT_LEAD_S = 0.05
 STALL_S = 30.0
+MAX_BODY_BYTES = 16_000_000
 """Longer than callers of streams wait for the next event."""
 
 
@@ -122,7 +123,8 @@
         self._service = service
         self._zone = zone
         self._sequence = 0
-        self._server = HttpServer(host, 0, self, self._clock, name=runner_id)
+        limits = ServerLimits(max_body_bytes=MAX_BODY_BYTES)
+        self._server = HttpServer(host, 0, self, self._clock, limits, name=runner_id)
         self.address = f"{host}:{self._server.port}"
 
     def start(self) -> None:
--- a/oriolepaddle/platform/tests/test_document.py
+++ b/oriolepaddle/platform/tests/test_document.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from oriolepaddle.catalog import RepeatRule
+from oriolepaddle.catalog import CallerLimits, RepeatRule
 from oriolepaddle.config import digest_key
 from oriolepaddle.errors import PlatformUnavailableError
 from oriolepaddle.platform.document import decode_document
@@ -137,6 +137,19 @@
         assert not route.open
 
 
+class TestLimits:
+    @pytest.mark.parametrize("value", [-1, 0.5])
+    @pytest.mark.parametrize(
+        "name", ["maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"]
+    )
+    def test_too_small_ones_make_the_document_invalid(self, name, value):
+        with pytest.raises(PlatformUnavailableError):
+            decode(limits={name: value})
+
+    def test_absent_ones_have_defaults(self):
+        assert decode(limits={"maxBodyBytes": 0}).limits == CallerLimits()
+
+
 class TestInvalidDocument:
     @pytest.mark.parametrize(
         "text",
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -78,6 +78,13 @@
         is_optional=True,
         min_length=16,
     )
+    memory_mb: float = setting(
+        0.0,
+        "Memory limit of the process in MB, which bounds the bodies that it holds at "
+        "once; 0 if it is not known.",
+        low=0,
+        high=1_000_000,
+    )
     max_connections: int = setting(
         600, "Maximum number of concurrent caller connections.", low=1, high=16_384
     )
--- a/oriolepaddle/settings/settings.py
+++ b/oriolepaddle/settings/settings.py
@@ -88,6 +88,13 @@
         low=0,
         high=3600,
     )
+    memory_mb: float = setting(
+        0.0,
+        "Memory limit of the process in MB, which bounds the bodies that it holds at "
+        "once; 0 if it is not known.",
+        low=0,
+        high=1_000_000,
+    )
     max_connections: int = setting(
         1024, "Maximum number of concurrent caller connections.", low=1, high=16384
     )
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -12,7 +12,12 @@
 from werkzeug.wrappers import Request
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.errors import ErrorCode, MalformedRequestError, OriolepaddleError
+from oriolepaddle.errors import (
+    ErrorCode,
+    MalformedRequestError,
+    OriolepaddleError,
+    RefusedError,
+)
 from oriolepaddle.logs import log_event
 from oriolepaddle.web.application import Application
 from oriolepaddle.web.environ import make_environ
@@ -31,7 +36,8 @@
         connection: The client's socket.
         address: The client's address.
         server: The server, with `application`, `limits`, `clock`, `server_address`,
-            `ssl_context`, `malformed_requests`, `is_draining` and `is_closed`.
+            `ssl_context`, `buffers`, `malformed_requests`, `is_draining` and
+            `is_closed`.
 
     Attributes:
         connection: The client's socket.
@@ -42,11 +48,11 @@
         self, connection: socket.socket, address: tuple[str, int], server: Any
     ) -> None:
         self._clock: Clock = server.clock
-        self._limits: ServerLimits = server.limits
         self._application: Application = server.application
         self._server = server
         self._address = address
         self._lock = threading.Lock()
+        self._held_bytes = 0
         self._is_waiting = True
         self._is_closing = False
         self._has_served = False
@@ -66,6 +72,11 @@
         finally:
             self._stream.close()
 
+    @property
+    def _limits(self) -> ServerLimits:
+        # They may change between two requests.
+        return self._server.limits
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being served, nor is a first request expected."""
@@ -106,6 +117,8 @@
             self._respond_with_error(writer, wrapped, request_id)
         finally:
             writer.abort()
+            self._server.buffers.release(self._held_bytes)
+            self._held_bytes = 0
         return writer.keep_alive and writer.is_finished
 
     def _wait_for_request(self) -> bool:
@@ -130,10 +143,10 @@
     def _read_request_or_log(self, writer: AnswerWriter) -> Request:
         try:
             return self._read_request(writer)
-        except MalformedRequestError as error:
-            self._server.malformed_requests += 1
+        except RefusedError as error:
+            self._server.malformed_requests += isinstance(error, MalformedRequestError)
             log_event(
-                "request_malformed",
+                "request_not_read",
                 client=self._address[0],
                 reason=error.code.code,
                 detail=error.message,
@@ -157,7 +170,17 @@
             limits.max_body_bytes + FRAMING_ALLOWANCE_BYTES,
             ErrorCode.BODY_TOO_LARGE,
         )
-        return self._make_request(head, parser.read_body(head, limits.max_body_bytes))
+        body = parser.read_body(head, limits.max_body_bytes, self._reserve)
+        return self._make_request(head, body)
+
+    def _reserve(self, count: int) -> None:
+        if not self._server.buffers.acquire(count, self._held_bytes):
+            raise RefusedError(
+                "no memory is left for the body of the request",
+                code=ErrorCode.OVERLOADED,
+                retry_after=MEMORY_RETRY_AFTER,
+            )
+        self._held_bytes += count
 
     def _make_request(self, head: RequestHead, body: bytes) -> Request:
         server = self._server
@@ -190,6 +213,7 @@
             remaining_reads -= 1
 
 
+MEMORY_RETRY_AFTER = timedelta(seconds=1)
 FIRST_REQUEST_GRACE = timedelta(seconds=1)
 FRAMING_ALLOWANCE_BYTES = 65_536
 """Bytes of chunk sizes, extensions and trailers beside the body."""
--- a/oriolepaddle/web/parser.py
+++ b/oriolepaddle/web/parser.py
@@ -5,6 +5,7 @@
 """
 
 import io
+from collections.abc import Callable
 
 import attrs
 import httptools
@@ -106,20 +107,28 @@
             raise MalformedRequestError("the request line has excess white space")
         return head
 
-    def read_body(self, head: RequestHead, max_bytes: int) -> bytes:
+    def read_body(
+        self,
+        head: RequestHead,
+        max_bytes: int,
+        reserve: Callable[[int], None] = lambda count: None,
+    ) -> bytes:
         """Read the body of a request whose head was read.
 
         Args:
             head: The head.
             max_bytes: The maximum size of the body.
+            reserve: Called with each number of bytes before they are read; raises an
+                error if there is no memory for them.
 
         Raises:
             MalformedRequestError: The body is malformed or too large.
             ConnectionResetError: The client disconnected.
         """
         if head.is_chunked:
-            return self._read_chunks(max_bytes)
+            return self._read_chunks(max_bytes, reserve)
         _check_size(head.length, max_bytes)
+        reserve(head.length)
         return self._read_exactly(head.length)
 
     def _read_head_bytes(self, max_bytes: int) -> bytes:
@@ -134,10 +143,11 @@
             data += line
         return data
 
-    def _read_chunks(self, max_bytes: int) -> bytes:
+    def _read_chunks(self, max_bytes: int, reserve: Callable[[int], None]) -> bytes:
         body = bytearray()
         while size := self._read_chunk_size():
             _check_size(len(body) + size, max_bytes)
+            reserve(size)
             data = self._read_exactly(size + len(LINE_END))
             self._feed(data)
             body += data[:size]
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from oriolepaddle.buffers import BufferBudget, make_budget
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.logs import log_event
@@ -55,8 +56,10 @@
         name: A name for threads and logs.
         free_descriptors: Closes idle connections to other servers when no descriptor
             is left for one of a client; returns their number.
+        buffers: Bounds the bodies of requests that are held at once.
 
     Attributes:
+        limits: The limits, which may be replaced while the server runs.
         refused_connections: Connections that were refused as all threads were taken.
         malformed_requests: Requests that could not be read.
     """
@@ -71,6 +74,7 @@
         tls: ssl.SSLContext | None = None,
         name: str = "http",
         free_descriptors: Callable[[], int] = lambda: 0,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -87,6 +91,7 @@
         self.port = self.server_address[1]
         self._name = name
         self._free_descriptors = free_descriptors
+        self.buffers = buffers or make_budget(memory_mb=0)
         self._spare = SpareDescriptor()
         self._next_shortage_log_s = float("-inf")
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
--- a/oriolepaddle/web/tests/test_server.py
+++ b/oriolepaddle/web/tests/test_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.web import HttpServer, ServerLimits
 
@@ -146,6 +147,33 @@
                 connection.sendall(head + chunks)
                 assert read_response(connection) == (200, b"POST abcde")
 
+    # Bodies that are held at once must not exhaust the memory of the process.
+    @pytest.mark.parametrize("is_chunked", [False, True])
+    def test_body_without_room_is_refused_and_later_ones_are_served(self, is_chunked):
+        server = HttpServer(
+            "127.0.0.1",
+            0,
+            EchoApplication(),
+            SystemClock(),
+            buffers=BufferBudget(10_000),
+        )
+        server.start()
+        body = b"x" * 4000
+        framing = b"Content-Length: 4000\r\n\r\n" + body
+        if is_chunked:
+            framing = b"Transfer-Encoding: chunked\r\n\r\nfa0\r\n%b\r\n0\r\n\r\n" % body
+        with connect(server) as busy:
+            busy.sendall(b"POST /wait HTTP/1.1\r\n" + framing)
+            assert server.application.entered.wait(5)
+            status, refusal = send(server, b"POST / HTTP/1.1\r\n" + framing)
+            assert status == 503
+            assert json.loads(refusal)["error"]["outcome"] == "not run"
+            server.application.release.set()
+            assert read_response(busy)[0] == 200
+        assert send(server, b"POST / HTTP/1.1\r\n" + framing)[0] == 200
+        server.close()
+        assert server.buffers.used_bytes == 0
+
     def test_full_pool_refuses_new_connection(self):
         server = make_server(max_connections=1)
         with connect(server) as busy:
