Read numbers of endpoints with any usual number of decimals

The limit was then not kept, and the pause not honoured. Up to 60 are read.

Failed before: the three new cases of test_signals.py.

--- a/oriolepaddle/platform/signals.py
+++ b/oriolepaddle/platform/signals.py
@@ -12,7 +12,7 @@
 
 FLAG = "1"
 MAX_LOGGED_CHARACTERS = 40
-_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,60})?")
 _NO_SIGNALS = EndpointSignals()
 
 
--- a/oriolepaddle/platform/tests/test_signals.py
+++ b/oriolepaddle/platform/tests/test_signals.py
@@ -6,7 +6,15 @@
 
 class TestLimit:
     @pytest.mark.parametrize(
-        ("value", "expected"), [("1", 1.0), ("0", 0.0), ("0.3", 0.3), (" 12.50 ", 12.5)]
+        ("value", "expected"),
+        [
+            ("1", 1.0),
+            ("0", 0.0),
+            ("0.3", 0.3),
+            (" 12.50 ", 12.5),
+            ("1.6666666666666667", 5 / 3),
+            ("0." + "3" * 40, 1 / 3),
+        ],
     )
     def test_is_a_decimal_number(self, value, expected):
         assert read_signals(200, (("server-limit", value),)).limit_per_s == expected
@@ -56,7 +64,13 @@
 class TestRetryAfter:
     @pytest.mark.parametrize(
         ("status", "value", "expected"),
-        [(503, "2", 2.0), (503, "0.25", 0.25), (200, "2", None), (429, "2", None)],
+        [
+            (503, "2", 2.0),
+            (503, "0.25", 0.25),
+            (503, "1.3333333333333333", 1.333333),
+            (200, "2", None),
+            (429, "2", None),
+        ],
     )
     def test_is_a_time_in_a_refusal(self, status, value, expected):
         found = read_signals(status, (("Retry-After", value),)).retry_after
