--- /dev/null
+++ b/oriolepaddle/faults/hardening.py
@@ -0,0 +1,144 @@
+"""Properties under hostile or odd input, found by reviews."""
+
+from oriolepaddle.faults.claim import Claim
+from oriolepaddle.faults.sources import (
+    authenticator,
+    budget,
+    descriptor_watch,
+    edge_keys,
+    edge_sink,
+    endpoints,
+    handle_pool,
+    process_signals,
+    request_keys,
+    request_parser,
+    server,
+    shortage,
+)
+
+__all__ = ["HARDENING"]
+
+HARDENING = (
+    Claim(
+        "What is empty or can't be read opens no closed route.",
+        (
+            (
+                "last key withdrawn, restart, kept connection",
+                edge_keys("TestWithoutAnyKey::test_kept_connection_is_refused"),
+            ),
+            (
+                "first configuration without keys",
+                edge_keys(
+                    "TestWithoutAnyKey::"
+                    "test_closed_routes_are_refused_under_a_first_configuration"
+                ),
+            ),
+            (
+                "configuration that can't be read",
+                edge_keys(
+                    "TestUnreadableConfiguration::"
+                    "test_keys_are_refused_until_it_can_be_read"
+                ),
+            ),
+            (
+                "key that moves while its request waits",
+                edge_keys(
+                    "TestKeyOfAnotherOrganisation::"
+                    "test_request_does_not_run_for_the_organisation_before"
+                ),
+            ),
+            (
+                "route that closes while a request waits",
+                authenticator(
+                    "TestRecheck::"
+                    "test_route_that_is_no_longer_open_ends_requests_without_a_key"
+                ),
+            ),
+            (
+                "empty key",
+                request_keys("TestPresentedKey::test_empty_one_is_refused_as_missing"),
+            ),
+        ),
+        "a document without organisations at an instance that is cut off",
+    ),
+    Claim(
+        "Endpoints run the requests that callers sent, and no others.",
+        (
+            (
+                "malformed line anywhere in a head",
+                request_parser(
+                    "TestByteSequences::"
+                    "test_malformed_line_anywhere_refuses_the_request"
+                ),
+            ),
+            (
+                "requests split anywhere",
+                request_parser(
+                    "TestByteSequences::"
+                    "test_split_anywhere_are_the_requests_that_were_sent"
+                ),
+            ),
+            (
+                "request hidden in a body",
+                server(
+                    "TestHttpServer::"
+                    "test_request_hidden_behind_a_malformed_line_is_not_served"
+                ),
+            ),
+            (
+                "dot segments and encoded characters",
+                endpoints("TestTarget::test_is_sent_byte_by_byte"),
+            ),
+        ),
+        "methods that the parser doesn't know",
+    ),
+    Claim(
+        "A stop signal is acted on whenever it comes.",
+        (
+            (
+                "signal at another thread, before and after the start",
+                process_signals(
+                    "TestSignalQueue::"
+                    "test_delivers_what_another_thread_received_before_and_after"
+                ),
+            ),
+        ),
+        "while the interpreter itself starts",
+    ),
+    Claim(
+        "Misbehaving and replaced endpoints exhaust no instance.",
+        (
+            (
+                "bodies without end",
+                edge_sink("TestBodiesWithoutEnd::test_sum_of_all_is_bounded"),
+            ),
+            (
+                "small bodies beside endless ones",
+                budget(
+                    "TestBufferBudget::"
+                    "test_small_bodies_find_room_beside_any_number_of_large_ones"
+                ),
+            ),
+            (
+                "endpoints that are gone",
+                handle_pool(
+                    "TestHandlePool::test_expired_handles_of_unused_addresses_are_closed"
+                ),
+            ),
+            (
+                "no descriptors left",
+                shortage(
+                    "TestShortageOfDescriptors::"
+                    "test_connection_is_refused_and_later_ones_are_served"
+                ),
+            ),
+            (
+                "few descriptors left",
+                descriptor_watch(
+                    "TestDescriptorWatch::test_frees_idle_connections_before_the_limit"
+                ),
+            ),
+        ),
+        "memory that other libraries hold",
+    ),
+)
--- a/oriolepaddle/faults/page.py
+++ b/oriolepaddle/faults/page.py
@@ -8,6 +8,7 @@
 from oriolepaddle.faults.claim import Claim
 from oriolepaddle.faults.fault import Fault
 from oriolepaddle.faults.guarantees import GUARANTEES
+from oriolepaddle.faults.hardening import HARDENING
 from oriolepaddle.faults.pairs import PAIRS
 from oriolepaddle.faults.row import Row
 from oriolepaddle.faults.table import ROWS
@@ -37,6 +38,8 @@
         *_overview(),
         "\n## What must always hold\n",
         *_claims(GUARANTEES),
+        "\n## Under hostile or odd input\n",
+        *_claims(HARDENING),
         "\n## Pairs of faults\n",
         *_claims(PAIRS),
         "\n## Step by step",
@@ -94,7 +97,7 @@
 
 
 def _gaps() -> Iterator[str]:
-    for claim in (*GUARANTEES, *PAIRS):
+    for claim in (*GUARANTEES, *HARDENING, *PAIRS):
         if claim.unproved:
             yield f"- {claim.text.rstrip('.')}: {claim.unproved}"
     for row in ROWS:
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -2,12 +2,18 @@
 
 __all__ = [
     "admission",
+    "authenticator",
+    "budget",
     "commands",
     "daemon",
+    "descriptor_watch",
+    "edge_keys",
     "edge_signals",
+    "edge_sink",
     "endpoints",
     "gossip_signals",
     "hand_over",
+    "handle_pool",
     "limits",
     "membership",
     "merge",
@@ -16,13 +22,18 @@
     "order_registry",
     "path",
     "process_rate",
+    "process_signals",
     "quarantine",
     "quarantine_claims",
     "quarantine_narrowing",
     "quarantine_spread",
     "recovery",
+    "request_keys",
+    "request_parser",
     "router",
     "router_failure",
+    "server",
+    "shortage",
     "signal_board",
     "signal_pauses",
     "streams",
@@ -42,12 +53,18 @@
 
 
 admission = _TestFile("admission/tests/test_admission.py")
+authenticator = _TestFile("gateway/tests/test_authenticator.py")
+budget = _TestFile("buffers/tests/test_budget.py")
 commands = _TestFile("commands/tests/test_issuer.py")
 daemon = _TestFile("daemon/tests/test_faults.py")
+descriptor_watch = _TestFile("daemon/tests/test_descriptors.py")
+edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
+edge_sink = _TestFile("edge/tests/test_sink.py")
 endpoints = _TestFile("endpoints/tests/test_transport.py")
 gossip_signals = _TestFile("gossip/tests/test_signals.py")
 hand_over = _TestFile("limits/tests/test_hand_over.py")
+handle_pool = _TestFile("endpoints/tests/test_pool_bounds.py")
 limits = _TestFile("limits/tests/test_faults.py")
 membership = _TestFile("membership/tests/test_membership.py")
 merge = _TestFile("config/tests/test_merge.py")
@@ -56,13 +73,18 @@
 order_registry = _TestFile("orders/tests/test_registry.py")
 path = _TestFile("daemon/tests/test_path.py")
 process_rate = _TestFile("daemon/tests/test_rate.py")
+process_signals = _TestFile("daemon/tests/test_signals.py")
 quarantine = _TestFile("quarantine/tests/test_quarantine.py")
 quarantine_claims = _TestFile("quarantine/tests/test_claims.py")
 quarantine_narrowing = _TestFile("quarantine/tests/test_narrowing.py")
 quarantine_spread = _TestFile("quarantine/tests/test_spread.py")
 recovery = _TestFile("config/tests/test_recovery.py")
+request_keys = _TestFile("gateway/tests/test_keys.py")
+request_parser = _TestFile("web/tests/test_parser.py")
 router = _TestFile("routing/tests/test_router.py")
 router_failure = _TestFile("routing/tests/test_endpoint_failure.py")
+server = _TestFile("web/tests/test_server.py")
+shortage = _TestFile("web/tests/test_shortage.py")
 signal_board = _TestFile("signals/tests/test_board.py")
 signal_pauses = _TestFile("signals/tests/test_pauses.py")
 streams = _TestFile("streams/tests/test_stream.py")
--- a/oriolepaddle/faults/tests/test_table.py
+++ b/oriolepaddle/faults/tests/test_table.py
@@ -8,6 +8,7 @@
 from oriolepaddle.errors import SettingsError
 from oriolepaddle.faults import Cell, Fault, Step, shown, unproved
 from oriolepaddle.faults.guarantees import GUARANTEES
+from oriolepaddle.faults.hardening import HARDENING
 from oriolepaddle.faults.page import PAGE, write_page
 from oriolepaddle.faults.pairs import PAIRS
 from oriolepaddle.faults.table import ROWS
@@ -19,7 +20,7 @@
     """Return all node ids that the matrix names."""
     cells = [row.cell(fault) for row in ROWS for fault in Fault]
     named = {test for cell in cells for test in cell.tests}
-    for claim in (*PAIRS, *GUARANTEES):
+    for claim in (*PAIRS, *GUARANTEES, *HARDENING):
         named |= {test for _, test in claim.tests}
     return named
 
@@ -61,7 +62,7 @@
 
     def test_thirteen_guarantees_have_tests_or_a_stated_gap(self):
         assert len(GUARANTEES) == 13
-        for claim in (*PAIRS, *GUARANTEES):
+        for claim in (*PAIRS, *GUARANTEES, *HARDENING):
             assert claim.tests or claim.unproved
 
     def test_page_is_up_to_date(self):
