Test a small limit at a region of 140 instances

All know it within 4 s; together they send no more than is allowed in any 4 s, and use half of it or more.

--- a/oriolepaddle/gossip/tests/test_signals.py
+++ b/oriolepaddle/gossip/tests/test_signals.py
@@ -85,6 +85,23 @@
         assert count_in_windows(times) <= ALLOWED
 
 
+class TestLimitAtSize:
+    # An instance's fraction of a small limit is no whole request.
+    def test_is_kept_and_used_by_a_region_of_a_third_of_420(self):
+        fleet = GossipFleet()
+        size = 140
+        for number in range(size):
+            seeds = ("n0", "n1") if number > 1 else ("n0",) * number
+            fleet.add(f"n{number}", f"nordur-{'ab'[number % 2]}", seeds=seeds)
+        fleet.run(timedelta(seconds=6))
+        name_limit(fleet, f"n{size - 1}")
+        fleet.run(timedelta(seconds=4))
+        assert set(find_limits(fleet).values()) == {1.0}
+        times = send_all(fleet, 12, list(fleet.instances))
+        assert count_in_windows(times) <= ALLOWED
+        assert len(times) >= 0.5 * 12
+
+
 class TestLeaving:
     def test_reaches_all_instances_of_the_region(self, fleet):
         name_limit(fleet, "n7", EndpointSignals(is_leaving=True))
