Keep the upkeep of connections in a class of its own

Both daemons close idle connections and watch descriptors alike; the gauges of an edge instance are made in a method. No behaviour changes; the tests of web, edge and daemon pass.

--- a/oriolepaddle/daemon/background_tasks.py
+++ b/oriolepaddle/daemon/background_tasks.py
@@ -10,7 +10,7 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.commands import CommandIssuer
-from oriolepaddle.daemon.descriptors import DescriptorWatch
+from oriolepaddle.daemon.connection_upkeep import ConnectionUpkeep
 from oriolepaddle.daemon.engine_monitor import EngineMonitor
 from oriolepaddle.daemon.fleet import Fleet
 from oriolepaddle.daemon.loads import LoadExchange
@@ -53,8 +53,7 @@
         self._command_executor = ThreadPoolExecutor(COMMAND_THREADS, "commands")
         context = serving.context
         self._serving = serving
-        self._transport = context.transport
-        self._descriptors = DescriptorWatch(clock, self._transport.close_idle)
+        self._upkeep = ConnectionUpkeep(clock, (context.transport,))
         self._loads = LoadExchange(fleet.membership, serving.router)
         self._monitor = EngineMonitor(
             clock,
@@ -85,7 +84,7 @@
         """Start all tasks."""
         self._repeat("limits", LIMITS_INTERVAL, self._update_limits)
         self._repeat("loads", LOADS_INTERVAL, self._loads.run)
-        self._repeat("connections", CONNECTIONS_INTERVAL, self._close_connections)
+        self._repeat("connections", CONNECTIONS_INTERVAL, self._upkeep.run)
         self._repeat("engines", MONITOR_INTERVAL, self._monitor.run)
         self._start("quarantine", lambda: self._replicator.run(self._stopping))
         self._start("commands", lambda: self._commands.run(self._stopping))
@@ -99,10 +98,6 @@
         self._quarantine_executor.shutdown(wait=True)
         self._command_executor.shutdown(wait=True)
 
-    def _close_connections(self) -> None:
-        self._transport.close_expired()
-        self._descriptors.check()
-
     def _update_limits(self) -> None:
         limiter = self._serving.limiter
         limiter.tick()
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -14,7 +15,7 @@
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
-from oriolepaddle.daemon.descriptors import DescriptorWatch
+from oriolepaddle.daemon.connection_upkeep import ConnectionUpkeep
 from oriolepaddle.daemon.edge_gauges import add_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.daemon.inspection_application import InspectionApplication
@@ -122,30 +123,11 @@
         )
         self.buffers = make_budget(settings.memory_mb)
         self.context = self._make_context()
-        add_gauges(
-            self.metrics,
-            {
-                "config_ticket": lambda: self.catalog.version,
-                "config_age_seconds": self.catalog.age_s,
-                "endpoints_age_seconds": self.catalog.endpoints_age_s,
-                "store_calls": lambda: self._follower.call_count,
-                "peers_reachable": lambda: len(self.roster.alive()),
-                "requests_in_flight": lambda: self.context.activity.count,
-                "malformed_requests": lambda: sum(
-                    server.malformed_requests for server in self._servers
-                ),
-                "descriptors": lambda: self._descriptors.count(),
-                "idle_endpoint_connections": lambda: sum(
-                    transport.idle_count for transport in self._transports()
-                ),
-                "buffered_bytes": lambda: self.buffers.used_bytes,
-                "buffers_refused": lambda: self.buffers.refused,
-                "ready": self.is_ready,
-                "draining": lambda: self._drain.is_active,
-            },
+        self._upkeep = ConnectionUpkeep(
+            clock, (self.context.transport, self.context.peer_transport)
         )
+        add_gauges(self.metrics, self._make_gauges())
         self._announcer = self._make_announcer()
-        self._descriptors = DescriptorWatch(clock, self._close_idle_connections)
         self._servers = self._make_servers()
 
     def start(self) -> None:
@@ -181,9 +163,7 @@
         self.context.placer.refresh_cold_shares()
         self.context.crashes.resolve_silent_runs(self.catalog.find_incarnation)
         self.permits.forget_lifted()
-        for transport in self._transports():
-            transport.close_expired()
-        self._descriptors.check()
+        self._upkeep.run()
         self._apply_limits()
 
     def _apply_limits(self) -> None:
@@ -200,12 +180,6 @@
             max_body_bytes=self._limits.max_body_bytes,
         )
 
-    def _transports(self) -> tuple[EndpointTransport, EndpointTransport]:
-        return self.context.transport, self.context.peer_transport
-
-    def _close_idle_connections(self) -> int:
-        return sum(transport.close_idle() for transport in self._transports())
-
     def _follows_store(self) -> bool:
         max_age_s = self._settings.max_catalog_age.total_seconds()
         is_old = self.catalog.age_s() > FALLBACK_AGE_FRACTION * max_age_s
@@ -273,6 +247,25 @@
         """
         log_event("reload_requested", version=self.catalog.version)
 
+    def _make_gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "config_ticket": lambda: self.catalog.version,
+            "config_age_seconds": self.catalog.age_s,
+            "endpoints_age_seconds": self.catalog.endpoints_age_s,
+            "store_calls": lambda: self._follower.call_count,
+            "peers_reachable": lambda: len(self.roster.alive()),
+            "requests_in_flight": lambda: self.context.activity.count,
+            "malformed_requests": lambda: sum(
+                server.malformed_requests for server in self._servers
+            ),
+            "descriptors": self._upkeep.count_descriptors,
+            "idle_endpoint_connections": lambda: self._upkeep.idle_count,
+            "buffered_bytes": lambda: self.buffers.used_bytes,
+            "buffers_refused": lambda: self.buffers.refused,
+            "ready": self.is_ready,
+            "draining": lambda: self._drain.is_active,
+        }
+
     def _make_context(self) -> EdgeContext:
         settings = self._settings
         clock = self._clock
@@ -443,6 +436,6 @@
             self._clock,
             limits,
             name=name,
-            free_descriptors=self._close_idle_connections,
+            free_descriptors=self._upkeep.close_idle,
             buffers=self.buffers,
         )
--- a/oriolepaddle/web/environ.py
+++ b/oriolepaddle/web/environ.py
@@ -56,6 +56,14 @@
         "SERVER_PORT": str(server_address[1]),
         "SERVER_PROTOCOL": f"HTTP/{head.version}",
     }
+    _add_fields(environ, head)
+    environ["CONTENT_LENGTH"] = str(len(body))
+    if host:
+        environ["HTTP_HOST"] = host
+    return environ
+
+
+def _add_fields(environ: dict[str, Any], head: RequestHead) -> None:
     for name, value in head.fields:
         if "_" in name:
             continue
@@ -63,10 +71,6 @@
         if key not in _WITHOUT_PREFIX:
             key = f"HTTP_{key}"
         environ[key] = f"{environ[key]},{value}" if key in environ else value
-    environ["CONTENT_LENGTH"] = str(len(body))
-    if host:
-        environ["HTTP_HOST"] = host
-    return environ
 
 
 def _split_target(target: str) -> tuple[str, str, str]:
