Have stand-ins send bodies without end, in tests and in the soak

The soak's runners draw it among their broken answers. The docstring of the time for which a stream stalls stands below it again.

--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -18,8 +18,10 @@
 SILENCE_S = 5.0
 EVENT_LEAD_S = 0.05
 STALL_S = 30.0
-MAX_BODY_BYTES = 16_000_000
 """Longer than callers of streams wait for the next event."""
+MAX_BODY_BYTES = 16_000_000
+ENDLESS_PIECE = b"x" * 8192
+ENDLESS_PAUSE_S = 0.001
 
 
 class RunnerBehaviour(enum.StrEnum):
@@ -35,6 +37,7 @@
     CUT_EVENT = "cut event"
     SILENT = "silent"
     STALLED = "stalled"
+    ENDLESS = "endless"
 
 
 class CrashStage(enum.StrEnum):
@@ -241,12 +244,21 @@
             fields.append((names.SEAL, f"{SEAL_VALUE}.{self.id}"))
         if behaviour is RunnerBehaviour.ERROR:
             writer.answer(500, b"failed", "text/plain", fields)
+        elif behaviour is RunnerBehaviour.ENDLESS:
+            self._answer_without_end(writer, fields)
         elif self.events:
             self._stream(request, writer, behaviour, fields)
         else:
             self._pause(writer)
             writer.answer(200, b"done " + request.get_data(), "text/plain", fields)
 
+    def _answer_without_end(
+        self, writer: AnswerWriter, fields: list[tuple[str, str]]
+    ) -> None:
+        writer.start(200, [("Content-Type", "text/plain"), *fields])
+        while not self._stopping.wait(ENDLESS_PAUSE_S):
+            writer.write(ENDLESS_PIECE)
+
     def _stream(
         self,
         request: Request,
