--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -3,12 +3,19 @@
 from oriolepaddle.faults.claim import Claim
 from oriolepaddle.faults.sources import (
     authenticator,
+    broken_heads,
     budget,
     descriptor_watch,
+    edge,
+    edge_bodies,
     edge_keys,
+    edge_silence,
     edge_sink,
+    endless,
     endpoints,
+    extra_bytes,
     handle_pool,
+    late_copies,
     process_signals,
     request_keys,
     request_parser,
@@ -141,4 +148,69 @@
         ),
         "memory that other libraries hold",
     ),
+    Claim(
+        "What an endpoint sends beside an answer reaches no other caller.",
+        (
+            (
+                "copies, parts and other bytes, at any time, in each framing",
+                extra_bytes(
+                    "TestExtraBytes::test_of_one_answer_reach_no_other_request"
+                ),
+            ),
+            (
+                "repeated refusal",
+                late_copies("TestRepeatedRefusal::test_never_answers_the_next_request"),
+            ),
+        ),
+        "extra bytes on connections between instances",
+    ),
+    Claim(
+        "An answer that breaks off reaches no caller as complete.",
+        (
+            (
+                "cut at any byte of a head",
+                broken_heads("TestHeadCutShort::test_is_never_a_complete_answer"),
+            ),
+            (
+                "cut at any byte of a body",
+                broken_heads("TestBodyCutShort::test_is_never_a_complete_answer"),
+            ),
+            (
+                "stream that can't be resumed",
+                edge("TestStream::test_that_cannot_be_resumed_is_visibly_cut"),
+            ),
+            (
+                "body without end",
+                edge_bodies(
+                    "TestEndlessBody::"
+                    "test_order_is_visibly_cut_and_leaves_no_memory_taken"
+                ),
+            ),
+        ),
+        "compressed bodies",
+    ),
+    Claim(
+        "Stalled streams and silent endpoints end, and nothing runs twice for it.",
+        (
+            (
+                "stalled stream",
+                edge_silence("TestStalledStream::test_is_resumed_at_another_endpoint"),
+            ),
+            (
+                "stalled stream that may run once",
+                edge_silence(
+                    "TestStalledStream::test_that_may_run_once_is_left_running"
+                ),
+            ),
+            (
+                "silent endpoint",
+                edge_silence("TestSilentEndpoint::test_order_is_not_sent_again"),
+            ),
+            (
+                "bytes without end",
+                endless("TestEndlessHead::test_ends_the_attempt_as_uncertain"),
+            ),
+        ),
+        "a byte now and then inside one event",
+    ),
 )
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -3,17 +3,24 @@
 __all__ = [
     "admission",
     "authenticator",
+    "broken_heads",
     "budget",
     "commands",
     "daemon",
     "descriptor_watch",
+    "edge",
+    "edge_bodies",
     "edge_keys",
     "edge_signals",
+    "edge_silence",
     "edge_sink",
+    "endless",
     "endpoints",
+    "extra_bytes",
     "gossip_signals",
     "hand_over",
     "handle_pool",
+    "late_copies",
     "limits",
     "membership",
     "merge",
@@ -54,17 +61,24 @@
 
 admission = _TestFile("admission/tests/test_admission.py")
 authenticator = _TestFile("gateway/tests/test_authenticator.py")
+broken_heads = _TestFile("endpoints/tests/test_broken_heads.py")
 budget = _TestFile("buffers/tests/test_budget.py")
 commands = _TestFile("commands/tests/test_issuer.py")
 daemon = _TestFile("daemon/tests/test_faults.py")
 descriptor_watch = _TestFile("daemon/tests/test_descriptors.py")
+edge = _TestFile("daemon/tests/test_edge.py")
+edge_bodies = _TestFile("daemon/tests/test_edge_bodies.py")
 edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
+edge_silence = _TestFile("daemon/tests/test_edge_silence.py")
 edge_sink = _TestFile("edge/tests/test_sink.py")
+endless = _TestFile("endpoints/tests/test_endless.py")
 endpoints = _TestFile("endpoints/tests/test_transport.py")
+extra_bytes = _TestFile("platform/tests/test_extra_bytes.py")
 gossip_signals = _TestFile("gossip/tests/test_signals.py")
 hand_over = _TestFile("limits/tests/test_hand_over.py")
 handle_pool = _TestFile("endpoints/tests/test_pool_bounds.py")
+late_copies = _TestFile("endpoints/tests/test_late_copies.py")
 limits = _TestFile("limits/tests/test_faults.py")
 membership = _TestFile("membership/tests/test_membership.py")
 merge = _TestFile("config/tests/test_merge.py")
