--- a/oriolepaddle/platform/standins/__init__.py
+++ b/oriolepaddle/platform/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the platform's store and its runners, for tests."""
 
 from oriolepaddle.platform.standins.runner import (
+    CrashManner,
     CrashStage,
     RunnerBehaviour,
     RunnerStandin,
@@ -8,6 +9,7 @@
 from oriolepaddle.platform.standins.store import StoreMode, StoreStandin
 
 __all__ = [
+    "CrashManner",
     "CrashStage",
     "RunnerBehaviour",
     "RunnerStandin",
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -2,8 +2,11 @@
 
 import enum
 import json
+import os
+import socket
 import threading
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 from werkzeug.wrappers import Request
@@ -12,11 +15,20 @@
 from oriolepaddle.platform import names
 from oriolepaddle.web import AnswerWriter, HttpServer, ServerLimits
 
-__all__ = ["CrashStage", "ReceivedRequest", "RunnerBehaviour", "RunnerStandin"]
+__all__ = [
+    "CrashManner",
+    "CrashStage",
+    "ReceivedRequest",
+    "RunnerBehaviour",
+    "RunnerStandin",
+]
 
 SEAL_VALUE = "3e1b.07"
 SILENCE_S = 5.0
 EVENT_LEAD_S = 0.05
+CRASH_PAUSE_S = 0.4
+LISTENER_LAG_S = 0.03
+"""Time between the close of the connections and that of the listener."""
 STALL_S = 30.0
 """Longer than callers of streams wait for the next event."""
 MAX_BODY_BYTES = 16_000_000
@@ -49,6 +61,20 @@
     IN_BODY = "in the body"
 
 
+class CrashManner(enum.StrEnum):
+    """What callers see of the runner's process when it ends.
+
+    The kernel closes the descriptors of a process one after the other, a supervisor
+    may hold its listener, and a machine that loses power closes nothing.
+    """
+
+    LISTENER_FIRST = "listener first"
+    CONNECTIONS_FIRST = "connections first, after a pause"
+    LISTENER_KEPT = "listener kept"
+    BACK_AT_ONCE = "back at once"
+    SILENT = "silent"
+
+
 @attrs.frozen
 class ReceivedRequest:
     """A request as the runner received it.
@@ -89,6 +115,8 @@
             answer, unless it is the last one; empty for none.
         deadly_body: The body of the requests that crash the runner; None for none.
         crash_stage: How far its response to such a request comes.
+        crash_manner: What callers see when the runner crashes.
+        on_crash: Called with the runner when it crashes.
         has_crashed: Whether the runner has crashed.
         limit: The requests a second that it names as its limit, as text; None for none.
         born_ms: Unix time of the start that it registers, in milliseconds.
@@ -116,7 +144,12 @@
         self.deadly_part = ""
         self.deadly_body: bytes | None = None
         self.crash_stage = CrashStage.BEFORE_ANSWER
+        self.crash_manner = CrashManner.LISTENER_FIRST
+        self.on_crash: Callable[[RunnerStandin], None] = lambda runner: None
         self.has_crashed = False
+        self._crash_lock = threading.Lock()
+        self._is_running = True
+        self._held_listener: socket.socket | None = None
         self.limit: str | None = None
         self.born_ms = 1_788_000_000_000
         self.retry_after: str | None = None
@@ -139,12 +172,35 @@
         self._stopping.set()
         self._server.drop_connections()
         self._server.close()
+        if self._held_listener is not None:
+            self._held_listener.close()
 
     def crash(self) -> None:
-        """Refuse new connections and break off all responses, as a crash does."""
-        self.has_crashed = True
-        self._server.stop_accepting()
-        self._server.drop_connections()
+        """End as the process of a runner does, in the way that `crash_manner` names."""
+        with self._crash_lock:
+            if not self._is_running:
+                return
+            self._is_running = self.crash_manner is CrashManner.BACK_AT_ONCE
+            self.has_crashed = True
+        if self.crash_manner is CrashManner.SILENT:
+            self.on_crash(self)
+        elif self.crash_manner is CrashManner.BACK_AT_ONCE:
+            self.on_crash(self)
+            self._server.drop_connections()
+        elif self.crash_manner is CrashManner.CONNECTIONS_FIRST:
+            self._stopping.wait(CRASH_PAUSE_S)
+            self._server.drop_connections()
+            self._stopping.wait(LISTENER_LAG_S)
+            self._server.stop_accepting()
+            self.on_crash(self)
+        else:
+            if self.crash_manner is CrashManner.LISTENER_KEPT:
+                self._held_listener = socket.socket(
+                    fileno=os.dup(self._server.fileno())
+                )
+            self._server.stop_accepting()
+            self._server.drop_connections()
+            self.on_crash(self)
 
     def describe(self) -> bytes:
         """Return the entry that it registers in the store."""
@@ -167,6 +223,7 @@
         behaviour = (
             self.behaviours.popleft() if self.behaviours else RunnerBehaviour.ANSWER
         )
+        self._stop_if_crashed()
         headers = {name.lower(): value for name, value in request.headers.items()}
         expected = headers.get(names.EXPECT_INSTANCE.lower())
         if expected is not None and expected != self.id:
@@ -197,6 +254,7 @@
         if self._is_deadly(headers.get(names.PROMPT_PREFIX.lower(), "")):
             writer.start(200, [("Content-Type", "text/event-stream")])
             self.crash()
+            self._stop_if_crashed()
             raise ConnectionResetError("the runner crashes")
         if body == self.deadly_body and behaviour is RunnerBehaviour.ANSWER:
             self._crash_during(writer, headers)
@@ -206,6 +264,18 @@
             self.abandoned_count += 1
             raise
 
+    def _stop_if_crashed(self) -> None:
+        """Do nothing more for a request once the runner has ended.
+
+        Raises:
+            ConnectionResetError: The runner has ended.
+        """
+        if self._is_running:
+            return
+        if self.crash_manner in (CrashManner.SILENT, CrashManner.CONNECTIONS_FIRST):
+            self._stopping.wait(STALL_S)
+        raise ConnectionResetError("the runner has ended")
+
     def _describe_itself(self) -> list[tuple[str, str]]:
         fields = [] if self.limit is None else [(names.LIMIT, self.limit)]
         return fields + ([(names.LEAVING, "1")] if self.tells_leaving else [])
@@ -285,5 +355,6 @@
     def _pause(self, writer: AnswerWriter) -> None:
         if self.pause_s:
             threading.Event().wait(self.pause_s)
+        self._stop_if_crashed()
         if writer.is_abandoned():
             raise ConnectionResetError("the caller disconnected")
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -107,6 +107,10 @@
         """Start to accept connections."""
         self._acceptor.start()
 
+    def fileno(self) -> int:
+        """Return the listener's descriptor."""
+        return self._listener.fileno()
+
     def stop_accepting(self) -> None:
         """Close the listener and idle connections; requests in flight continue.
 
