Record what broke off as evidence, and add the signs of an end that come later

Callers saw sound prompts fail for as long as prompts with one deadly part came. Cause: whether an endpoint ended was asked once, when a run broke off, by a connection attempt. Engines whose listener closes last, is kept, or belongs to the next process, and silent ones, were not seen to end, and the runs counted against whole requests alone, no two of which are alike.

A run without an event that breaks off is now recorded with its parts at once and counts for less. Later signs of an end raise it: the list of endpoints, another endpoint at the address, a refused connection, reports of others. An endpoint that answers a later request, leaves as planned or stays listed clears it. The key of a whole request has the parts of its prompt.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -191,10 +191,25 @@
         known = self._endpoints.get(endpoint.id)
         return known is not None and known.started_at_ms > endpoint.started_at_ms
 
-    def find_incarnation(self, endpoint_id: str) -> str | None:
-        """Return the current incarnation of an endpoint, or None if it is gone."""
-        known = self._endpoints.get(endpoint_id)
-        return known.incarnation if known else None
+    def find_end(self, endpoint: RegisteredEndpoint) -> bool | None:
+        """Return whether an endpoint has ended; None if it leaves as planned."""
+        known = self._endpoints.get(endpoint.id)
+        if known is not None and known.incarnation == endpoint.incarnation:
+            if known.state is not EndpointState.READY:
+                return None
+            if self._is_leaving(endpoint.incarnation):
+                return None
+            return self._is_address_taken(endpoint)
+        return None if self._is_leaving(endpoint.incarnation) else True
+
+    def _is_address_taken(self, endpoint: RegisteredEndpoint) -> bool:
+        """Return whether a later endpoint is registered under the same address."""
+        with self._lock:
+            return any(
+                other.address == endpoint.address
+                and other.started_at_ms > endpoint.started_at_ms
+                for other in self._endpoints.values()
+            )
 
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether no requests may be sent to a data centre."""
--- a/oriolepaddle/crashes/keys.py
+++ b/oriolepaddle/crashes/keys.py
@@ -20,19 +20,30 @@
     Attributes:
         request: A digest of the whole request, independent of its caller.
         parts: The parts of its prompt that other prompts may share, for its service.
+        exact: A digest that includes the last part of its prompt, which may be new each
+            time that the request is sent; empty if it has no such part.
     """
 
     request: str
     parts: frozenset[str] = frozenset()
+    exact: str = ""
+
+    @property
+    def requests(self) -> frozenset[str]:
+        """The digests of the whole request."""
+        return frozenset({self.request, self.exact} - {""})
 
     @property
     def all(self) -> frozenset[str]:
         """The request and its parts."""
-        return self.parts | {self.request}
+        return self.parts | self.requests
 
 
 def make_request_keys(
-    service: str, content: Iterable[bytes], part_ids: Iterable[str]
+    service: str,
+    content: Iterable[bytes],
+    part_ids: Iterable[str],
+    last_part_id: bytes = b"",
 ) -> RequestKeys:
     """Return the keys of a request.
 
@@ -43,14 +54,18 @@
         service: The service that runs the request.
         content: What makes two requests the same.
         part_ids: The parts that other prompts may share.
+        last_part_id: The last part of its prompt, if it isn't part of the content.
     """
     digest = xxhash.xxh3_128()
     for field in content:
         digest.update(len(field).to_bytes(8, "big") + field)
+    request = f"request:{digest.hexdigest()}"
+    digest.update(last_part_id)
     parts = list(part_ids)[:MAX_PARTS]
     return RequestKeys(
-        f"request:{digest.hexdigest()}",
+        request,
         frozenset(f"{service}/{_shorten(part)}" for part in parts),
+        f"request:{digest.hexdigest()}" if last_part_id else "",
     )
 
 
--- a/oriolepaddle/crashes/ledger.py
+++ b/oriolepaddle/crashes/ledger.py
@@ -28,6 +28,7 @@
 class _StoredReport:
     report: CrashReport
     changed_s: float
+    grown_s: float
 
 
 class CrashLedger:
@@ -81,6 +82,15 @@
         self._store(merged, stored.report if stored else None)
         return True
 
+    def find(
+        self, incarnation: str, grown_before_s: float = float("inf")
+    ) -> CrashReport | None:
+        """Return the report of an incarnation to which keys were last added before."""
+        stored = self._stored.get(incarnation)
+        if stored is None or stored.grown_s >= grown_before_s:
+            return None
+        return stored.report
+
     def is_suspect(self, key: str) -> bool:
         """Return whether a key was at a crash and has not been cleared of it."""
         return any(
@@ -132,7 +142,7 @@
             if now_s - item.changed_s >= SENT_WHEN_CLEARED_S:
                 # All instances have the others by now, and merge what a later crash
                 # adds to them.
-                report = attrs.evolve(report, cut=report.cut & verdicts.causes)
+                report = _select_decisive(report, verdicts)
                 is_due = report.has_suspects
             else:
                 is_due = True
@@ -144,15 +154,23 @@
         return selected
 
     def _store(self, report: CrashReport, previous: CrashReport | None) -> None:
-        self._stored[report.incarnation] = _StoredReport(report, self.changed_s)
         before = previous or CrashReport(report.incarnation)
+        grown_s = self.changed_s
+        if previous is not None and report.keys == previous.keys:
+            grown_s = self._stored[report.incarnation].grown_s
+        stored = _StoredReport(report, self.changed_s, grown_s)
+        self._stored[report.incarnation] = stored
         self._drop_from_index(before.keys - report.keys, report.incarnation)
         for key in report.keys:
             self._incarnations.setdefault(key, set()).add(report.incarnation)
-        # A whole request at one crash decides nothing, and most reports have many.
+        # A whole request at one crash decides nothing, nor does a part at one that
+        # isn't confirmed, and most reports have many.
         changed = report.find_changes(before)
         parts = report.parts | before.parts
-        if not changed.isdisjoint(parts) or any(
+        has_part_change = not changed.isdisjoint(parts)
+        if has_part_change:
+            changed |= parts
+        if (report.has_ended and has_part_change) or any(
             len(self._incarnations.get(key, ())) > 1 for key in changed
         ):
             self._verdicts = None
@@ -183,6 +201,20 @@
         )
 
 
+def _select_decisive(report: CrashReport, verdicts: Verdicts) -> CrashReport:
+    """Return a report without what is often cut off and of no consequence so far."""
+    cut = report.cut & verdicts.causes
+    if report.has_ended:
+        return attrs.evolve(report, cut=cut)
+    accused = verdicts.causes | verdicts.rivals.keys()
+    return attrs.evolve(
+        report,
+        cut=cut,
+        answering=report.answering & accused,
+        waiting=report.waiting & accused,
+    )
+
+
 def _limit(keys: frozenset[str], incarnation: str) -> frozenset[str]:
     """Return a bounded choice of keys, the same at all instances.
 
--- a/oriolepaddle/crashes/register.py
+++ b/oriolepaddle/crashes/register.py
@@ -7,11 +7,19 @@
 import attrs
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.crashes.answered import AnsweredRequests
 from oriolepaddle.crashes.keys import RequestKeys
 from oriolepaddle.crashes.ledger import CrashLedger
+from oriolepaddle.crashes.pending import (
+    ActiveRun,
+    ActiveRuns,
+    FindEnd,
+    PendingRun,
+    PendingRuns,
+    RunningEndpoint,
+)
 from oriolepaddle.crashes.report import CrashReport
 from oriolepaddle.crashes.runs import SuspectRun, SuspectRuns
-from oriolepaddle.crashes.silence import SilentRun, SilentRuns
 from oriolepaddle.crashes.verdicts import Verdicts
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.logs import log_event
@@ -62,7 +70,9 @@
         self._lock = threading.Lock()
         self._ledger = CrashLedger(clock)
         self._runs = SuspectRuns()
-        self._silent_runs = SilentRuns()
+        self._active_runs = ActiveRuns()
+        self._pending_runs = PendingRuns()
+        self._answered_requests = AnsweredRequests()
         self._changed = threading.Event()
 
     def check(self, keys: RequestKeys) -> None:
@@ -117,7 +127,7 @@
         if len(self._ledger) == 0:
             return False
         with self._lock:
-            return self._ledger.is_suspect(keys.request)
+            return self._ledger.is_suspect(self._answered_requests.find_key(keys))
 
     def end(self, run: SuspectRun) -> None:
         """Record the end of a run."""
@@ -126,6 +136,16 @@
                 self._runs.end(run)
                 self._signal_change()
 
+    def add_active(self, run: ActiveRun) -> None:
+        """Add a run, so that it counts as soon as its endpoint has ended."""
+        with self._lock:
+            self._active_runs.add(run)
+
+    def discard_active(self, run: ActiveRun) -> None:
+        """Remove a run that had an event, or ended."""
+        with self._lock:
+            self._active_runs.discard(run)
+
     def record_event(self, keys: Iterable[str]) -> None:
         """Clear what an endpoint has begun to answer without crashing."""
         if len(self._ledger) == 0:
@@ -137,6 +157,12 @@
                 self._report("suspects_cleared", OWN_ORIGIN, keys=sorted(cleared))
                 self._report_causes(before, OWN_ORIGIN)
 
+    def record_success(self, keys: RequestKeys) -> None:
+        """Clear a whole request that an endpoint has run to its end."""
+        with self._lock:
+            self._answered_requests.add(keys)
+        self.record_event(keys.requests)
+
     def record_crash(
         self, incarnation: str, keys: RequestKeys, *, has_begun: bool
     ) -> None:
@@ -147,16 +173,34 @@
             keys: The keys of the run's request.
             has_begun: Whether the response had begun.
         """
-        self._merge(
-            CrashReport(
-                incarnation,
-                answering=keys.parts if has_begun else frozenset(),
-                waiting=frozenset() if has_begun else keys.parts,
-                requests=frozenset({keys.request}),
-                recorded_s=self._clock.monotonic_s(),
-            ),
-            OWN_ORIGIN,
-        )
+        self._record_parts(incarnation, keys, has_begun, has_ended=True)
+        self.record_broken_connection(incarnation, keys)
+
+    def record_break(
+        self,
+        endpoint: RunningEndpoint,
+        keys: RequestKeys,
+        *,
+        has_begun: bool,
+        is_certain: bool,
+    ) -> None:
+        """Record that a run broke off before its first event.
+
+        Its connection may have been reset. It counts for more once the endpoint turns
+        out to have ended; see `resolve_pending_runs`.
+
+        Args:
+            endpoint: The endpoint that ran it.
+            keys: The keys of the run's request.
+            has_begun: Whether the response had begun.
+            is_certain: Whether it counts against the whole request like a crash.
+        """
+        self._add_pending(endpoint, keys, has_begun=has_begun)
+        self._record_parts(endpoint.incarnation, keys, has_begun, has_ended=False)
+        if is_certain:
+            self.record_broken_connection(endpoint.incarnation, keys)
+        else:
+            self.record_cut(endpoint.incarnation, keys)
 
     def record_cut(self, incarnation: str, keys: RequestKeys) -> None:
         """Record that a response broke off, which sound ones do as well.
@@ -166,42 +210,89 @@
         self._merge(
             CrashReport(
                 incarnation,
-                cut=frozenset({keys.request}),
+                cut=self._find_request_keys(keys),
                 recorded_s=self._clock.monotonic_s(),
             ),
             OWN_ORIGIN,
         )
 
     def record_silence(
-        self, endpoint_id: str, incarnation: str, keys: RequestKeys
+        self,
+        endpoint: RunningEndpoint,
+        keys: RequestKeys,
+        *,
+        has_begun: bool = False,
+        has_event: bool = False,
     ) -> None:
         """Record that a run got no complete response, but its connection held.
 
         It counts like a response that broke off once the endpoint turns out to have
-        ended; see `resolve_silent_runs`.
+        ended; see `resolve_pending_runs`.
+
+        Args:
+            endpoint: The endpoint that ran it.
+            keys: The keys of the run's request.
+            has_begun: Whether the response had begun.
+            has_event: Whether an event of the response had come.
         """
-        with self._lock:
-            self._silent_runs.add(
-                SilentRun(endpoint_id, incarnation, keys, self._clock.monotonic_s())
-            )
+        self._add_pending(
+            endpoint, keys, has_begun=has_begun, has_event=has_event, is_silent=True
+        )
 
-    def resolve_silent_runs(
-        self, find_incarnation: Callable[[str], str | None]
-    ) -> None:
-        """Record the silent runs whose endpoint has ended since.
+    def resolve_pending_runs(self, find_end: FindEnd, confirmed_s: float) -> None:
+        """Record the failed runs whose endpoint is known to have ended since.
+
+        Runs that broke off at endpoints which turn out to live accuse no part of a
+        prompt: their connections were reset.
 
         Args:
-            find_incarnation: Returns the current incarnation of an endpoint by its
-                id, or None if it is not registered.
+            find_end: Returns whether an endpoint has ended.
+            confirmed_s: Monotonic time at which the list of endpoints was confirmed.
         """
-        if len(self._silent_runs) == 0:
+        if len(self._pending_runs) + len(self._active_runs) == 0:
             return
         with self._lock:
-            ended = self._silent_runs.remove_ended(
-                find_incarnation, self._clock.monotonic_s()
+            silent = self._active_runs.remove_ended(find_end, self._clock.monotonic_s())
+            ended, others = self._pending_runs.remove_resolved(find_end, confirmed_s)
+        for run in silent:
+            self._record_parts(
+                run.endpoint.incarnation, run.keys, run.has_begun(), has_ended=True
             )
+        for run in others:
+            self._clear_parts(run.endpoint.incarnation, run.keys.parts)
         for run in ended:
-            self.record_cut(run.incarnation, run.keys)
+            incarnation = run.endpoint.incarnation
+            if run.is_silent:
+                self.record_cut(incarnation, run.keys)
+            if not run.has_event:
+                self._record_parts(incarnation, run.keys, run.has_begun, has_ended=True)
+
+    def is_pending(self, endpoint: RunningEndpoint) -> bool:
+        """Return whether a sign that an endpoint has ended would tell something."""
+        with self._lock:
+            return self._pending_runs.has_endpoint(endpoint.incarnation)
+
+    def record_end(self, endpoint: RunningEndpoint) -> None:
+        """Record a sign that an endpoint has ended, for the runs that failed there."""
+        incarnation = endpoint.incarnation
+        self.resolve_pending_runs(
+            lambda item: item.incarnation == incarnation, float("-inf")
+        )
+
+    def record_alive(self, incarnation: str, sent_s: float) -> None:
+        """Record that an endpoint answers a request, so earlier breaks were resets.
+
+        Args:
+            incarnation: The endpoint's incarnation.
+            sent_s: Monotonic time at which the request was sent. Bytes that were on
+                their way when the endpoint ended may still come for earlier ones.
+        """
+        if len(self._ledger) == 0:
+            return
+        with self._lock:
+            report = self._ledger.find(incarnation, grown_before_s=sent_s)
+        if report is not None:
+            self._clear_parts(incarnation, report.parts)
 
     def record_broken_connection(self, incarnation: str, keys: RequestKeys) -> None:
         """Record that a connection broke without a response; it may be a crash.
@@ -211,7 +302,7 @@
         self._merge(
             CrashReport(
                 incarnation,
-                requests=frozenset({keys.request}),
+                requests=self._find_request_keys(keys),
                 recorded_s=self._clock.monotonic_s(),
             ),
             OWN_ORIGIN,
@@ -269,6 +360,50 @@
             for key, reports in sorted(found.items())
         ]
 
+    def _record_parts(
+        self, incarnation: str, keys: RequestKeys, has_begun: bool, has_ended: bool
+    ) -> None:
+        if not keys.parts:
+            return
+        self._merge(
+            CrashReport(
+                incarnation,
+                answering=keys.parts if has_begun else frozenset(),
+                waiting=frozenset() if has_begun else keys.parts,
+                has_ended=has_ended,
+                recorded_s=self._clock.monotonic_s(),
+            ),
+            OWN_ORIGIN,
+        )
+
+    def _add_pending(
+        self,
+        endpoint: RunningEndpoint,
+        keys: RequestKeys,
+        *,
+        has_begun: bool,
+        has_event: bool = False,
+        is_silent: bool = False,
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._pending_runs.add(
+                PendingRun(endpoint, keys, now_s, is_silent, has_begun, has_event)
+            )
+
+    def _clear_parts(self, incarnation: str, parts: frozenset[str]) -> None:
+        """Clear parts of a break at an endpoint that isn't known to have ended."""
+        with self._lock:
+            report = self._ledger.find(incarnation)
+        if report is None or report.has_ended or parts <= report.cleared:
+            return
+        cleared = report.cleared | parts
+        self._merge(attrs.evolve(report, cleared=cleared), OWN_ORIGIN)
+
+    def _find_request_keys(self, keys: RequestKeys) -> frozenset[str]:
+        with self._lock:
+            return frozenset({self._answered_requests.find_key(keys)})
+
     def _merge(self, report: CrashReport, origin: str) -> None:
         with self._lock:
             before = self._ledger.verdicts
@@ -283,6 +418,7 @@
                 requests=sorted(report.requests),
                 cut=sorted(report.cut),
                 cleared=sorted(report.cleared),
+                has_ended=report.has_ended,
                 age_s=round(self._clock.monotonic_s() - report.recorded_s, 3),
             )
             self._report_causes(before, origin)
--- a/oriolepaddle/crashes/report.py
+++ b/oriolepaddle/crashes/report.py
@@ -14,12 +14,14 @@
 
     Attributes:
         incarnation: The incarnation of the endpoint that crashed.
-        answering: Parts of prompts whose response had begun.
+        answering: Parts of prompts whose response had begun, without an event.
         waiting: Parts of prompts whose response had not begun.
         requests: Whole requests without an event.
         cut: Whole requests that were cut off later, or without a sign that the
             endpoint ended.
         cleared: What has been answered since, and so is not the cause.
+        has_ended: Whether the endpoint is known to have ended. Until then, its
+            connections may only have been reset.
         recorded_s: Monotonic time at which the crash was first seen; ignored by
             equality.
     """
@@ -30,6 +32,7 @@
     requests: frozenset[str] = frozenset()
     cut: frozenset[str] = frozenset()
     cleared: frozenset[str] = frozenset()
+    has_ended: bool = False
     recorded_s: float = attrs.field(default=0.0, eq=False)
 
     @property
@@ -62,6 +65,8 @@
 
     def find_changes(self, earlier: "CrashReport") -> frozenset[str]:
         """Return the keys that differ from another report of the same crash."""
+        if self.has_ended != earlier.has_ended:
+            return self.keys | earlier.keys
         return (
             (self.answering ^ earlier.answering)
             | (self.waiting ^ earlier.waiting)
@@ -78,6 +83,7 @@
             and other.requests <= self.requests
             and other.cut <= self.cut
             and other.cleared <= self.cleared
+            and other.has_ended <= self.has_ended
         )
 
     def merge(self, other: "CrashReport") -> "CrashReport":
@@ -89,5 +95,6 @@
             self.requests | other.requests,
             self.cut | other.cut,
             self.cleared | other.cleared,
+            self.has_ended or other.has_ended,
             self.recorded_s,
         )
--- a/oriolepaddle/crashes/verdicts.py
+++ b/oriolepaddle/crashes/verdicts.py
@@ -1,7 +1,8 @@
 """Conclusions from the reports of crashes.
 
 Answers two loads: one part of many prompts, no two alike, crashes every endpoint that
-begins to answer it, while sound prompts share all other parts; and one request that
+begins to answer it, while sound prompts share all other parts, however the end of the
+endpoint looks to callers; and one request that
 is sent again crashes every endpoint that runs it, at any stage of its response, while
 sound requests are cut off beside it.
 """
@@ -24,6 +25,15 @@
 WAITING_WEIGHT = 2
 """Weight of a crash at which the run only waited: three are needed, as a busy
 endpoint has many such runs."""
+BROKEN_ANSWERING_WEIGHT = 2
+"""Weight of a response that broke off before its first event, without a sign that the
+endpoint ended: three are needed. A reset rarely meets this moment."""
+BROKEN_WAITING_WEIGHT = 1
+"""Weight of a run that only waited when its connection broke, without such a sign: six
+are needed, without an event between them, as each reset meets many such runs."""
+SUSPECT_LIMIT = 3
+"""Sum of weights from which a part without a confirmed crash is tested by one run at a
+time. A single reset must not delay sound prompts."""
 REQUEST_WEIGHT = 3
 """Weight of a crash as evidence against a whole request: two are enough."""
 CUT_WEIGHT = 2
@@ -35,6 +45,9 @@
 SIMULTANEOUS_S = 1.0
 """Crashes within this time count once against what only waited or was cut off, since
 a failure of many endpoints at once is not the work of what they ran."""
+SIMULTANEOUS_BREAK_S = 0.25
+"""The same for responses that broke off without a sign that the endpoint ended. What
+resets connections to many endpoints does so within some milliseconds."""
 Evidence = dict[str, dict[str, int]]
 
 
@@ -47,11 +60,13 @@
         causes: The keys that are known to be a cause.
         rivals: The keys that explain the crashes of an accused part as well: parts,
             and whole requests that were at all of them.
+        tested: The parts of which one run at a time may start.
     """
 
     crashes: Mapping[str, frozenset[str]] = attrs.Factory(dict)
     causes: frozenset[str] = frozenset()
     rivals: Mapping[str, frozenset[str]] = attrs.Factory(dict)
+    tested: frozenset[str] = frozenset()
 
     def is_refused(self, keys: RequestKeys) -> bool:
         """Return whether a request would crash the endpoint that runs it.
@@ -67,7 +82,7 @@
 
     def find_suspects(self, keys: RequestKeys) -> frozenset[str]:
         """Return what of a request is suspected."""
-        return frozenset(part for part in keys.parts if part in self.crashes)
+        return keys.parts & self.tested
 
 
 def find_verdicts(reports: Iterable[CrashReport]) -> Verdicts:
@@ -87,10 +102,17 @@
         {key: _leave_out(found, explained) for key, found in requests.items()}
     )
     crashes = unexplained | causes | refused
+    confirmed = {report.incarnation for report in ordered if report.has_ended}
+    tested = {
+        part
+        for part, found in (unexplained | causes).items()
+        if not confirmed.isdisjoint(found) or sum(found.values()) >= SUSPECT_LIMIT
+    }
     return Verdicts(
         crashes={key: frozenset(found) for key, found in crashes.items() if found},
         causes=frozenset(causes.keys() | refused.keys()),
         rivals=_find_part_rivals(unexplained, requests),
+        tested=frozenset(tested),
     )
 
 
@@ -99,18 +121,25 @@
     last_counted_s: dict[str, float] = defaultdict(lambda: float("-inf"))
     for report in ordered:
         for part in report.find_suspect_parts():
-            if part in report.answering:
-                weight = ANSWERING_WEIGHT
-            elif report.recorded_s - last_counted_s[part] < SIMULTANEOUS_S:
+            weight, simultaneous_s = _weigh_part(report, part)
+            if report.recorded_s - last_counted_s[part] < simultaneous_s:
                 weight = 0
-            else:
-                weight = WAITING_WEIGHT
             if weight:
                 last_counted_s[part] = report.recorded_s
             evidence[part][report.incarnation] = weight
     return dict(evidence)
 
 
+def _weigh_part(report: CrashReport, part: str) -> tuple[int, float]:
+    """Return the weight of a report, and the time within which it counts once."""
+    if part not in report.answering:
+        weight = WAITING_WEIGHT if report.has_ended else BROKEN_WAITING_WEIGHT
+        return weight, SIMULTANEOUS_S
+    if report.has_ended:
+        return ANSWERING_WEIGHT, 0.0
+    return BROKEN_ANSWERING_WEIGHT, SIMULTANEOUS_BREAK_S
+
+
 def _weigh_requests(ordered: list[CrashReport]) -> Evidence:
     evidence: Evidence = defaultdict(dict)
     last_counted_s: dict[str, float] = defaultdict(lambda: float("-inf"))
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -161,7 +161,9 @@
             log_event("readiness_changed", ready=ready, knowledge_age_s=age_s)
         self.roster.set_own(ready, self._drain.is_active)
         self.context.placer.refresh_cold_shares()
-        self.context.crashes.resolve_silent_runs(self.catalog.find_incarnation)
+        self.context.crashes.resolve_pending_runs(
+            self.catalog.find_end, self.catalog.endpoints_confirmed_at_s
+        )
         self.permits.forget_lifted()
         self._upkeep.run()
         self._apply_limits()
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -210,6 +210,7 @@
         )
         request = self._make_request(headers, ConnectionReuse.IF_SURELY_OPEN)
         try:
+            self._crash_guard.start_run(endpoint, sink)
             context.transport.run(endpoint.address, request, sink)
             self._complete(sink)
             run.succeed()
@@ -328,7 +329,7 @@
             sink.set_callbacks(
                 run.record_activity,
                 lambda: self._check_progress(run, endpoint, sink),
-                self._crash_guard.record_first_event,
+                lambda: self._crash_guard.record_first_event(endpoint, started_s),
             )
         return sink
 
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -669,11 +669,13 @@
      - cleared: What has been answered since, and so is not the cause.
      - age_ms: The time since the crash, as instances do not share a clock.
      - cut: Digests of whole requests that were cut off later, or without a crash seen.
+     - unconfirmed_answering: Like 2 and 3, while nothing shows that the endpoint has ended.
+     - unconfirmed_waiting
 
     """
 
 
-    def __init__(self, incarnation=None, answering=None, waiting=None, requests=None, cleared=None, age_ms=None, cut=None,):
+    def __init__(self, incarnation=None, answering=None, waiting=None, requests=None, cleared=None, age_ms=None, cut=None, unconfirmed_answering=None, unconfirmed_waiting=None,):
         self.incarnation = incarnation
         self.answering = answering
         self.waiting = waiting
@@ -681,6 +683,8 @@
         self.cleared = cleared
         self.age_ms = age_ms
         self.cut = cut
+        self.unconfirmed_answering = unconfirmed_answering
+        self.unconfirmed_waiting = unconfirmed_waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -751,6 +755,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.unconfirmed_answering = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unconfirmed_answering.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.unconfirmed_waiting = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unconfirmed_waiting.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -804,6 +828,20 @@
                 oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.unconfirmed_answering is not None:
+            oprot.writeFieldBegin('unconfirmed_answering', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.unconfirmed_answering))
+            for iter41 in self.unconfirmed_answering:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unconfirmed_waiting is not None:
+            oprot.writeFieldBegin('unconfirmed_waiting', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.unconfirmed_waiting))
+            for iter41 in self.unconfirmed_waiting:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1671,6 +1709,8 @@
     (5, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
     (7, TType.LIST, 'cut', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.LIST, 'unconfirmed_answering', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'unconfirmed_waiting', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(EndpointLimit)
 EndpointLimit.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -70,6 +70,9 @@
   6: required i32 age_ms,
   /** Digests of whole requests that were cut off later, or without a crash seen. */
   7: optional list<string> cut,
+  /** Like 2 and 3, while nothing shows that the endpoint has ended. */
+  8: optional list<string> unconfirmed_answering,
+  9: optional list<string> unconfirmed_waiting,
 }
 
 /** The limit that an endpoint of the sender's region named, or has lifted. */
