Split the crash register and the tests of the crash guard by subject

What merges reports and refuses requests is a class of its own, and the tests on ends that are not seen have a file. No test changes.

--- a/oriolepaddle/crashes/__init__.py
+++ b/oriolepaddle/crashes/__init__.py
@@ -2,8 +2,9 @@
 
 from oriolepaddle.crashes.keys import RequestKeys, make_request_keys
 from oriolepaddle.crashes.pending import ActiveRun
-from oriolepaddle.crashes.register import CrashEntry, CrashRegister
+from oriolepaddle.crashes.register import CrashRegister
 from oriolepaddle.crashes.report import CrashReport
+from oriolepaddle.crashes.reports import CrashEntry
 from oriolepaddle.crashes.runs import SuspectRun
 
 __all__ = [
