Let requests that are due late wait at the edge for those due soon

Cause: a long prompt was sent as soon as it could still be on time. At a peak the engines' queues grew to the long prompts' target, and every short prompt on the same engines, due much sooner, was refused.

Change: an edge instance keeps the targets of each service's recent requests. One whose target is at least 1.25 times the shortest starts only while the expected queue is below 0.3 of the shortest target, and up to 0.6 as its latest start comes near. Otherwise it waits in a bounded queue by latest start, then by what its organisation has had. The wait of the request that left last, and the age of the oldest one, are the forecast: who would be late is refused on arrival, or forwarded if another region would start it at once. Retry-After is the excess, extended at random. Services with one target are served as before.

The admission package loads its modules on first use, as an edge instance now needs two of them. test_imports named the whole package as one that only the gateway uses; it now names each module of it that still is.

--- a/experiments/placement/region.py
+++ b/experiments/placement/region.py
@@ -7,7 +7,9 @@
 
 from experiments.placement.batch_engine import BatchEngine, EngineRun
 from experiments.placement.scenario import RequestKind, Scenario, Variant
+from experiments.placement.turn import Turn
 from experiments.simulation import EventLoop
+from oriolepaddle.admission import EdgeQueue
 from oriolepaddle.catalog import (
     CallerLimits,
     Catalog,
@@ -51,7 +53,8 @@
         arrived_s: When the request arrived, in seconds.
         first_event_s: Time to the first event in seconds, or None.
         longest_gap_s: The longest pause between two events, in seconds.
-        is_refused: Whether the placer refused the request.
+        is_refused: Whether the placer or the queue refused the request.
+        waited_s: How long it waited at the instance, in seconds.
         is_complete: Whether the answer was complete before the deadline.
     """
 
@@ -61,6 +64,7 @@
     first_event_s: float | None = None
     longest_gap_s: float = 0.0
     is_refused: bool = False
+    waited_s: float = 0.0
     is_complete: bool = False
 
     @property
@@ -99,6 +103,9 @@
             )
             for number in range(scenario.instances)
         }
+        self._queues = {
+            name: EdgeQueue(self.loop, self._generator.random) for name in self._placers
+        }
 
     @property
     def fetches_prefixes(self) -> bool:
@@ -159,8 +166,12 @@
         size = 0.3 + 0.7 * (prompt_tokens + 10 * output_tokens) / mean_cost
         outcome = Outcome(kind, size, self.loop.monotonic_s())
         self.outcomes.append(outcome)
-        placer = self._placers[generator.choice(list(self._placers))]
-        _Exchange(self, placer, job, outcome).start()
+        name = generator.choice(list(self._placers))
+        exchange = _Exchange(self, self._placers[name], job, outcome)
+        if self._variant.uses_queue:
+            Turn(self.loop, self._queues[name], SERVICE, exchange).start()
+        else:
+            exchange.start()
 
     def _announce(self) -> None:
         for name, placer in self._placers.items():
@@ -190,9 +201,9 @@
         self, region: Region, placer: Placer, job: Job, outcome: Outcome
     ) -> None:
         self._region = region
-        self._placer = placer
-        self._job = job
-        self._outcome = outcome
+        self.placer = placer
+        self.job = job
+        self.outcome = outcome
         self._event_count = 0
         self._last_event_s = region.loop.monotonic_s()
         self._is_over = False
@@ -201,25 +212,25 @@
         """Place the request and send it, unless the placer refuses it."""
         loop = self._region.loop
         try:
-            choice = self._placer.choose(self._job)
+            choice = self.placer.choose(self.job)
         except RefusedError:
-            self._outcome.is_refused = True
+            self.outcome.is_refused = True
             return
-        self._placement = self._placer.start(choice, self._job)
+        self._placement = self.placer.start(choice, self.job)
         self._engine = self._region.engines[choice.endpoint.id]
         source = choice.prefix_source if self._region.fetches_prefixes else None
         self._run = EngineRun(
-            self._job,
+            self.job,
             self._on_event,
             self._on_end,
             self._region.engines[source.id] if source else None,
         )
         loop.schedule(NETWORK_DELAY_S, self._engine.submit, self._run)
-        loop.schedule(self._outcome.kind.deadline_s, self._cancel)
+        loop.schedule(self.outcome.kind.deadline_s, self._cancel)
         self._check_idle_timeout()
 
     def _check_idle_timeout(self) -> None:
-        kind = self._outcome.kind
+        kind = self.outcome.kind
         idle_timeout_s = max(MIN_IDLE_TIMEOUT_S, 4 * kind.target_s, 8 * kind.max_gap_s)
         if self._is_over:
             return
@@ -233,16 +244,16 @@
         self._placement.record_activity()
         if self._event_count == 0:
             self._placement.record_first_byte()
-            self._outcome.first_event_s = now_s - self._outcome.arrived_s
+            self.outcome.first_event_s = now_s - self.outcome.arrived_s
         else:
             gap_s = now_s - self._last_event_s
-            self._outcome.longest_gap_s = max(gap_s, self._outcome.longest_gap_s)
+            self.outcome.longest_gap_s = max(gap_s, self.outcome.longest_gap_s)
         self._event_count += 1
         self._last_event_s = now_s
 
     def _on_end(self) -> None:
         if not self._is_over:
-            self._outcome.is_complete = True
+            self.outcome.is_complete = True
             self._placement.succeed()
             self._end()
 
--- a/experiments/placement/scenario.py
+++ b/experiments/placement/scenario.py
@@ -71,6 +71,8 @@
         fetches_prefixes: Whether engines fetch cached prefixes from other engines.
         announces_prefixes: Whether instances announce to each other which prefixes
             they sent to which endpoint.
+        uses_queue: Whether requests that are due late wait at the instances for
+            those that are due soon.
     """
 
     name: str
@@ -78,6 +80,7 @@
     uses_urgency: bool
     fetches_prefixes: bool = True
     announces_prefixes: bool = True
+    uses_queue: bool = False
 
 
 RELATIVE_SPEEDS = (0.6, 1.0, 1.6)
@@ -94,12 +97,37 @@
     )
 
 
+def _make_competing_kinds(load: float) -> tuple[RequestKind, ...]:
+    return (
+        RequestKind(
+            "long", 82 * load, 2890, (2520, 3780), 911, 52, 2.035, 2.0, 5.088, 2.2
+        ),
+        RequestKind(
+            "short", 160 * load, 628, (119, 79), 1564, 290, 0.815, 2.0, 15.285, 2.9
+        ),
+    )
+
+
+_SLOW_ENGINE = EngineParameters(
+    slots=128, cache_tokens=257_123, prefill_tokens_per_s=41_400.0
+)
+COMPETING_LOADS = (0.3, 0.7, 1.0, 1.5, 3.0)
+"""Loads of the competing kinds, as a multiple of what the engines can just read."""
 _ENGINES = tuple(RELATIVE_SPEEDS[number % 3] for number in range(14))
 SCENARIOS = (
     Scenario("busy", _make_kinds(0.7), _ENGINES),
     Scenario("peak", _make_kinds(1.0), _ENGINES),
     Scenario("peak, 26 instances", _make_kinds(1.0), _ENGINES, instances=26),
     Scenario("overload", _make_kinds(1.3), _ENGINES),
+    *(
+        Scenario(
+            f"competing, load {load}",
+            _make_competing_kinds(load),
+            (1.0,) * 14,
+            _SLOW_ENGINE,
+        )
+        for load in COMPETING_LOADS
+    ),
     Scenario("dark", _make_kinds(0.7), _ENGINES, unresponsive_engines=4),
 )
 _FIRST_BYTE_ONLY = PlacementWeights(0.0, 0.0)
@@ -113,4 +141,5 @@
     Variant("neither fetched nor told", _DEFAULT_WEIGHTS, True, False, False),
     Variant("fetched, not told", _DEFAULT_WEIGHTS, True, True, False),
     Variant("chosen", _DEFAULT_WEIGHTS, True),
+    Variant("queue", _DEFAULT_WEIGHTS, True, uses_queue=True),
 )
--- a/experiments/tests/test_placement.py
+++ b/experiments/tests/test_placement.py
@@ -102,3 +102,37 @@
         assert after.on_time >= before.on_time
         assert after.earned_share >= before.earned_share
         assert after.refused <= before.refused
+
+
+class TestCompetingKinds:
+    """Long prompts, due late, filled the engines' queues up to their own target, so
+    that no short one, due soon, could be on time."""
+
+    @pytest.mark.parametrize("load", [1.0, 1.5, 3.0])
+    def test_waiting_long_prompts_leave_room_for_short_ones(self, load):
+        scenario = f"competing, load {load}"
+        before, after = (
+            {
+                kind: summarize(kind, [o for o in outcomes if o.kind.name == kind])
+                for kind in ("long", "short")
+            }
+            | {"all": summarize("all", outcomes)}
+            for outcomes in (
+                run(scenario, name, 6.0, [1]) for name in ("chosen", "queue")
+            )
+        )
+        assert after["all"].earned_share > 1.1 * before["all"].earned_share
+        assert after["short"].on_time > 1.3 * before["short"].on_time
+        assert after["all"].refused < before["all"].refused
+        # What long prompts lose is less than what short ones gain.
+        assert after["long"].on_time > 0.5 * before["long"].on_time
+
+    def test_nobody_waits_without_overload(self):
+        outcomes = run("competing, load 0.3", "queue", 4.0, [1])
+        assert not any(o.waited_s or o.is_refused for o in outcomes)
+
+    def test_nobody_waits_past_the_point_of_being_on_time(self):
+        outcomes = run("competing, load 3.0", "queue", 4.0, [1])
+        waits = [o.waited_s for o in outcomes if o.waited_s]
+        assert waits
+        assert max(waits) < 2.035
--- a/oriolepaddle/admission/__init__.py
+++ b/oriolepaddle/admission/__init__.py
@@ -1,13 +1,6 @@
 """Admission control: queueing before the endpoints, fairness and early refusals."""
 
-from oriolepaddle.admission.admission import Admission
-from oriolepaddle.admission.admission_limits import AdmissionLimits
-from oriolepaddle.admission.admission_queue import AdmissionQueue
-from oriolepaddle.admission.admission_slot import AdmissionSlot
-from oriolepaddle.admission.aim import Aim
-from oriolepaddle.admission.fair_queue import FairQueue
-from oriolepaddle.admission.waiter import Waiter
-from oriolepaddle.admission.waiting_queue import WaitingQueue
+from oriolepaddle.lazy import make_loader
 
 __all__ = [
     "Admission",
@@ -15,7 +8,27 @@
     "AdmissionQueue",
     "AdmissionSlot",
     "Aim",
+    "DueQueue",
+    "EdgeQueue",
     "FairQueue",
+    "QueueEntry",
+    "QueuedRequest",
     "Waiter",
     "WaitingQueue",
 ]
+
+__getattr__ = make_loader(
+    __name__,
+    {
+        "admission": ("Admission",),
+        "admission_limits": ("AdmissionLimits",),
+        "admission_queue": ("AdmissionQueue",),
+        "admission_slot": ("AdmissionSlot",),
+        "aim": ("Aim",),
+        "due_queue": ("DueQueue",),
+        "edge_queue": ("EdgeQueue", "QueueEntry", "QueuedRequest"),
+        "fair_queue": ("FairQueue",),
+        "waiter": ("Waiter",),
+        "waiting_queue": ("WaitingQueue",),
+    },
+)
--- /dev/null
+++ b/oriolepaddle/admission/edge_queue.py
@@ -0,0 +1,289 @@
+"""Requests that wait at an instance while others need the endpoints sooner.
+
+Answers the load of long prompts whose first event is due late, and short ones on the
+same engines whose first event is due soon, when the engines can't read all prompts. If
+each long prompt were sent as soon as it could still be on time, the engines' queues
+would grow to the long prompts' target, and every short one would be too late.
+"""
+
+import itertools
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from oriolepaddle.admission.due_queue import DueQueue
+from oriolepaddle.admission.waiter import Waiter
+from oriolepaddle.clock import Clock
+from oriolepaddle.errors import ErrorCode, RefusedError
+
+__all__ = ["EdgeQueue", "QueueEntry", "QueuedRequest"]
+
+MIN_TARGET_RATIO = 1.25
+"""A request waits only for those whose target is shorter by this factor."""
+TARGET_MEMORY_S = 5.0
+"""Time after its last request for which a target counts."""
+FIRST_LIMIT, LAST_LIMIT = 0.3, 0.6
+"""Expected queue at the endpoint up to which a waiting request starts, as a fraction of
+the shortest target: at its arrival, and at its latest start. Between these it grows in
+proportion, so that the instances of a region start requests in the order of their
+latest starts without messages, and not all at once. The rest of the target covers loads
+that are reported late."""
+MARGIN_S = 0.3
+"""Time by which a request starts before it would be late: about the age of the loads
+that its endpoint is chosen by."""
+MAX_LENGTH = 64
+"""Waiting requests of a service at one instance. Each holds a thread and its body."""
+MIN_RETRY_AFTER_S = 0.3
+"""Shortest retry delay: about the time in which the endpoints' queues get shorter."""
+MAX_SPREAD = 2.0
+"""Factor up to which a retry delay is extended at random, so that callers that are
+refused together don't return together."""
+
+
+@attrs.frozen
+class QueuedRequest:
+    """What the queue needs to know of a request.
+
+    Attributes:
+        service: The service that is to run it.
+        organisation: Its organisation's id; empty on open routes.
+        weight: The weight of the organisation.
+        cost_tokens: Its cost relative to other requests of the service.
+        on_time_s: Seconds until its first byte is due.
+        own_s: Expected seconds from its start to its first byte without a queue.
+    """
+
+    service: str
+    organisation: str
+    weight: float
+    cost_tokens: float
+    on_time_s: float
+    own_s: float
+
+
+@attrs.frozen
+class QueueEntry:
+    """A request that waits.
+
+    Attributes:
+        service: The service that is to run it.
+        waiter: Its place in the queue; `deadline_s` is its latest start.
+        forecast_s: Seconds that it was expected to wait.
+        position: The number of requests that waited when it entered.
+    """
+
+    service: str
+    waiter: Waiter
+    forecast_s: float
+    position: int
+
+
+@attrs.define
+class _ServiceQueue:
+    """The state of one service.
+
+    Attributes:
+        queue: The waiting requests.
+        targets: When a request with each target was last seen, in monotonic seconds.
+        last_wait_s: How long the request that left last had waited.
+        last_left_s: Monotonic time at which it left.
+    """
+
+    queue: DueQueue = attrs.Factory(DueQueue)
+    targets: dict[float, float] = attrs.Factory(dict)
+    last_wait_s: float = 0.0
+    last_left_s: float = float("-inf")
+
+    def note_target(self, target_s: float, now_s: float) -> float:
+        """Record a request's target and return the shortest recent one."""
+        self.targets[target_s] = now_s
+        for target, seen_s in list(self.targets.items()):
+            if now_s - seen_s > TARGET_MEMORY_S:
+                del self.targets[target]
+        return min(self.targets)
+
+    def shortest_target_s(self) -> float:
+        """Return the shortest recent target; 0 if none is known."""
+        return min(self.targets, default=0.0)
+
+    def forecast_s(self, now_s: float) -> float:
+        """Return the expected wait of a request that enters now.
+
+        The instances of a region start requests in about the same order, so the wait
+        of the one that left last, and the age of the oldest one, tell how long the
+        queue of the region is. It shrinks by at most a second in a second.
+        """
+        oldest_s = self.queue.oldest_entry_s()
+        age_s = 0.0 if oldest_s is None else now_s - oldest_s
+        return max(age_s, self.last_wait_s - (now_s - self.last_left_s))
+
+
+class EdgeQueue:
+    """Decides which requests wait, start or are refused; thread-safe, never blocks.
+
+    A request whose first byte is due late starts only while the endpoints' queues are
+    short, so that one that is due soon still finds room behind it.
+
+    Args:
+        clock: The clock.
+        spread: Returns a random number from 0 to 1, for retry delays.
+    """
+
+    def __init__(self, clock: Clock, spread: Callable[[], float]) -> None:
+        self._clock = clock
+        self._spread = spread
+        self._lock = threading.Lock()
+        self._sequences = itertools.count()
+        self._services: dict[str, _ServiceQueue] = {}
+
+    def find_arrival_limit_s(
+        self, service: str, target_s: float, on_time_s: float
+    ) -> float:
+        """Return the longest expected queue for which a request starts at once.
+
+        Args:
+            service: The service that is to run the request.
+            target_s: Seconds from its arrival within which its first byte is due.
+            on_time_s: Seconds left of the target.
+
+        Returns:
+            Infinity for a request that doesn't wait for others.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state = self._services.setdefault(service, _ServiceQueue())
+            shortest_s = state.note_target(target_s, now_s)
+            if target_s < MIN_TARGET_RATIO * shortest_s or on_time_s <= 0:
+                return float("inf")
+            return 0.0 if len(state.queue) else FIRST_LIMIT * shortest_s
+
+    def enter(self, request: QueuedRequest) -> QueueEntry:
+        """Let a request wait that placement refused under its limit.
+
+        Raises:
+            RefusedError: It would wait too long to be on time; it was not run.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state = self._services[request.service]
+            return self._push(state, request, state.shortest_target_s(), now_s)
+
+    def find_limit_s(self, entry: QueueEntry) -> float:
+        """Return the longest expected queue for which a waiting request starts now.
+
+        It is 0 while another one is to start before it.
+
+        Raises:
+            RefusedError: It can no longer be on time; it was not run.
+        """
+        state = self._services[entry.service]
+        waiter = entry.waiter
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if waiter.refusal is not None:
+                raise waiter.refusal
+            if now_s >= waiter.deadline_s:
+                self._leave(state, waiter, now_s)
+                raise self._make_refusal(now_s - waiter.entered_s, 0.0)
+            if state.queue.first() is not waiter:
+                return 0.0
+            return _find_limit_s(state, waiter, now_s)
+
+    def find_immediate_limit_s(self, service: str) -> float:
+        """Return the longest expected queue for which others would start at once."""
+        with self._lock:
+            state = self._services.get(service)
+            return FIRST_LIMIT * state.shortest_target_s() if state else 0.0
+
+    def start(self, entry: QueueEntry) -> float:
+        """Record that a request leaves the queue to be sent; return its wait."""
+        state = self._services[entry.service]
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state.queue.charge(entry.waiter)
+            self._leave(state, entry.waiter, now_s)
+        return now_s - entry.waiter.entered_s
+
+    def leave(self, entry: QueueEntry) -> None:
+        """Remove a request whose caller has disconnected, or that can't wait on."""
+        state = self._services[entry.service]
+        with self._lock:
+            state.queue.remove(entry.waiter)
+            _wake_first(state)
+
+    def count_waiting(self) -> int:
+        """Return the number of waiting requests."""
+        with self._lock:
+            return sum(len(state.queue) for state in self._services.values())
+
+    def _push(
+        self,
+        state: _ServiceQueue,
+        request: QueuedRequest,
+        shortest_s: float,
+        now_s: float,
+    ) -> QueueEntry:
+        limit_s = LAST_LIMIT * shortest_s
+        spare_s = request.on_time_s - limit_s - request.own_s - MARGIN_S
+        forecast_s = state.forecast_s(now_s)
+        if forecast_s > spare_s:
+            raise self._make_refusal(forecast_s, forecast_s - spare_s)
+        waiter = Waiter(
+            organisation=request.organisation,
+            weight=request.weight,
+            cost_tokens=request.cost_tokens,
+            deadline_s=now_s + spare_s,
+            priority=0,
+            entered_s=now_s,
+            sequence=next(self._sequences),
+        )
+        position = len(state.queue)
+        state.queue.push(waiter)
+        if position >= MAX_LENGTH:
+            self._drop_last(state, waiter)
+        return QueueEntry(request.service, waiter, forecast_s, position)
+
+    def _drop_last(self, state: _ServiceQueue, newcomer: Waiter) -> None:
+        victim = state.queue.last()
+        state.queue.remove(victim)
+        victim.refusal = RefusedError(
+            "too many requests wait for an endpoint",
+            code=ErrorCode.OVERLOADED,
+            retry_after=self._spread_delay(MIN_RETRY_AFTER_S),
+        )
+        victim.decided.set()
+        if victim is newcomer:
+            raise victim.refusal
+
+    @staticmethod
+    def _leave(state: _ServiceQueue, waiter: Waiter, now_s: float) -> None:
+        state.queue.remove(waiter)
+        state.last_wait_s = now_s - waiter.entered_s
+        state.last_left_s = now_s
+        _wake_first(state)
+
+    def _make_refusal(self, wait_s: float, excess_s: float) -> RefusedError:
+        return RefusedError(
+            f"requests of this kind wait {wait_s:.2f} s before they are sent, "
+            "too long for this one to be on time",
+            code=ErrorCode.OVERLOADED,
+            retry_after=self._spread_delay(max(MIN_RETRY_AFTER_S, excess_s)),
+        )
+
+    def _spread_delay(self, delay_s: float) -> timedelta:
+        return timedelta(seconds=delay_s * (1 + (MAX_SPREAD - 1) * self._spread()))
+
+
+def _find_limit_s(state: _ServiceQueue, waiter: Waiter, now_s: float) -> float:
+    allowed_s = max(waiter.deadline_s - waiter.entered_s, 1e-6)
+    fraction = min(1.0, max(0.0, (now_s - waiter.entered_s) / allowed_s))
+    limit = FIRST_LIMIT + (LAST_LIMIT - FIRST_LIMIT) * fraction
+    return limit * state.shortest_target_s()
+
+
+def _wake_first(state: _ServiceQueue) -> None:
+    first = state.queue.first()
+    if first is not None:
+        first.decided.set()
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -9,6 +9,7 @@
 import attrs
 
 from oriolepaddle.addresses import split_address
+from oriolepaddle.admission import EdgeQueue
 from oriolepaddle.buffers import make_budget
 from oriolepaddle.catalog import CallerLimits, Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
@@ -262,6 +263,7 @@
             "idle_endpoint_connections": lambda: self._upkeep.idle_count,
             "buffered_bytes": lambda: self.buffers.used_bytes,
             "buffers_refused": lambda: self.buffers.refused,
+            "requests_queued": self.context.queue.count_waiting,
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
@@ -338,6 +340,7 @@
             drain=self._drain,
             generator=self._generator,
             buffers=self.buffers,
+            queue=EdgeQueue(clock, self._generator.random),
         )
 
     def _find_share(self) -> float:
--- a/oriolepaddle/daemon/tests/test_imports.py
+++ b/oriolepaddle/daemon/tests/test_imports.py
@@ -3,7 +3,13 @@
 
 EDGE = "oriolepaddle.daemon.command, oriolepaddle.daemon.edge_instance"
 UNUSED_PACKAGES = (
-    "admission",
+    "admission.admission",
+    "admission.admission_limits",
+    "admission.admission_queue",
+    "admission.admission_slot",
+    "admission.aim",
+    "admission.fair_queue",
+    "admission.waiting_queue",
     "commands",
     "gateway",
     "membership",
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from oriolepaddle.admission import EdgeQueue
 from oriolepaddle.buffers import BufferBudget
 from oriolepaddle.catalog import Catalog
 from oriolepaddle.clock import Clock
@@ -54,6 +55,7 @@
         drain: Decides what is still served while this instance shuts down.
         generator: The source of randomness for retry delays.
         buffers: Bounds the bytes that requests hold in memory.
+        queue: Requests that wait while others need the endpoints sooner.
     """
 
     clock: Clock
@@ -78,3 +80,4 @@
     drain: Drain
     generator: random.Random
     buffers: BufferBudget
+    queue: EdgeQueue
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -11,12 +11,13 @@
 from oriolepaddle.edge.crash_guard import CrashGuard, RunEnd
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.edge.exchange_log import ExchangeLog
-from oriolepaddle.edge.placing import make_job, place
+from oriolepaddle.edge.placing import make_job
 from oriolepaddle.edge.progress import ExchangeProgress
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.edge.retry_rules import MIN_REMAINING_S, find_final_error, may_retry
 from oriolepaddle.edge.sink import EdgeSink
+from oriolepaddle.edge.turn import Turn
 from oriolepaddle.endpoints import ConnectionReuse, EndpointRequest
 from oriolepaddle.errors import (
     EndpointDeadlineError,
@@ -64,6 +65,9 @@
         self._splitter = EventSplitter(request.last_event_id)
         self._progress = ExchangeProgress(request.earlier_runs, not request.hops)
         self._log = ExchangeLog(context, request, self._progress)
+        self._turn = Turn(
+            context, self._progress, self._make_job, self._check_waiting, self.log
+        )
         self._admitted: AdmittedRequest | None = None
         self._crash_guard: CrashGuard | None = None
         self._deadline_s = float("inf")
@@ -81,11 +85,7 @@
         self._set_deadline(admitted)
         is_forwarded = bool(self._request.hops)
         if context.drain.is_refusing(self._remaining_s(), is_forwarded):
-            raise RefusedError(
-                "this instance is shutting down",
-                code=ErrorCode.DRAINING,
-                retry_after=timedelta(0),
-            )
+            raise _make_drain_refusal()
         self._crash_guard = CrashGuard(
             context, self._request, admitted.service, self._check_caller
         )
@@ -166,14 +166,11 @@
             raise EndpointDeadlineError(
                 "the request's deadline is too close", outcome=Outcome.NOT_RUN
             )
-        now_s = self._context.clock.monotonic_s()
-        has_run = self._progress.runs > 0
-        job = make_job(self._admitted, self._request, now_s, remaining_s, has_run)
         target_s = self._admitted.route.target.total_seconds()
         wait_until_s = self._request.arrived_s + SUSPECT_WAIT_FRACTION * target_s
         self._crash_guard.start_attempt(min(wait_until_s, self._deadline_s))
         try:
-            choice = place(self._context, self._admitted, job, self._progress)
+            choice, job = self._turn.place(self._admitted, self._on_time_s())
             self._progress.attempts += 1
             self._progress.expected_s = choice.expected_s
             if isinstance(choice, PeerChoice):
@@ -183,6 +180,24 @@
         finally:
             self._crash_guard.end_attempt()
 
+    def _make_job(self) -> Job:
+        now_s = self._context.clock.monotonic_s()
+        has_run = self._progress.runs > 0
+        return make_job(
+            self._admitted, self._request, now_s, self._remaining_s(), has_run
+        )
+
+    def _on_time_s(self) -> float:
+        target_s = self._admitted.route.target.total_seconds()
+        return self._request.arrived_s + target_s - self._context.clock.monotonic_s()
+
+    def _check_waiting(self) -> None:
+        """Check a request that waits, as if it were about to be sent."""
+        self._check_caller()
+        if self._context.drain.is_ending():
+            raise _make_drain_refusal()
+        self._recheck(None)
+
     def _check_caller(self) -> None:
         if self._writer.is_abandoned():
             raise ConnectionResetError("the caller disconnected")
@@ -478,3 +493,11 @@
 
     def _acquire_retry(self) -> bool:
         return self._context.retry_budget.acquire(self._admitted.service)
+
+
+def _make_drain_refusal() -> RefusedError:
+    return RefusedError(
+        "this instance is shutting down",
+        code=ErrorCode.DRAINING,
+        retry_after=timedelta(0),
+    )
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import attrs
+
 from oriolepaddle.edge.admission import AdmittedRequest
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.progress import ExchangeProgress
@@ -10,7 +12,7 @@
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement import Choice, Job, find_urgency
 
-__all__ = ["make_job", "place"]
+__all__ = ["make_job", "place", "place_elsewhere"]
 
 LATE_WAIT_FRACTION = 0.3
 """Fraction of the target time that a request past its target may still wait."""
@@ -71,23 +73,37 @@
     admitted: AdmittedRequest,
     job: Job,
     progress: ExchangeProgress,
+    local_limit_s: float = float("inf"),
 ) -> Choice | PeerChoice:
     """Return an endpoint of this region or an instance of another.
 
+    Args:
+        context: The components that request handling uses.
+        admitted: The admitted request.
+        job: The request's placement parameters.
+        progress: The request's attempts.
+        local_limit_s: The longest expected time to the first byte for which the
+            request starts in this region now, as others need the endpoints sooner.
+
     Raises:
         RefusedError: Neither may run the request, or neither is expected to start
-            its response in time.
+            its response in time. With a limit, `OVERLOADED` says nothing of other
+            regions.
     """
+    is_limited = local_limit_s < job.max_first_byte_s
+    local_job = attrs.evolve(job, max_first_byte_s=local_limit_s) if is_limited else job
     refusal = None
     choice = None
     if admitted.allows_region(context.region):
         try:
-            choice = context.placer.choose(job, progress.excluded)
+            choice = context.placer.choose(local_job, progress.excluded)
         except RefusedError as error:
             refusal = error
+    if is_limited and refusal is not None and refusal.code is ErrorCode.OVERLOADED:
+        raise refusal
     if refusal is not None:
         try:
-            choice = _choose_with_drawn_permit(context, job, progress)
+            choice = _choose_with_drawn_permit(context, local_job, progress)
         except RefusedError as error:
             refusal = error
     peer = None
@@ -107,6 +123,30 @@
     return choice
 
 
+def place_elsewhere(
+    context: EdgeContext,
+    admitted: AdmittedRequest,
+    job: Job,
+    progress: ExchangeProgress,
+    max_expected_s: float,
+) -> PeerChoice | None:
+    """Return an instance of another region for a request that is refused in this one.
+
+    Args:
+        context: The components that request handling uses.
+        admitted: The admitted request.
+        job: The request's placement parameters.
+        progress: The request's attempts.
+        max_expected_s: The longest expected time to the first byte for which it is
+            forwarded; requests that wait in another region are not in that time.
+    """
+    if not progress.may_forward:
+        return None
+    peer = context.regions.choose(job.service, job.input_tokens, admitted.residency)
+    limit_s = min(max_expected_s, job.max_first_byte_s)
+    return peer if peer is not None and peer.expected_s <= limit_s else None
+
+
 def _spread_return(context: EdgeContext, refusal: RefusedError) -> RefusedError:
     """Extend a long retry delay at random, as many callers wait for the same moment."""
     delay = refusal.retry_after
