Refuse long prompts sooner when those before them waited in vain

Cause: under lasting overload the waits grew to the longest one, and at 1.5 times the capacity a quarter of the long prompts waited for 0.9 s on average and were refused then.

Change: a request enters the queue if it is expected to wait at most 0.3 of its longest wait. After one was refused at its latest start, one may wait at a time, and one more after each that was sent. The limits of the expected queue are 0.2 and 0.4 of the shortest target instead of 0.3 and 0.6, which leaves short prompts more room for loads that are reported late. A refused request is forwarded if its first byte is expected in the other region within the higher limit and its own prompt's time: the limit before left out the way there.

--- a/oriolepaddle/admission/edge_queue.py
+++ b/oriolepaddle/admission/edge_queue.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from oriolepaddle.admission.due_queue import DueQueue
+from oriolepaddle.admission.service_queue import MAX_LENGTH, ServiceQueue
 from oriolepaddle.admission.waiter import Waiter
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
@@ -22,9 +22,7 @@
 
 MIN_TARGET_RATIO = 1.25
 """A request waits only for those whose target is shorter by this factor."""
-TARGET_MEMORY_S = 5.0
-"""Time after its last request for which a target counts."""
-FIRST_LIMIT, LAST_LIMIT = 0.3, 0.6
+FIRST_LIMIT, LAST_LIMIT = 0.2, 0.4
 """Expected queue at the endpoint up to which a waiting request starts, as a fraction of
 the shortest target: at its arrival, and at its latest start. Between these it grows in
 proportion, so that the instances of a region start requests in the order of their
@@ -33,8 +31,11 @@
 MARGIN_S = 0.3
 """Time by which a request starts before it would be late: about the age of the loads
 that its endpoint is chosen by."""
-MAX_LENGTH = 64
-"""Waiting requests of a service at one instance. Each holds a thread and its body."""
+FORECAST_FRACTION = 0.3
+"""Fraction of its longest wait that a request may be expected to wait on arrival. With
+1.0, waits grow to the longest one under lasting overload: at 1.5 times the capacity a
+quarter of the long prompts waited that long and were refused then; with 0.3 it was a
+twentieth."""
 MIN_RETRY_AFTER_S = 0.3
 """Shortest retry delay: about the time in which the endpoints' queues get shorter."""
 MAX_SPREAD = 2.0
@@ -80,46 +81,6 @@
     position: int
 
 
-@attrs.define
-class _ServiceQueue:
-    """The state of one service.
-
-    Attributes:
-        queue: The waiting requests.
-        targets: When a request with each target was last seen, in monotonic seconds.
-        last_wait_s: How long the request that left last had waited.
-        last_left_s: Monotonic time at which it left.
-    """
-
-    queue: DueQueue = attrs.Factory(DueQueue)
-    targets: dict[float, float] = attrs.Factory(dict)
-    last_wait_s: float = 0.0
-    last_left_s: float = float("-inf")
-
-    def note_target(self, target_s: float, now_s: float) -> float:
-        """Record a request's target and return the shortest recent one."""
-        self.targets[target_s] = now_s
-        for target, seen_s in list(self.targets.items()):
-            if now_s - seen_s > TARGET_MEMORY_S:
-                del self.targets[target]
-        return min(self.targets)
-
-    def shortest_target_s(self) -> float:
-        """Return the shortest recent target; 0 if none is known."""
-        return min(self.targets, default=0.0)
-
-    def forecast_s(self, now_s: float) -> float:
-        """Return the expected wait of a request that enters now.
-
-        The instances of a region start requests in about the same order, so the wait
-        of the one that left last, and the age of the oldest one, tell how long the
-        queue of the region is. It shrinks by at most a second in a second.
-        """
-        oldest_s = self.queue.oldest_entry_s()
-        age_s = 0.0 if oldest_s is None else now_s - oldest_s
-        return max(age_s, self.last_wait_s - (now_s - self.last_left_s))
-
-
 class EdgeQueue:
     """Decides which requests wait, start or are refused; thread-safe, never blocks.
 
@@ -136,7 +97,7 @@
         self._spread = spread
         self._lock = threading.Lock()
         self._sequences = itertools.count()
-        self._services: dict[str, _ServiceQueue] = {}
+        self._services: dict[str, ServiceQueue] = {}
 
     def find_arrival_limit_s(
         self, service: str, target_s: float, on_time_s: float
@@ -153,7 +114,7 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            state = self._services.setdefault(service, _ServiceQueue())
+            state = self._services.setdefault(service, ServiceQueue())
             shortest_s = state.note_target(target_s, now_s)
             if target_s < MIN_TARGET_RATIO * shortest_s or on_time_s <= 0:
                 return float("inf")
@@ -185,17 +146,17 @@
             if waiter.refusal is not None:
                 raise waiter.refusal
             if now_s >= waiter.deadline_s:
-                self._leave(state, waiter, now_s)
+                self._leave(state, waiter, now_s, was_refused=True)
                 raise self._make_refusal(now_s - waiter.entered_s, 0.0)
             if state.queue.first() is not waiter:
                 return 0.0
             return _find_limit_s(state, waiter, now_s)
 
-    def find_immediate_limit_s(self, service: str) -> float:
-        """Return the longest expected queue for which others would start at once."""
+    def find_latest_limit_s(self, service: str) -> float:
+        """Return the longest expected queue for which any waiting request starts."""
         with self._lock:
             state = self._services.get(service)
-            return FIRST_LIMIT * state.shortest_target_s() if state else 0.0
+            return LAST_LIMIT * state.shortest_target_s() if state else 0.0
 
     def start(self, entry: QueueEntry) -> float:
         """Record that a request leaves the queue to be sent; return its wait."""
@@ -203,7 +164,7 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             state.queue.charge(entry.waiter)
-            self._leave(state, entry.waiter, now_s)
+            self._leave(state, entry.waiter, now_s, was_refused=False)
         return now_s - entry.waiter.entered_s
 
     def leave(self, entry: QueueEntry) -> None:
@@ -220,7 +181,7 @@
 
     def _push(
         self,
-        state: _ServiceQueue,
+        state: ServiceQueue,
         request: QueuedRequest,
         shortest_s: float,
         now_s: float,
@@ -228,8 +189,10 @@
         limit_s = LAST_LIMIT * shortest_s
         spare_s = request.on_time_s - limit_s - request.own_s - MARGIN_S
         forecast_s = state.forecast_s(now_s)
-        if forecast_s > spare_s:
-            raise self._make_refusal(forecast_s, forecast_s - spare_s)
+        max_wait_s = FORECAST_FRACTION * spare_s
+        is_closed = len(state.queue) >= state.window < MAX_LENGTH
+        if forecast_s > max_wait_s or is_closed:
+            raise self._make_refusal(forecast_s, forecast_s - max_wait_s)
         waiter = Waiter(
             organisation=request.organisation,
             weight=request.weight,
@@ -245,7 +208,7 @@
             self._drop_last(state, waiter)
         return QueueEntry(request.service, waiter, forecast_s, position)
 
-    def _drop_last(self, state: _ServiceQueue, newcomer: Waiter) -> None:
+    def _drop_last(self, state: ServiceQueue, newcomer: Waiter) -> None:
         victim = state.queue.last()
         state.queue.remove(victim)
         victim.refusal = RefusedError(
@@ -258,8 +221,11 @@
             raise victim.refusal
 
     @staticmethod
-    def _leave(state: _ServiceQueue, waiter: Waiter, now_s: float) -> None:
+    def _leave(
+        state: ServiceQueue, waiter: Waiter, now_s: float, was_refused: bool
+    ) -> None:
         state.queue.remove(waiter)
+        state.window = 1 if was_refused else min(MAX_LENGTH, state.window + 1)
         state.last_wait_s = now_s - waiter.entered_s
         state.last_left_s = now_s
         _wake_first(state)
@@ -276,14 +242,14 @@
         return timedelta(seconds=delay_s * (1 + (MAX_SPREAD - 1) * self._spread()))
 
 
-def _find_limit_s(state: _ServiceQueue, waiter: Waiter, now_s: float) -> float:
+def _find_limit_s(state: ServiceQueue, waiter: Waiter, now_s: float) -> float:
     allowed_s = max(waiter.deadline_s - waiter.entered_s, 1e-6)
     fraction = min(1.0, max(0.0, (now_s - waiter.entered_s) / allowed_s))
     limit = FIRST_LIMIT + (LAST_LIMIT - FIRST_LIMIT) * fraction
     return limit * state.shortest_target_s()
 
 
-def _wake_first(state: _ServiceQueue) -> None:
+def _wake_first(state: ServiceQueue) -> None:
     first = state.queue.first()
     if first is not None:
         first.decided.set()
--- a/oriolepaddle/edge/turn.py
+++ b/oriolepaddle/edge/turn.py
@@ -76,7 +76,7 @@
             if error.code is not ErrorCode.OVERLOADED:
                 raise
             job = self._make_job()
-            max_s = self._queue.find_immediate_limit_s(job.service) + own_s
+            max_s = self._queue.find_latest_limit_s(job.service) + own_s
             peer = place_elsewhere(context, admitted, job, self._progress, max_s)
             if peer is None:
                 raise
