Protect only targets of enough requests, and refuse none beside idle endpoints

Causes, found in review of the queue: a single request with a short target held up all others of its service for 5 s; a request without any time to wait was refused, although placement would have served it; a request was refused while an endpoint was idle, if others waited that had not looked at the endpoints in the last 50 ms.

Change: a request waits only for targets of at least a fifth as many recent requests as its own. Without time to wait it is placed as without a queue. Instead of a refusal it is sent to an endpoint whose expected queue is at most 0.05 of the shortest target.

--- a/oriolepaddle/admission/edge_queue.py
+++ b/oriolepaddle/admission/edge_queue.py
@@ -18,7 +18,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 
-__all__ = ["EdgeQueue", "QueueEntry", "QueuedRequest"]
+__all__ = ["EdgeQueue", "QueueEntry", "QueueLimits", "QueuedRequest"]
 
 MIN_TARGET_RATIO = 1.25
 """A request waits only for those whose target is shorter by this factor."""
@@ -28,6 +28,10 @@
 proportion, so that the instances of a region start requests in the order of their
 latest starts without messages, and not all at once. The rest of the target covers loads
 that are reported late."""
+IDLE_LIMIT = 0.05
+"""Expected queue, as a fraction of the shortest target, up to which an endpoint counts
+as idle: no request is refused then, even if others wait. With `FIRST_LIMIT` here, the
+instances sent too much to endpoints whose load was reported late."""
 MARGIN_S = 0.3
 """Time by which a request starts before it would be late: about the age of the loads
 that its endpoint is chosen by."""
@@ -52,6 +56,7 @@
         organisation: Its organisation's id; empty on open routes.
         weight: The weight of the organisation.
         cost_tokens: Its cost relative to other requests of the service.
+        target_s: Seconds from its arrival within which its first byte is due.
         on_time_s: Seconds until its first byte is due.
         own_s: Expected seconds from its start to its first byte without a queue.
     """
@@ -60,10 +65,26 @@
     organisation: str
     weight: float
     cost_tokens: float
+    target_s: float
     on_time_s: float
     own_s: float
 
 
+@attrs.frozen
+class QueueLimits:
+    """The longest expected queue at an endpoint for which a request starts.
+
+    Attributes:
+        first_s: At its arrival, in seconds; infinity for a request that doesn't wait.
+        last_s: At its latest start, in seconds.
+        idle_s: Instead of a refusal, in seconds.
+    """
+
+    first_s: float
+    last_s: float
+    idle_s: float
+
+
 @attrs.frozen
 class QueueEntry:
     """A request that waits.
@@ -71,12 +92,14 @@
     Attributes:
         service: The service that is to run it.
         waiter: Its place in the queue; `deadline_s` is its latest start.
+        limits: The limits of the expected queue while it waits.
         forecast_s: Seconds that it was expected to wait.
         position: The number of requests that waited when it entered.
     """
 
     service: str
     waiter: Waiter
+    limits: QueueLimits
     forecast_s: float
     position: int
 
@@ -99,37 +122,39 @@
         self._sequences = itertools.count()
         self._services: dict[str, ServiceQueue] = {}
 
-    def find_arrival_limit_s(
-        self, service: str, target_s: float, on_time_s: float
-    ) -> float:
-        """Return the longest expected queue for which a request starts at once.
+    def find_limits(self, service: str, target_s: float) -> QueueLimits:
+        """Return the limits for a request that arrives now.
 
         Args:
             service: The service that is to run the request.
             target_s: Seconds from its arrival within which its first byte is due.
-            on_time_s: Seconds left of the target.
-
-        Returns:
-            Infinity for a request that doesn't wait for others.
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
             state = self._services.setdefault(service, ServiceQueue())
-            shortest_s = state.note_target(target_s, now_s)
-            if target_s < MIN_TARGET_RATIO * shortest_s or on_time_s <= 0:
-                return float("inf")
-            return 0.0 if len(state.queue) else FIRST_LIMIT * shortest_s
+            state.note_target(target_s, now_s)
+            return _find_limits(state, target_s, now_s)
 
-    def enter(self, request: QueuedRequest) -> QueueEntry:
+    def is_waiting(self, service: str) -> bool:
+        """Return whether a request of a service waits."""
+        with self._lock:
+            state = self._services.get(service)
+            return state is not None and len(state.queue) > 0
+
+    def enter(self, request: QueuedRequest) -> QueueEntry | None:
         """Let a request wait that placement refused under its limit.
 
+        Returns:
+            None if it has no time to wait.
+
         Raises:
             RefusedError: It would wait too long to be on time; it was not run.
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
             state = self._services[request.service]
-            return self._push(state, request, state.shortest_target_s(), now_s)
+            limits = _find_limits(state, request.target_s, now_s)
+            return self._push(state, request, limits, now_s)
 
     def find_limit_s(self, entry: QueueEntry) -> float:
         """Return the longest expected queue for which a waiting request starts now.
@@ -150,13 +175,7 @@
                 raise self._make_refusal(now_s - waiter.entered_s, 0.0)
             if state.queue.first() is not waiter:
                 return 0.0
-            return _find_limit_s(state, waiter, now_s)
-
-    def find_latest_limit_s(self, service: str) -> float:
-        """Return the longest expected queue for which any waiting request starts."""
-        with self._lock:
-            state = self._services.get(service)
-            return LAST_LIMIT * state.shortest_target_s() if state else 0.0
+            return _interpolate_s(entry, now_s)
 
     def start(self, entry: QueueEntry) -> float:
         """Record that a request leaves the queue to be sent; return its wait."""
@@ -183,11 +202,12 @@
         self,
         state: ServiceQueue,
         request: QueuedRequest,
-        shortest_s: float,
+        limits: QueueLimits,
         now_s: float,
-    ) -> QueueEntry:
-        limit_s = LAST_LIMIT * shortest_s
-        spare_s = request.on_time_s - limit_s - request.own_s - MARGIN_S
+    ) -> QueueEntry | None:
+        spare_s = request.on_time_s - limits.last_s - request.own_s - MARGIN_S
+        if spare_s <= 0:
+            return None
         forecast_s = state.forecast_s(now_s)
         max_wait_s = FORECAST_FRACTION * spare_s
         is_closed = len(state.queue) >= state.window < MAX_LENGTH
@@ -206,7 +226,7 @@
         state.queue.push(waiter)
         if position >= MAX_LENGTH:
             self._drop_last(state, waiter)
-        return QueueEntry(request.service, waiter, forecast_s, position)
+        return QueueEntry(request.service, waiter, limits, forecast_s, position)
 
     def _drop_last(self, state: ServiceQueue, newcomer: Waiter) -> None:
         victim = state.queue.last()
@@ -242,11 +262,21 @@
         return timedelta(seconds=delay_s * (1 + (MAX_SPREAD - 1) * self._spread()))
 
 
-def _find_limit_s(state: ServiceQueue, waiter: Waiter, now_s: float) -> float:
-    allowed_s = max(waiter.deadline_s - waiter.entered_s, 1e-6)
-    fraction = min(1.0, max(0.0, (now_s - waiter.entered_s) / allowed_s))
-    limit = FIRST_LIMIT + (LAST_LIMIT - FIRST_LIMIT) * fraction
-    return limit * state.shortest_target_s()
+def _find_limits(state: ServiceQueue, target_s: float, now_s: float) -> QueueLimits:
+    shortest_s = state.find_shortest_s(target_s, now_s)
+    if target_s < MIN_TARGET_RATIO * shortest_s:
+        return QueueLimits(float("inf"), float("inf"), float("inf"))
+    return QueueLimits(
+        first_s=FIRST_LIMIT * shortest_s,
+        last_s=LAST_LIMIT * shortest_s,
+        idle_s=IDLE_LIMIT * shortest_s,
+    )
+
+
+def _interpolate_s(entry: QueueEntry, now_s: float) -> float:
+    waiter, limits = entry.waiter, entry.limits
+    fraction = (now_s - waiter.entered_s) / (waiter.deadline_s - waiter.entered_s)
+    return limits.first_s + (limits.last_s - limits.first_s) * fraction
 
 
 def _wake_first(state: ServiceQueue) -> None:
--- a/oriolepaddle/edge/turn.py
+++ b/oriolepaddle/edge/turn.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from oriolepaddle.admission import EdgeQueue, QueuedRequest, QueueEntry
+from oriolepaddle.admission import EdgeQueue, QueuedRequest, QueueEntry, QueueLimits
 from oriolepaddle.edge.admission import AdmittedRequest
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.placing import place, place_elsewhere
@@ -61,13 +61,15 @@
                 wait too long to be on time; it was not run.
             OSError: The caller has disconnected.
         """
-        context = self._context
         job = self._make_job()
-        limit_s = self._find_arrival_limit_s(admitted, job, on_time_s)
-        if limit_s == float("inf"):
-            return place(context, admitted, job, self._progress), job
+        limits = self._find_limits(admitted, job, on_time_s)
+        if limits is None:
+            return place(self._context, admitted, job, self._progress), job
         own_s = self._estimate_own_s(job)
-        placed = self._try_place(admitted, limit_s, own_s)
+        is_waiting = self._queue.is_waiting(job.service)
+        placed = None
+        if not is_waiting:
+            placed = self._try_place(admitted, limits.first_s, own_s)
         if placed is not None:
             return placed
         try:
@@ -75,23 +77,34 @@
         except RefusedError as error:
             if error.code is not ErrorCode.OVERLOADED:
                 raise
-            job = self._make_job()
-            max_s = self._queue.find_latest_limit_s(job.service) + own_s
-            peer = place_elsewhere(context, admitted, job, self._progress, max_s)
-            if peer is None:
+            if is_waiting:
+                placed = self._try_place(admitted, limits.idle_s, own_s)
+            placed = placed or self._place_elsewhere(admitted, limits.last_s + own_s)
+            if placed is None:
                 raise
-            return peer, job
+            return placed
+
+    def _place_elsewhere(
+        self, admitted: AdmittedRequest, max_expected_s: float
+    ) -> PlacedRequest | None:
+        job = self._make_job()
+        peer = place_elsewhere(
+            self._context, admitted, job, self._progress, max_expected_s
+        )
+        return None if peer is None else (peer, job)
 
-    def _find_arrival_limit_s(
+    def _find_limits(
         self, admitted: AdmittedRequest, job: Job, on_time_s: float
-    ) -> float:
+    ) -> QueueLimits | None:
+        """Return the limits of the expected queue; None if it doesn't wait."""
         progress = self._progress
         target_s = admitted.route.target.total_seconds()
-        limit_s = self._queue.find_arrival_limit_s(job.service, target_s, on_time_s)
+        limits = self._queue.find_limits(job.service, target_s)
         # A request that has been sent before is not held up again.
         is_new = progress.attempts == 0 and progress.runs == 0
         is_local = admitted.allows_region(self._context.region)
-        return limit_s if is_new and is_local else float("inf")
+        is_limited = limits.first_s < float("inf")
+        return limits if is_limited and is_new and is_local and on_time_s > 0 else None
 
     def _estimate_own_s(self, job: Job) -> float:
         placer = self._context.placer
@@ -109,10 +122,13 @@
                 organisation=organisation.id if organisation else "",
                 weight=1.0,
                 cost_tokens=1.0 + job.memory_tokens,
+                target_s=admitted.route.target.total_seconds(),
                 on_time_s=on_time_s,
                 own_s=own_s,
             )
         )
+        if entry is None:
+            return place(self._context, admitted, job, self._progress), job
         self._log(
             "request_queued",
             position=entry.position,
