Move the decision between regions to edge/forwarding.py

Cause: the decision is to be extended and tested apart from the choice of endpoints. Change: should_forward and its constants move unchanged from edge/placing.py; it now derives the local limit and whether the region is suspect itself. Result: behaviour as before; the tests of oriolepaddle/edge pass unchanged.

--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -4,6 +4,7 @@
 
 from oriolepaddle.edge.admission import AdmittedRequest
 from oriolepaddle.edge.context import EdgeContext
+from oriolepaddle.edge.forwarding import should_forward
 from oriolepaddle.edge.progress import ExchangeProgress
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
@@ -14,15 +15,6 @@
 
 LATE_WAIT_FRACTION = 0.3
 """Fraction of the target time that a request past its target may still wait."""
-MIN_FORWARD_GAIN_S = 0.1
-"""Minimum gain for which a request is forwarded over the link between regions."""
-LOCAL_FRACTION_PER_INSTANCE, MAX_LOCAL_FRACTION = 0.03, 0.6
-"""A request stays in its region if the first byte is expected there within a fraction
-of its longest acceptable wait: this fraction for each instance of the region, up to
-the maximum. The reported load of another region is up to a second old, and the more
-instances act on it at once, the less accurate it is."""
-MAX_LOCAL_FAILURES = 2
-"""Endpoints that failed a request before its whole region is treated as unreliable."""
 MAX_DRAWS = 2
 """Endpoints for which a request draws a permit; a silent hub costs 0.06 s each."""
 MIN_SPREAD_DELAY = timedelta(milliseconds=500)
@@ -93,13 +85,8 @@
     peer = None
     if progress.may_forward:
         peer = context.regions.choose(job.service, job.input_tokens, admitted.residency)
-    is_region_suspect = len(progress.excluded) >= MAX_LOCAL_FAILURES
-    local_fraction = min(
-        MAX_LOCAL_FRACTION, LOCAL_FRACTION_PER_INSTANCE * context.count_instances()
-    )
-    local_limit_s = local_fraction * job.max_first_byte_s
-    if peer is not None and _should_forward(
-        choice, peer, job, local_limit_s, is_region_suspect
+    if peer is not None and should_forward(
+        choice, peer, job, context.count_instances(), len(progress.excluded)
     ):
         return peer
     if choice is None:
@@ -155,17 +142,3 @@
         code=ErrorCode.OVERLOADED,
         retry_after=RETRY_AFTER,
     )
-
-
-def _should_forward(
-    choice: Choice | None,
-    peer: PeerChoice,
-    job: Job,
-    local_limit_s: float,
-    is_region_suspect: bool,
-) -> bool:
-    if choice is None or choice.is_blocked or is_region_suspect:
-        return peer.expected_s <= job.max_first_byte_s
-    if choice.expected_s <= local_limit_s:
-        return False
-    return peer.expected_s + MIN_FORWARD_GAIN_S < choice.expected_s
