Hand over requests that their region would serve late by share

Cause: a request that its own region refuses went to the region with the shortest announced wait if that was below the limit. The requests that the same instance sent in the last 0.6 s counted in full, also those that the region works off meanwhile, and those of the region's other instances not at all. The age of the report made no difference, so all instances changed their mind at one value of a report. Change: for such requests a forecast replaces the announced wait. It adds the growth of what the own region forwards over the time that the report does not cover, takes off what the other region has free (new optional field used_thousandths of RegionWait), and has a spread from the observed changes of the wait and the age of the report. A region gets the share of requests that is the chance to be in time. Requests that the own region serves in time are decided as before.

--- a/oriolepaddle/daemon/inspection_application.py
+++ b/oriolepaddle/daemon/inspection_application.py
@@ -7,7 +7,7 @@
 
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
+from oriolepaddle.gossip.region_waits import TYPICAL_PROMPT_TOKENS
 from oriolepaddle.web import AnswerWriter, Application
 from oriolepaddle.web.operator_call import check_operator, read_object, read_text
 
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -4,7 +4,7 @@
 
 from oriolepaddle.edge.admission import AdmittedRequest
 from oriolepaddle.edge.context import EdgeContext
-from oriolepaddle.edge.forwarding import should_forward
+from oriolepaddle.edge.forwarding import choose_peer
 from oriolepaddle.edge.progress import ExchangeProgress
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
@@ -85,10 +85,18 @@
     peer = None
     if progress.may_forward:
         peer = context.regions.choose(job.service, job.input_tokens, admitted.residency)
-    if peer is not None and should_forward(
-        choice, peer, job, context.count_instances(), len(progress.excluded)
-    ):
-        return peer
+    if peer is not None:
+        forwarded_to = choose_peer(
+            context.regions,
+            choice,
+            peer,
+            job,
+            admitted.residency,
+            context.count_instances(),
+            len(progress.excluded),
+        )
+        if forwarded_to is not None:
+            return forwarded_to
     if choice is None:
         raise _spread_return(context, refusal or _make_refusal(peer, job))
     return choice
--- a/oriolepaddle/edge/regions.py
+++ b/oriolepaddle/edge/regions.py
@@ -48,6 +48,23 @@
         """
         ...
 
+    def choose_by_share(
+        self, service: str, tokens: int, residency: Residency, limit_s: float
+    ) -> PeerChoice | None:
+        """Return an instance for a request that its own region would serve late.
+
+        Args:
+            service: The service that is to run the request.
+            tokens: The number of tokens in the prompt.
+            residency: The residency constraints of the request.
+            limit_s: The longest acceptable time to the first byte in seconds.
+
+        Returns:
+            None for the part of such requests that no other region is expected to
+            serve in time.
+        """
+        ...
+
     def record_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Record that a request is being sent to a chosen instance."""
         ...
--- a/oriolepaddle/edge/resolver.py
+++ b/oriolepaddle/edge/resolver.py
@@ -10,7 +10,7 @@
 
 from oriolepaddle.catalog import Catalog
 
-__all__ = ["EntryInstance", "InstanceResolver", "LiveInstances"]
+__all__ = ["SIZE_EXPONENT", "EntryInstance", "InstanceResolver", "LiveInstances"]
 
 MAX_ADDRESSES = 6
 """Few enough to distribute callers by size, enough to tolerate several failures."""
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oriolepaddle.edge.forwarding import RegionForecast, choose_forecast
 from oriolepaddle.edge.placing import LATE_WAIT_FRACTION, make_job, place
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.errors import ErrorCode, RefusedError
@@ -20,6 +21,12 @@
     return PeerChoice("s1", "sudur", "10.0.0.1:80", expected_s)
 
 
+def _choose_by_share(peer, limit_s):
+    forecast = RegionForecast(peer.region, peer.expected_s, 0.0)
+    chosen = choose_forecast([forecast], limit_s, random.Random(1))
+    return None if chosen is None else peer
+
+
 def place_job(near=None, peer=None, allows_near=True, excluded=(), instances=FEW):
     def choose(job, excluded):
         if isinstance(near, RefusedError):
@@ -29,7 +36,10 @@
     context = SimpleNamespace(
         region="nordur",
         placer=SimpleNamespace(choose=choose, list_without_permit=lambda *_: []),
-        regions=SimpleNamespace(choose=lambda *_: peer),
+        regions=SimpleNamespace(
+            choose=lambda *_: peer,
+            choose_by_share=lambda *args: _choose_by_share(peer, args[-1]),
+        ),
         count_instances=lambda: instances,
     )
     admitted = SimpleNamespace(allows_region=lambda _: allows_near, residency=())
--- a/oriolepaddle/gossip/announcer.py
+++ b/oriolepaddle/gossip/announcer.py
@@ -17,7 +17,7 @@
 from oriolepaddle.gossip.crashes import read_crash
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
-from oriolepaddle.gossip.numbers import to_seconds
+from oriolepaddle.gossip.region_waits import read_wait
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.gossip.signals import read_leaving, read_limit
 from oriolepaddle.gossip.socket import Address, DatagramSocket
@@ -317,12 +317,7 @@
         own = self._roster.own.region
         for item in announcement.waits or ():
             if item.region != own:
-                state.loads.record_wait(
-                    item.region,
-                    item.service_name,
-                    to_seconds(item.wait_ms),
-                    received_s - to_seconds(item.age_ms or 0),
-                )
+                state.loads.record(read_wait(item, received_s))
         if self._roster.region_of(announcement.sender.data_centre) != own:
             return
         if announcement.work is None:
--- a/oriolepaddle/gossip/composer.py
+++ b/oriolepaddle/gossip/composer.py
@@ -9,7 +9,11 @@
 from oriolepaddle.gossip.entry import RosterEntry
 from oriolepaddle.gossip.local import LocalState
 from oriolepaddle.gossip.numbers import to_ms
-from oriolepaddle.gossip.region_loads import TYPICAL_PROMPT_TOKENS
+from oriolepaddle.gossip.region_waits import (
+    TYPICAL_PROMPT_TOKENS,
+    write_own_wait,
+    write_wait,
+)
 from oriolepaddle.gossip.roster import Roster
 from oriolepaddle.gossip.signals import write_leaving, write_limit
 from oriolepaddle.peers.gen_py.gossip.ttypes import (
@@ -20,6 +24,7 @@
     TokenBalance,
     TokenGrant,
 )
+from oriolepaddle.placement import find_used_fraction
 
 __all__ = [
     "MICROSECONDS_PER_S",
@@ -235,23 +240,15 @@
         waits = []
         for name in self.list_services():
             wait_s = self.estimate_wait_s(name, TYPICAL_PROMPT_TOKENS)
-            if wait_s is None:
-                # Otherwise the others would send requests here until the last wait
-                # that they know of is too old.
-                wait_s = float("inf")
-            waits.append(RegionWait(own, name, to_ms(wait_s), 0))
+            used = find_used_fraction(self._state.catalog, self._state.placer, name)
+            waits.append(write_own_wait(own, name, wait_s, used))
         return waits
 
     def _list_remote_waits(self) -> list[RegionWait]:
         own = self._roster.own.region
         now_s = self._clock.monotonic_s()
         return [
-            RegionWait(
-                item.region,
-                item.service,
-                to_ms(item.wait_s),
-                to_ms(now_s - item.announced_s),
-            )
+            write_wait(item, now_s)
             for item in self._state.loads.waits()
             if item.region != own
         ]
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -8,41 +8,38 @@
 import attrs
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.edge.forwarding import RegionForecast, choose_forecast
 from oriolepaddle.edge.regions import PeerChoice, Residency, allows_region
+from oriolepaddle.edge.resolver import SIZE_EXPONENT
 from oriolepaddle.gossip.entry import RosterEntry
+from oriolepaddle.gossip.handover import ForwardedRequests, WaitDrift
+from oriolepaddle.gossip.region_waits import AnnouncedWait
 from oriolepaddle.gossip.roster import Roster
 
-__all__ = ["TYPICAL_PROMPT_TOKENS", "AnnouncedWait", "RegionLoads"]
+__all__ = ["RegionLoads"]
 
-TYPICAL_PROMPT_TOKENS = 2000
-"""The prompt length for which a region's wait is announced."""
 MAX_WAIT_AGE = timedelta(seconds=2)
 """Age beyond which an announced wait is ignored."""
 ANNOUNCEMENT_LAG_S = 0.6
 """Time until a forwarded request shows in the wait that its region announces."""
 
 
-@attrs.frozen
-class AnnouncedWait:
-    """What a region announced of one service.
+REPORT_DELAY_S = 0.25
+"""Time until the hub that announces a region's wait knows of a request there: the
+interval at which instances with running requests announce."""
+
+
+@attrs.define
+class _ServiceState:
+    """What is known of a service in another region.
 
     Attributes:
-        region: The region.
-        service: The service.
-        wait_s: Seconds to the first byte for a typical request; infinite if the
-            region can't run one.
-        announced_s: Monotonic time at which the region announced it.
+        wait: The last announced wait.
+        drift: How fast it changes.
     """
 
-    region: str
-    service: str
-    wait_s: float
-    announced_s: float
-
-    @property
-    def is_available(self) -> bool:
-        """Whether the region can run requests of the service."""
-        return self.wait_s < float("inf")
+    wait: AnnouncedWait
+    drift: WaitDrift
 
 
 class RegionLoads:
@@ -71,59 +68,114 @@
         self._generator = generator
         self._estimate_added_wait_s = estimate_added_wait_s
         self._lock = threading.Lock()
-        self._waits: dict[tuple[str, str], AnnouncedWait] = {}
+        self._states: dict[tuple[str, str], _ServiceState] = {}
         self._forwarded: dict[tuple[str, str], list[tuple[float, int]]] = {}
+        self._handed_over: dict[tuple[str, str], ForwardedRequests] = {}
 
-    def record_wait(
-        self, region: str, service: str, wait_s: float, announced_s: float
-    ) -> None:
+    def record(self, wait: AnnouncedWait) -> None:
         """Record the announced wait of a region, unless a later one is known.
 
-        Args:
-            region: The region.
-            service: The service.
-            wait_s: Seconds to the first byte for a typical request; infinite if the
-                region can't run one.
-            announced_s: Monotonic time at which the region announced it. A wait that
-                is passed on does not become newer by that.
+        A wait that is passed on does not become newer by that.
         """
+        key = (wait.region, wait.service)
         with self._lock:
-            stored = self._waits.get((region, service))
-            if stored is None or stored.announced_s <= announced_s:
-                self._waits[(region, service)] = AnnouncedWait(
-                    region, service, wait_s, announced_s
-                )
+            state = self._states.get(key)
+            if state is None:
+                state = self._states[key] = _ServiceState(wait, WaitDrift())
+            elif state.wait.announced_s > wait.announced_s:
+                return
+            state.wait = wait
+            state.drift.record(wait.wait_s, wait.announced_s)
 
     def waits(self) -> list[AnnouncedWait]:
         """Return the recent announcements."""
         oldest_s = self._clock.monotonic_s() - MAX_WAIT_AGE.total_seconds()
         with self._lock:
-            return [
-                item for item in self._waits.values() if item.announced_s >= oldest_s
-            ]
+            waits = [state.wait for state in self._states.values()]
+        return [wait for wait in waits if wait.announced_s >= oldest_s]
 
     def choose(
         self, service: str, tokens: int, residency: Residency
     ) -> PeerChoice | None:
         """Return an instance of the best region; see `RegionChooser`."""
-        own = self._roster.own.region
         ready = self._group_ready()
         best: tuple[float, str] | None = None
-        for item in self.waits():
-            region = item.region
-            if item.service != service or region == own or region not in ready:
-                continue
-            if not item.is_available or not allows_region(residency, region):
-                continue
+        for item in self._list_permitted(service, residency, ready):
             wait_s = item.wait_s + self._round_trip_s
-            wait_s += self._estimate_forwarded_wait_s(region, service)
+            wait_s += self._estimate_forwarded_wait_s(item.region, service)
             if best is None or wait_s < best[0]:
-                best = (wait_s, region)
+                best = (wait_s, item.region)
         if best is None:
             return None
-        weights = [item.instance.size for item in ready[best[1]]]
-        chosen = self._generator.choices(ready[best[1]], weights)[0]
-        return PeerChoice(chosen.id, best[1], chosen.peer_address, best[0])
+        return self._choose_instance(ready, best[1], best[0])
+
+    def choose_by_share(
+        self, service: str, tokens: int, residency: Residency, limit_s: float
+    ) -> PeerChoice | None:
+        """Return an instance for a late request; see `RegionChooser`."""
+        ready = self._group_ready()
+        forecasts = [
+            self._make_forecast(item)
+            for item in self._list_permitted(service, residency, ready)
+        ]
+        chosen = choose_forecast(forecasts, limit_s, self._generator)
+        if chosen is None:
+            return None
+        return self._choose_instance(ready, chosen.region, chosen.expected_s)
+
+    def _list_permitted(
+        self, service: str, residency: Residency, ready: dict[str, list[RosterEntry]]
+    ) -> list[AnnouncedWait]:
+        own = self._roster.own.region
+        return [
+            item
+            for item in self.waits()
+            if item.service == service
+            and item.region != own
+            and item.region in ready
+            and item.is_available
+            and allows_region(residency, item.region)
+        ]
+
+    def _choose_instance(
+        self, ready: dict[str, list[RosterEntry]], region: str, expected_s: float
+    ) -> PeerChoice:
+        weights = [item.instance.size for item in ready[region]]
+        chosen = self._generator.choices(ready[region], weights)[0]
+        return PeerChoice(chosen.id, region, chosen.peer_address, expected_s)
+
+    def _make_forecast(self, wait: AnnouncedWait) -> RegionForecast:
+        """Return what a request that is forwarded now meets on its arrival."""
+        key = (wait.region, wait.service)
+        now_s = self._clock.monotonic_s()
+        # Both the report and the request take half a round trip.
+        unreported_s = now_s - wait.announced_s + self._round_trip_s
+        window_s = unreported_s + REPORT_DELAY_S
+        with self._lock:
+            spread_s = self._states[key].drift.spread_s(unreported_s)
+            handed_over = self._handed_over.get(key)
+            growth, mean_tokens = 0, 0
+            if handed_over is not None:
+                growth, mean_tokens = handed_over.find_growth(now_s, window_s)
+        added_s = 0.0
+        if growth > 0:
+            added_s = growth * self._estimate_added_wait_s(*key, mean_tokens)
+            # The region's other instances have the same reports.
+            added_s /= self._find_caller_share()
+            added_s = max(0.0, added_s - (1 - wait.used_fraction) * window_s)
+        expected_s = wait.wait_s + self._round_trip_s + added_s
+        return RegionForecast(wait.region, expected_s, spread_s)
+
+    def _find_caller_share(self) -> float:
+        """Return the part of the region's callers that use this instance."""
+        own = self._roster.own
+        others = sum(
+            item.size**SIZE_EXPONENT
+            for item in self._roster.entry_instances()
+            if item.region == own.region and item.id != own.id
+        )
+        weight = own.size**SIZE_EXPONENT
+        return weight / (weight + others)
 
     def _group_ready(self) -> dict[str, list[RosterEntry]]:
         # An instance that is leaving may have to cut off a long response.
@@ -135,9 +187,11 @@
 
     def record_sent(self, choice: PeerChoice, service: str, tokens: int) -> None:
         """Record a forwarded request; see `RegionChooser`."""
+        key = (choice.region, service)
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            forwarded = self._forwarded.setdefault((choice.region, service), [])
-            forwarded.append((self._clock.monotonic_s(), tokens))
+            self._forwarded.setdefault(key, []).append((now_s, tokens))
+            self._handed_over.setdefault(key, ForwardedRequests()).record(now_s, tokens)
 
     def _estimate_forwarded_wait_s(self, region: str, service: str) -> float:
         """Return the wait that the region has not announced yet."""
--- a/oriolepaddle/gossip/tests/test_region_loads.py
+++ b/oriolepaddle/gossip/tests/test_region_loads.py
@@ -6,6 +6,7 @@
 from oriolepaddle.clock import ManualClock
 from oriolepaddle.edge.resolver import EntryInstance
 from oriolepaddle.gossip import RegionLoads, Roster, RosterEntry
+from oriolepaddle.gossip.region_waits import AnnouncedWait
 
 REGIONS = {"nordur-a": "nordur", "sudur-a": "sudur"}
 
@@ -32,7 +33,7 @@
         loads = RegionLoads(
             clock, roster, 0.16, random.Random(1), lambda *_: ADDED_WAIT_S
         )
-        loads.record_wait("sudur", "desk", 0.05, clock.monotonic_s())
+        loads.record(AnnouncedWait("sudur", "desk", 0.05, clock.monotonic_s()))
         return loads
 
     def record(self, clock, roster, is_ready=True, is_leaving=False):
@@ -69,7 +70,7 @@
         refused = 0
         for _ in range(60):
             self.record(clock, roster)
-            loads.record_wait("sudur", "desk", 0.05, clock.monotonic_s())
+            loads.record(AnnouncedWait("sudur", "desk", 0.05, clock.monotonic_s()))
             choice = loads.choose("desk", 0, ())
             if choice.expected_s > TARGET_S:
                 refused += 1
--- a/oriolepaddle/gossip/tests/test_waits.py
+++ b/oriolepaddle/gossip/tests/test_waits.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from oriolepaddle.gossip.region_waits import AnnouncedWait
 from oriolepaddle.gossip.tests.fleet import GossipFleet
 
 SECONDS = timedelta(seconds=1)
@@ -73,7 +74,7 @@
     def test_relayed_wait_does_not_replace_a_newer_one(self, fleet):
         loads = fleet.instances["n1"].state.loads
         now_s = fleet.clock.monotonic_s()
-        loads.record_wait("sudur", "desk", 0.9, now_s)
-        loads.record_wait("sudur", "desk", 0.1, now_s - 0.5)
+        loads.record(AnnouncedWait("sudur", "desk", 0.9, now_s))
+        loads.record(AnnouncedWait("sudur", "desk", 0.1, now_s - 0.5))
         choice = loads.choose("desk", 0, ())
         assert choice.expected_s > 0.9
--- a/oriolepaddle/peers/gen_py/gossip/ttypes.py
+++ b/oriolepaddle/peers/gen_py/gossip/ttypes.py
@@ -407,15 +407,17 @@
      - service_name
      - wait_ms: The largest number if the region can run no request of the service.
      - age_ms: The time since the region announced it.
+     - used_thousandths: The part of the region's capacity for the service that is in use.
 
     """
 
 
-    def __init__(self, region=None, service_name=None, wait_ms=None, age_ms=None,):
+    def __init__(self, region=None, service_name=None, wait_ms=None, age_ms=None, used_thousandths=None,):
         self.region = region
         self.service_name = service_name
         self.wait_ms = wait_ms
         self.age_ms = age_ms
+        self.used_thousandths = used_thousandths
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -446,6 +448,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.used_thousandths = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -472,6 +479,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.used_thousandths is not None:
+            oprot.writeFieldBegin('used_thousandths', TType.I32, 5)
+            oprot.writeI32(self.used_thousandths)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1647,6 +1658,7 @@
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.I32, 'used_thousandths', None, None, ),  # 5
 )
 all_structs.append(TokenBalance)
 TokenBalance.thrift_spec = (
--- a/oriolepaddle/peers/idl/gossip.thrift
+++ b/oriolepaddle/peers/idl/gossip.thrift
@@ -41,6 +41,8 @@
   3: required i32 wait_ms,
   /** The time since the region announced it. */
   4: optional i32 age_ms,
+  /** The part of the region's capacity for the service that is in use. */
+  5: optional i32 used_thousandths,
 }
 
 /** The tokens of an organisation that an instance can spare, and that it needs. */
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -8,6 +8,7 @@
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
 from oriolepaddle.placement.urgency import find_urgency
+from oriolepaddle.placement.use import find_used_fraction
 from oriolepaddle.placement.weights import PlacementWeights
 
 __all__ = [
@@ -22,4 +23,5 @@
     "PromptPart",
     "RegionCapacity",
     "find_urgency",
+    "find_used_fraction",
 ]
