--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -20,6 +20,8 @@
     "idle_endpoint_connections": "Kept connections to endpoints and instances.",
     "buffered_bytes": "Bytes of bodies held in memory.",
     "buffers_refused": "Bodies or parts that found no memory, so far.",
+    "requests_handed_over": "Late requests handed over to other regions, so far.",
+    "requests_not_handed_over": "Late requests that no other region gets, so far.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
 }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -262,6 +262,8 @@
             "idle_endpoint_connections": lambda: self._upkeep.idle_count,
             "buffered_bytes": lambda: self.buffers.used_bytes,
             "buffers_refused": lambda: self.buffers.refused,
+            "requests_handed_over": lambda: self._loads.handed_over,
+            "requests_not_handed_over": lambda: self._loads.kept,
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
--- a/oriolepaddle/gossip/region_loads.py
+++ b/oriolepaddle/gossip/region_loads.py
@@ -15,6 +15,7 @@
 from oriolepaddle.gossip.handover import ForwardedRequests, WaitDrift
 from oriolepaddle.gossip.region_waits import AnnouncedWait
 from oriolepaddle.gossip.roster import Roster
+from oriolepaddle.logs import log_event
 
 __all__ = ["RegionLoads"]
 
@@ -24,6 +25,8 @@
 """Time until a forwarded request shows in the wait that its region announces."""
 
 
+HANDOVER_PAUSE = timedelta(seconds=2)
+"""Time without a handover to a region after which the next one is logged."""
 REPORT_DELAY_S = 0.25
 """Time until the hub that announces a region's wait knows of a request there: the
 interval at which instances with running requests announce."""
@@ -45,6 +48,11 @@
 class RegionLoads:
     """Chooses instances of other regions; a `RegionChooser`, thread-safe.
 
+    Attributes:
+        handed_over: Requests so far that were handed over because the own region would
+            serve them late.
+        kept: Such requests that no other region was expected to serve in time.
+
     Args:
         clock: The time.
         roster: The instances.
@@ -70,7 +78,10 @@
         self._lock = threading.Lock()
         self._states: dict[tuple[str, str], _ServiceState] = {}
         self._forwarded: dict[tuple[str, str], list[tuple[float, int]]] = {}
-        self._handed_over: dict[tuple[str, str], ForwardedRequests] = {}
+        self.handed_over = 0
+        self.kept = 0
+        self._handover_s: dict[tuple[str, str], float] = {}
+        self._sent: dict[tuple[str, str], ForwardedRequests] = {}
 
     def record(self, wait: AnnouncedWait) -> None:
         """Record the announced wait of a region, unless a later one is known.
@@ -107,7 +118,7 @@
                 best = (wait_s, item.region)
         if best is None:
             return None
-        return self._choose_instance(ready, best[1], best[0])
+        return self._choose_instance(ready, best[1], best[0], exponent=1)
 
     def choose_by_share(
         self, service: str, tokens: int, residency: Residency, limit_s: float
@@ -119,9 +130,33 @@
             for item in self._list_permitted(service, residency, ready)
         ]
         chosen = choose_forecast(forecasts, limit_s, self._generator)
+        self._record_decision(service, chosen)
         if chosen is None:
             return None
-        return self._choose_instance(ready, chosen.region, chosen.expected_s)
+        # Few large instances place most requests of a region and know most of each
+        # other's; a request that has no time left goes to them.
+        return self._choose_instance(
+            ready, chosen.region, chosen.expected_s, SIZE_EXPONENT
+        )
+
+    def _record_decision(self, service: str, chosen: RegionForecast | None) -> None:
+        if chosen is None:
+            self.kept += 1
+            return
+        self.handed_over += 1
+        key = (chosen.region, service)
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            last_s = self._handover_s.get(key, float("-inf"))
+            self._handover_s[key] = now_s
+        if now_s - last_s > HANDOVER_PAUSE.total_seconds():
+            log_event(
+                "handover_started",
+                region=chosen.region,
+                service=service,
+                expected_s=round(chosen.expected_s, 3),
+                spread_s=round(chosen.spread_s, 3),
+            )
 
     def _list_permitted(
         self, service: str, residency: Residency, ready: dict[str, list[RosterEntry]]
@@ -138,9 +173,13 @@
         ]
 
     def _choose_instance(
-        self, ready: dict[str, list[RosterEntry]], region: str, expected_s: float
+        self,
+        ready: dict[str, list[RosterEntry]],
+        region: str,
+        expected_s: float,
+        exponent: int,
     ) -> PeerChoice:
-        weights = [item.instance.size for item in ready[region]]
+        weights = [item.instance.size**exponent for item in ready[region]]
         chosen = self._generator.choices(ready[region], weights)[0]
         return PeerChoice(chosen.id, region, chosen.peer_address, expected_s)
 
@@ -153,10 +192,10 @@
         window_s = unreported_s + REPORT_DELAY_S
         with self._lock:
             spread_s = self._states[key].drift.spread_s(unreported_s)
-            handed_over = self._handed_over.get(key)
+            sent = self._sent.get(key)
             growth, mean_tokens = 0, 0
-            if handed_over is not None:
-                growth, mean_tokens = handed_over.find_growth(now_s, window_s)
+            if sent is not None:
+                growth, mean_tokens = sent.find_growth(now_s, window_s)
         added_s = 0.0
         if growth > 0:
             added_s = growth * self._estimate_added_wait_s(*key, mean_tokens)
@@ -191,7 +230,7 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             self._forwarded.setdefault(key, []).append((now_s, tokens))
-            self._handed_over.setdefault(key, ForwardedRequests()).record(now_s, tokens)
+            self._sent.setdefault(key, ForwardedRequests()).record(now_s, tokens)
 
     def _estimate_forwarded_wait_s(self, region: str, service: str) -> float:
         """Return the wait that the region has not announced yet."""
