--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -82,6 +82,8 @@
         behaviours: Behaviours for the next requests; `ANSWER` when it is empty.
         received: The requests that were read.
         events: The number of events in a stream; 0 for a plain body.
+        answer_bytes: The size of a plain body, 0 for one that repeats the request's; or
+            the bytes that are added to a stream, divided among its events.
         pause_s: Seconds before each event, or before a plain response.
         abandoned_count: Requests whose caller disconnected before the end.
         advertised_address: The address to register, if not the one listened on.
@@ -108,6 +110,7 @@
         self.behaviours: deque[RunnerBehaviour] = deque()
         self.received: list[ReceivedRequest] = []
         self.events = events
+        self.answer_bytes = 0
         self.pause_s = 0.0
         self.abandoned_count = 0
         self.state = "ready"
@@ -250,7 +253,8 @@
             self._stream(request, writer, behaviour, fields)
         else:
             self._pause(writer)
-            writer.answer(200, b"done " + request.get_data(), "text/plain", fields)
+            body = b"x" * self.answer_bytes or b"done " + request.get_data()
+            writer.answer(200, body, "text/plain", fields)
 
     def _answer_without_end(
         self, writer: AnswerWriter, fields: list[tuple[str, str]]
@@ -272,7 +276,8 @@
             raise ConnectionResetError("the runner closes the connection")
         for number in range(first, self.events + 1):
             self._pause(writer)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            padding = b"x" * (self.answer_bytes // self.events)
+            event = b"id: %d\ndata: piece %d%b\n\n" % (number, number, padding)
             if behaviour is RunnerBehaviour.CUT_EVENT and number == first + 2:
                 writer.write(event[:7])
                 raise ConnectionResetError("the runner closes the connection")
