Bound what the kernel queues for slow readers

Cause: the kernel lets a socket's queue grow to 4 MB for sending and 33 MB for receiving. If a caller stops reading a long response, both the queue to the caller and the one from the endpoint fill, and they count towards the memory limit of the process.

Change: where memory_mb is set, the queues of callers' and endpoints' sockets follow from a sixth of it and the number of connections, with 16 to 128 KB each. Connections between instances get at least 256 KB, as the round trip may be 160 ms.

--- a/oriolepaddle/buffers/__init__.py
+++ b/oriolepaddle/buffers/__init__.py
@@ -2,5 +2,12 @@
 
 from oriolepaddle.buffers.body import BodyBuffer
 from oriolepaddle.buffers.budget import BufferBudget, make_budget
+from oriolepaddle.buffers.sockets import SocketQueues, make_socket_queues
 
-__all__ = ["BodyBuffer", "BufferBudget", "make_budget"]
+__all__ = [
+    "BodyBuffer",
+    "BufferBudget",
+    "SocketQueues",
+    "make_budget",
+    "make_socket_queues",
+]
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -9,7 +9,7 @@
 import attrs
 
 from oriolepaddle.addresses import split_address
-from oriolepaddle.buffers import make_budget
+from oriolepaddle.buffers import make_budget, make_socket_queues
 from oriolepaddle.catalog import CallerLimits, Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
@@ -122,6 +122,7 @@
             self.metrics.count_signal_event,
         )
         self.buffers = make_budget(settings.memory_mb)
+        self._queues = make_socket_queues(settings.memory_mb, settings.max_connections)
         self.context = self._make_context()
         self._upkeep = ConnectionUpkeep(
             clock, (self.context.transport, self.context.peer_transport)
@@ -325,9 +326,14 @@
                 connect_timeout,
                 timedelta(seconds=settings.max_idle_s),
                 DISCONNECT_CHECK_INTERVAL,
+                self._queues.near_bytes,
             ),
             peer_transport=EndpointTransport(
-                clock, connect_timeout, PEER_IDLE_TIMEOUT, DISCONNECT_CHECK_INTERVAL
+                clock,
+                connect_timeout,
+                PEER_IDLE_TIMEOUT,
+                DISCONNECT_CHECK_INTERVAL,
+                self._queues.far_bytes,
             ),
             activity=Activity(clock),
             metrics=self.metrics,
@@ -438,4 +444,5 @@
             name=name,
             free_descriptors=self._upkeep.close_idle,
             buffers=self.buffers,
+            queues=self._queues if name != "peer" else self._queues.for_peers(),
         )
--- a/oriolepaddle/daemon/listeners.py
+++ b/oriolepaddle/daemon/listeners.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from oriolepaddle.addresses import split_address
-from oriolepaddle.buffers import make_budget
+from oriolepaddle.buffers import make_budget, make_socket_queues
 from oriolepaddle.clock import Clock
 from oriolepaddle.peers import PeerIdentity, PeerServer
 from oriolepaddle.publication import Instance
@@ -49,6 +49,7 @@
             _make_tls(settings.caller_tls_certificate, settings.caller_tls_key),
             name="caller",
             buffers=self.buffers,
+            queues=make_socket_queues(settings.memory_mb, settings.max_connections),
         )
         host, port = split_address(settings.operator_address)
         self.operators = HttpServer(
--- a/oriolepaddle/endpoints/handles.py
+++ b/oriolepaddle/endpoints/handles.py
@@ -40,6 +40,7 @@
     Args:
         free_descriptors: Called when the process has no descriptor left for a
             connection; closes others that are idle.
+        max_received_bytes: What the kernel may queue of an answer, 0 for its default.
 
     Attributes:
         curl: The curl handle.
@@ -50,8 +51,11 @@
             descriptor.
     """
 
-    def __init__(self, free_descriptors: Callable[[], object]) -> None:
+    def __init__(
+        self, free_descriptors: Callable[[], object], max_received_bytes: int = 0
+    ) -> None:
         self.curl = pycurl.Curl()
+        self._max_received_bytes = max_received_bytes
         self._free_descriptors = free_descriptors
         self.has_no_descriptor = False
         self.idle_since_s = 0.0
@@ -84,6 +88,7 @@
                 self._socket = socket.socket(
                     address.family, address.socktype, address.protocol
                 )
+                self._limit_queue()
                 return self._socket
             except OSError as error:
                 if error.errno not in _SHORTAGE_ERRORS:
@@ -92,6 +97,13 @@
         self.has_no_descriptor = True
         return pycurl.SOCKET_BAD
 
+    def _limit_queue(self) -> None:
+        # The kernel queues megabytes of an answer whose caller has stopped reading.
+        if self._max_received_bytes:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._max_received_bytes
+            )
+
     def _close_socket(self) -> None:
         if self._socket is not None:
             self._socket.close()
@@ -107,6 +119,7 @@
             middlebox on the path may have dropped the state of its connection.
         max_idle_handles: Maximum number of idle handles for one address.
         max_idle_total: Maximum number of idle handles for all addresses.
+        max_received_bytes: What the kernel may queue of an answer, 0 for its default.
     """
 
     def __init__(
@@ -115,7 +128,9 @@
         max_connection_idle: timedelta,
         max_idle_handles: int = 64,
         max_idle_total: int = MAX_IDLE_TOTAL,
+        max_received_bytes: int = 0,
     ) -> None:
+        self._max_received_bytes = max_received_bytes
         self._clock = clock
         self._max_connection_idle_s = max_connection_idle.total_seconds()
         self._max_idle_handles = max_idle_handles
@@ -145,7 +160,7 @@
                 self._idle_count -= 1
             self._forget_if_empty(address)
         _close_all(expired)
-        handle = handle or PooledHandle(self.close_all)
+        handle = handle or PooledHandle(self.close_all, self._max_received_bytes)
         handle.prepare()
         return handle
 
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -24,6 +24,7 @@
         max_connection_idle: Idle time after which a connection is not reused,
             since a middlebox on the path may have dropped its state.
         inspection_interval: Time between two inspections of a running attempt.
+        max_received_bytes: What the kernel may queue of an answer, 0 for its default.
     """
 
     def __init__(
@@ -32,10 +33,13 @@
         connect_timeout: timedelta = timedelta(seconds=1),
         max_connection_idle: timedelta = timedelta(seconds=20),
         inspection_interval: timedelta = DEFAULT_INTERVAL,
+        max_received_bytes: int = 0,
     ) -> None:
         self._clock = clock
         self._connect_timeout = connect_timeout
-        self._handles = HandlePool(clock, max_connection_idle)
+        self._handles = HandlePool(
+            clock, max_connection_idle, max_received_bytes=max_received_bytes
+        )
         self._watchdog = ExchangeWatchdog(clock, inspection_interval)
 
     def run(self, address: str, request: EndpointRequest, sink: AnswerSink) -> None:
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from oriolepaddle.buffers import BufferBudget, make_budget
+from oriolepaddle.buffers import BufferBudget, SocketQueues, make_budget
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.logs import log_event
@@ -57,6 +57,7 @@
         free_descriptors: Closes idle connections to other servers when no descriptor
             is left for one of a client; returns their number.
         buffers: Bounds the bodies of requests that are held at once.
+        queues: Bounds what the kernel queues for the connections.
 
     Attributes:
         limits: The limits, which may be replaced while the server runs.
@@ -75,6 +76,7 @@
         name: str = "http",
         free_descriptors: Callable[[], int] = lambda: 0,
         buffers: BufferBudget | None = None,
+        queues: SocketQueues | None = None,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -87,6 +89,7 @@
         self.refused_connections = 0
         self.malformed_requests = 0
         self._listener = create_server((host, port), backlog=BACKLOG)
+        (queues or SocketQueues()).limit_listener(self._listener)
         self.server_address = self._listener.getsockname()
         self.port = self.server_address[1]
         self._name = name
