--- a/oriolepaddle/buffers/body.py
+++ b/oriolepaddle/buffers/body.py
@@ -1,6 +1,6 @@
 """A body that is held until it is complete."""
 
-from oriolepaddle.buffers.budget import BufferBudget
+from oriolepaddle.buffers.budget import BufferBudget, HeldKind
 
 __all__ = ["BodyBuffer"]
 
@@ -10,13 +10,15 @@
 
     Args:
         budget: The budget.
+        holder: The address of the client for which it is held; empty if there is none.
 
     Attributes:
         data: The bytes.
     """
 
-    def __init__(self, budget: BufferBudget) -> None:
+    def __init__(self, budget: BufferBudget, holder: str = "") -> None:
         self._budget = budget
+        self._holder = holder
         self._held_bytes = 0
         self.data = bytearray()
 
@@ -37,10 +39,12 @@
             Whether the budget granted them; if not, nothing changes.
         """
         added = count - self._held_bytes
-        if added > 0 and not self._budget.acquire(added, self._held_bytes):
+        if added > 0 and not self._budget.acquire(
+            added, self._held_bytes, HeldKind.RESPONSE_BODY, self._holder
+        ):
             return False
         if added < 0:
-            self._budget.release(-added)
+            self._budget.release(-added, HeldKind.RESPONSE_BODY, self._holder)
         self._held_bytes = count
         return True
 
--- a/oriolepaddle/buffers/budget.py
+++ b/oriolepaddle/buffers/budget.py
@@ -1,8 +1,10 @@
 """The bytes that a process may buffer for all of its requests."""
 
+import enum
 import threading
+from collections import Counter
 
-__all__ = ["BufferBudget", "make_budget"]
+__all__ = ["BufferBudget", "HeldKind", "make_budget"]
 
 MEMORY_FRACTION = 1 / 6
 """Fraction of the process's memory limit; the rest holds the modules, the threads and
@@ -10,13 +12,25 @@
 DEFAULT_BUDGET_BYTES = 64_000_000
 """The budget of a process whose memory limit is not known."""
 BYTES_PER_MB = 1_000_000
+HOLDER_FACTOR = 3
+"""A holder may have this many times what remains free: one alone three quarters of the
+maximum, several each the same part, and there is always room for another one."""
+
+
+class HeldKind(enum.StrEnum):
+    """What bytes are held for."""
+
+    HEADER = "header"
+    REQUEST_BODY = "request_body"
+    RESPONSE_BODY = "response_body"
 
 
 class BufferBudget:
     """Counts the bytes that requests hold in memory; thread-safe.
 
     A body may grow as long as at least its size remains free. Many large bodies
-    therefore can't use up what small ones need.
+    therefore can't use up what small ones need. All that is held for one client
+    address may grow as long as a third of its size remains free.
 
     Args:
         max_bytes: The maximum for all requests together.
@@ -30,6 +44,8 @@
         self.max_bytes = max_bytes
         self.refused = 0
         self._used_bytes = 0
+        self._by_kind: Counter[HeldKind] = Counter()
+        self._by_holder: Counter[str] = Counter()
         self._lock = threading.Lock()
 
     @property
@@ -37,25 +53,63 @@
         """The number of bytes that are held."""
         return self._used_bytes
 
-    def acquire(self, count: int, held: int = 0) -> bool:
+    @property
+    def largest_holder_bytes(self) -> int:
+        """The number of bytes that are held for the client address with most."""
+        with self._lock:
+            return max(self._by_holder.values(), default=0)
+
+    def count_kind(self, kind: HeldKind) -> int:
+        """Return the number of bytes of a kind."""
+        return self._by_kind[kind]
+
+    def acquire(
+        self,
+        count: int,
+        held: int = 0,
+        kind: HeldKind = HeldKind.RESPONSE_BODY,
+        holder: str = "",
+    ) -> bool:
         """Take bytes for a body; return whether they were granted.
 
         Args:
             count: The number of bytes.
             held: The number of bytes that the body holds already.
+            kind: What they are held for.
+            holder: The client's address; empty if there is none.
         """
         with self._lock:
             free_bytes = self.max_bytes - self._used_bytes - count
-            if held + count > free_bytes:
+            holder_bytes = self._by_holder[holder] + count if holder else 0
+            if held + count > free_bytes or holder_bytes > HOLDER_FACTOR * free_bytes:
                 self.refused += 1
+                self._forget_if_empty(holder)
                 return False
             self._used_bytes += count
+            self._by_kind[kind] += count
+            if holder:
+                self._by_holder[holder] += count
+            self._forget_if_empty(holder)
             return True
 
-    def release(self, count: int) -> None:
-        """Return bytes that were taken."""
+    def release(
+        self,
+        count: int,
+        kind: HeldKind = HeldKind.RESPONSE_BODY,
+        holder: str = "",
+    ) -> None:
+        """Return bytes that were taken for the same kind and holder."""
         with self._lock:
             self._used_bytes -= count
+            self._by_kind[kind] -= count
+            if holder:
+                self._by_holder[holder] -= count
+                self._forget_if_empty(holder)
+
+    def _forget_if_empty(self, holder: str) -> None:
+        # Addresses would otherwise accumulate.
+        if not self._by_holder.get(holder, 1):
+            del self._by_holder[holder]
 
 
 def make_budget(memory_mb: float) -> BufferBudget:
--- a/oriolepaddle/buffers/tests/test_budget.py
+++ b/oriolepaddle/buffers/tests/test_budget.py
@@ -7,7 +7,7 @@
     rule,
 )
 
-from oriolepaddle.buffers import BodyBuffer, BufferBudget, make_budget
+from oriolepaddle.buffers import BodyBuffer, BufferBudget, HeldKind, make_budget
 
 
 class TestBufferBudget:
@@ -46,6 +46,23 @@
     def test_follows_the_memory_limit(self, memory_mb, expected):
         assert make_budget(memory_mb).max_bytes == expected
 
+    # Guards against one address that takes the memory of all others.
+    def test_one_client_address_leaves_room_for_the_others(self):
+        budget = BufferBudget(1000)
+        for _ in range(100):
+            budget.acquire(10, kind=HeldKind.REQUEST_BODY, holder="127.0.0.1")
+        assert budget.largest_holder_bytes == budget.used_bytes == 750
+        assert budget.acquire(100, kind=HeldKind.REQUEST_BODY, holder="127.0.0.2")
+        assert budget.count_kind(HeldKind.REQUEST_BODY) == 850
+
+    def test_addresses_are_forgotten_with_their_last_byte(self):
+        budget = BufferBudget(1000)
+        for number in range(100):
+            budget.acquire(10, holder=str(number))
+            budget.acquire(2000, holder=str(number))
+            budget.release(10, holder=str(number))
+        assert (budget.largest_holder_bytes, len(budget._by_holder)) == (0, 0)
+
 
 class BufferMachine(RuleBasedStateMachine):
     """Buffers grow, shrink and end in any order; nothing of the budget is lost."""
