Close connections that wait for their clients when room runs short

Cause: a listener closed only idle connections for a new one. Clients that stop inside a header or a body, or stop reading, held their threads until a timeout; others got 503, and each refusal delayed the accept loop by 200 ms. A slow reader had 10 s for each byte.

Change: a listener without a free thread or descriptor closes idle connections, then those that wait longest for bytes (408 with Retry-After), then those whose clients have stopped reading for a second, each time of the address with most first. A response has a minimum rate of 1,024 bytes/s while it waits for its client and 120 s in all; bytes that leave the kernel's queue are progress. Only one refusal a second waits for a connection to become idle. Requests hold descriptors. Headers are counted. Chunks of 64 KB and more are written without a copy. Lingering for an unread request ends after 2 s. Test doubles of the writer got the client's address. Gauges and one log line a second for each phase.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -9,14 +9,19 @@
 import attrs
 
 from oriolepaddle.addresses import split_address
-from oriolepaddle.buffers import make_budget, make_socket_queues
+from oriolepaddle.buffers import (
+    REQUEST_DESCRIPTORS,
+    DescriptorBudget,
+    make_budget,
+    make_socket_queues,
+)
 from oriolepaddle.catalog import CallerLimits, Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.daemon.connection_upkeep import ConnectionUpkeep
-from oriolepaddle.daemon.edge_gauges import add_gauges
+from oriolepaddle.daemon.edge_gauges import add_gauges, make_client_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.daemon.inspection_application import InspectionApplication
 from oriolepaddle.edge import EdgeApplication, EdgeContext, InstanceResolver
@@ -127,6 +132,10 @@
         self._upkeep = ConnectionUpkeep(
             clock, (self.context.transport, self.context.peer_transport)
         )
+        self._descriptors = DescriptorBudget(
+            lambda: REQUEST_DESCRIPTORS * self._upkeep.idle_count,
+            self._upkeep.close_idle,
+        )
         add_gauges(self.metrics, self._make_gauges())
         self._announcer = self._make_announcer()
         self._servers = self._make_servers()
@@ -263,6 +272,9 @@
             "idle_endpoint_connections": lambda: self._upkeep.idle_count,
             "buffered_bytes": lambda: self.buffers.used_bytes,
             "buffers_refused": lambda: self.buffers.refused,
+            **make_client_gauges(
+                self.buffers, self._descriptors, lambda: self._servers
+            ),
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
@@ -445,4 +457,8 @@
             free_descriptors=self._upkeep.close_idle,
             buffers=self.buffers,
             queues=self._queues if name != "peer" else self._queues.for_peers(),
+            descriptors=self._descriptors,
+            request_descriptors=(
+                REQUEST_DESCRIPTORS if name in ("caller", "peer") else 0
+            ),
         )
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -66,7 +66,7 @@
         self._check_progress: Callable[[], None] = lambda: None
         self._on_first_event: Callable[[], None] = lambda: None
         self._has_body_data = False
-        self._buffer = BodyBuffer(budget)
+        self._buffer = BodyBuffer(budget, writer.client)
         self._may_relay_early = may_relay_early
         self._body_bytes = 0
         self._is_relaying = False
--- a/oriolepaddle/edge/tests/test_sink.py
+++ b/oriolepaddle/edge/tests/test_sink.py
@@ -11,6 +11,7 @@
 
 class Writer:
     def __init__(self):
+        self.client = "127.0.0.1"
         self.is_started = False
         self.is_finished = False
         self.length = None
--- a/oriolepaddle/endpoints/tests/test_endless.py
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -61,6 +61,7 @@
     """A caller that has disconnected from nothing and reads everything."""
 
     is_started = False
+    client = "127.0.0.1"
 
     def start(self, status, headers, length=None):
         self.is_started = True
--- a/oriolepaddle/platform/tests/test_extra_bytes.py
+++ b/oriolepaddle/platform/tests/test_extra_bytes.py
@@ -94,6 +94,7 @@
 
 class Writer:
     def __init__(self):
+        self.client = "127.0.0.1"
         self.is_started = False
         self.data = bytearray()
 
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import ssl
 import threading
 import uuid
 from datetime import timedelta
@@ -11,6 +12,7 @@
 from werkzeug.exceptions import HTTPException
 from werkzeug.wrappers import Request
 
+from oriolepaddle.buffers import HeldKind
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import (
     ErrorCode,
@@ -24,6 +26,7 @@
 from oriolepaddle.web.limits import ServerLimits
 from oriolepaddle.web.parser import RequestHead, RequestParser
 from oriolepaddle.web.reader import BoundedSocketReader
+from oriolepaddle.web.shedding import ConnectionPhase, ConnectionState
 from oriolepaddle.web.writer import AnswerWriter
 
 __all__ = ["HttpConnection"]
@@ -36,8 +39,8 @@
         connection: The client's socket.
         address: The client's address.
         server: The server, with `application`, `limits`, `clock`, `server_address`,
-            `ssl_context`, `buffers`, `malformed_requests`, `is_draining` and
-            `is_closed`.
+            `ssl_context`, `buffers`, `malformed_requests`, `is_draining`,
+            `is_closed` and `reserve_request`.
 
     Attributes:
         connection: The client's socket.
@@ -52,14 +55,19 @@
         self._server = server
         self._address = address
         self._lock = threading.Lock()
+        self._header_bytes = 0
         self._held_bytes = 0
+        self._content_bytes = float("inf")
         self._is_waiting = True
+        self._is_receiving = False
         self._is_closing = False
         self._has_served = False
+        self._shed = threading.Event()
+        self._writer: AnswerWriter | None = None
         self.idle_since_s = self._clock.monotonic_s()
         self.connection = connection
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._reader = BoundedSocketReader(connection, self._clock)
+        self._reader = BoundedSocketReader(connection, self._clock, self._shed)
         self._stream = io.BufferedReader(self._reader, STREAM_BUFFER_BYTES)
 
     def serve(self) -> None:
@@ -85,6 +93,35 @@
         age_s = self._clock.monotonic_s() - self.idle_since_s
         return self._has_served or age_s > FIRST_REQUEST_GRACE.total_seconds()
 
+    def describe(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        phase, since_s = ConnectionPhase.SERVING, self.idle_since_s
+        writer = self._writer
+        stalled_since_s = writer.stalled_since_s if writer else None
+        if self.is_idle:
+            phase = ConnectionPhase.IDLE
+        elif self._is_receiving:
+            phase = ConnectionPhase.RECEIVING
+            since_s = self._reader.waiting_since_s(self._content_bytes)
+        elif stalled_since_s is not None:
+            phase, since_s = ConnectionPhase.STALLED, stalled_since_s
+        return ConnectionState(self, self._address[0], phase, since_s)
+
+    def shed(self, phase: ConnectionPhase) -> bool:
+        """Close the connection, or refuse its request, if it is still in a phase."""
+        if phase is ConnectionPhase.IDLE:
+            return self.close_if_idle()
+        with self._lock:
+            if self.describe().phase is not phase:
+                return False
+            self._shed.set()
+        # A request that isn't complete still gets a response. A TLS connection can only
+        # be shut down both ways: Python would send the response in clear text.
+        is_answered = phase is ConnectionPhase.RECEIVING
+        is_answered = is_answered and not isinstance(self.connection, ssl.SSLSocket)
+        _shut_down(self.connection, socket.SHUT_RD if is_answered else socket.SHUT_RDWR)
+        return True
+
     def close_if_idle(self) -> bool:
         """Close the connection if no request is being served on it."""
         with self._lock:
@@ -98,12 +135,16 @@
         """Serve one request; return whether another may follow."""
         if not self._wait_for_request():
             return False
-        writer = AnswerWriter(self.connection, self._limits.write_timeout)
+        writer = AnswerWriter(
+            self.connection, self._limits.write_timeout, self._clock, self._address[0]
+        )
+        self._writer = writer
         request_id = uuid.uuid4().hex
         try:
             request = self._read_request_or_log(writer)
             request_id = request.environ["oriolepaddle.request_id"]
-            self._application.handle(request, writer)
+            with self._server.reserve_request():
+                self._application.handle(request, writer)
         except OriolepaddleError as error:
             self._respond_with_error(writer, error, request_id)
         except HTTPException as error:
@@ -116,9 +157,10 @@
             wrapped = OriolepaddleError("internal error of the gateway")
             self._respond_with_error(writer, wrapped, request_id)
         finally:
+            self._writer = None
+            self._is_receiving = False
             writer.abort()
-            self._server.buffers.release(self._held_bytes)
-            self._held_bytes = 0
+            self._release()
         return writer.keep_alive and writer.is_finished
 
     def _wait_for_request(self) -> bool:
@@ -137,12 +179,17 @@
             if self._is_closing:
                 return False
             self._is_waiting = False
+            self._is_receiving = True
             self._has_served = True
         return is_open and not self._server.is_closed
 
     def _read_request_or_log(self, writer: AnswerWriter) -> Request:
         try:
-            return self._read_request(writer)
+            request = self._read_request(writer)
+            with self._lock:
+                self._reader.check_not_shed()
+                self._is_receiving = False
+            return request
         except RefusedError as error:
             self._server.malformed_requests += isinstance(error, MalformedRequestError)
             log_event(
@@ -155,11 +202,12 @@
 
     def _read_request(self, writer: AnswerWriter) -> Request:
         limits = self._limits
+        self._content_bytes = float("inf")
         self._reader.set_limits(
             limits.header_timeout, limits.max_header_bytes, ErrorCode.HEADER_TOO_LARGE
         )
         parser = RequestParser(self._stream)
-        head = parser.read_head(limits.max_header_bytes)
+        head = parser.read_head(limits.max_header_bytes, self._reserve_header)
         writer.keep_alive = head.is_kept_alive and not self._server.is_draining
         writer.is_head = head.method == "HEAD"
         writer.is_chunked_allowed = head.version == "1.1"
@@ -170,17 +218,33 @@
             limits.max_body_bytes + FRAMING_ALLOWANCE_BYTES,
             ErrorCode.BODY_TOO_LARGE,
         )
+        if head.is_chunked:
+            self._content_bytes = 0
         body = parser.read_body(head, limits.max_body_bytes, self._reserve)
         return self._make_request(head, body)
 
+    def _reserve_header(self, count: int) -> None:
+        self._acquire(count, self._header_bytes, HeldKind.HEADER)
+        self._header_bytes += count
+
     def _reserve(self, count: int) -> None:
-        if not self._server.buffers.acquire(count, self._held_bytes):
+        self._acquire(count, self._held_bytes, HeldKind.REQUEST_BODY)
+        self._held_bytes += count
+        self._content_bytes += count
+
+    def _release(self) -> None:
+        buffers, holder = self._server.buffers, self._address[0]
+        buffers.release(self._header_bytes, HeldKind.HEADER, holder)
+        buffers.release(self._held_bytes, HeldKind.REQUEST_BODY, holder)
+        self._header_bytes = self._held_bytes = 0
+
+    def _acquire(self, count: int, held: int, kind: HeldKind) -> None:
+        if not self._server.buffers.acquire(count, held, kind, self._address[0]):
             raise RefusedError(
-                "no memory is left for the body of the request",
+                f"no memory is left for the {kind.value} of the request",
                 code=ErrorCode.OVERLOADED,
                 retry_after=MEMORY_RETRY_AFTER,
             )
-        self._held_bytes += count
 
     def _make_request(self, head: RequestHead, body: bytes) -> Request:
         server = self._server
@@ -208,9 +272,9 @@
         # before the client has read the response.
         self.connection.shutdown(socket.SHUT_WR)
         self.connection.settimeout(LINGER_TIMEOUT.total_seconds())
-        remaining_reads = LINGER_MAX_READS
-        while remaining_reads and self.connection.recv(65_536):
-            remaining_reads -= 1
+        end_s = self._clock.monotonic_s() + LINGER_MAX_TIME.total_seconds()
+        while self._clock.monotonic_s() < end_s and self.connection.recv(65_536):
+            pass
 
 
 MEMORY_RETRY_AFTER = timedelta(seconds=1)
@@ -219,7 +283,8 @@
 """Bytes of chunk sizes, extensions and trailers beside the body."""
 STREAM_BUFFER_BYTES = 16_384
 LINGER_TIMEOUT = timedelta(milliseconds=200)
-LINGER_MAX_READS = 200
+LINGER_MAX_TIME = timedelta(seconds=2)
+"""Bounds a client that goes on to send bytes one by one."""
 MAX_REQUEST_ID_LENGTH = 128
 
 
@@ -228,8 +293,8 @@
     return is_short and text.isascii() and text.replace("-", "").isalnum()
 
 
-def _shut_down(connection: socket.socket) -> None:
+def _shut_down(connection: socket.socket, how: int = socket.SHUT_RDWR) -> None:
     try:
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(how)
     except OSError:
         return
--- a/oriolepaddle/web/parser.py
+++ b/oriolepaddle/web/parser.py
@@ -76,17 +76,21 @@
         self._events = _ParserEvents()
         self._parser = httptools.HttpRequestParser(self._events)
 
-    def read_head(self, max_bytes: int) -> RequestHead:
+    def read_head(
+        self, max_bytes: int, reserve: Callable[[int], None] = lambda count: None
+    ) -> RequestHead:
         """Read a request up to the end of its head.
 
         Args:
             max_bytes: The maximum size of the head.
+            reserve: Called with the size of each line; raises an error if there is no
+                memory for it.
 
         Raises:
             MalformedRequestError: The head is malformed or too large.
             ConnectionResetError: The client disconnected.
         """
-        data = self._read_head_bytes(max_bytes)
+        data = self._read_head_bytes(max_bytes, reserve)
         self._feed(data)
         events = self._events
         if not events.has_head:
@@ -131,15 +135,17 @@
         reserve(head.length)
         return self._read_exactly(head.length)
 
-    def _read_head_bytes(self, max_bytes: int) -> bytes:
+    def _read_head_bytes(self, max_bytes: int, reserve: Callable[[int], None]) -> bytes:
         data = self._read_line(max_bytes, ErrorCode.HEADER_TOO_LARGE)
         if data == LINE_END:
             # Some clients send an empty line after a body.
             data = self._read_line(max_bytes, ErrorCode.HEADER_TOO_LARGE)
         line = data
+        reserve(len(data))
         while line != LINE_END:
             left = max_bytes - len(data)
             line = self._read_line(left, ErrorCode.HEADER_TOO_LARGE)
+            reserve(len(line))
             data += line
         return data
 
--- a/oriolepaddle/web/reader.py
+++ b/oriolepaddle/web/reader.py
@@ -2,24 +2,38 @@
 
 import io
 import socket
+import threading
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.errors import ErrorCode, MalformedRequestError
+from oriolepaddle.errors import ErrorCode, MalformedRequestError, RefusedError
 
 __all__ = ["BoundedSocketReader"]
 
 
+MIN_BYTES_PER_S = 16_384
+"""Rate from which a client doesn't count as one that waits. It is no limit: it orders
+the connections that are closed when there are too many."""
+SHED_RETRY_AFTER = timedelta(seconds=1)
+
+
 class BoundedSocketReader(io.RawIOBase):
     """A raw stream over a socket with a deadline and a maximum number of bytes.
 
     Args:
         connection: The client's socket.
         clock: The clock of the deadline.
+        shed: Set when the request is to be refused as others need the connection.
     """
 
-    def __init__(self, connection: socket.socket, clock: Clock) -> None:
+    def __init__(
+        self, connection: socket.socket, clock: Clock, shed: threading.Event
+    ) -> None:
         super().__init__()
+        self._shed = shed
+        self._started_s = clock.monotonic_s()
+        self._last_byte_s = self._started_s
+        self._received_bytes = 0
         self._connection = connection
         self._clock = clock
         self._deadline_s = float("inf")
@@ -34,10 +48,35 @@
             max_bytes: The maximum number of bytes to read from the socket.
             code: The error code if there are more.
         """
-        self._deadline_s = self._clock.monotonic_s() + timeout.total_seconds()
+        self._started_s = self._clock.monotonic_s()
+        self._received_bytes = 0
+        self._deadline_s = self._started_s + timeout.total_seconds()
         self._bytes_left = max_bytes
         self._code_when_full = code
 
+    def waiting_since_s(self, max_content_bytes: float = float("inf")) -> float:
+        """Return the monotonic time since which the client is behind.
+
+        Args:
+            max_content_bytes: The bytes of content among those that were received,
+                as framing isn't progress.
+        """
+        content_bytes = min(self._received_bytes, max_content_bytes)
+        return min(self._last_byte_s, self._started_s + content_bytes / MIN_BYTES_PER_S)
+
+    def check_not_shed(self) -> None:
+        """Check that the connection isn't needed for others.
+
+        Raises:
+            RefusedError: It is.
+        """
+        if self._shed.is_set():
+            raise RefusedError(
+                "the request was not received before others needed its connection",
+                code=ErrorCode.REQUEST_TIMEOUT,
+                retry_after=SHED_RETRY_AFTER,
+            )
+
     def readable(self) -> bool:
         """Return True."""
         return True
@@ -48,7 +87,9 @@
         Raises:
             MalformedRequestError: The deadline has passed or the maximum number of
                 bytes is exceeded.
+            RefusedError: Others need the connection.
         """
+        self.check_not_shed()
         if self._bytes_left <= 0:
             raise MalformedRequestError(
                 "the request is larger than the limit", code=self._code_when_full
@@ -62,6 +103,9 @@
             count = self._connection.recv_into(view)
         except TimeoutError as error:
             raise _make_timeout_error() from error
+        self.check_not_shed()
+        self._last_byte_s = self._clock.monotonic_s()
+        self._received_bytes += count
         self._bytes_left -= count
         return count
 
--- a/oriolepaddle/web/server.py
+++ b/oriolepaddle/web/server.py
@@ -6,20 +6,27 @@
 import select
 import ssl
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
-from socket import SHUT_RDWR, create_server, socket
+from socket import create_server, socket
 
 from loguru import logger
 
-from oriolepaddle.buffers import BufferBudget, SocketQueues, make_budget
+from oriolepaddle.buffers import (
+    BufferBudget,
+    DescriptorBudget,
+    SocketQueues,
+    make_budget,
+)
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.logs import log_event
 from oriolepaddle.web.application import Application
 from oriolepaddle.web.connection import HttpConnection
+from oriolepaddle.web.connection_set import ConnectionSet
 from oriolepaddle.web.limits import ServerLimits
+from oriolepaddle.web.shedding import ConnectionPhase
 from oriolepaddle.web.spare_descriptor import SpareDescriptor
 from oriolepaddle.web.syn_filter import drop_new_connections
 from oriolepaddle.web.writer import AnswerWriter
@@ -37,14 +44,19 @@
 """Idle connections that are closed for one that finds no descriptor."""
 SHORTAGE_PAUSE = timedelta(milliseconds=10)
 SHORTAGE_LOG_INTERVAL = timedelta(seconds=1)
+PATIENCE_INTERVAL = timedelta(seconds=1)
+"""Time between two refusals that wait for a connection to become idle. Many refusals at
+once would otherwise keep the connections behind them waiting."""
+REQUEST_SHED_COUNT = 4
+"""Connections that are closed for a request that finds no descriptors."""
 
 
 class HttpServer:
     """Serves each connection on a thread of a bounded pool.
 
-    If no thread is free for a new connection, the connection that has been idle
-    for longest is closed. If none is idle, the new connection is refused with an
-    error code.
+    If no thread is free for a new connection, another one is closed: see
+    `choose_to_shed`. If there is none, the new connection is refused with an error
+    code.
 
     Args:
         host: The IP address to listen on.
@@ -58,6 +70,9 @@
             is left for one of a client; returns their number.
         buffers: Bounds the bodies of requests that are held at once.
         queues: Bounds what the kernel queues for the connections.
+        descriptors: Bounds the descriptors of connections and requests; None for no
+            bound.
+        request_descriptors: The number of descriptors that a request takes.
 
     Attributes:
         limits: The limits, which may be replaced while the server runs.
@@ -77,6 +92,8 @@
         free_descriptors: Callable[[], int] = lambda: 0,
         buffers: BufferBudget | None = None,
         queues: SocketQueues | None = None,
+        descriptors: DescriptorBudget | None = None,
+        request_descriptors: int = 0,
     ) -> None:
         self.application = application
         self.clock = clock
@@ -88,6 +105,9 @@
         self._stop_signal = os.eventfd(0)
         self.refused_connections = 0
         self.malformed_requests = 0
+        self._descriptors = descriptors
+        self._request_descriptors = request_descriptors if descriptors else 0
+        self._patient_from_s = float("-inf")
         self._listener = create_server((host, port), backlog=BACKLOG)
         (queues or SocketQueues()).limit_listener(self._listener)
         self.server_address = self._listener.getsockname()
@@ -99,9 +119,7 @@
         self._next_shortage_log_s = float("-inf")
         self._executor = ThreadPoolExecutor(self.limits.max_connections, name)
         self._free_threads = threading.Semaphore(self.limits.max_connections)
-        self._lock = threading.Lock()
-        self._changed = threading.Condition(self._lock)
-        self._connections: set[HttpConnection] = set()
+        self._connections = ConnectionSet(clock, name)
         self._acceptor = threading.Thread(
             target=self._accept, name=f"{name}-accept", daemon=True
         )
@@ -126,29 +144,30 @@
 
     def close_idle(self) -> int:
         """Close the connections that serve no request; return how many are left."""
-        self._close_idle(count=self.limits.max_connections)
-        with self._lock:
-            return len(self._connections)
+        self._connections.close_idle()
+        return len(self._connections)
 
     def close(self) -> None:
         """Wait up to `CLOSE_GRACE` for requests in flight, then close everything."""
         self.stop_accepting()
-        with self._changed:
-            self._changed.wait_for(
-                lambda: not self._connections, CLOSE_GRACE.total_seconds()
-            )
+        self._connections.wait_until_empty(CLOSE_GRACE)
         self.is_closed = True
         self.drop_connections()
         self._executor.shutdown(wait=True)
         self._spare.give()
 
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    def count_shed(self, phase: ConnectionPhase) -> int:
+        """Return how many connections were closed for others in a phase."""
+        return self._connections.shed_counts[phase]
+
     def drop_connections(self) -> None:
         """Shut down every open connection; the listener stays open."""
-        with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
-            with contextlib.suppress(OSError):
-                connection.connection.shutdown(SHUT_RDWR)
+        self._connections.drop_all()
 
     def _accept(self) -> None:
         poller = select.poll()
@@ -174,15 +193,18 @@
             else:
                 logger.warning("{} cannot accept a connection: {}", self._name, error)
             return
-        if self._reserve_thread():
-            self._executor.submit(self._serve, connection, address)
-        else:
+        if not self._reserve_thread():
+            self._refuse(connection)
+        elif not self._reserve_descriptors(1):
+            self._free_threads.release()
             self._refuse(connection)
+        else:
+            self._executor.submit(self._serve, connection, address)
 
     def _bear_shortage(self) -> None:
         """Free descriptors for the connection that waits, or refuse it."""
         self._log_shortage()
-        if self._free_descriptors() + self._close_idle(SHORTAGE_CLOSE_COUNT):
+        if self._free_descriptors() + self._connections.shed(SHORTAGE_CLOSE_COUNT):
             # The threads of the closed connections release their descriptors now.
             self.clock.wait(threading.Event(), SHORTAGE_PAUSE)
             return
@@ -209,23 +231,51 @@
     def _reserve_thread(self) -> bool:
         if self._free_threads.acquire(blocking=False):
             return True
-        # A connection becomes idle only shortly after its response was read.
-        for _ in range(REFUSAL_ATTEMPTS):
-            self._close_idle(count=1)
+        for _ in range(self._count_attempts()):
+            self._connections.shed(count=1)
             if self._free_threads.acquire(timeout=REFUSAL_TIMEOUT.total_seconds()):
                 return True
         return False
 
-    def _close_idle(self, count: int) -> int:
-        with self._lock:
-            idle = [item for item in self._connections if item.is_idle]
-        idle.sort(key=lambda item: item.idle_since_s)
-        closed_count = 0
-        for connection in idle:
-            if closed_count == count:
-                break
-            closed_count += connection.close_if_idle()
-        return closed_count
+    def _count_attempts(self) -> int:
+        # A connection becomes idle only shortly after its response was read.
+        now_s = self.clock.monotonic_s()
+        if now_s < self._patient_from_s:
+            return 1
+        self._patient_from_s = now_s + PATIENCE_INTERVAL.total_seconds()
+        return REFUSAL_ATTEMPTS
+
+    @contextlib.contextmanager
+    def reserve_request(self) -> Iterator[None]:
+        """Hold the descriptors of a request for the duration of the context.
+
+        Raises:
+            RefusedError: There are none, even after closing other connections.
+        """
+        count = self._request_descriptors
+        if not self._reserve_descriptors(count):
+            raise RefusedError(
+                "no descriptors are left for the request",
+                code=ErrorCode.OVERLOADED,
+                retry_after=timedelta(seconds=1),
+            )
+        try:
+            yield
+        finally:
+            if count:
+                self._descriptors.release(count)
+
+    def _reserve_descriptors(self, count: int) -> bool:
+        if not count or self._descriptors is None or self._descriptors.acquire(count):
+            return True
+        for _ in range(REFUSAL_ATTEMPTS):
+            if not self._connections.shed(REQUEST_SHED_COUNT):
+                return False
+            # The threads of the closed connections release their descriptors now.
+            self.clock.wait(threading.Event(), SHORTAGE_PAUSE)
+            if self._descriptors.acquire(count):
+                return True
+        return False
 
     def _refuse(self, connection: socket) -> None:
         self.refused_connections += 1
@@ -245,11 +295,15 @@
         client = connection
         try:
             client = self._wrap_tls(connection)
-            self._serve_tracked(HttpConnection(client, address, self))
+            served = HttpConnection(client, address, self)
+            with self._connections.hold(served):
+                served.serve()
         except (OSError, ssl.SSLError) as error:
             logger.debug("connection of server {} failed: {}", self._name, error)
         finally:
             client.close()
+            if self._descriptors is not None:
+                self._descriptors.release(1)
             self._free_threads.release()
 
     def _wrap_tls(self, connection: socket) -> socket:
@@ -257,13 +311,3 @@
             return connection
         connection.settimeout(self.limits.header_timeout.total_seconds())
         return self.ssl_context.wrap_socket(connection, server_side=True)
-
-    def _serve_tracked(self, connection: HttpConnection) -> None:
-        with self._lock:
-            self._connections.add(connection)
-        try:
-            connection.serve()
-        finally:
-            with self._changed:
-                self._connections.discard(connection)
-                self._changed.notify_all()
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -4,16 +4,23 @@
 import json
 import select
 import socket
+import ssl
 import struct
 from collections.abc import Iterable
 from datetime import timedelta
 from http import HTTPStatus
 
+from oriolepaddle.clock import Clock, SystemClock
 from oriolepaddle.errors import OriolepaddleError
+from oriolepaddle.web.pace import ReadingPace, count_queued_bytes
 
 __all__ = ["AnswerWriter", "Headers", "write_error_body"]
 
 Headers = Iterable[tuple[str, str]]
+MIN_UNCOPIED_BYTES = 65_536
+"""Size from which a chunk is sent without a copy, which no budget counts."""
+WAIT_SLICE_MS = 250
+"""Interval at which a wait for the client looks at what it has read."""
 
 
 class AnswerWriter:
@@ -21,16 +28,27 @@
 
     Args:
         connection: The client's socket.
-        write_timeout: The longest time for one write.
+        write_timeout: The longest time without a byte that the client reads.
+        clock: The clock of the client's pace.
+        client: The client's address.
 
     Attributes:
+        client: The client's address.
         is_head: Whether the request's method is HEAD, so that no body is sent.
         is_chunked_allowed: Whether the client supports HTTP/1.1.
         keep_alive: Whether the connection is reused for further requests.
     """
 
-    def __init__(self, connection: socket.socket, write_timeout: timedelta) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        write_timeout: timedelta,
+        clock: Clock | None = None,
+        client: str = "",
+    ) -> None:
         self._connection = connection
+        self._pace = ReadingPace(clock or SystemClock(), write_timeout)
+        self.client = client
         self._write_timeout_s = write_timeout.total_seconds()
         self.is_head = False
         self.is_chunked_allowed = True
@@ -78,9 +96,14 @@
         if not data or self.is_head:
             return
         self.body_bytes += len(data)
-        if self._is_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._send(data)
+        if not self._is_chunked:
+            self._send(data)
+        elif len(data) < MIN_UNCOPIED_BYTES:
+            self._send(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._send(b"%x\r\n" % len(data))
+            self._send(data)
+            self._send(b"\r\n")
 
     def finish(self) -> None:
         """Finish the body."""
@@ -139,8 +162,37 @@
         closed = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
         return bool(events[0][1] & closed)
 
-    def _send(self, data: bytes) -> None:
-        self._connection.sendall(data)
+    @property
+    def stalled_since_s(self) -> float | None:
+        """Monotonic time since which a waiting response has lost no byte."""
+        return self._pace.stalled_since_s
+
+    def _send(self, data: bytes | bytearray) -> None:
+        if isinstance(self._connection, ssl.SSLSocket):
+            self._connection.sendall(data)
+            return
+        view = memoryview(data)
+        while view:
+            try:
+                count = self._connection.send(view, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                self._wait_for_client()
+                continue
+            self._pace.record_accepted(count)
+            view = view[count:]
+
+    def _wait_for_client(self) -> None:
+        poller = select.poll()
+        poller.register(self._connection, select.POLLOUT)
+        pace = self._pace
+        pace.begin_wait(count_queued_bytes(self._connection))
+        try:
+            while not poller.poll(WAIT_SLICE_MS):
+                pace.record_queue(count_queued_bytes(self._connection))
+                if pace.remaining_s() <= 0:
+                    raise TimeoutError("the client reads its response too slowly")
+        finally:
+            pace.end_wait()
 
 
 def _set_send_timeout(connection: socket.socket, timeout_s: float) -> None:
