Return the memory of bodies to the system

Cause: glibc raises the size from which it maps blocks on their own up to 32 MB once a large block was freed, and has up to eight heaps for each processor. Bodies of vanished clients stayed in these heaps, and later responses came on top.

Change: where memory_mb is set, the threshold stays at 128 KB and there are two heaps.

Other C libraries log heap_not_limited; only glibc was run.

--- a/oriolepaddle/buffers/__init__.py
+++ b/oriolepaddle/buffers/__init__.py
@@ -3,6 +3,7 @@
 from oriolepaddle.buffers.body import BodyBuffer
 from oriolepaddle.buffers.budget import BufferBudget, HeldKind, make_budget
 from oriolepaddle.buffers.descriptors import REQUEST_DESCRIPTORS, DescriptorBudget
+from oriolepaddle.buffers.heap import limit_heap
 from oriolepaddle.buffers.sockets import SocketQueues, make_socket_queues
 
 __all__ = [
@@ -12,6 +13,7 @@
     "HeldKind",
     "REQUEST_DESCRIPTORS",
     "SocketQueues",
+    "limit_heap",
     "make_budget",
     "make_socket_queues",
 ]
--- a/oriolepaddle/daemon/command.py
+++ b/oriolepaddle/daemon/command.py
@@ -9,6 +9,7 @@
 import typer
 from loguru import logger
 
+from oriolepaddle.buffers import limit_heap
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.daemon.logs import set_up_event_logs, set_up_logs
 from oriolepaddle.errors import SettingsError
@@ -29,6 +30,8 @@
 
     _check(settings)
     set_up_logs(settings.log_level, settings.log_format)
+    if settings.memory_mb:
+        limit_heap()
     instance = GatewayInstance(settings, SystemClock())
     stopping = instance.drain_requested
     _handle_signals(lambda: _request_stop(stopping), _log_reload)
@@ -45,6 +48,8 @@
     _check(settings)
     clock = SystemClock()
     writer = set_up_event_logs(settings.log_level, clock, settings.max_log_lines_per_s)
+    if settings.memory_mb:
+        limit_heap()
     instance = EdgeInstance(settings, clock)
     instance.metrics.add_gauge(
         "log_lines_dropped", "Log lines that were too many.", lambda: writer.dropped
