Grant small bodies beyond the share of a client address

Change: a header or body of up to a 500th of the budget is only bounded by what is free, of which the shares leave a quarter.

--- a/oriolepaddle/buffers/budget.py
+++ b/oriolepaddle/buffers/budget.py
@@ -16,6 +16,10 @@
 """A holder may have this many times what remains free: one alone three quarters of the
 maximum, several each the same part, and there is always room for another one."""
 
+SMALL_FRACTION = 1 / 500
+"""Size, as a fraction of the maximum, up to which a header or a body is granted beyond
+its holder's share: ordinary callers may share an address with a large group."""
+
 
 class HeldKind(enum.StrEnum):
     """What bytes are held for."""
@@ -30,7 +34,7 @@
 
     A body may grow as long as at least its size remains free. Many large bodies
     therefore can't use up what small ones need. All that is held for one client
-    address may grow as long as a third of its size remains free.
+    address may grow as long as a third of its size remains free, but for small bodies.
 
     Args:
         max_bytes: The maximum for all requests together.
@@ -80,8 +84,11 @@
         """
         with self._lock:
             free_bytes = self.max_bytes - self._used_bytes - count
-            holder_bytes = self._by_holder[holder] + count if holder else 0
-            if held + count > free_bytes or holder_bytes > HOLDER_FACTOR * free_bytes:
+            is_small = held + count <= SMALL_FRACTION * self.max_bytes
+            holder_bytes = self._by_holder[holder] + count
+            is_beyond_share = holder_bytes > HOLDER_FACTOR * free_bytes
+            is_beyond_share = is_beyond_share and bool(holder) and not is_small
+            if held + count > free_bytes or is_beyond_share:
                 self.refused += 1
                 self._forget_if_empty(holder)
                 return False
--- a/oriolepaddle/buffers/tests/test_budget.py
+++ b/oriolepaddle/buffers/tests/test_budget.py
@@ -55,6 +55,13 @@
         assert budget.acquire(100, kind=HeldKind.REQUEST_BODY, holder="127.0.0.2")
         assert budget.count_kind(HeldKind.REQUEST_BODY) == 850
 
+    # Guards against ordinary callers that are refused beside a crowd of their address.
+    def test_small_bodies_are_granted_beyond_the_share_of_an_address(self):
+        budget = BufferBudget(1000)
+        while budget.acquire(10, holder="127.0.0.1"):
+            pass
+        assert budget.acquire(2, holder="127.0.0.1")
+
     def test_addresses_are_forgotten_with_their_last_byte(self):
         budget = BufferBudget(1000)
         for number in range(100):
