--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -37,6 +37,7 @@
         "Connections closed for others as their clients had stopped reading, so far."
     ),
     "client_descriptors": "Descriptors of clients' connections and requests.",
+    "chunk_turns_delayed": "Turns of senders of tiny chunks that had to wait, so far.",
     "client_descriptors_refused": "Connections or requests without one, so far.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -277,6 +277,7 @@
             **make_client_gauges(
                 self.buffers, self._descriptors, lambda: self._servers
             ),
+            "chunk_turns_delayed": lambda: self._turns.delayed,
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -21,6 +21,7 @@
     request_parser,
     server,
     shortage,
+    slow_clients,
 )
 
 __all__ = ["HARDENING"]
@@ -112,6 +113,30 @@
         ),
         "while the interpreter itself starts",
     ),
+    Claim(
+        "Slow and abusive clients exhaust no instance, and it serves others.",
+        (
+            (
+                "slow readers, unfinished requests and tiny chunks",
+                slow_clients(
+                    "TestCrowdOfCallers::test_leaves_the_process_within_its_limits"
+                ),
+            ),
+            (
+                "clients that vanish",
+                slow_clients(
+                    "TestCrowdOfCallers::test_that_vanishes_leaves_nothing_behind"
+                ),
+            ),
+            (
+                "the same at the other listeners",
+                slow_clients(
+                    "TestCrowdAtAnotherListener::test_leaves_both_listeners_usable"
+                ),
+            ),
+        ),
+        "over TLS; more than 48 clients",
+    ),
     Claim(
         "Misbehaving and replaced endpoints exhaust no instance.",
         (
--- a/oriolepaddle/settings/edge.py
+++ b/oriolepaddle/settings/edge.py
@@ -81,7 +81,7 @@
     memory_mb: float = setting(
         0.0,
         "Memory limit of the process in MB, which bounds the bodies that it holds at "
-        "once; 0 if it is not known.",
+        "once and the queues of its sockets; 0 if it is not known.",
         low=0,
         high=1_000_000,
     )
--- a/oriolepaddle/settings/settings.py
+++ b/oriolepaddle/settings/settings.py
@@ -91,7 +91,7 @@
     memory_mb: float = setting(
         0.0,
         "Memory limit of the process in MB, which bounds the bodies that it holds at "
-        "once; 0 if it is not known.",
+        "once and the queues of its sockets; 0 if it is not known.",
         low=0,
         high=1_000_000,
     )
