Accept descriptors without bound where the process has no limit

Cause: a limit that reads as -1 would have refused every connection; found by reading.

Change: no limit means no bound, as for the watch of descriptors.

--- a/oriolepaddle/buffers/descriptors.py
+++ b/oriolepaddle/buffers/descriptors.py
@@ -1,6 +1,7 @@
 """The descriptors that a process may hold for connections and their requests."""
 
 import resource
+import sys
 import threading
 from collections.abc import Callable
 
@@ -53,6 +54,9 @@
     def maximum(self) -> int:
         """The number of descriptors that may be held."""
         limit = self._read_limit()
+        if limit <= 0:
+            # The process has no limit.
+            return sys.maxsize
         return limit - min(FILES + OWN, int(MAX_RESERVED_FRACTION * limit))
 
     def acquire(self, count: int) -> bool:
--- a/oriolepaddle/buffers/tests/test_descriptors.py
+++ b/oriolepaddle/buffers/tests/test_descriptors.py
@@ -7,6 +7,10 @@
         assert DescriptorBudget(read_limit=lambda: 1638).maximum == 1398
         assert DescriptorBudget(read_limit=lambda: 100).maximum == 40
 
+    # Guards against an instance that refuses everything as the limit reads as -1.
+    def test_process_without_a_limit_has_enough(self):
+        assert DescriptorBudget(read_limit=lambda: -1).acquire(100_000)
+
     def test_refuses_beyond_the_maximum_and_recovers(self):
         budget = DescriptorBudget(read_limit=lambda: 100)
         assert [budget.acquire(15) for _ in range(3)] == [True, True, False]
