--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -10,14 +10,19 @@
 
 from oriolepaddle.addresses import split_address
 from oriolepaddle.admission import EdgeQueue
-from oriolepaddle.buffers import make_budget
+from oriolepaddle.buffers import (
+    REQUEST_DESCRIPTORS,
+    DescriptorBudget,
+    make_budget,
+    make_socket_queues,
+)
 from oriolepaddle.catalog import CallerLimits, Catalog, CatalogFollower
 from oriolepaddle.clock import Clock
 from oriolepaddle.config.model import Organisation
 from oriolepaddle.crashes import CrashRegister
 from oriolepaddle.daemon.catalog_exchange import CatalogExchange
 from oriolepaddle.daemon.connection_upkeep import ConnectionUpkeep
-from oriolepaddle.daemon.edge_gauges import add_gauges
+from oriolepaddle.daemon.edge_gauges import add_gauges, make_client_gauges
 from oriolepaddle.daemon.edge_inspection import EdgeInspection
 from oriolepaddle.daemon.inspection_application import InspectionApplication
 from oriolepaddle.edge import EdgeApplication, EdgeContext, InstanceResolver
@@ -51,6 +56,7 @@
 from oriolepaddle.signals import EndpointPermits, SignalBoard
 from oriolepaddle.web import Application, HttpServer, ServerLimits
 from oriolepaddle.web.activity import Activity
+from oriolepaddle.web.turns import ParsingTurns
 
 __all__ = ["EdgeInstance"]
 
@@ -123,10 +129,16 @@
             self.metrics.count_signal_event,
         )
         self.buffers = make_budget(settings.memory_mb)
+        self._queues = make_socket_queues(settings.memory_mb, settings.max_connections)
         self.context = self._make_context()
         self._upkeep = ConnectionUpkeep(
             clock, (self.context.transport, self.context.peer_transport)
         )
+        self._turns = ParsingTurns(clock)
+        self._descriptors = DescriptorBudget(
+            lambda: REQUEST_DESCRIPTORS * self._upkeep.idle_count,
+            self._upkeep.close_idle,
+        )
         add_gauges(self.metrics, self._make_gauges())
         self._announcer = self._make_announcer()
         self._servers = self._make_servers()
@@ -268,6 +280,10 @@
             "requests_queued": self.context.queue.count_waiting,
             "requests_handed_over": lambda: self._loads.handed_over,
             "requests_not_handed_over": lambda: self._loads.kept,
+            **make_client_gauges(
+                self.buffers, self._descriptors, lambda: self._servers
+            ),
+            "chunk_turns_delayed": lambda: self._turns.delayed,
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
@@ -331,9 +347,14 @@
                 connect_timeout,
                 timedelta(seconds=settings.max_idle_s),
                 DISCONNECT_CHECK_INTERVAL,
+                self._queues.near_bytes,
             ),
             peer_transport=EndpointTransport(
-                clock, connect_timeout, PEER_IDLE_TIMEOUT, DISCONNECT_CHECK_INTERVAL
+                clock,
+                connect_timeout,
+                PEER_IDLE_TIMEOUT,
+                DISCONNECT_CHECK_INTERVAL,
+                self._queues.far_bytes,
             ),
             activity=Activity(clock),
             metrics=self.metrics,
@@ -445,4 +466,10 @@
             name=name,
             free_descriptors=self._upkeep.close_idle,
             buffers=self.buffers,
+            queues=self._queues if name != "peer" else self._queues.for_peers(),
+            descriptors=self._descriptors,
+            turns=self._turns,
+            request_descriptors=(
+                REQUEST_DESCRIPTORS if name in ("caller", "peer") else 0
+            ),
         )
--- a/oriolepaddle/web/connection.py
+++ b/oriolepaddle/web/connection.py
@@ -2,6 +2,7 @@
 
 import io
 import socket
+import ssl
 import threading
 import uuid
 from datetime import timedelta
@@ -21,9 +22,11 @@
 from oriolepaddle.logs import log_event
 from oriolepaddle.web.application import Application
 from oriolepaddle.web.environ import make_environ
+from oriolepaddle.web.held_request import HeldRequest
 from oriolepaddle.web.limits import ServerLimits
 from oriolepaddle.web.parser import RequestHead, RequestParser
 from oriolepaddle.web.reader import BoundedSocketReader
+from oriolepaddle.web.shedding import ConnectionPhase, ConnectionState
 from oriolepaddle.web.writer import AnswerWriter
 
 __all__ = ["HttpConnection"]
@@ -36,8 +39,8 @@
         connection: The client's socket.
         address: The client's address.
         server: The server, with `application`, `limits`, `clock`, `server_address`,
-            `ssl_context`, `buffers`, `malformed_requests`, `is_draining` and
-            `is_closed`.
+            `ssl_context`, `buffers`, `malformed_requests`, `is_draining`,
+            `is_closed`, `turns` and `descriptor_slots`.
 
     Attributes:
         connection: The client's socket.
@@ -52,14 +55,18 @@
         self._server = server
         self._address = address
         self._lock = threading.Lock()
-        self._held_bytes = 0
+        self._held = HeldRequest(server.buffers, address[0])
+        self._is_body_chunked = False
         self._is_waiting = True
+        self._is_receiving = False
         self._is_closing = False
         self._has_served = False
+        self._shed = threading.Event()
+        self._writer: AnswerWriter | None = None
         self.idle_since_s = self._clock.monotonic_s()
         self.connection = connection
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._reader = BoundedSocketReader(connection, self._clock)
+        self._reader = BoundedSocketReader(connection, self._clock, self._shed)
         self._stream = io.BufferedReader(self._reader, STREAM_BUFFER_BYTES)
 
     def serve(self) -> None:
@@ -85,6 +92,37 @@
         age_s = self._clock.monotonic_s() - self.idle_since_s
         return self._has_served or age_s > FIRST_REQUEST_GRACE.total_seconds()
 
+    def describe(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        phase, since_s = ConnectionPhase.SERVING, self.idle_since_s
+        writer = self._writer
+        stalled_since_s = writer.stalled_since_s if writer else None
+        if self.is_idle:
+            phase = ConnectionPhase.IDLE
+        elif self._is_receiving:
+            phase = ConnectionPhase.RECEIVING
+            # Only content is progress, and chunks have framing beside it.
+            max_bytes = self._held.body_bytes if self._is_body_chunked else None
+            since_s = self._reader.waiting_since_s(max_bytes)
+        elif stalled_since_s is not None:
+            phase, since_s = ConnectionPhase.STALLED, stalled_since_s
+        return ConnectionState(self, self._address[0], phase, since_s)
+
+    def shed(self, phase: ConnectionPhase) -> bool:
+        """Close the connection, or refuse its request, if it is still in a phase."""
+        if phase is ConnectionPhase.IDLE:
+            return self.close_if_idle()
+        with self._lock:
+            if self.describe().phase is not phase:
+                return False
+            self._shed.set()
+        # A request that isn't complete still gets a response. A TLS connection can only
+        # be shut down both ways: Python would send the response in clear text.
+        is_answered = phase is ConnectionPhase.RECEIVING
+        is_answered = is_answered and not isinstance(self.connection, ssl.SSLSocket)
+        _shut_down(self.connection, socket.SHUT_RD if is_answered else socket.SHUT_RDWR)
+        return True
+
     def close_if_idle(self) -> bool:
         """Close the connection if no request is being served on it."""
         with self._lock:
@@ -98,12 +136,16 @@
         """Serve one request; return whether another may follow."""
         if not self._wait_for_request():
             return False
-        writer = AnswerWriter(self.connection, self._limits.write_timeout)
+        writer = AnswerWriter(
+            self.connection, self._limits.write_timeout, self._clock, self._address[0]
+        )
+        self._writer = writer
         request_id = uuid.uuid4().hex
         try:
             request = self._read_request_or_log(writer)
             request_id = request.environ["oriolepaddle.request_id"]
-            self._application.handle(request, writer)
+            with self._server.descriptor_slots.hold_request():
+                self._application.handle(request, writer)
         except OriolepaddleError as error:
             self._respond_with_error(writer, error, request_id)
         except HTTPException as error:
@@ -116,9 +158,10 @@
             wrapped = OriolepaddleError("internal error of the gateway")
             self._respond_with_error(writer, wrapped, request_id)
         finally:
+            self._writer = None
+            self._is_receiving = False
             writer.abort()
-            self._server.buffers.release(self._held_bytes)
-            self._held_bytes = 0
+            self._held.release()
         return writer.keep_alive and writer.is_finished
 
     def _wait_for_request(self) -> bool:
@@ -137,12 +180,17 @@
             if self._is_closing:
                 return False
             self._is_waiting = False
+            self._is_receiving = True
             self._has_served = True
         return is_open and not self._server.is_closed
 
     def _read_request_or_log(self, writer: AnswerWriter) -> Request:
         try:
-            return self._read_request(writer)
+            request = self._read_request(writer)
+            with self._lock:
+                self._reader.check_not_shed()
+                self._is_receiving = False
+            return request
         except RefusedError as error:
             self._server.malformed_requests += isinstance(error, MalformedRequestError)
             log_event(
@@ -155,32 +203,42 @@
 
     def _read_request(self, writer: AnswerWriter) -> Request:
         limits = self._limits
+        self._is_body_chunked = False
         self._reader.set_limits(
             limits.header_timeout, limits.max_header_bytes, ErrorCode.HEADER_TOO_LARGE
         )
-        parser = RequestParser(self._stream)
-        head = parser.read_head(limits.max_header_bytes)
+        parser = RequestParser(self._stream, self._await_turn)
+        head = parser.read_head(limits.max_header_bytes, self._held.reserve_header)
         writer.keep_alive = head.is_kept_alive and not self._server.is_draining
         writer.is_head = head.method == "HEAD"
         writer.is_chunked_allowed = head.version == "1.1"
         if [item.lower() for item in head.values("expect")] == ["100-continue"]:
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = self._read_body(parser, head, limits)
+        return self._make_request(head, body)
+
+    def _read_body(
+        self, parser: RequestParser, head: RequestHead, limits: ServerLimits
+    ) -> bytes:
+        factor = ONE_BYTE_CHUNK_BYTES if head.is_chunked else 1
         self._reader.set_limits(
             limits.body_timeout,
-            limits.max_body_bytes + FRAMING_ALLOWANCE_BYTES,
+            factor * limits.max_body_bytes + FRAMING_ALLOWANCE_BYTES,
             ErrorCode.BODY_TOO_LARGE,
         )
-        body = parser.read_body(head, limits.max_body_bytes, self._reserve)
-        return self._make_request(head, body)
-
-    def _reserve(self, count: int) -> None:
-        if not self._server.buffers.acquire(count, self._held_bytes):
-            raise RefusedError(
-                "no memory is left for the body of the request",
-                code=ErrorCode.OVERLOADED,
-                retry_after=MEMORY_RETRY_AFTER,
+        if not head.is_chunked:
+            return parser.read_body(
+                head, limits.max_body_bytes, self._held.reserve_body
+            )
+        self._is_body_chunked = True
+        with self._server.turns.enter(self._shed) as self._sender:
+            return parser.read_body(
+                head, limits.max_body_bytes, self._held.reserve_body
             )
-        self._held_bytes += count
+
+    def _await_turn(self, chunks: int, content_bytes: int) -> None:
+        self._sender.wait(chunks, content_bytes)
+        self._reader.check()
 
     def _make_request(self, head: RequestHead, body: bytes) -> Request:
         server = self._server
@@ -208,18 +266,20 @@
         # before the client has read the response.
         self.connection.shutdown(socket.SHUT_WR)
         self.connection.settimeout(LINGER_TIMEOUT.total_seconds())
-        remaining_reads = LINGER_MAX_READS
-        while remaining_reads and self.connection.recv(65_536):
-            remaining_reads -= 1
+        end_s = self._clock.monotonic_s() + LINGER_MAX_TIME.total_seconds()
+        while self._clock.monotonic_s() < end_s and self.connection.recv(65_536):
+            pass
 
 
-MEMORY_RETRY_AFTER = timedelta(seconds=1)
+ONE_BYTE_CHUNK_BYTES = 6
+"""A byte of content with its framing. A body of the largest size may come in these."""
 FIRST_REQUEST_GRACE = timedelta(seconds=1)
 FRAMING_ALLOWANCE_BYTES = 65_536
 """Bytes of chunk sizes, extensions and trailers beside the body."""
 STREAM_BUFFER_BYTES = 16_384
 LINGER_TIMEOUT = timedelta(milliseconds=200)
-LINGER_MAX_READS = 200
+LINGER_MAX_TIME = timedelta(seconds=2)
+"""Bounds a client that goes on to send bytes one by one."""
 MAX_REQUEST_ID_LENGTH = 128
 
 
@@ -228,8 +288,8 @@
     return is_short and text.isascii() and text.replace("-", "").isalnum()
 
 
-def _shut_down(connection: socket.socket) -> None:
+def _shut_down(connection: socket.socket, how: int = socket.SHUT_RDWR) -> None:
     try:
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(how)
     except OSError:
         return
--- a/oriolepaddle/web/parser.py
+++ b/oriolepaddle/web/parser.py
@@ -11,6 +11,7 @@
 import httptools
 
 from oriolepaddle.errors import ErrorCode, MalformedRequestError
+from oriolepaddle.web.chunks import ChunkRun, find_chunks
 
 __all__ = ["RequestHead", "RequestParser"]
 
@@ -69,24 +70,35 @@
     Args:
         stream: The connection's stream. After a request was read it stands at the
             first byte of the next; after an error it must not be read any more.
+        await_turn: Called before chunks that follow each other are parsed, with their
+            number and the size of their content; may wait.
     """
 
-    def __init__(self, stream: io.BufferedIOBase) -> None:
+    def __init__(
+        self,
+        stream: io.BufferedReader,
+        await_turn: Callable[[int, int], None] = lambda chunks, content_bytes: None,
+    ) -> None:
         self._stream = stream
+        self._await_turn = await_turn
         self._events = _ParserEvents()
         self._parser = httptools.HttpRequestParser(self._events)
 
-    def read_head(self, max_bytes: int) -> RequestHead:
+    def read_head(
+        self, max_bytes: int, reserve: Callable[[int], None] = lambda count: None
+    ) -> RequestHead:
         """Read a request up to the end of its head.
 
         Args:
             max_bytes: The maximum size of the head.
+            reserve: Called with the size of each line; raises an error if there is no
+                memory for it.
 
         Raises:
             MalformedRequestError: The head is malformed or too large.
             ConnectionResetError: The client disconnected.
         """
-        data = self._read_head_bytes(max_bytes)
+        data = self._read_head_bytes(max_bytes, reserve)
         self._feed(data)
         events = self._events
         if not events.has_head:
@@ -131,21 +143,33 @@
         reserve(head.length)
         return self._read_exactly(head.length)
 
-    def _read_head_bytes(self, max_bytes: int) -> bytes:
+    def _read_head_bytes(self, max_bytes: int, reserve: Callable[[int], None]) -> bytes:
         data = self._read_line(max_bytes, ErrorCode.HEADER_TOO_LARGE)
         if data == LINE_END:
             # Some clients send an empty line after a body.
             data = self._read_line(max_bytes, ErrorCode.HEADER_TOO_LARGE)
         line = data
+        reserve(len(data))
         while line != LINE_END:
             left = max_bytes - len(data)
             line = self._read_line(left, ErrorCode.HEADER_TOO_LARGE)
+            reserve(len(line))
             data += line
         return data
 
     def _read_chunks(self, max_bytes: int, reserve: Callable[[int], None]) -> bytes:
         body = bytearray()
-        while size := self._read_chunk_size():
+        while True:
+            run = find_chunks(self._stream.peek(1))
+            if run.count:
+                _check_size(len(body) + len(run.content), max_bytes)
+                reserve(len(run.content))
+                self._take_run(run)
+                body += run.content
+                continue
+            size = self._read_chunk_size()
+            if not size:
+                break
             _check_size(len(body) + size, max_bytes)
             reserve(size)
             data = self._read_exactly(size + len(LINE_END))
@@ -155,6 +179,10 @@
             self._feed(self._read_chunk_line())
         return bytes(body)
 
+    def _take_run(self, run: ChunkRun) -> None:
+        self._await_turn(run.count, len(run.content))
+        self._feed(self._read_exactly(run.size))
+
     def _read_chunk_size(self) -> int:
         line = self._read_chunk_line()
         self._feed(line)
