Use the pace that endpoints report in the expected time

Endpoints that share their machines are slower for some hundred milliseconds at a time and say so in a fourth figure of the load header. The header was decoded as two numbers and used nowhere; the learned service time follows such a slowdown only when it is over.

The header is decoded as one strict type, ReportedLoad. PaceBoard keeps the readings of each incarnation and weights them by their age: a model of each service learns from the differences between readings how fast they change and how noisy they are. The placer multiplies the expected time with the factor expected for it, and learned times are divided by the factor of the run.

--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -47,7 +47,7 @@
     decode_document,
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
-from oriolepaddle.signals import EndpointPermits, SignalBoard
+from oriolepaddle.signals import EndpointPermits, PaceBoard, SignalBoard
 from oriolepaddle.web import Application, HttpServer, ServerLimits
 from oriolepaddle.web.activity import Activity
 
@@ -99,6 +99,7 @@
         )
         self.metrics = GatewayMetrics()
         self.signals = SignalBoard(clock, self.metrics.count_signal_event)
+        self.paces = PaceBoard(clock)
         self.catalog = Catalog(clock, self.signals.is_leaving)
         incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
         self.roster = Roster(clock, own, incarnation, settings.peer_address, regions)
@@ -277,6 +278,7 @@
             lambda name: roster.region_of(name) == own_region,
             self._find_cold_share,
             permits=self.permits,
+            paces=self.paces,
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect_timeout = timedelta(seconds=settings.connect_timeout_s)
@@ -319,6 +321,7 @@
             crashes=CrashRegister(clock, self.metrics.count_crash_event),
             signals=self.signals,
             permits=self.permits,
+            paces=self.paces,
             liveness=ConnectCheck(),
             transport=EndpointTransport(
                 clock,
--- a/oriolepaddle/edge/answer.py
+++ b/oriolepaddle/edge/answer.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from oriolepaddle.signals import EndpointSignals
+from oriolepaddle.signals import EndpointSignals, ReportedLoad
 
 __all__ = ["AnswerKind", "EndpointAnswer"]
 
@@ -33,7 +33,7 @@
         status: The HTTP status.
         headers: Header fields to send to the caller.
         is_stream: Whether the body is an event stream.
-        load: The numbers of running and waiting requests at the endpoint, or None.
+        load: The load that the endpoint reports, or None.
         signals: What the endpoint says of itself.
         length: The length of the body in bytes, or None if it was not declared.
     """
@@ -42,7 +42,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     is_stream: bool = False
-    load: tuple[int, int] | None = None
+    load: ReportedLoad | None = None
     signals: EndpointSignals = EndpointSignals()
     length: int | None = None
 
--- a/oriolepaddle/edge/context.py
+++ b/oriolepaddle/edge/context.py
@@ -20,7 +20,7 @@
 from oriolepaddle.limits import TokenLimiter
 from oriolepaddle.metrics import GatewayMetrics
 from oriolepaddle.placement import Placer
-from oriolepaddle.signals import EndpointPermits, SignalBoard
+from oriolepaddle.signals import EndpointPermits, PaceBoard, SignalBoard
 from oriolepaddle.web.activity import Activity
 
 __all__ = ["EdgeContext"]
@@ -41,6 +41,7 @@
         crashes: What crashed endpoints.
         signals: What endpoints say of themselves.
         permits: Permits for endpoints with a limit.
+        paces: The paces that endpoints report.
         liveness: Tells whether an endpoint has ended.
         transport: Sends requests to endpoints.
         peer_transport: Sends requests to other instances.
@@ -66,6 +67,7 @@
     crashes: CrashRegister
     signals: SignalBoard
     permits: EndpointPermits
+    paces: PaceBoard
     liveness: LivenessCheck
     transport: EndpointTransport
     peer_transport: EndpointTransport
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -305,6 +305,10 @@
                 self._request.id, status, headers
             )
             if endpoint is not None and answer.is_of_endpoint:
+                if answer.load is not None:
+                    self._context.paces.record(
+                        endpoint.incarnation, endpoint.service, answer.load
+                    )
                 self._context.permits.record(
                     endpoint.incarnation,
                     answer.signals,
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -4,6 +4,7 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job, PromptPart
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.paces import Pace, Paces
 from oriolepaddle.placement.placer import Placer
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
@@ -15,6 +16,8 @@
     "EndpointLoad",
     "EndpointScore",
     "Job",
+    "Pace",
+    "Paces",
     "PeerLoad",
     "PlacedRun",
     "Placer",
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -18,6 +18,7 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
+from oriolepaddle.placement.paces import NoPaces, Paces
 from oriolepaddle.placement.permits import FreePermits, Permits
 from oriolepaddle.placement.preferred import rank_preferred
 from oriolepaddle.placement.prefix_source import find_prefix_source
@@ -48,6 +49,7 @@
             endpoints; the shares of a region's instances add up to at most 1.
         weights: Weights of the cost terms beside the time to the first byte.
         permits: Decides which requests endpoints with a limit get.
+        paces: The paces that endpoints report.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         find_cold_share: Callable[[], float] = lambda: 1.0,
         weights: PlacementWeights | None = None,
         permits: Permits | None = None,
+        paces: Paces | None = None,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
@@ -65,6 +68,7 @@
         self._find_cold_share = find_cold_share
         self._weights = weights or PlacementWeights()
         self._permits = permits or FreePermits()
+        self._paces = paces or NoPaces()
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
         self._service_stats: dict[str, ServiceStreamStats] = {}
@@ -183,7 +187,7 @@
         """Record that a request is now sent to its endpoint."""
         with self._lock:
             load = self._find_load(choice.endpoint, self._clock.monotonic_s())
-        return PlacedRun(self._clock, self._lock, load, choice, job)
+        return PlacedRun(self._clock, self._lock, load, choice, job, self._paces)
 
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return the loads that this instance reports to peers, by endpoint id."""
@@ -223,7 +227,9 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             waits = [
-                load.estimate_first_byte_s(job, tokens, load.total_load(now_s))
+                self._estimate_first_byte_s(
+                    load, job, tokens, load.total_load(now_s), now_s
+                )
                 + load.failure_penalty_s()
                 for load in self._list_loads(service, now_s)
                 if not load.is_blocked(now_s)
@@ -273,7 +279,7 @@
             0, job.input_tokens - load.prefix_history.count_cached(job.parts)
         )
         total = load.total_load(now_s)
-        expected_s = load.estimate_first_byte_s(job, uncached, total)
+        expected_s = self._estimate_first_byte_s(load, job, uncached, total, now_s)
         cost_s = expected_s + load.failure_penalty_s()
         cost_s += self._weights.stream * load.estimate_stream_s(job, now_s)
         interference_s = load.estimate_interference_s(uncached, total)
@@ -283,6 +289,21 @@
             load.endpoint, expected_s, uncached, load.is_blocked(now_s)
         )
 
+    def _estimate_first_byte_s(
+        self,
+        load: EndpointLoad,
+        job: Job,
+        uncached_tokens: int,
+        total: PeerLoad,
+        now_s: float,
+    ) -> float:
+        expected_s = load.estimate_first_byte_s(job, uncached_tokens, total)
+        endpoint = load.endpoint
+        pace = self._paces.find(endpoint.incarnation, endpoint.service)
+        if pace is None:
+            return expected_s
+        return expected_s * pace.find_factor(now_s, expected_s)
+
     def _list_sendable(self, service: str, now_s: float) -> list[EndpointLoad]:
         return [
             self._find_load(endpoint, now_s)
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -6,6 +6,7 @@
 from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad
+from oriolepaddle.placement.paces import Paces
 from oriolepaddle.placement.stall import StallDetector
 
 __all__ = ["PlacedRun"]
@@ -20,6 +21,7 @@
         load: The endpoint's load.
         choice: The placement.
         job: The request.
+        paces: The paces that endpoints report.
     """
 
     def __init__(
@@ -29,11 +31,13 @@
         load: EndpointLoad,
         choice: Choice,
         job: Job,
+        paces: Paces,
     ) -> None:
         self._clock = clock
         self._lock = lock
         self._load = load
         self._job = job
+        self._paces = paces
         self._started_s = clock.monotonic_s()
         self._uncached_tokens = choice.uncached_tokens
         self._stall_detector = StallDetector()
@@ -61,7 +65,7 @@
             self._has_first_byte = True
             self._load.silence_detector.record_first_byte(self._request_number)
             self._load.prefill_tokens -= self._uncached_tokens
-            elapsed_s = now_s - self._started_s
+            elapsed_s = self._find_usual_s(now_s)
             self._load.record_first_byte(elapsed_s, self._unread_tokens, now_s)
 
     def record_activity(self) -> None:
@@ -105,7 +109,7 @@
 
     def succeed(self) -> None:
         """Record a complete answer."""
-        elapsed_s = self._clock.monotonic_s() - self._started_s
+        elapsed_s = self._find_usual_s(self._clock.monotonic_s())
         with self._lock:
             self._load.silence_detector.discard(self._request_number)
             self._load.record_success()
@@ -117,3 +121,12 @@
         """Record a failure of the endpoint, which may be unreachable."""
         with self._lock:
             self._load.record_failure(self._clock.monotonic_s(), is_unreachable)
+
+    def _find_usual_s(self, now_s: float) -> float:
+        """Return the seconds since the start, as they would be at the usual pace."""
+        elapsed_s = now_s - self._started_s
+        endpoint = self._load.endpoint
+        pace = self._paces.find(endpoint.incarnation, endpoint.service)
+        if pace is None:
+            return elapsed_s
+        return elapsed_s / pace.find_past_factor(self._started_s, now_s)
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -9,6 +9,7 @@
 from oriolepaddle.errors import MalformedRequestError
 from oriolepaddle.placement import PromptPart
 from oriolepaddle.platform import names
+from oriolepaddle.platform.load import LoadReader
 from oriolepaddle.platform.signals import read_signals
 
 __all__ = ["PlatformProtocol"]
@@ -50,6 +51,7 @@
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
+        self._loads = LoadReader()
 
     def read_request(self, request: Request, arrived_s: float) -> EdgeRequest:
         """Return a caller's request; see `EdgeProtocol.read_request`."""
@@ -147,7 +149,7 @@
                 if name.lower() not in _DROPPED_FROM_RESPONSES
             ),
             is_stream=fields.get("content-type", "").startswith(EVENT_STREAM),
-            load=_read_load(fields.get(names.LOAD.lower())),
+            load=self._loads.read(headers) if names.LOAD.lower() in fields else None,
             signals=read_signals(status, headers),
             length=_read_length(fields.get("content-length")),
         )
@@ -214,12 +216,5 @@
     return int(value)
 
 
-def _read_load(value: str | None) -> tuple[int, int] | None:
-    numbers = (value or "").split(",")
-    if len(numbers) < 2 or not all(item.strip().isdecimal() for item in numbers[:2]):
-        return None
-    return int(numbers[0]), int(numbers[1])
-
-
 def _write_ms(duration_s: float) -> str:
     return str(max(1, int(duration_s * MILLISECONDS_PER_S)))
--- a/oriolepaddle/platform/tests/test_protocol.py
+++ b/oriolepaddle/platform/tests/test_protocol.py
@@ -8,6 +8,7 @@
 from oriolepaddle.edge import AnswerKind
 from oriolepaddle.errors import MalformedRequestError
 from oriolepaddle.platform import PlatformProtocol
+from oriolepaddle.signals import ReportedLoad
 
 PROTOCOL = PlatformProtocol("n1")
 ENDPOINT = RegisteredEndpoint(
@@ -161,5 +162,5 @@
         answer = PROTOCOL.read_answer(
             "9c41", 200, (ID, SEAL, ("X-Oriolepaddle-Server-Load", "3,1,8"))
         )
-        assert answer.load == (3, 1)
+        assert answer.load == ReportedLoad(3, 1, 8)
         assert answer.headers == (ID, SEAL)
--- /dev/null
+++ b/oriolepaddle/signals/pace.py
@@ -0,0 +1,141 @@
+"""The pace of one endpoint, estimated from its readings by their age."""
+
+import math
+from collections import deque
+
+import attrs
+
+from oriolepaddle.signals.pace_model import PaceModel
+
+__all__ = ["EndpointPace", "PaceEstimate"]
+
+COMPARED_READINGS = 4
+"""Earlier readings that a new one is compared with."""
+KEPT_READINGS = 24
+MIN_HORIZON_S = 0.001
+MIN_FACTOR, MAX_FACTOR = 0.2, 8.0
+"""Range of the pace factor in use. A false reading changes the expected time by no
+more than this."""
+
+
+@attrs.frozen
+class PaceEstimate:
+    """The expected pace of an endpoint during work that begins now.
+
+    Attributes:
+        factor: Expected ratio of the duration of work to its usual duration.
+        reported: The pace factor of the last reading, or None if there was none.
+        age_s: Age of the last reading in seconds, or None.
+        confidence: The part of the variance that the readings explain, from 0 if they
+            are absent or too old to 1.
+    """
+
+    factor: float
+    reported: float | None = None
+    age_s: float | None = None
+    confidence: float = 0.0
+
+
+class EndpointPace:
+    """A Kalman filter over the pace readings of one incarnation of an endpoint.
+
+    Between readings the estimate returns to the mean of the service's endpoints, and
+    becomes less certain, with the time constant of the model.
+
+    Not thread-safe, except that `estimate` may be called without a lock.
+
+    Args:
+        model: The model of its service.
+    """
+
+    def __init__(self, model: PaceModel) -> None:
+        self._model = model
+        # Time, deviation from the mean and its variance: one tuple, so that readers
+        # without a lock never see a mixture of two states.
+        self._state: tuple[float, float, float] | None = None
+        self._readings: deque[tuple[float, float]] = deque(maxlen=COMPARED_READINGS)
+        self._estimates: deque[tuple[float, float]] = deque(maxlen=KEPT_READINGS)
+
+    @property
+    def last_reading(self) -> tuple[float, float] | None:
+        """Monotonic time and pace factor of the newest reading, or None."""
+        readings = self._readings
+        return readings[-1] if readings else None
+
+    def record(self, at_s: float, factor: float) -> bool:
+        """Record a reading; return False if a newer one is known."""
+        last = self.last_reading
+        if last is not None and at_s <= last[0]:
+            return False
+        factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
+        self._model.record(at_s, factor, list(self._readings))
+        parameters = self._model.parameters
+        _, deviation, variance = self._predict(at_s)
+        gain = variance / (variance + parameters.noise)
+        deviation += gain * (factor - parameters.mean - deviation)
+        self._state = (at_s, deviation, (1 - gain) * variance)
+        self._readings.append((at_s, factor))
+        self._estimates.append((at_s, max(MIN_FACTOR, parameters.mean + deviation)))
+        return True
+
+    def find_factor(self, now_s: float, horizon_s: float) -> float:
+        """Return the expected mean pace factor from now for a time.
+
+        Args:
+            now_s: Monotonic seconds.
+            horizon_s: Length of the time, in seconds.
+        """
+        parameters = self._model.parameters
+        state = self._state
+        if state is None:
+            return parameters.mean
+        relative = max(MIN_HORIZON_S, horizon_s) / parameters.time_constant_s
+        decay = math.exp(-max(0.0, now_s - state[0]) / parameters.time_constant_s)
+        deviation = state[1] * decay * (1 - math.exp(-relative)) / relative
+        return max(MIN_FACTOR, parameters.mean + deviation)
+
+    def estimate(self, now_s: float, horizon_s: float) -> PaceEstimate:
+        """Return the expected pace with its basis; see `find_factor`."""
+        factor = self.find_factor(now_s, horizon_s)
+        last = self.last_reading
+        if last is None:
+            return PaceEstimate(factor)
+        _, _, variance = self._predict(now_s)
+        confidence = 1 - variance / self._model.parameters.variance
+        return PaceEstimate(
+            factor, last[1], now_s - last[0], min(max(0.0, confidence), 1.0)
+        )
+
+    def find_past_factor(self, started_s: float, now_s: float) -> float:
+        """Return the mean pace factor of a time that ends now.
+
+        Args:
+            started_s: Monotonic time at which it began.
+            now_s: Monotonic time at which it ends.
+        """
+        duration_s = now_s - started_s
+        if duration_s <= 0 or not self._estimates:
+            return self.find_factor(now_s, 0.0)
+        total = 0.0
+        until_s = now_s
+        # Each estimate holds from half way after the one before it.
+        entries = list(self._estimates)
+        for index in range(len(entries) - 1, -1, -1):
+            at_s, factor = entries[index]
+            previous_s = entries[index - 1][0] if index else float("-inf")
+            from_s = max(started_s, min(until_s, (previous_s + at_s) / 2))
+            total += factor * (until_s - from_s)
+            until_s = from_s
+            if until_s <= started_s:
+                break
+        return total / duration_s
+
+    def _predict(self, now_s: float) -> tuple[float, float, float]:
+        parameters = self._model.parameters
+        if self._state is None:
+            return now_s, 0.0, parameters.variance
+        at_s, deviation, variance = self._state
+        decay = math.exp(-max(0.0, now_s - at_s) / parameters.time_constant_s)
+        remaining = decay * decay
+        variance = remaining * variance + (1 - remaining) * parameters.variance
+        return now_s, deviation * decay, variance
