--- a/oriolepaddle/signals/pace.py
+++ b/oriolepaddle/signals/pace.py
@@ -12,7 +12,11 @@
 COMPARED_READINGS = 4
 """Earlier readings that a new one is compared with."""
 KEPT_READINGS = 24
-MIN_HORIZON_S = 0.001
+MIN_RELATIVE_HORIZON = 0.01
+PRIOR_READINGS = 60
+MAX_MEAN_READINGS = 400
+"""Weight of the service's mean in the mean of an endpoint, and readings over which that
+is averaged."""
 MIN_FACTOR, MAX_FACTOR = 0.2, 8.0
 """Range of the pace factor in use. A false reading changes the expected time by no
 more than this."""
@@ -39,8 +43,8 @@
 class EndpointPace:
     """A Kalman filter over the pace readings of one incarnation of an endpoint.
 
-    Between readings the estimate returns to the mean of the service's endpoints, and
-    becomes less certain, with the time constant of the model.
+    Between readings the estimate returns to the endpoint's mean, and becomes less
+    certain, with the time constant of the model.
 
     Not thread-safe, except that `estimate` may be called without a lock.
 
@@ -50,17 +54,19 @@
 
     def __init__(self, model: PaceModel) -> None:
         self._model = model
-        # Time, deviation from the mean and its variance: one tuple, so that readers
-        # without a lock never see a mixture of two states.
-        self._state: tuple[float, float, float] | None = None
+        # Time, mean, deviation and its variance, of the logarithm: one tuple, so that
+        # readers without a lock never see a mixture of two states.
+        self._state: tuple[float, float, float, float] | None = None
+        self._offset = 0.0
+        self._count = 0
+        self._last: tuple[float, float] | None = None
         self._readings: deque[tuple[float, float]] = deque(maxlen=COMPARED_READINGS)
         self._estimates: deque[tuple[float, float]] = deque(maxlen=KEPT_READINGS)
 
     @property
     def last_reading(self) -> tuple[float, float] | None:
         """Monotonic time and pace factor of the newest reading, or None."""
-        readings = self._readings
-        return readings[-1] if readings else None
+        return self._last
 
     def record(self, at_s: float, factor: float) -> bool:
         """Record a reading; return False if a newer one is known."""
@@ -68,14 +74,26 @@
         if last is not None and at_s <= last[0]:
             return False
         factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
-        self._model.record(at_s, factor, list(self._readings))
-        parameters = self._model.parameters
+        value = math.log(factor)
+        model = self._model
+        mean = model.mean + self._offset
+        self._count = min(self._count + 1, MAX_MEAN_READINGS)
+        self._offset += (value - mean) / (self._count + PRIOR_READINGS)
+        model.record(at_s, value, self._offset, list(self._readings))
+        new_mean = model.mean + self._offset
         _, deviation, variance = self._predict(at_s)
-        gain = variance / (variance + parameters.noise)
-        deviation += gain * (factor - parameters.mean - deviation)
-        self._state = (at_s, deviation, (1 - gain) * variance)
-        self._readings.append((at_s, factor))
-        self._estimates.append((at_s, max(MIN_FACTOR, parameters.mean + deviation)))
+        gain = variance / (variance + model.parameters.noise)
+        if self._state is not None:
+            # The mean has moved, the pace has not.
+            deviation += self._state[1] - new_mean
+        deviation += gain * (value - new_mean - deviation)
+        variance *= 1 - gain
+        self._state = (at_s, new_mean, deviation, variance)
+        self._last = (at_s, factor)
+        self._readings.append((at_s, value))
+        self._estimates.append(
+            (at_s, max(MIN_FACTOR, math.exp(new_mean + deviation + variance / 2)))
+        )
         return True
 
     def find_factor(self, now_s: float, horizon_s: float) -> float:
@@ -88,11 +106,19 @@
         parameters = self._model.parameters
         state = self._state
         if state is None:
-            return parameters.mean
-        relative = max(MIN_HORIZON_S, horizon_s) / parameters.time_constant_s
-        decay = math.exp(-max(0.0, now_s - state[0]) / parameters.time_constant_s)
-        deviation = state[1] * decay * (1 - math.exp(-relative)) / relative
-        return max(MIN_FACTOR, parameters.mean + deviation)
+            return math.exp(self._model.mean + parameters.variance / 2)
+        at_s, mean, deviation, variance = state
+        constant_s = parameters.time_constant_s
+        decay = math.exp((at_s - now_s) / constant_s) if now_s > at_s else 1.0
+        relative = horizon_s / constant_s
+        remaining = decay * decay
+        variance = remaining * variance + (1 - remaining) * parameters.variance
+        if relative > MIN_RELATIVE_HORIZON:
+            # The mean of the deviation over the horizon.
+            decay *= (1 - math.exp(-relative)) / relative
+        deviation *= decay
+        factor = math.exp(mean + deviation + variance / 2)
+        return min(max(MIN_FACTOR, factor), MAX_FACTOR)
 
     def estimate(self, now_s: float, horizon_s: float) -> PaceEstimate:
         """Return the expected pace with its basis; see `find_factor`."""
@@ -118,7 +144,7 @@
             return self.find_factor(now_s, 0.0)
         total = 0.0
         until_s = now_s
-        # Each estimate holds from half way after the one before it.
+        # Each estimate holds from half-way between the previous one and itself.
         entries = list(self._estimates)
         for index in range(len(entries) - 1, -1, -1):
             at_s, factor = entries[index]
@@ -131,10 +157,11 @@
         return total / duration_s
 
     def _predict(self, now_s: float) -> tuple[float, float, float]:
+        """Return the time, and the deviation and its variance at that time."""
         parameters = self._model.parameters
         if self._state is None:
             return now_s, 0.0, parameters.variance
-        at_s, deviation, variance = self._state
+        at_s, _, deviation, variance = self._state
         decay = math.exp(-max(0.0, now_s - at_s) / parameters.time_constant_s)
         remaining = decay * decay
         variance = remaining * variance + (1 - remaining) * parameters.variance
--- a/oriolepaddle/signals/pace_model.py
+++ b/oriolepaddle/signals/pace_model.py
@@ -27,17 +27,17 @@
 class PaceParameters:
     """The parameters by which a reading is weighted.
 
-    A pace is modelled as a mean, a deviation that vanishes exponentially while others
-    arise, and noise that differs in each reading.
+    The logarithm of a pace factor is modelled as the endpoint's mean, a deviation that
+    vanishes exponentially while others arise, and noise that differs in each reading.
+    An endpoint whose readings are all too large by one factor then has the same
+    deviations as the others.
 
     Attributes:
-        mean: Mean pace factor.
         variance: Variance of the deviation.
         noise: Variance of the noise of one reading.
         time_constant_s: Time constant of the deviation, in seconds.
     """
 
-    mean: float = 1.0
     variance: float = (1 - PRIOR_NOISE_FRACTION) * PRIOR_VARIANCE
     noise: float = PRIOR_NOISE_FRACTION * PRIOR_VARIANCE
     time_constant_s: float = PRIOR_TIME_CONSTANT_S
@@ -49,13 +49,17 @@
     Half the mean squared difference of two readings is the noise for a short time
     between them and grows to the whole variance with the time constant.
 
-    Not thread-safe. `parameters` may be read without a lock.
+    Not thread-safe. The attributes may be read without a lock.
+
+    Attributes:
+        mean: Mean logarithm of the pace factor.
+        parameters: The parameters as of the last fit.
     """
 
     def __init__(self) -> None:
+        self.mean = 0.0
         self.parameters = PaceParameters()
         self._count = 0
-        self._mean = 1.0
         self._variance = PRIOR_VARIANCE
         classes = len(LAG_BOUNDS_S)
         self._lags_s = [0.0] * classes
@@ -63,25 +67,30 @@
         self._counts = [0] * classes
 
     def record(
-        self, at_s: float, factor: float, earlier: list[tuple[float, float]]
+        self,
+        at_s: float,
+        value: float,
+        offset: float,
+        earlier: list[tuple[float, float]],
     ) -> None:
         """Record a reading.
 
         Args:
             at_s: Monotonic time of the reading.
-            factor: Its pace factor; 1 is as usual.
-            earlier: Times and factors of earlier readings of the same endpoint.
+            value: The logarithm of its pace factor.
+            offset: Difference of the endpoint's mean to that of the service.
+            earlier: Times and values of earlier readings of the same endpoint.
         """
         self._count += 1
         weight = max(SAMPLE_WEIGHT, 1 / (self._count + 1))
-        difference = factor - self._mean
-        self._mean += weight * difference
+        difference = value - offset - self.mean
+        self.mean += weight * difference
         self._variance += weight * (difference * difference - self._variance)
-        for earlier_s, earlier_factor in earlier:
+        for earlier_s, earlier_value in earlier:
             lag_s = at_s - earlier_s
             if lag_s > LAG_BOUNDS_S[-1]:
                 continue
-            self._record_difference(lag_s, factor - earlier_factor)
+            self._record_difference(lag_s, value - earlier_value)
         if self._count % FIT_INTERVAL_READINGS == MIN_FIT_READINGS:
             self._fit()
 
@@ -111,7 +120,6 @@
             for constant_s in TIME_CONSTANTS_S
         )
         self.parameters = PaceParameters(
-            self._mean,
             max(MIN_VARIANCE, variance),
             max(MIN_VARIANCE, total - variance),
             time_constant_s,
