Learn the costs of plain requests, and spread choices between instances

Where endpoints report their pace, the expected time of a plain request is now derived from the remaining work: the cost of the request, learned by route and size, the runs in progress with their expected rest, and a wait that grows smoothly with the reported requests of peers.

A peer's report of requests that last 0.1 s is older than they are, so all instances chose the endpoint that had looked best. If requests cost less than the age of a report, the better one of two random good endpoints is taken, by the requests of the instance itself.

--- a/experiments/placement/plain_region.py
+++ b/experiments/placement/plain_region.py
@@ -83,8 +83,9 @@
 
     Args:
         scenario: The load and the endpoints.
-        variant: "pace", "without" for a placer that does not know the paces, or
-            "outstanding" for the least outstanding requests.
+        variant: "pace", "without" for a placer that does not know the paces,
+            "outstanding" for the least outstanding requests of all instances, and "own
+            outstanding" for those of the instance itself.
         seed: The seed of the requests.
     """
 
@@ -110,9 +111,9 @@
             for number, pace in enumerate(paces)
         }
         start_slowdowns(self.loop, pace_generator, paces, parameters)
-        catalog = self._make_catalog()
+        self.catalog = self._make_catalog()
         self._instances = [
-            _Instance(self.loop, catalog, variant, number)
+            _Instance(self.loop, self.catalog, variant, number)
             for number in range(scenario.instances)
         ]
 
@@ -184,7 +185,13 @@
         self._others: dict[str, Counter[str]] = {}
         self.paces = PaceBoard(loop)
         paces = self.paces if variant == "pace" else None
-        self.placer = Placer(loop, catalog, lambda name: True, paces=paces)
+        self.placer = Placer(
+            loop,
+            catalog,
+            lambda name: True,
+            paces=paces,
+            generator=random.Random(number),
+        )
 
     def receive(self, sender: "_Instance", loads: dict, running: Counter[str]) -> None:
         """Apply the announcement of another instance."""
@@ -219,14 +226,13 @@
 
     def _choose(self, region: PlainRegion, job: Job) -> Choice:
         choice = self.placer.choose(job)
-        if self._variant != "outstanding":
+        if "outstanding" not in self._variant:
             return choice
         counts = self.running.copy()
-        for others in self._others.values():
-            counts.update(others)
+        if self._variant == "outstanding":
+            for others in self._others.values():
+                counts.update(others)
         least = min(
             region.endpoints, key=lambda name: (counts[name], region.generator.random())
         )
-        return self.placer.choose(
-            job, excluded=[f"{name}@1" for name in region.endpoints if name != least]
-        )
+        return attrs.evolve(choice, endpoint=region.catalog.endpoint(least))
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -279,6 +279,7 @@
             self._find_cold_share,
             permits=self.permits,
             paces=self.paces,
+            generator=self._generator,
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect_timeout = timedelta(seconds=settings.connect_timeout_s)
--- a/oriolepaddle/edge/placing.py
+++ b/oriolepaddle/edge/placing.py
@@ -63,6 +63,8 @@
         output_tokens=request.output_tokens,
         max_first_byte_s=min(max_first_byte_s, remaining_s),
         urgency=find_urgency(request.input_tokens, timedelta(seconds=on_time_s)),
+        route=admitted.route.name,
+        size_bytes=len(request.body),
     )
 
 
--- a/oriolepaddle/edge/tests/test_placing.py
+++ b/oriolepaddle/edge/tests/test_placing.py
@@ -38,10 +38,14 @@
 
 
 def make_job_at(now_s, may_have_run=False, tokens=9_000):
-    route = SimpleNamespace(target=timedelta(seconds=0.6))
+    route = SimpleNamespace(name="dossiers", target=timedelta(seconds=0.6))
     admitted = SimpleNamespace(route=route, service="engines")
     request = SimpleNamespace(
-        parts=(), input_tokens=tokens, output_tokens=50, arrived_s=0.0
+        parts=(),
+        input_tokens=tokens,
+        output_tokens=50,
+        arrived_s=0.0,
+        body=b"",
     )
     return make_job(admitted, request, now_s, 5.0 - now_s, may_have_run)
 
--- a/oriolepaddle/placement/job.py
+++ b/oriolepaddle/placement/job.py
@@ -32,6 +32,8 @@
         max_first_byte_s: Maximum acceptable time to the first byte; the request is
             refused if every endpoint is expected to take longer.
         urgency: Its scheduling rank at an engine; lower ranks run first.
+        route: The name of its route, by which costs are learned.
+        size_bytes: Size of its body.
     """
 
     service: str
@@ -40,6 +42,8 @@
     output_tokens: int = 0
     max_first_byte_s: float = float("inf")
     urgency: int = DEFAULT_URGENCY
+    route: str = ""
+    size_bytes: int = 0
 
     @property
     def memory_tokens(self) -> int:
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -8,8 +8,11 @@
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
 from oriolepaddle.logs import log_event
 from oriolepaddle.placement.cold_start import ColdStartBucket
+from oriolepaddle.placement.costs import RequestCosts
 from oriolepaddle.placement.job import Job, PromptPart
+from oriolepaddle.placement.paces import Pace
 from oriolepaddle.placement.prefix_history import PrefixHistory
+from oriolepaddle.placement.remaining import RemainingWork, estimate_wait_s
 from oriolepaddle.placement.silence import SilenceDetector
 from oriolepaddle.placement.stream_stats import EndpointStreamStats, ServiceStreamStats
 
@@ -114,6 +117,7 @@
         now_s: Monotonic seconds.
         cold_share: This instance's share of its request rate during a cold start.
         stream_stats: The statistics of its service's streams.
+        costs: The costs of its service's requests.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         now_s: float,
         cold_share: float = 1.0,
         stream_stats: ServiceStreamStats | None = None,
+        costs: RequestCosts | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.service = service
@@ -141,6 +146,7 @@
         self._expected_prefill_s = 0.0
         self._decayed_s = now_s
         self._service_s = INITIAL_STREAM_S if engine else INITIAL_SERVICE_S
+        self.remaining = RemainingWork(costs or RequestCosts())
         self._failure_rate = 0.0
         self._blocked_until_s = 0.0
         self._block_s = 0.0
@@ -251,6 +257,37 @@
         memory_s = max(0.0, over / capacity) * self._service_s
         return ENGINE_BASE_LATENCY_S + waiting_s + prefill_s + memory_s
 
+    def estimate_at_pace_s(
+        self,
+        job: Job,
+        uncached_tokens: int,
+        total: PeerLoad,
+        pace: Pace,
+        now_s: float,
+    ) -> float:
+        """Return the same for an endpoint whose pace is known.
+
+        Args:
+            job: The request.
+            uncached_tokens: Tokens of its prompt to prefill.
+            total: The load from all instances, as returned by `total_load`.
+            pace: The endpoint's pace.
+            now_s: Monotonic seconds.
+        """
+        if self.service.engine is not None:
+            usual_s = self.estimate_first_byte_s(job, uncached_tokens, total)
+            return usual_s * pace.find_factor(now_s, usual_s)
+        remaining = self.remaining
+        cost_s = remaining.costs.estimate(job.route, job.size_bytes).mean_s
+        others = total.running - self.running
+        mean_s = remaining.costs.estimate_remainder_s(cost_s, 0.0)
+        rest_s = others * mean_s
+        if self.running:
+            rest_s += remaining.own_s(now_s, pace.find_factor(now_s, 0.0))
+        wait_s = estimate_wait_s(total.running, others, rest_s, cost_s, self.slots)
+        usual_s = (wait_s + cost_s) * remaining.speed
+        return usual_s * pace.find_factor(now_s, usual_s)
+
     def estimate_stream_s(self, job: Job, now_s: float) -> float:
         """Return the expected time from a request's first event to its last."""
         if self.service.engine is None:
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -6,6 +6,7 @@
 if no endpoint could begin the answer in time.
 """
 
+import random
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
@@ -16,6 +17,7 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.costs import RequestCosts
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
 from oriolepaddle.placement.paces import NoPaces, Paces
@@ -24,6 +26,7 @@
 from oriolepaddle.placement.prefix_source import find_prefix_source
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
+from oriolepaddle.placement.spread import Scored, choose_spread
 from oriolepaddle.placement.stream_stats import ServiceStreamStats
 from oriolepaddle.placement.weights import PlacementWeights
 
@@ -33,6 +36,9 @@
 """Cost reduction for the first and second preferred endpoint of a prompt's shared
 prefix, so that instances that do not know of each other's requests send the prefix to
 the same endpoint. About the time of prefilling it again."""
+REPORT_AGE_S = 0.6
+"""About the age of a peer's report when the next one replaces it. The reported requests
+that cost less have ended by then."""
 NO_LOAD = PeerLoad(0, 0)
 RETRY_AFTER = timedelta(milliseconds=300)
 """Retry delay sent with refusals: about the time in which a queue gets shorter."""
@@ -50,6 +56,7 @@
         weights: Weights of the cost terms beside the time to the first byte.
         permits: Decides which requests endpoints with a limit get.
         paces: The paces that endpoints report.
+        generator: The source of randomness for choices with old reports.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
         weights: PlacementWeights | None = None,
         permits: Permits | None = None,
         paces: Paces | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
@@ -69,9 +77,11 @@
         self._weights = weights or PlacementWeights()
         self._permits = permits or FreePermits()
         self._paces = paces or NoPaces()
+        self._generator = generator or random.Random()
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
         self._service_stats: dict[str, ServiceStreamStats] = {}
+        self._service_costs: dict[str, RequestCosts] = {}
 
     def choose(
         self,
@@ -105,7 +115,7 @@
                 )
             preferred = rank_preferred((load.endpoint.id for load in loads), job)
             scored = self._score_all(loads, preferred, job, now_s)
-            _, choice, load = min(scored, key=lambda item: item[0])
+            _, choice, load = self._select(scored, job)
             if choice.expected_s > job.max_first_byte_s:
                 raise RefusedError(
                     f"{job.service} would begin the answer in "
@@ -258,13 +268,22 @@
             if load.endpoint.incarnation not in excluded
         ]
 
+    def _select(self, scored: list[Scored], job: Job) -> Scored:
+        load = scored[0][2]
+        is_plain = load.service.engine is None
+        if is_plain and self._paces.find("", job.service) is not None:
+            cost_s = load.remaining.costs.estimate(job.route, job.size_bytes).mean_s
+            if cost_s < REPORT_AGE_S:
+                return choose_spread(scored, self._generator)
+        return min(scored, key=lambda item: item[0])
+
     def _score_all(
         self,
         loads: Sequence[EndpointLoad],
         preferred: list[str],
         job: Job,
         now_s: float,
-    ) -> list[tuple[float, Choice, EndpointLoad]]:
+    ) -> list[Scored]:
         bonuses = dict(zip(preferred, PREFERENCE_BONUSES_S, strict=False))
         return [(*self._score(load, job, now_s, bonuses), load) for load in loads]
 
@@ -297,12 +316,11 @@
         total: PeerLoad,
         now_s: float,
     ) -> float:
-        expected_s = load.estimate_first_byte_s(job, uncached_tokens, total)
         endpoint = load.endpoint
         pace = self._paces.find(endpoint.incarnation, endpoint.service)
         if pace is None:
-            return expected_s
-        return expected_s * pace.find_factor(now_s, expected_s)
+            return load.estimate_first_byte_s(job, uncached_tokens, total)
+        return load.estimate_at_pace_s(job, uncached_tokens, total, pace, now_s)
 
     def _list_sendable(self, service: str, now_s: float) -> list[EndpointLoad]:
         return [
@@ -352,8 +370,9 @@
             stream_stats = self._service_stats.setdefault(
                 endpoint.service, ServiceStreamStats()
             )
+            costs = self._service_costs.setdefault(endpoint.service, RequestCosts())
             load = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, service, now_s, self._find_cold_share(), stream_stats
+                endpoint, service, now_s, self._find_cold_share(), stream_stats, costs
             )
         load.endpoint = endpoint
         return load
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -4,13 +4,18 @@
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.costs import CostEstimate
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import EndpointLoad
-from oriolepaddle.placement.paces import Paces
+from oriolepaddle.placement.paces import Pace, Paces
 from oriolepaddle.placement.stall import StallDetector
 
 __all__ = ["PlacedRun"]
 
+MIN_IN_SLOT_FRACTION = 0.2
+"""Smallest time in the slot as a fraction of the whole time of a plain request. The
+wait before it is an estimate."""
+
 
 class PlacedRun:
     """Records the progress of one placed request in its endpoint's load.
@@ -44,6 +49,8 @@
         self._has_first_byte = False
         self._last_event_s: float | None = None
         self._events = 0
+        self._cost: CostEstimate | None = None
+        self._begins_s = self._started_s
         with lock:
             self._unread_tokens = (
                 load.total_load(self._started_s).prefill_tokens + self._uncached_tokens
@@ -55,6 +62,7 @@
             load.prefill_tokens += self._uncached_tokens
             load.memory_tokens += job.memory_tokens
             load.record_prompt(job, self._started_s)
+            self._begin_work(choice)
 
     def record_first_byte(self) -> None:
         """Record the first byte of the answer; later calls do nothing."""
@@ -103,14 +111,17 @@
                 )
             self._load.silence_detector.discard(self._request_number)
             self._load.running -= 1
+            self._load.remaining.end(self._request_number)
             self._load.memory_tokens -= self._job.memory_tokens
             if not self._has_first_byte:
                 self._load.prefill_tokens -= self._uncached_tokens
 
     def succeed(self) -> None:
         """Record a complete answer."""
-        elapsed_s = self._find_usual_s(self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        elapsed_s = self._find_usual_s(now_s)
         with self._lock:
+            self._record_cost(now_s)
             self._load.silence_detector.discard(self._request_number)
             self._load.record_success()
             self._load.record_service_time(elapsed_s)
@@ -122,11 +133,39 @@
         with self._lock:
             self._load.record_failure(self._clock.monotonic_s(), is_unreachable)
 
+    def _find_pace(self) -> Pace | None:
+        endpoint = self._load.endpoint
+        return self._paces.find(endpoint.incarnation, endpoint.service)
+
     def _find_usual_s(self, now_s: float) -> float:
         """Return the seconds since the start, as they would be at the usual pace."""
         elapsed_s = now_s - self._started_s
-        endpoint = self._load.endpoint
-        pace = self._paces.find(endpoint.incarnation, endpoint.service)
+        pace = self._find_pace()
         if pace is None:
             return elapsed_s
         return elapsed_s / pace.find_past_factor(self._started_s, now_s)
+
+    def _begin_work(self, choice: Choice) -> None:
+        """Record the work of a plain request at an endpoint whose pace is known."""
+        load = self._load
+        pace = self._find_pace()
+        if pace is None or load.service.engine is not None:
+            return
+        costs = load.remaining.costs
+        self._cost = costs.estimate(self._job.route, self._job.size_bytes)
+        in_slot_s = self._cost.mean_s * load.remaining.speed
+        in_slot_s *= pace.find_factor(self._started_s, choice.expected_s)
+        self._begins_s = self._started_s + max(0.0, choice.expected_s - in_slot_s)
+        load.remaining.begin(self._request_number, self._cost.mean_s, self._begins_s)
+
+    def _record_cost(self, now_s: float) -> None:
+        pace = self._find_pace()
+        if pace is None or self._cost is None:
+            return
+        elapsed_s = now_s - self._started_s
+        in_slot_s = max(now_s - self._begins_s, MIN_IN_SLOT_FRACTION * elapsed_s)
+        cost_s = in_slot_s / pace.find_past_factor(now_s - in_slot_s, now_s)
+        self._load.remaining.record(self._cost, cost_s)
+        self._load.remaining.costs.record(
+            self._job.route, self._job.size_bytes, cost_s / self._load.remaining.speed
+        )
