Keep spread choices in time, and make a choice with paces cheaper

A request was refused if the endpoint chosen for spreading was expected too late although another one was in time; only endpoints in time are good now. The paces of a service are looked up once a choice, the mean over the horizon takes one exponential less, and the basis of expected times is not frozen.

--- a/oriolepaddle/edge/exchange_log.py
+++ b/oriolepaddle/edge/exchange_log.py
@@ -72,11 +72,14 @@
     work = progress.work
     if work is None:
         return {}
-    age_s = work.pace_age_s
     return {
-        "cost_s": round(work.cost_s, 4),
-        "remaining_s": round(work.remaining_s, 4),
-        "pace": None if work.pace is None else round(work.pace, 2),
-        "pace_factor": round(work.factor, 2),
-        "pace_age_s": None if age_s is None else round(age_s, 3),
+        "cost_s": _round(work.cost_s),
+        "remaining_s": _round(work.remaining_s),
+        "pace": _round(work.pace),
+        "pace_factor": _round(work.factor),
+        "pace_age_s": _round(work.pace_age_s),
     }
+
+
+def _round(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
--- a/oriolepaddle/placement/choice.py
+++ b/oriolepaddle/placement/choice.py
@@ -7,13 +7,17 @@
 __all__ = ["Choice", "ExpectedWork"]
 
 
-@attrs.frozen
+@attrs.define
 class ExpectedWork:
     """What an expected time was derived from, at an endpoint that reports its pace.
 
+    Not changed once made. It is not frozen, as one is made for each endpoint in each
+    choice, and a frozen one takes three times as long to make.
+
     Attributes:
         expected_s: Expected seconds until the first byte.
-        cost_s: Expected work of the request itself, in seconds at the usual pace.
+        cost_s: Expected work of the request itself, in seconds at the usual pace; None
+            for engines, whose work is counted in tokens.
         remaining_s: Expected work that is left at the endpoint, likewise.
         factor: Expected ratio of times there to those at the usual pace.
         pace: The pace factor of its last reading, or None if there was none.
@@ -21,8 +25,8 @@
     """
 
     expected_s: float
-    cost_s: float
-    remaining_s: float
+    cost_s: float | None
+    remaining_s: float | None
     factor: float
     pace: float | None = None
     pace_age_s: float | None = None
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -280,12 +280,7 @@
             # pace of the service.
             usual_s = self.estimate_first_byte_s(job, uncached_tokens, total)
             return _expect_work(
-                usual_s,
-                _estimate_prefill_s(uncached_tokens, total),
-                _estimate_prefill_s(total.prefill_tokens, total),
-                pace,
-                now_s,
-                1 / pace.find_service_factor(),
+                usual_s, None, None, pace, now_s, 1 / pace.find_service_factor()
             )
         remaining = self.remaining
         cost_s = remaining.costs.estimate(job.route, job.size_bytes).mean_s
@@ -356,8 +351,8 @@
 
 def _expect_work(
     usual_s: float,
-    cost_s: float,
-    remaining_s: float,
+    cost_s: float | None,
+    remaining_s: float | None,
     pace: Pace,
     now_s: float,
     speed: float = 1.0,
--- a/oriolepaddle/placement/paces.py
+++ b/oriolepaddle/placement/paces.py
@@ -1,5 +1,6 @@
 """The interface of the endpoints' reported paces."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 __all__ = ["NoPaces", "Pace", "Paces"]
@@ -29,6 +30,14 @@
 class Paces(Protocol):
     """The paces of all endpoints."""
 
+    def find_service(self, service: str) -> Callable[[str], Pace] | None:
+        """Return a function that finds the pace of an incarnation of an endpoint.
+
+        Returns:
+            None if the service's endpoints report no pace.
+        """
+        ...
+
     def find(self, incarnation: str, service: str) -> Pace | None:
         """Return an endpoint's pace; None if its service's endpoints report none."""
         ...
@@ -37,6 +46,10 @@
 class NoPaces:
     """Paces where no endpoint reports any."""
 
+    def find_service(self, service: str) -> Callable[[str], Pace] | None:
+        """Return that there are no paces; see `Paces`."""
+        return None
+
     def find(self, incarnation: str, service: str) -> Pace | None:
         """Return that there is no pace; see `Paces`."""
         return None
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -16,11 +16,11 @@
 from oriolepaddle.catalog import Catalog, EndpointService, RegisteredEndpoint
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
-from oriolepaddle.placement.choice import Choice, ExpectedWork
+from oriolepaddle.placement.choice import Choice
 from oriolepaddle.placement.costs import RequestCosts
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
-from oriolepaddle.placement.paces import NoPaces, Paces
+from oriolepaddle.placement.paces import NoPaces, Pace, Paces
 from oriolepaddle.placement.permits import FreePermits, Permits
 from oriolepaddle.placement.preferred import rank_preferred
 from oriolepaddle.placement.prefix_source import find_prefix_source
@@ -255,13 +255,13 @@
         ]
 
     def _select(self, scored: list[Scored], job: Job) -> Scored:
-        if self._paces.find("", job.service) is not None:
+        if scored[0][1].work is not None:
             load = scored[0][2]
             if load.service.engine is not None:
-                return choose_of_two(scored, self._generator)
+                return choose_of_two(scored, job.max_first_byte_s, self._generator)
             cost_s = load.remaining.costs.estimate(job.route, job.size_bytes).mean_s
             if cost_s < REPORT_AGE_S:
-                return choose_spread(scored, self._generator)
+                return choose_spread(scored, job.max_first_byte_s, self._generator)
         return min(scored, key=lambda item: item[0])
 
     def _score_all(
@@ -272,7 +272,10 @@
         now_s: float,
     ) -> list[Scored]:
         bonuses = dict(zip(preferred, PREFERENCE_BONUSES_S, strict=False))
-        return [(*self._score(load, job, now_s, bonuses), load) for load in loads]
+        find_pace = self._paces.find_service(job.service)
+        return [
+            (*self._score(load, job, now_s, bonuses, find_pace), load) for load in loads
+        ]
 
     def _score(
         self,
@@ -280,15 +283,18 @@
         job: Job,
         now_s: float,
         bonuses: dict[str, float],
+        find_pace: Callable[[str], Pace] | None,
     ) -> tuple[float, Choice]:
         uncached = max(
             0, job.input_tokens - load.prefix_history.count_cached(job.parts)
         )
         total = load.total_load(now_s)
-        work = self._estimate_work(load, job, uncached, total, now_s)
-        if work is None:
+        if find_pace is None:
+            work = None
             expected_s = load.estimate_first_byte_s(job, uncached, total)
         else:
+            pace = find_pace(load.endpoint.incarnation)
+            work = load.estimate_work(job, uncached, total, pace, now_s)
             expected_s = work.expected_s
         cost_s = expected_s + load.failure_penalty_s()
         cost_s += self._weights.stream * load.estimate_stream_s(job, now_s)
@@ -299,29 +305,15 @@
             load.endpoint, expected_s, uncached, load.is_blocked(now_s), work=work
         )
 
-    def _estimate_work(
-        self,
-        load: EndpointLoad,
-        job: Job,
-        uncached_tokens: int,
-        total: PeerLoad,
-        now_s: float,
-    ) -> ExpectedWork | None:
-        """Return the expected time and its basis; None if no pace is known."""
-        endpoint = load.endpoint
-        pace = self._paces.find(endpoint.incarnation, endpoint.service)
-        if pace is None:
-            return None
-        return load.estimate_work(job, uncached_tokens, total, pace, now_s)
-
     def _estimate_first_byte_s(
         self, load: EndpointLoad, job: Job, tokens: int, now_s: float
     ) -> float:
         total = load.total_load(now_s)
-        work = self._estimate_work(load, job, tokens, total, now_s)
-        if work is None:
+        endpoint = load.endpoint
+        pace = self._paces.find(endpoint.incarnation, endpoint.service)
+        if pace is None:
             return load.estimate_first_byte_s(job, tokens, total)
-        return work.expected_s
+        return load.estimate_work(job, tokens, total, pace, now_s).expected_s
 
     def _list_sendable(self, service: str, now_s: float) -> list[EndpointLoad]:
         return [
--- a/oriolepaddle/placement/spread.py
+++ b/oriolepaddle/placement/spread.py
@@ -26,7 +26,9 @@
 random ones are compared then."""
 
 
-def choose_spread(scored: Sequence[Scored], generator: random.Random) -> Scored:
+def choose_spread(
+    scored: Sequence[Scored], max_first_byte_s: float, generator: random.Random
+) -> Scored:
     """Return the good endpoint with the least own work at its pace.
 
     The requests of this instance are known without delay. Where it has few, the better
@@ -34,38 +36,50 @@
 
     Args:
         scored: All endpoints that could run the request.
+        max_first_byte_s: Maximum acceptable time to the first byte.
         generator: The source of randomness.
     """
     best = min(scored, key=lambda item: item[0])
-    if best[1].is_blocked:
-        return best
-    limit_s = MAX_GOOD_COST_RATIO * best[0]
-    good = [item for item in scored if item[0] <= limit_s]
+    good = _list_good(scored, best, MAX_GOOD_COST_RATIO * best[0], max_first_byte_s)
     running = sum(load.running for _, _, load in good)
     if len(good) > COMPARED and running < MIN_RUNNING_PER_ENDPOINT * len(good):
         good = generator.sample(good, COMPARED)
     return min(good, key=_find_own_work)
 
 
-def choose_of_two(scored: Sequence[Scored], generator: random.Random) -> Scored:
+def choose_of_two(
+    scored: Sequence[Scored], max_first_byte_s: float, generator: random.Random
+) -> Scored:
     """Return the one with the lower cost of two random good endpoints.
 
     For engines, whose remaining prompts are known from reports of 0.3 s ago.
 
     Args:
         scored: All endpoints that could run the request.
+        max_first_byte_s: Maximum acceptable time to the first byte.
         generator: The source of randomness.
     """
     best = min(scored, key=lambda item: item[0])
-    if best[1].is_blocked:
-        return best
-    limit_s = best[0] + MAX_GOOD_DIFFERENCE_S
-    good = [item for item in scored if item[0] <= limit_s]
+    good = _list_good(scored, best, best[0] + MAX_GOOD_DIFFERENCE_S, max_first_byte_s)
     if len(good) > COMPARED:
         good = generator.sample(good, COMPARED)
     return min(good, key=lambda item: item[0])
 
 
+def _list_good(
+    scored: Sequence[Scored], best: Scored, limit_s: float, max_first_byte_s: float
+) -> list[Scored]:
+    """Return the best endpoint and others that are nearly as good and in time."""
+    if best[1].is_blocked:
+        return [best]
+    return [
+        item
+        for item in scored
+        if item is best
+        or (item[0] <= limit_s and item[1].expected_s <= max_first_byte_s)
+    ]
+
+
 def _find_own_work(item: Scored) -> tuple[float, float]:
     cost_s, choice, load = item
     factor = choice.work.factor if choice.work else 1.0
--- a/oriolepaddle/placement/tests/test_pace.py
+++ b/oriolepaddle/placement/tests/test_pace.py
@@ -1,7 +1,9 @@
 """Endpoints that report their pace."""
 
+import random
 from datetime import timedelta
 
+import attrs
 import pytest
 
 from oriolepaddle.placement import Job, Placer
@@ -24,7 +26,8 @@
 
 @pytest.fixture
 def placer(clock, catalog, paces):
-    return Placer(clock, catalog, lambda name: True, paces=paces)
+    generator = random.Random(1)
+    return Placer(clock, catalog, lambda name: True, paces=paces, generator=generator)
 
 
 def report(paces, clock, factors, service, count=40):
@@ -90,3 +93,51 @@
             placed.succeed()
             placed.end()
         assert placer.choose(REQUEST).expected_s == pytest.approx(0.08, rel=0.1)
+
+
+class TestSpread:
+    def test_requests_go_to_all_good_endpoints(self, placer, catalog, paces, clock):
+        """All instances would choose the endpoint that looked best in old reports."""
+        endpoints = [register(catalog, f"e{n}", service=DESK) for n in range(6)]
+        report(paces, clock, dict.fromkeys(endpoints, 1.0), DESK)
+        chosen = {run(placer, REQUEST)[0].endpoint.id for _ in range(12)}
+        assert len(chosen) == 6
+
+    def test_own_requests_are_weighted_by_the_pace(self, placer, catalog, paces, clock):
+        usual = register(catalog, "e1", service=DESK)
+        slow = register(catalog, "e2", service=DESK)
+        report(paces, clock, {usual: 1.0, slow: 2.0}, DESK)
+        counts = {"e1": 0, "e2": 0}
+        for _ in range(6):
+            choice, _ = run(placer, REQUEST)
+            counts[choice.endpoint.id] += 1
+        assert counts == {"e1": 4, "e2": 2}
+
+    @pytest.mark.parametrize("service", [DESK, ENGINES])
+    def test_request_is_not_refused_while_an_endpoint_is_in_time(
+        self, placer, catalog, paces, clock, service
+    ):
+        """A good endpoint may be too slow for a request that the best one serves."""
+        usual = register(catalog, "e1", service=service)
+        slow = register(catalog, "e2", service=service)
+        report(paces, clock, {usual: 1.0, slow: 1.4}, service)
+        job = REQUEST if service == DESK else make_dossier("a")
+        best, _ = (score.expected_s for score in placer.explain(job))
+        job = attrs.evolve(job, max_first_byte_s=1.01 * best)
+        for _ in range(20):
+            assert placer.choose(job).endpoint.id == "e1"
+
+
+class TestExplain:
+    def test_shows_what_the_expected_time_is_derived_from(
+        self, placer, catalog, paces, clock
+    ):
+        endpoint = register(catalog, "e1", service=DESK)
+        report(paces, clock, {endpoint: 2.0}, DESK)
+        run(placer, REQUEST)
+        clock.advance(timedelta(milliseconds=80))
+        (score,) = placer.explain(REQUEST)
+        assert score.request_cost_s == pytest.approx(0.08, rel=0.05)
+        assert 0 < score.remaining_s < 0.08
+        assert score.factor == pytest.approx(2.0, rel=0.15)
+        assert (score.pace, score.pace_age_s) == (2.0, pytest.approx(0.1))
--- a/oriolepaddle/signals/pace.py
+++ b/oriolepaddle/signals/pace.py
@@ -114,17 +114,16 @@
         remaining = decay * decay
         variance = remaining * variance + (1 - remaining) * parameters.variance
         if relative > MIN_RELATIVE_HORIZON:
-            # The mean of the deviation over the horizon.
-            decay *= (1 - math.exp(-relative)) / relative
+            # About the mean of the deviation over the horizon: within 6% of
+            # (1 - exp(-x)) / x up to x = 1, and cheaper.
+            decay /= 1 + relative / 2
         deviation *= decay
         factor = math.exp(mean + deviation + variance / 2)
         return min(max(MIN_FACTOR, factor), MAX_FACTOR)
 
     def find_service_factor(self) -> float:
         """Return the mean factor of the service's endpoints."""
-        model = self._model
-        factor = math.exp(model.mean + model.parameters.variance / 2)
-        return min(max(MIN_FACTOR, factor), MAX_FACTOR)
+        return self._model.factor
 
     def estimate(self, now_s: float, horizon_s: float) -> PaceEstimate:
         """Return the expected pace with its basis; see `find_factor`."""
--- a/oriolepaddle/signals/pace_model.py
+++ b/oriolepaddle/signals/pace_model.py
@@ -53,11 +53,13 @@
 
     Attributes:
         mean: Mean logarithm of the pace factor.
+        factor: Mean pace factor.
         parameters: The parameters as of the last fit.
     """
 
     def __init__(self) -> None:
         self.mean = 0.0
+        self.factor = 1.0
         self.parameters = PaceParameters()
         self._count = 0
         self._variance = PRIOR_VARIANCE
@@ -85,6 +87,7 @@
         weight = max(SAMPLE_WEIGHT, 1 / (self._count + 1))
         difference = value - offset - self.mean
         self.mean += weight * difference
+        self.factor = math.exp(self.mean + self.parameters.variance / 2)
         self._variance += weight * (difference * difference - self._variance)
         for earlier_s, earlier_value in earlier:
             lag_s = at_s - earlier_s
--- a/oriolepaddle/signals/paces.py
+++ b/oriolepaddle/signals/paces.py
@@ -6,6 +6,7 @@
 
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 
 from oriolepaddle.clock import Clock
 from oriolepaddle.signals.pace import EndpointPace
@@ -82,14 +83,21 @@
             None if no endpoint of its service has reported a pace recently. An
             endpoint without a reading has the mean pace of its service.
         """
-        if not self._services:
-            return None
+        find = self.find_service(service)
+        return None if find is None else find(incarnation)
+
+    def find_service(self, service: str) -> Callable[[str], EndpointPace] | None:
+        """Return a function that finds the pace of an incarnation of an endpoint.
+
+        Returns:
+            None if no endpoint of the service has reported a pace recently.
+        """
         paces = self._services.get(service)
         if paces is None:
             return None
         if self._clock.monotonic_s() - paces.newest_s > MAX_SERVICE_AGE_S:
             return None
-        return self._endpoints.get(incarnation, paces.unknown)
+        return lambda incarnation: self._endpoints.get(incarnation, paces.unknown)
 
 
 class _ServicePaces:
