Test that an endpoint's pace reaches the placement

The path from the header of a response to the score and the histogram of the prediction error was covered in parts only. The endpoint stand-in can now report a pace.

--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -92,6 +92,7 @@
         has_crashed: Whether the runner has crashed.
         limit: The requests a second that it names as its limit, as text; None for none.
         born_ms: Unix time of the start that it registers, in milliseconds.
+        pace: The pace in its load header, as text; None for none.
         retry_after: The seconds of `Retry-After` in refusals, as text; None for none.
         tells_leaving: Whether it says in its answers that it leaves.
     """
@@ -118,6 +119,7 @@
         self.crash_stage = CrashStage.BEFORE_ANSWER
         self.has_crashed = False
         self.limit: str | None = None
+        self.pace: str | None = None
         self.born_ms = 1_788_000_000_000
         self.retry_after: str | None = None
         self.tells_leaving = False
@@ -238,7 +240,8 @@
         request_id = request.headers.get(names.REQUEST_ID, "")
         if behaviour is RunnerBehaviour.FOREIGN:
             request_id = "another"
-        fields = [(names.REQUEST_ID, request_id), (names.LOAD, "1,0,6")]
+        load = "1,0,6" if self.pace is None else f"1,0,6,{self.pace}"
+        fields = [(names.REQUEST_ID, request_id), (names.LOAD, load)]
         fields += self._describe_itself()
         if behaviour is not RunnerBehaviour.UNSEALED:
             fields.append((names.SEAL, f"{SEAL_VALUE}.{self.id}"))
