--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -42,6 +42,7 @@
     "client_descriptors": "Descriptors of clients' connections and requests.",
     "chunk_turns_delayed": "Turns of senders of tiny chunks that had to wait, so far.",
     "client_descriptors_refused": "Connections or requests without one, so far.",
+    "paced_endpoints": "Endpoints that have reported their pace.",
     "ready": "1 while callers may be sent here.",
     "draining": "1 while the instance stops.",
 }
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -53,7 +53,7 @@
     decode_document,
 )
 from oriolepaddle.settings import EdgeSettings, parse_regions
-from oriolepaddle.signals import EndpointPermits, SignalBoard
+from oriolepaddle.signals import EndpointPermits, PaceBoard, SignalBoard
 from oriolepaddle.web import Application, HttpServer, ServerLimits
 from oriolepaddle.web.activity import Activity
 from oriolepaddle.web.turns import ParsingTurns
@@ -106,6 +106,7 @@
         )
         self.metrics = GatewayMetrics()
         self.signals = SignalBoard(clock, self.metrics.count_signal_event)
+        self.paces = PaceBoard(clock)
         self.catalog = Catalog(clock, self.signals.is_leaving)
         incarnation = int(clock.now().timestamp() * MICROSECONDS_PER_S)
         self.roster = Roster(clock, own, incarnation, settings.peer_address, regions)
@@ -284,6 +285,7 @@
                 self.buffers, self._descriptors, lambda: self._servers
             ),
             "chunk_turns_delayed": lambda: self._turns.delayed,
+            "paced_endpoints": self.paces.count,
             "ready": self.is_ready,
             "draining": lambda: self._drain.is_active,
         }
@@ -299,6 +301,8 @@
             lambda name: roster.region_of(name) == own_region,
             self._find_cold_share,
             permits=self.permits,
+            paces=self.paces,
+            generator=self._generator,
         )
         round_trip_s = 2 * settings.region_delay_ms / 1000
         connect_timeout = timedelta(seconds=settings.connect_timeout_s)
@@ -341,6 +345,7 @@
             crashes=CrashRegister(clock, self.metrics.count_crash_event),
             signals=self.signals,
             permits=self.permits,
+            paces=self.paces,
             liveness=ConnectCheck(),
             transport=EndpointTransport(
                 clock,
--- a/oriolepaddle/edge/exchange_log.py
+++ b/oriolepaddle/edge/exchange_log.py
@@ -57,6 +57,7 @@
             ],
             first_byte_s=self._round_elapsed(progress.first_byte_s),
             elapsed_s=self._round_elapsed(self._context.clock.monotonic_s()),
+            **_describe_work(progress),
             **fields,
         )
 
@@ -64,3 +65,21 @@
         if at_s is None:
             return None
         return round(at_s - self._request.arrived_s, 3)
+
+
+def _describe_work(progress: ExchangeProgress) -> dict[str, float | None]:
+    """Return the basis of the expected time, for endpoints that report their pace."""
+    work = progress.work
+    if work is None:
+        return {}
+    return {
+        "cost_s": _round(work.cost_s),
+        "remaining_s": _round(work.remaining_s),
+        "pace": _round(work.pace),
+        "pace_factor": _round(work.factor),
+        "pace_age_s": _round(work.pace_age_s),
+    }
+
+
+def _round(value: float | None) -> float | None:
+    return None if value is None else round(value, 3)
--- a/oriolepaddle/placement/__init__.py
+++ b/oriolepaddle/placement/__init__.py
@@ -1,9 +1,10 @@
 """Placement: choosing the endpoint with the lowest expected latency."""
 
 from oriolepaddle.placement.capacity import RegionCapacity
-from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.choice import Choice, ExpectedWork
 from oriolepaddle.placement.job import Job, PromptPart
 from oriolepaddle.placement.load import EndpointLoad, PeerLoad
+from oriolepaddle.placement.paces import Pace, Paces
 from oriolepaddle.placement.placer import Placer
 from oriolepaddle.placement.run import PlacedRun
 from oriolepaddle.placement.score import EndpointScore
@@ -15,7 +16,10 @@
     "Choice",
     "EndpointLoad",
     "EndpointScore",
+    "ExpectedWork",
     "Job",
+    "Pace",
+    "Paces",
     "PeerLoad",
     "PlacedRun",
     "Placer",
--- a/oriolepaddle/placement/load.py
+++ b/oriolepaddle/placement/load.py
@@ -7,9 +7,13 @@
 
 from oriolepaddle.catalog import EndpointService, RegisteredEndpoint
 from oriolepaddle.logs import log_event
+from oriolepaddle.placement.choice import ExpectedWork
 from oriolepaddle.placement.cold_start import ColdStartBucket
+from oriolepaddle.placement.costs import RequestCosts
 from oriolepaddle.placement.job import Job, PromptPart
+from oriolepaddle.placement.paces import Pace
 from oriolepaddle.placement.prefix_history import PrefixHistory
+from oriolepaddle.placement.remaining import RemainingWork, estimate_wait_s
 from oriolepaddle.placement.silence import SilenceDetector
 from oriolepaddle.placement.stream_stats import EndpointStreamStats, ServiceStreamStats
 
@@ -114,6 +118,7 @@
         now_s: Monotonic seconds.
         cold_share: This instance's share of its request rate during a cold start.
         stream_stats: The statistics of its service's streams.
+        costs: The costs of its service's requests.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         now_s: float,
         cold_share: float = 1.0,
         stream_stats: ServiceStreamStats | None = None,
+        costs: RequestCosts | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.service = service
@@ -141,6 +147,7 @@
         self._expected_prefill_s = 0.0
         self._decayed_s = now_s
         self._service_s = INITIAL_STREAM_S if engine else INITIAL_SERVICE_S
+        self.remaining = RemainingWork(costs or RequestCosts())
         self._failure_rate = 0.0
         self._blocked_until_s = 0.0
         self._block_s = 0.0
@@ -251,6 +258,41 @@
         memory_s = max(0.0, over / capacity) * self._service_s
         return ENGINE_BASE_LATENCY_S + waiting_s + prefill_s + memory_s
 
+    def estimate_work(
+        self,
+        job: Job,
+        uncached_tokens: int,
+        total: PeerLoad,
+        pace: Pace,
+        now_s: float,
+    ) -> ExpectedWork:
+        """Return the expected time, and its basis, where the pace is known.
+
+        Args:
+            job: The request.
+            uncached_tokens: Tokens of its prompt to prefill.
+            total: The load from all instances, as returned by `total_load`.
+            pace: The endpoint's pace.
+            now_s: Monotonic seconds.
+        """
+        if self.service.engine is not None:
+            # All instances learn the speed of reading prompts together, at the mean
+            # pace of the service.
+            usual_s = self.estimate_first_byte_s(job, uncached_tokens, total)
+            return _expect_work(
+                usual_s, None, None, pace, now_s, 1 / pace.find_service_factor()
+            )
+        remaining = self.remaining
+        cost_s = remaining.costs.estimate(job.route, job.size_bytes).mean_s
+        others = total.running - self.running
+        mean_s = remaining.costs.estimate_remainder_s(cost_s, 0.0)
+        rest_s = others * mean_s
+        if self.running:
+            rest_s += remaining.own_s(now_s, pace.find_factor(now_s, 0.0))
+        wait_s = estimate_wait_s(total.running, others, rest_s, cost_s, self.slots)
+        usual_s = wait_s + cost_s
+        return _expect_work(usual_s, cost_s, rest_s, pace, now_s, remaining.speed)
+
     def estimate_stream_s(self, job: Job, now_s: float) -> float:
         """Return the expected time from a request's first event to its last."""
         if self.service.engine is None:
@@ -307,6 +349,24 @@
         self._expected_prefill_s *= decay
 
 
+def _expect_work(
+    usual_s: float,
+    cost_s: float | None,
+    remaining_s: float | None,
+    pace: Pace,
+    now_s: float,
+    speed: float = 1.0,
+) -> ExpectedWork:
+    factor = speed * pace.find_factor(now_s, usual_s)
+    reading = pace.last_reading
+    if reading is None:
+        return ExpectedWork(usual_s * factor, cost_s, remaining_s, factor)
+    at_s, reported = reading
+    return ExpectedWork(
+        usual_s * factor, cost_s, remaining_s, factor, reported, now_s - at_s
+    )
+
+
 def _estimate_prefill_s(tokens: int, total: PeerLoad) -> float:
     return tokens / INITIAL_PREFILL_TOKENS_PER_S * _find_correction(total)
 
--- a/oriolepaddle/placement/placer.py
+++ b/oriolepaddle/placement/placer.py
@@ -6,6 +6,7 @@
 if no endpoint could begin the answer in time.
 """
 
+import random
 import threading
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
@@ -16,13 +17,16 @@
 from oriolepaddle.clock import Clock
 from oriolepaddle.errors import ErrorCode, RefusedError
 from oriolepaddle.placement.choice import Choice
+from oriolepaddle.placement.costs import RequestCosts
 from oriolepaddle.placement.job import Job
 from oriolepaddle.placement.load import INITIAL_SERVICE_S, EndpointLoad, PeerLoad
+from oriolepaddle.placement.paces import NoPaces, Pace, Paces
 from oriolepaddle.placement.permits import FreePermits, Permits
 from oriolepaddle.placement.preferred import rank_preferred
 from oriolepaddle.placement.prefix_source import find_prefix_source
 from oriolepaddle.placement.run import PlacedRun
-from oriolepaddle.placement.score import EndpointScore
+from oriolepaddle.placement.score import EndpointScore, make_score
+from oriolepaddle.placement.spread import Scored, choose_of_two, choose_spread
 from oriolepaddle.placement.stream_stats import ServiceStreamStats
 from oriolepaddle.placement.weights import PlacementWeights
 
@@ -32,6 +36,9 @@
 """Cost reduction for the first and second preferred endpoint of a prompt's shared
 prefix, so that instances that do not know of each other's requests send the prefix to
 the same endpoint. About the time of prefilling it again."""
+REPORT_AGE_S = 0.6
+"""About the age of a peer's report when the next one replaces it. The reported requests
+that cost less have ended by then."""
 NO_LOAD = PeerLoad(0, 0)
 RETRY_AFTER = timedelta(milliseconds=300)
 """Retry delay sent with refusals: about the time in which a queue gets shorter."""
@@ -48,6 +55,8 @@
             endpoints; the shares of a region's instances add up to at most 1.
         weights: Weights of the cost terms beside the time to the first byte.
         permits: Decides which requests endpoints with a limit get.
+        paces: The paces that endpoints report.
+        generator: The source of randomness for choices with old reports.
     """
 
     def __init__(
@@ -58,6 +67,8 @@
         find_cold_share: Callable[[], float] = lambda: 1.0,
         weights: PlacementWeights | None = None,
         permits: Permits | None = None,
+        paces: Paces | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         self._clock = clock
         self._catalog = catalog
@@ -65,9 +76,12 @@
         self._find_cold_share = find_cold_share
         self._weights = weights or PlacementWeights()
         self._permits = permits or FreePermits()
+        self._paces = paces or NoPaces()
+        self._generator = generator or random.Random()
         self._lock = threading.Lock()
         self._loads: dict[str, EndpointLoad] = {}
         self._service_stats: dict[str, ServiceStreamStats] = {}
+        self._service_costs: dict[str, RequestCosts] = {}
 
     def choose(
         self,
@@ -101,7 +115,7 @@
                 )
             preferred = rank_preferred((load.endpoint.id for load in loads), job)
             scored = self._score_all(loads, preferred, job, now_s)
-            _, choice, load = min(scored, key=lambda item: item[0])
+            _, choice, load = self._select(scored, job)
             if choice.expected_s > job.max_first_byte_s:
                 raise RefusedError(
                     f"{job.service} would begin the answer in "
@@ -152,19 +166,7 @@
             preferred = rank_preferred((load.endpoint.id for load in loads), job)
             for cost_s, choice, load in self._score_all(loads, preferred, job, now_s):
                 total = load.total_load(now_s)
-                scores.append(
-                    EndpointScore(
-                        endpoint=load.endpoint.id,
-                        data_centre=load.endpoint.data_centre,
-                        cost_s=round(cost_s, 4),
-                        expected_s=round(choice.expected_s, 4),
-                        uncached_tokens=choice.uncached_tokens,
-                        running=total.running,
-                        unread_tokens=total.prefill_tokens,
-                        is_cold=load.is_cold(now_s),
-                        is_blocked=load.is_blocked(now_s),
-                    )
-                )
+                scores.append(make_score(cost_s, choice, total, load.is_cold(now_s)))
         return tuple(sorted(scores, key=lambda score: score.cost_s))
 
     def has_other(self, service: str, excluded: Iterable[str]) -> bool:
@@ -183,7 +185,7 @@
         """Record that a request is now sent to its endpoint."""
         with self._lock:
             load = self._find_load(choice.endpoint, self._clock.monotonic_s())
-        return PlacedRun(self._clock, self._lock, load, choice, job)
+        return PlacedRun(self._clock, self._lock, load, choice, job, self._paces)
 
     def own_loads(self) -> dict[str, PeerLoad]:
         """Return the loads that this instance reports to peers, by endpoint id."""
@@ -223,7 +225,7 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             waits = [
-                load.estimate_first_byte_s(job, tokens, load.total_load(now_s))
+                self._estimate_first_byte_s(load, job, tokens, now_s)
                 + load.failure_penalty_s()
                 for load in self._list_loads(service, now_s)
                 if not load.is_blocked(now_s)
@@ -252,15 +254,28 @@
             if load.endpoint.incarnation not in excluded
         ]
 
+    def _select(self, scored: list[Scored], job: Job) -> Scored:
+        if scored[0][1].work is not None:
+            load = scored[0][2]
+            if load.service.engine is not None:
+                return choose_of_two(scored, job.max_first_byte_s, self._generator)
+            cost_s = load.remaining.costs.estimate(job.route, job.size_bytes).mean_s
+            if cost_s < REPORT_AGE_S:
+                return choose_spread(scored, job.max_first_byte_s, self._generator)
+        return min(scored, key=lambda item: item[0])
+
     def _score_all(
         self,
         loads: Sequence[EndpointLoad],
         preferred: list[str],
         job: Job,
         now_s: float,
-    ) -> list[tuple[float, Choice, EndpointLoad]]:
+    ) -> list[Scored]:
         bonuses = dict(zip(preferred, PREFERENCE_BONUSES_S, strict=False))
-        return [(*self._score(load, job, now_s, bonuses), load) for load in loads]
+        find_pace = self._paces.find_service(job.service)
+        return [
+            (*self._score(load, job, now_s, bonuses, find_pace), load) for load in loads
+        ]
 
     def _score(
         self,
@@ -268,21 +283,38 @@
         job: Job,
         now_s: float,
         bonuses: dict[str, float],
+        find_pace: Callable[[str], Pace] | None,
     ) -> tuple[float, Choice]:
         uncached = max(
             0, job.input_tokens - load.prefix_history.count_cached(job.parts)
         )
         total = load.total_load(now_s)
-        expected_s = load.estimate_first_byte_s(job, uncached, total)
+        if find_pace is None:
+            work = None
+            expected_s = load.estimate_first_byte_s(job, uncached, total)
+        else:
+            pace = find_pace(load.endpoint.incarnation)
+            work = load.estimate_work(job, uncached, total, pace, now_s)
+            expected_s = work.expected_s
         cost_s = expected_s + load.failure_penalty_s()
         cost_s += self._weights.stream * load.estimate_stream_s(job, now_s)
         interference_s = load.estimate_interference_s(uncached, total)
         cost_s += self._weights.interference * interference_s
         cost_s -= bonuses.get(load.endpoint.id, 0.0)
         return cost_s, Choice(
-            load.endpoint, expected_s, uncached, load.is_blocked(now_s)
+            load.endpoint, expected_s, uncached, load.is_blocked(now_s), work=work
         )
 
+    def _estimate_first_byte_s(
+        self, load: EndpointLoad, job: Job, tokens: int, now_s: float
+    ) -> float:
+        total = load.total_load(now_s)
+        endpoint = load.endpoint
+        pace = self._paces.find(endpoint.incarnation, endpoint.service)
+        if pace is None:
+            return load.estimate_first_byte_s(job, tokens, total)
+        return load.estimate_work(job, tokens, total, pace, now_s).expected_s
+
     def _list_sendable(self, service: str, now_s: float) -> list[EndpointLoad]:
         return [
             self._find_load(endpoint, now_s)
@@ -331,8 +363,9 @@
             stream_stats = self._service_stats.setdefault(
                 endpoint.service, ServiceStreamStats()
             )
+            costs = self._service_costs.setdefault(endpoint.service, RequestCosts())
             load = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, service, now_s, self._find_cold_share(), stream_stats
+                endpoint, service, now_s, self._find_cold_share(), stream_stats, costs
             )
         load.endpoint = endpoint
         return load
