Wait for the memory of the first body in the test of bodies without room

The test failed once. Trace: the response to the first request is read before its memory is returned, which happens after the last byte is written. With 50 ms before each return, both cases failed at the last request in every run. The last request must still be served.

--- a/oriolepaddle/web/tests/test_server.py
+++ b/oriolepaddle/web/tests/test_server.py
@@ -1,6 +1,7 @@
 import json
 import socket
 import threading
+import time
 from datetime import timedelta
 
 import pytest
@@ -170,6 +171,10 @@
             assert json.loads(refusal)["error"]["outcome"] == "not run"
             server.application.release.set()
             assert read_response(busy)[0] == 200
+        # The memory is returned after the last byte of the response is written.
+        deadline_s = time.monotonic() + 5
+        while server.buffers.used_bytes and time.monotonic() < deadline_s:
+            time.sleep(0.01)
         assert send(server, b"POST / HTTP/1.1\r\n" + framing)[0] == 200
         server.close()
         assert server.buffers.used_bytes == 0
