--- a/oriolepaddle/edge/turn.py
+++ b/oriolepaddle/edge/turn.py
@@ -17,6 +17,9 @@
 POLL_INTERVAL = timedelta(milliseconds=50)
 """Interval at which the first waiting request looks at the endpoints again, and all
 look at their callers: a fraction of the time that a long prompt takes."""
+MIN_OWN_FRACTION = 0.5
+"""Time to read its prompt, as a fraction of the first limit, from which a request is
+held back. The wait of a shorter one leaves no room for others."""
 PlacedRequest = tuple[Choice | PeerChoice, Job]
 
 
@@ -103,7 +106,10 @@
         # A request that has been sent before is not held up again.
         is_new = progress.attempts == 0 and progress.runs == 0
         is_local = admitted.allows_region(self._context.region)
-        is_limited = limits.first_s < float("inf")
+        is_limited = (
+            limits.first_s < float("inf")
+            and self._estimate_own_s(job) >= MIN_OWN_FRACTION * limits.first_s
+        )
         return limits if is_limited and is_new and is_local and on_time_s > 0 else None
 
     def _estimate_own_s(self, job: Job) -> float:
