--- a/review/harness2.py
+++ b/review/harness2.py
@@ -260,6 +260,7 @@
         while (request := read_request(stream)) is not None:
             method, target, headers, body = request
             request_id = headers.get(REQUEST_ID.lower())
+            self.begin(connection)
             expected = headers.get("x-oriolepaddle-expect-instance")
             if expected not in (None, self.id):
                 self.record.write(f"{self.id} rejects {request_id} with 421")
@@ -279,6 +280,9 @@
             if not self.answer(connection, request_id, method, target, headers, body):
                 return
 
+    def begin(self, connection):
+        """Do what comes before the answer to a request that was read."""
+
     def refuse(self, connection, request_id):
         """Refuse a request that isn't run; return whether it was refused."""
         return False
@@ -538,19 +542,23 @@
     } | changes
 
 
-def start_gateway(record, cleanups, routes, services, runners):
+def start_gateway(
+    record, cleanups, routes, services, runners, tenants=None, zones=None
+):
     """Start a store with a configuration and runners, and one instance before them.
 
+    The instance is in the zone `lodi`; `zones` has the region of each zone.
+
     Returns:
         The store and the instance, which is ready and knows the runners.
     """
     store = Store()
-    store.put("op/config", make_config(routes, services))
+    store.put("op/config", make_config(routes, services, tenants=tenants))
     for runner in runners:
         store.put(f"servers/{runner.id}", runner.describe())
     host = find_hosts(1)[0]
     gossip_port = find_port(host, socket.SOCK_DGRAM)
-    zones = {"lodi": "lombardia"}
+    zones = zones or {"lodi": "lombardia"}
     gateway = Gateway(
         record, "front-lodi-1", host, store.address, gossip_port, zones, "lodi"
     )
