--- a/review/harness2.py
+++ b/review/harness2.py
@@ -437,15 +437,6 @@
         self.record.write(f"{signal.Signals(number).name} to {self.name}")
         self.process.send_signal(number)
 
-    def read_memory_mb(self):
-        """Return the resident memory in megabytes, 0 if the process has ended."""
-        with contextlib.suppress(OSError):
-            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-            for line in text.splitlines():
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1000
-        return 0.0
-
     def stop(self):
         """Kill the process, if it still runs."""
         if self.process is not None and self.process.poll() is None:
