Let an attempt that seems lost go on until another endpoint responds

Cause: the attempt was cancelled first and another endpoint looked for afterwards. If that one refuses, nothing is left. The length of the silence is not the cause: in the new tests the pause ends after the refusal, so that they fail with any threshold.

Change: an alternative attempt runs beside the first one and takes over when its response has begun; the first one is cancelled then, or goes on if it responds before.

--- a/oriolepaddle/daemon/tests/edge_fleet.py
+++ b/oriolepaddle/daemon/tests/edge_fleet.py
@@ -150,7 +150,11 @@
         host, port = self.settings[name].caller_address.split(":")
         return socket.create_connection((host, int(port)), timeout=10)
 
-    def send(self, name, path, method="GET", body=b"", key=KEY, **fields):
+    def send(self, name, path, **options):
+        return self.begin(name, path, **options).getresponse()
+
+    def begin(self, name, path, method="GET", body=b"", key=KEY, **fields):
+        """Send a request and return its connection, before a response."""
         headers = {
             "Host": HOST,
             "X-Oriolepaddle-Request-Id": f"{next(_request_ids):016x}",
@@ -161,7 +165,7 @@
         headers |= {field.replace("_", "-"): value for field, value in fields.items()}
         connection = self.connect(name)
         connection.request(method, path, body, headers)
-        return connection.getresponse()
+        return connection
 
     def request(self, name, path, **options):
         response = self.send(name, path, **options)
--- /dev/null
+++ b/oriolepaddle/daemon/tests/test_edge_alternatives.py
@@ -0,0 +1,123 @@
+import pytest
+
+from oriolepaddle.daemon.tests.edge_fleet import DESK, ENGINES, EdgeFleet, await_true
+from oriolepaddle.daemon.tests.slow_clock import SlowClock
+from oriolepaddle.platform.standins import RunnerBehaviour
+
+EVENTS = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 6)]
+CLOCK_FACTOR = 2.0
+CHAT = {"method": "POST", "X_Oriolepaddle_Deadline_Ms": "20000"}
+
+
+@pytest.fixture
+def fleet():
+    fleet = EdgeFleet(SlowClock(CLOCK_FACTOR))
+    for name in ("d1", "d2"):
+        fleet.add_runner(name, DESK)
+    for name in ("e1", "e2"):
+        fleet.add_runner(name, ENGINES, events=5)
+    fleet.add_instance("n1")
+    fleet.await_ready()
+    yield fleet
+    fleet.close()
+
+
+class Pair:
+    """Two endpoints of a service, the first of which holds a response back."""
+
+    def __init__(self, fleet, names, path, other, **options):
+        runners = [fleet.runners[name] for name in names]
+        for runner in runners:
+            runner.behaviours.append(RunnerBehaviour.HELD)
+        self._connection = fleet.begin("n1", path, **options)
+        await_true(lambda: any(runner.received for runner in runners))
+        self.first = next(runner for runner in runners if runner.received)
+        self.other = next(runner for runner in runners if not runner.received)
+        self.other.behaviours.clear()
+        self.other.behaviours.append(other)
+
+    def await_alternative(self):
+        await_true(lambda: self.other.received)
+
+    def read(self):
+        return self._connection.getresponse().read()
+
+    def leave(self):
+        self._connection.close()
+
+
+class TestRestingStream:
+    """The failure: a sound stream was cut as soon as it seemed lost."""
+
+    def test_goes_on_if_the_other_endpoint_refuses(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SHED, **CHAT)
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+        assert pair.first.abandoned_count == 0
+
+    def test_goes_on_if_the_other_endpoint_does_not_answer(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SILENT, **CHAT)
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+        assert pair.first.abandoned_count == 0
+
+    def test_goes_on_if_the_other_endpoint_fails(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.ERROR, **CHAT)
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+        assert pair.first.abandoned_count == 0
+
+    def test_is_given_up_once_the_other_endpoint_has_begun(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.ANSWER, **CHAT)
+        assert pair.read() == b"".join(EVENTS)
+        await_true(lambda: pair.first.abandoned_count == 1)
+        (request,) = pair.other.received
+        assert request.headers["last-event-id"] == "2"
+
+    def test_that_breaks_off_is_continued_by_the_alternative(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.HELD, **CHAT)
+        pair.await_alternative()
+        pair.first.stop()
+        pair.other.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+
+
+class TestOverdueResponse:
+    """The failure: a sound run without a first byte was given up for nothing."""
+
+    @pytest.mark.parametrize("other", [RunnerBehaviour.SHED, RunnerBehaviour.ERROR])
+    def test_is_delivered_if_the_other_endpoint_does_not_serve_it(self, fleet, other):
+        pair = Pair(fleet, ("d1", "d2"), "/read/1", other)
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"done "
+        assert pair.first.abandoned_count == 0
+
+    def test_of_two_is_delivered_once(self, fleet):
+        pair = Pair(fleet, ("d1", "d2"), "/read/1", RunnerBehaviour.HELD)
+        pair.await_alternative()
+        pair.other.resumed.set()
+        assert pair.read() == b"done "
+        pair.first.resumed.set()
+        assert fleet.request("n1", "/read/2") == (200, b"done ")
+
+
+class TestCaller:
+    """The failure: an alternative ran on after its caller had left."""
+
+    def test_that_leaves_ends_both_attempts(self, fleet):
+        pair = Pair(fleet, ("d1", "d2"), "/read/1", RunnerBehaviour.HELD)
+        pair.await_alternative()
+        assert (pair.first.abandoned_count, pair.other.abandoned_count) == (0, 0)
+        pair.leave()
+        for runner in (pair.first, pair.other):
+            await_true(lambda r=runner: r.abandoned_count == 1)
+
+    def test_that_leaves_ends_an_alternative_that_took_over(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.HELD, **CHAT)
+        await_true(lambda: pair.first.abandoned_count == 1)
+        pair.leave()
+        await_true(lambda: pair.other.abandoned_count == 1)
--- a/oriolepaddle/edge/answer.py
+++ b/oriolepaddle/edge/answer.py
@@ -8,6 +8,8 @@
 
 __all__ = ["AnswerKind", "EndpointAnswer"]
 
+SERVER_ERROR = 500
+
 
 class AnswerKind(enum.StrEnum):
     """What a response's status and headers say about the run."""
@@ -55,3 +57,8 @@
     def is_success(self) -> bool:
         """Whether the status is a success (2xx)."""
         return 200 <= self.status < 300
+
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status reports a failure of the endpoint (5xx)."""
+        return self.status >= SERVER_ERROR
--- a/oriolepaddle/edge/crash_guard.py
+++ b/oriolepaddle/edge/crash_guard.py
@@ -117,9 +117,13 @@
         if self._active is not None:
             self._context.crashes.discard_active(self._active)
             self._active = None
-        if self._run is not None:
-            self._context.crashes.end(self._run)
-            self._run = None
+        self.end_turn()
+
+    def end_turn(self) -> None:
+        """Let other requests with the same suspects run beside this attempt."""
+        run, self._run = self._run, None
+        if run is not None:
+            self._context.crashes.end(run)
 
     @property
     def request_key(self) -> str:
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -7,12 +7,17 @@
 from oriolepaddle.catalog import RatedOrganisation, RegisteredEndpoint, RepeatRule
 from oriolepaddle.edge.admission import AdmittedRequest, admit, check_catalog_age
 from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
+from oriolepaddle.edge.attempt import (
+    AlternativeOutcome,
+    Attempt,
+    AttemptSupersededError,
+)
 from oriolepaddle.edge.context import EdgeContext
 from oriolepaddle.edge.crash_guard import CrashGuard, RunEnd
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.edge.exchange_log import ExchangeLog
 from oriolepaddle.edge.placing import make_job
-from oriolepaddle.edge.progress import ExchangeProgress
+from oriolepaddle.edge.progress import ExchangeProgress, Placed
 from oriolepaddle.edge.regions import PeerChoice
 from oriolepaddle.edge.request import EdgeRequest
 from oriolepaddle.edge.retry_rules import MIN_REMAINING_S, find_final_error, may_retry
@@ -36,9 +41,11 @@
 
 __all__ = ["EdgeExchange"]
 
-SERVER_ERROR = 500
 SUSPECT_WAIT_FRACTION = 0.5
 """Fraction of the target time for which a suspect waits for another one's test."""
+ALTERNATIVE_INTERVAL_S = 0.5
+"""Seconds after an alternative attempt has ended without taking over, for example as no
+endpoint had room for it, before the next one is started."""
 REASSIGNED_RETRY_AFTER = timedelta(milliseconds=50)
 """Retry delay sent to callers whose key was given to another organisation."""
 T = TypeVar("T")
@@ -69,6 +76,7 @@
             context, self._progress, self._make_job, self._check_waiting, self.log
         )
         self._admitted: AdmittedRequest | None = None
+        self._next_alternative_s = float("-inf")
         self._crash_guard: CrashGuard | None = None
         self._deadline_s = float("inf")
 
@@ -86,9 +94,7 @@
         is_forwarded = bool(self._request.hops)
         if context.drain.is_refusing(self._remaining_s(), is_forwarded):
             raise _make_drain_refusal()
-        self._crash_guard = CrashGuard(
-            context, self._request, admitted.service, self._check_caller
-        )
+        self._crash_guard = self._make_crash_guard()
         self._crash_guard.check()
         organisation = admitted.organisation
         # For a forwarded request, the instance that received it from the caller
@@ -103,6 +109,11 @@
             if self._progress.failed_answer is not None:
                 self._progress.failed_answer.discard()
 
+    def _make_crash_guard(self) -> CrashGuard:
+        return CrashGuard(
+            self._context, self._request, self._admitted.service, self._check_caller
+        )
+
     def _retry_during_startup(self, action: Callable[[], T]) -> T:
         request = self._request
         return self._context.startup_retry.call(action, request.id, request.arrived_s)
@@ -145,7 +156,7 @@
         progress = self._progress
         while True:
             try:
-                self._attempt_once()
+                self._attempt_with_alternative()
                 break
             except OriolepaddleError as error:
                 if error.outcome is not Outcome.NOT_RUN:
@@ -160,7 +171,19 @@
                 break
         self._record_answer()
 
-    def _attempt_once(self) -> None:
+    def _attempt_with_alternative(self) -> None:
+        """Run one attempt, or wait for the alternative that replaces it."""
+        attempt = Attempt(self._context.clock)
+        try:
+            self._attempt_once(attempt, self._crash_guard)
+        except OriolepaddleError:
+            if not attempt.await_alternative():
+                raise
+        except OSError as error:
+            attempt.cancel_alternative(error)
+            raise
+
+    def _attempt_once(self, attempt: Attempt, crash_guard: CrashGuard) -> None:
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise EndpointDeadlineError(
@@ -168,21 +191,22 @@
             )
         target_s = self._admitted.route.target.total_seconds()
         wait_until_s = self._request.arrived_s + SUSPECT_WAIT_FRACTION * target_s
-        self._crash_guard.start_attempt(min(wait_until_s, self._deadline_s))
+        crash_guard.start_attempt(min(wait_until_s, self._deadline_s))
         try:
             choice, job = self._turn.place(self._admitted, self._on_time_s())
-            self._progress.attempts += 1
-            self._progress.expected_s = choice.expected_s
+            if attempt.is_pending:
+                self._progress.has_retry_token = False
             if isinstance(choice, PeerChoice):
-                self._send_to_peer(choice, job)
+                self._send_to_peer(choice, job, attempt)
             else:
-                self._send_to_endpoint(choice, job)
+                self._send_to_endpoint(choice, job, attempt, crash_guard)
         finally:
-            self._crash_guard.end_attempt()
+            crash_guard.end_attempt()
+            attempt.end()
 
     def _make_job(self) -> Job:
         now_s = self._context.clock.monotonic_s()
-        has_run = self._progress.runs > 0
+        has_run = self._progress.possible_runs > 0
         return make_job(
             self._admitted, self._request, now_s, self._remaining_s(), has_run
         )
@@ -202,17 +226,24 @@
         if self._writer.is_abandoned():
             raise ConnectionResetError("the caller disconnected")
 
-    def _send_to_endpoint(self, choice: Choice, job: Job) -> None:
+    def _send_to_endpoint(
+        self, choice: Choice, job: Job, attempt: Attempt, crash_guard: CrashGuard
+    ) -> None:
         context = self._context
         endpoint = choice.endpoint
-        self._progress.target = endpoint.id
         source = choice.prefix_source
-        self._progress.prefix_source = source.id if source else None
-        self._progress.work = choice.work
+        self._progress.begin_attempt(
+            Placed(
+                endpoint.id,
+                choice.expected_s,
+                source.id if source else None,
+                choice.work,
+            )
+        )
         if source is not None:
             context.metrics.prefix_fetches.inc()
         run = context.placer.start(choice, job)
-        sink = self._make_sink(endpoint, run)
+        sink = self._make_sink(endpoint, run, attempt, crash_guard)
         admitted = self._admitted
         organisation = admitted.organisation
         headers = context.protocol.write_endpoint_headers(
@@ -226,62 +257,73 @@
         )
         request = self._make_request(headers, ConnectionReuse.IF_SURELY_OPEN)
         try:
-            self._crash_guard.start_run(endpoint, sink)
-            context.transport.run(endpoint.address, request, sink)
-            self._complete(sink)
+            crash_guard.start_run(endpoint, sink)
+            context.transport.run(endpoint.address, request, sink, attempt.cancellation)
+            self._complete(sink, attempt, crash_guard)
             run.succeed()
+        except AttemptSupersededError:
+            # It says nothing about the endpoint.
+            raise
         except OriolepaddleError as error:
-            self._progress.excluded.add(endpoint.incarnation)
+            self._progress.exclude(endpoint.incarnation)
             run.fail(isinstance(error, _UNREACHABLE_ERRORS))
-            self._record_failure(endpoint, sink, error)
+            self._record_failure(endpoint, sink, error, crash_guard)
             raise
         except OSError:
-            self._crash_guard.record_silence(endpoint, sink)
+            crash_guard.record_silence(endpoint, sink)
             raise
         finally:
             run.end()
             self._end_attempt(sink)
 
-    def _complete(self, sink: EdgeSink) -> None:
+    def _complete(
+        self, sink: EdgeSink, attempt: Attempt, crash_guard: CrashGuard
+    ) -> None:
         progress = self._progress
         answer = sink.answer
-        if answer is not None and answer.status >= SERVER_ERROR:
+        if answer is not None and answer.is_server_error:
             error = EndpointFailedError(
                 f"the endpoint responded with status {answer.status}"
             )
-            is_allowed = self._is_retry_allowed(error, active_runs=1)
-            progress.has_retry_token = is_allowed and self._acquire_retry()
-            if progress.has_retry_token:
+            is_repeated = attempt.has_alternative
+            if not is_repeated and self._is_retry_allowed(error):
+                is_repeated = progress.has_retry_token or self._acquire_retry()
+                progress.has_retry_token = is_repeated
+            if is_repeated:
                 progress.failed_answer = sink
                 raise error
         # Without a retry, the endpoint's error response goes to the caller.
-        self._finish(sink)
+        self._finish(sink, crash_guard)
 
-    def _finish(self, sink: EdgeSink) -> None:
+    def _finish(self, sink: EdgeSink, crash_guard: CrashGuard) -> None:
         sink.complete()
-        self._crash_guard.record_answer(sink.answer)
+        crash_guard.record_answer(sink.answer)
 
-    def _send_to_peer(self, peer: PeerChoice, job: Job) -> None:
+    def _send_to_peer(self, peer: PeerChoice, job: Job, attempt: Attempt) -> None:
         context = self._context
         progress = self._progress
-        progress.target = peer.instance
-        progress.prefix_source = None
-        progress.work = None
+        earlier_runs = progress.possible_runs
+        progress.begin_attempt(Placed(peer.instance, peer.expected_s))
         # A request is forwarded at most once, whatever the outcome.
         progress.may_forward = False
         context.regions.record_sent(peer, job.service, job.input_tokens)
         context.metrics.forwards.labels(peer.region).inc()
-        sink = self._make_sink(None, None)
+        crash_guard = self._crash_guard
+        sink = self._make_sink(None, None, attempt, crash_guard)
         age_s = context.clock.monotonic_s() - self._request.arrived_s
         headers = context.protocol.write_peer_headers(
-            self._request, age_s, self._splitter.last_id, progress.runs
+            self._request, age_s, self._splitter.last_id, earlier_runs
         )
         request = self._make_request(headers, ConnectionReuse.ANY)
         try:
-            context.peer_transport.run(peer.address, request, sink)
-            self._finish(sink)
+            context.peer_transport.run(
+                peer.address, request, sink, attempt.cancellation
+            )
+            self._finish(sink, crash_guard)
+        except AttemptSupersededError:
+            raise
         except OriolepaddleError as error:
-            self._record_failure(None, sink, error)
+            self._record_failure(None, sink, error, crash_guard)
             raise
         finally:
             self._end_attempt(sink)
@@ -309,7 +351,11 @@
         )
 
     def _make_sink(
-        self, endpoint: RegisteredEndpoint | None, run: PlacedRun | None
+        self,
+        endpoint: RegisteredEndpoint | None,
+        run: PlacedRun | None,
+        attempt: Attempt,
+        crash_guard: CrashGuard,
     ) -> EdgeSink:
         def _on_first_byte() -> None:
             if run is not None:
@@ -344,14 +390,15 @@
             _on_first_byte,
             self._context.buffers,
             self._may_relay_early,
+            attempt,
         )
         if run is None:
             sink.set_callbacks(lambda: None, self._check_drain, lambda: None)
         else:
             sink.set_callbacks(
                 run.record_activity,
-                lambda: self._check_progress(run, endpoint, sink),
-                lambda: self._crash_guard.record_first_event(endpoint, started_s),
+                lambda: self._check_progress(run, endpoint, sink, attempt, crash_guard),
+                lambda: crash_guard.record_first_event(endpoint, started_s),
             )
         return sink
 
@@ -378,33 +425,83 @@
             )
 
     def _check_progress(
-        self, run: PlacedRun, endpoint: RegisteredEndpoint, sink: EdgeSink
+        self,
+        run: PlacedRun,
+        endpoint: RegisteredEndpoint,
+        sink: EdgeSink,
+        attempt: Attempt,
+        crash_guard: CrashGuard,
     ) -> None:
-        """Abandon an attempt that makes no progress if another one is possible.
+        """Start an alternative to an attempt that seems lost, if one is possible.
 
-        It is called on the watchdog's thread, while the request's own thread waits
-        for the transport and doesn't access its progress.
+        It is called on the watchdog's thread.
 
         Raises:
-            EndpointTimeoutError: The request is to be retried at another endpoint, or
-                this instance shuts down.
+            EndpointTimeoutError: The attempt is an alternative itself and gives way to
+                another one, or this instance shuts down.
         """
         self._check_drain()
         if not sink.is_sent or not run.seems_lost():
             return
+        now_s = self._context.clock.monotonic_s()
+        if attempt.has_alternative or now_s < self._next_alternative_s:
+            return
         error = EndpointTimeoutError(
             f"{endpoint.id} made no progress on the request in the expected time"
         )
-        progress = self._progress
-        is_allowed = self._is_retry_allowed(error, active_runs=1)
-        excluded = progress.excluded | {endpoint.incarnation}
-        if not is_allowed or not self._context.placer.has_other(
-            self._admitted.service, excluded
-        ):
+        if not self._acquire_alternative(error, endpoint):
             return
-        if progress.has_retry_token or self._acquire_retry():
-            progress.has_retry_token = True
+        if attempt.is_pending:
             raise error
+        alternative = attempt.add_alternative(self._splitter.drop_partial)
+        if alternative is not None:
+            self._progress.exclude(endpoint.incarnation)
+            crash_guard.end_turn()
+            alternative.start(lambda: self._run_alternative(alternative))
+
+    def _acquire_alternative(
+        self, error: EndpointTimeoutError, endpoint: RegisteredEndpoint
+    ) -> bool:
+        """Return whether a request may be sent to another endpoint as well."""
+        progress = self._progress
+        if not self._is_retry_allowed(error) or not self._context.placer.has_other(
+            self._admitted.service, progress.excluded | {endpoint.incarnation}
+        ):
+            return False
+        progress.has_retry_token = progress.has_retry_token or self._acquire_retry()
+        return progress.has_retry_token
+
+    def _run_alternative(self, alternative: Attempt) -> None:
+        """Send the request to another endpoint, beside an attempt that seems lost."""
+        clock = self._context.clock
+        placed, started_s = self._progress.placed, clock.monotonic_s()
+        self.log("alternative_started", events=self._splitter.events)
+        outcome = AlternativeOutcome.FAILED
+        reason = ""
+        try:
+            self._attempt_once(alternative, self._make_crash_guard())
+        except AttemptSupersededError as error:
+            outcome, reason = AlternativeOutcome.SUPERSEDED, error.message
+            raise
+        except OriolepaddleError as error:
+            reason = error.code.code
+            raise
+        finally:
+            now_s = clock.monotonic_s()
+            self._next_alternative_s = now_s + ALTERNATIVE_INTERVAL_S
+            if alternative.has_taken_over:
+                outcome = AlternativeOutcome.TOOK_OVER
+            else:
+                self._progress.placed = placed
+            overlap_end_s = alternative.took_over_s or now_s
+            self._context.metrics.alternatives.labels(outcome.value).inc()
+            self.log(
+                "alternative_ended",
+                outcome=outcome.value,
+                reason=reason,
+                first_target=placed.target,
+                overlap_s=round(overlap_end_s - started_s, 3),
+            )
 
     def _record_error(self, run: PlacedRun) -> None:
         ratio = run.find_error_ratio()
@@ -461,15 +558,16 @@
         endpoint: RegisteredEndpoint | None,
         sink: EdgeSink,
         error: OriolepaddleError,
+        crash_guard: CrashGuard,
     ) -> None:
         answer = sink.answer
         end = RunEnd()
         if endpoint is not None:
-            end = self._crash_guard.record_failure(endpoint, sink, error)
+            end = crash_guard.record_failure(endpoint, sink, error)
         self.log(
             "try_failed",
             incarnation=endpoint.incarnation if endpoint else None,
-            request_key=self._crash_guard.request_key,
+            request_key=crash_guard.request_key,
             evidence=end.evidence.value,
             has_ended=end.has_ended,
             events=sink.events,
@@ -492,7 +590,7 @@
         self._context.metrics.retries.labels(action, error.code.code).inc()
         return is_allowed
 
-    def _is_retry_allowed(self, error: OriolepaddleError, active_runs: int = 0) -> bool:
+    def _is_retry_allowed(self, error: OriolepaddleError) -> bool:
         if self._admitted is None or self._context.drain.is_ending():
             return False
         return may_retry(
@@ -501,7 +599,6 @@
             error,
             self._remaining_s(),
             self._writer.is_started,
-            active_runs,
         )
 
     def _acquire_retry(self) -> bool:
--- a/oriolepaddle/edge/exchange_log.py
+++ b/oriolepaddle/edge/exchange_log.py
@@ -47,11 +47,11 @@
             organisation=organisation.id if organisation else None,
             version=admitted.version if admitted else catalog.version,
             knowledge_age_s=round(catalog.age_s(), 3),
-            target=progress.target,
+            target=progress.placed.target,
             tries=progress.attempts,
             hops=len(self._request.hops),
-            expected_s=round(progress.expected_s, 3),
-            prefix_source=progress.prefix_source,
+            expected_s=round(progress.placed.expected_s, 3),
+            prefix_source=progress.placed.prefix_source,
             shared_parts=[
                 part.id for part in self._request.shared_parts[:MAX_LOGGED_PARTS]
             ],
@@ -69,7 +69,7 @@
 
 def _describe_work(progress: ExchangeProgress) -> dict[str, float | None]:
     """Return the basis of the expected time, for endpoints that report their pace."""
-    work = progress.work
+    work = progress.placed.work
     if work is None:
         return {}
     return {
--- a/oriolepaddle/edge/retry_rules.py
+++ b/oriolepaddle/edge/retry_rules.py
@@ -29,7 +29,6 @@
     error: OriolepaddleError,
     remaining_s: float,
     has_answer: bool,
-    active_runs: int = 0,
 ) -> bool:
     """Return whether a request may be sent again after a failure.
 
@@ -39,13 +38,12 @@
         error: The error that ended the last attempt.
         remaining_s: Seconds to the deadline.
         has_answer: Whether a part of the response has been sent to the caller.
-        active_runs: Runs that have not ended yet, which `progress` doesn't count.
     """
     if not isinstance(error, _RETRYABLE_ERRORS) or progress.attempts >= MAX_ATTEMPTS:
         return False
     if remaining_s < MIN_REMAINING_S:
         return False
-    may_run_again = _may_run_again(progress.runs + active_runs, route)
+    may_run_again = _may_run_again(progress.possible_runs, route)
     if error.outcome is Outcome.NOT_RUN and not has_answer:
         return progress.last_uncertain_error is None or may_run_again
     is_resumable = route.repeat_rule is RepeatRule.RESUMABLE
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from oriolepaddle.buffers import BodyBuffer, BufferBudget
+from oriolepaddle.clock import SystemClock
 from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
+from oriolepaddle.edge.attempt import Attempt
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.errors import (
     AnswerMismatchedError,
@@ -40,6 +42,7 @@
         budget: Bounds the bytes that are buffered.
         may_relay_early: Whether a body that can't be buffered may be relayed before it
             is complete, after which the request can't be repeated.
+        attempt: Decides whether this attempt may write the response.
 
     Attributes:
         answer: The status and headers, or None before they are received.
@@ -56,7 +59,9 @@
         on_first_byte: Callable[[], None],
         budget: BufferBudget,
         may_relay_early: Callable[[EndpointAnswer], bool] = lambda answer: False,
+        attempt: Attempt | None = None,
     ) -> None:
+        self._attempt = attempt or Attempt(SystemClock())
         self._writer = writer
         self._splitter = splitter
         self._read_answer = read_answer
@@ -119,9 +124,29 @@
             raise AnswerTruncatedError(
                 f"the stream can't be resumed: the response has status {status}"
             )
+        if not answer.is_server_error:
+            self._attempt.claim()
+            self._attempt.release()
+        elif self._attempt.is_pending:
+            # The first endpoint may still serve the request.
+            raise EndpointFailedError(
+                f"the alternative endpoint responded with status {status}"
+            )
 
     def on_data(self, data: bytes) -> None:
         """Relay or buffer a part of the body; see `AnswerSink.on_data`."""
+        if self.answer.is_server_error:
+            # Another attempt may take over until the failure is relayed.
+            self._attempt.check()
+            self._take_data(data)
+            return
+        self._attempt.claim()
+        try:
+            self._take_data(data)
+        finally:
+            self._attempt.release()
+
+    def _take_data(self, data: bytes) -> None:
         self._on_activity()
         if not self._has_body_data:
             self._has_body_data = True
@@ -153,6 +178,7 @@
         """
         if self.answer is None:
             raise EndpointFailedError("the endpoint sent no response")
+        self._attempt.claim()
         if self._is_event_stream:
             if not self._splitter.is_between_events:
                 raise AnswerTruncatedError("the stream ended inside an event")
@@ -181,6 +207,7 @@
         if not self._is_relaying:
             if not self._may_relay_early(self.answer):
                 raise _make_memory_error()
+            self._attempt.claim()
             self._is_relaying = True
             self._relay_buffer(self.answer.length)
         self._writer.write(data)
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -115,6 +115,9 @@
                 "the connection broke before the first byte of the answer"
             )
             return pycurl.PREREQFUNC_ABORT
+        if self._error is not None:
+            # The attempt was cancelled while its connection was established.
+            return pycurl.PREREQFUNC_ABORT
         try:
             self._check_timeouts()
             self._sink.before_send()
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -5,6 +5,7 @@
 import pycurl
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.endpoints.cancellation import Cancellation
 from oriolepaddle.endpoints.exchange import CurlExchange
 from oriolepaddle.endpoints.handles import HandlePool
 from oriolepaddle.endpoints.request import ConnectionReuse, EndpointRequest
@@ -42,13 +43,20 @@
         )
         self._watchdog = ExchangeWatchdog(clock, inspection_interval)
 
-    def run(self, address: str, request: EndpointRequest, sink: AnswerSink) -> None:
+    def run(
+        self,
+        address: str,
+        request: EndpointRequest,
+        sink: AnswerSink,
+        cancellation: Cancellation | None = None,
+    ) -> None:
         """Send a request and pass its answer to `sink`.
 
         Args:
             address: `host:port` of the endpoint or instance.
             request: Request to send.
             sink: Receives the answer; its errors cancel the attempt and are raised.
+            cancellation: Cancels the attempt from another thread; its error is raised.
 
         Raises:
             EndpointUnreachableError: No connection was established.
@@ -73,6 +81,8 @@
         is_reusable = False
         self._watchdog.add(exchange)
         try:
+            if cancellation is not None:
+                cancellation.attach(exchange.cancel)
             exchange.perform()
             is_reusable = True
         finally:
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -7,6 +7,7 @@
     budget,
     descriptor_watch,
     edge,
+    edge_alternatives,
     edge_bodies,
     edge_keys,
     edge_silence,
@@ -221,6 +222,19 @@
                 "stalled stream",
                 edge_silence("TestStalledStream::test_is_resumed_at_another_endpoint"),
             ),
+            (
+                "stalled stream, other endpoint full",
+                edge_alternatives(
+                    "TestRestingStream::test_goes_on_if_the_other_endpoint_refuses"
+                ),
+            ),
+            (
+                "overdue response, other endpoint full or failing",
+                edge_alternatives(
+                    "TestOverdueResponse::"
+                    "test_is_delivered_if_the_other_endpoint_does_not_serve_it"
+                ),
+            ),
             (
                 "stalled stream that may run once",
                 edge_silence(
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -9,6 +9,7 @@
     "daemon",
     "descriptor_watch",
     "edge",
+    "edge_alternatives",
     "edge_bodies",
     "edge_keys",
     "edge_signals",
@@ -67,6 +68,7 @@
 daemon = _TestFile("daemon/tests/test_faults.py")
 descriptor_watch = _TestFile("daemon/tests/test_descriptors.py")
 edge = _TestFile("daemon/tests/test_edge.py")
+edge_alternatives = _TestFile("daemon/tests/test_edge_alternatives.py")
 edge_bodies = _TestFile("daemon/tests/test_edge_bodies.py")
 edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
--- a/oriolepaddle/metrics/gateway.py
+++ b/oriolepaddle/metrics/gateway.py
@@ -36,6 +36,11 @@
         self.retries = self._add_counter(
             "retry_decisions", "Decisions after failed tries.", "action", "reason"
         )
+        self.alternatives = self._add_counter(
+            "alternative_attempts",
+            "Attempts beside one that seemed lost, by how they ended.",
+            "outcome",
+        )
         self.crash_events = self._add_counter(
             "crash_events", "Events around crashes of endpoints.", "event"
         )
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -31,6 +31,7 @@
 """Time between the close of the connections and that of the listener."""
 STALL_S = 30.0
 """Longer than callers of streams wait for the next event."""
+HOLD_CHECK_S = 0.02
 MAX_BODY_BYTES = 16_000_000
 ENDLESS_PIECE = b"x" * 8192
 ENDLESS_PAUSE_S = 0.001
@@ -49,6 +50,7 @@
     CUT_EVENT = "cut event"
     SILENT = "silent"
     STALLED = "stalled"
+    HELD = "held"
     ENDLESS = "endless"
 
 
@@ -111,6 +113,8 @@
         answer_bytes: The size of a plain body, 0 for one that repeats the request's; or
             the bytes that are added to a stream, divided among its events.
         pause_s: Seconds before each event, or before a plain response.
+        resumed: Ends the pause of held responses: streams pause after the second event
+            that they send, other responses before their head.
         abandoned_count: Requests whose caller disconnected before the end.
         advertised_address: The address to register, if not the one listened on.
         deadly_part: The part of a prompt that crashes the runner when it begins to
@@ -141,6 +145,7 @@
         self.events = events
         self.answer_bytes = 0
         self.pause_s = 0.0
+        self.resumed = threading.Event()
         self.abandoned_count = 0
         self.state = "ready"
         self.cold_ms = 0
@@ -175,6 +180,7 @@
     def stop(self) -> None:
         """Close all connections and stop serving."""
         self._stopping.set()
+        self.resumed.set()
         self._server.drop_connections()
         self._server.close()
         if self._held_listener is not None:
@@ -325,6 +331,8 @@
         elif self.events:
             self._stream(request, writer, behaviour, fields)
         else:
+            if behaviour is RunnerBehaviour.HELD:
+                self._hold(writer)
             self._pause(writer)
             body = b"x" * self.answer_bytes or b"done " + request.get_data()
             writer.answer(200, body, "text/plain", fields)
@@ -358,8 +366,15 @@
             if behaviour is RunnerBehaviour.STALLED and number == first + 1:
                 self._stopping.wait(STALL_S)
                 raise ConnectionResetError("the runner closes the connection")
+            if behaviour is RunnerBehaviour.HELD and number == first + 1:
+                self._hold(writer)
         writer.finish()
 
+    def _hold(self, writer: AnswerWriter) -> None:
+        while not self.resumed.wait(HOLD_CHECK_S):
+            if writer.is_abandoned():
+                raise ConnectionResetError("the caller disconnected")
+
     def _pause(self, writer: AnswerWriter) -> None:
         if self.pause_s:
             threading.Event().wait(self.pause_s)
