Replace a "not run" status that an endpoint doesn't vouch for

Cause: what an answer says of the run was read from its fields, and the status that callers read was relayed whatever the fields said. An endpoint's X-Request-Outcome was also taken for a peer's.

Change: a request that may run only once gets 502 refusal_unconfirmed in place of 408, 421, 429 or 503 without a stated refusal, also through a peer. True refusals stay 503 with Retry-After. Requests that may be repeated keep the status.

--- a/oriolepaddle/edge/answer.py
+++ b/oriolepaddle/edge/answer.py
@@ -9,6 +9,8 @@
 __all__ = ["AnswerKind", "EndpointAnswer"]
 
 SERVER_ERROR = 500
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that tell callers that the request was not run and never will be."""
 
 
 class AnswerKind(enum.StrEnum):
@@ -62,3 +64,8 @@
     def is_server_error(self) -> bool:
         """Whether the status reports a failure of the endpoint (5xx)."""
         return self.status >= SERVER_ERROR
+
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether the status tells callers that the request was not run."""
+        return self.status in NOT_RUN_STATUSES
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -34,6 +34,7 @@
     ErrorCode,
     OriolepaddleError,
     Outcome,
+    RefusalUnconfirmedError,
     RefusedError,
 )
 from oriolepaddle.placement import Choice, Job, PlacedRun
@@ -264,6 +265,11 @@
         except AttemptSupersededError:
             # It says nothing about the endpoint.
             raise
+        except RefusalUnconfirmedError as error:
+            # The endpoint has sent a whole response.
+            run.succeed()
+            self._record_failure(endpoint, sink, error, crash_guard)
+            raise
         except OriolepaddleError as error:
             self._progress.exclude(endpoint.incarnation)
             run.fail(isinstance(error, _UNREACHABLE_ERRORS))
@@ -296,8 +302,19 @@
         self._finish(sink, crash_guard)
 
     def _finish(self, sink: EdgeSink, crash_guard: CrashGuard) -> None:
+        answer = sink.answer
+        if answer is not None and self._is_false_promise(answer):
+            raise RefusalUnconfirmedError(
+                f"the response has status {answer.status}, but does not state that the "
+                "request was not run"
+            )
         sink.complete()
-        crash_guard.record_answer(sink.answer)
+        crash_guard.record_answer(answer)
+
+    def _is_false_promise(self, answer: EndpointAnswer) -> bool:
+        """Return whether a caller would repeat a request that may run only once."""
+        is_once = self._admitted.route.repeat_rule is RepeatRule.ONCE
+        return is_once and answer.promises_not_run
 
     def _send_to_peer(self, peer: PeerChoice, job: Job, attempt: Attempt) -> None:
         context = self._context
@@ -391,6 +408,7 @@
             self._context.buffers,
             self._may_relay_early,
             attempt,
+            is_peer=endpoint is None,
         )
         if run is None:
             sink.set_callbacks(lambda: None, self._check_drain, lambda: None)
@@ -406,7 +424,7 @@
         """Return whether a response may go to the caller before it is complete."""
         rule = self._admitted.route.repeat_rule
         if rule is RepeatRule.ONCE:
-            return True
+            return not self._is_false_promise(answer)
         # Another endpoint may answer a request that can be repeated, unless this body
         # is merely large.
         return rule is RepeatRule.IDEMPOTENT and answer.length is not None
@@ -485,6 +503,8 @@
             raise
         except OriolepaddleError as error:
             reason = error.code.code
+            if error.outcome is not Outcome.NOT_RUN:
+                self._progress.last_uncertain_error = error
             raise
         finally:
             now_s = clock.monotonic_s()
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -43,6 +43,7 @@
         may_relay_early: Whether a body that can't be buffered may be relayed before it
             is complete, after which the request can't be repeated.
         attempt: Decides whether this attempt may write the response.
+        is_peer: Whether the response is that of another instance.
 
     Attributes:
         answer: The status and headers, or None before they are received.
@@ -60,7 +61,9 @@
         budget: BufferBudget,
         may_relay_early: Callable[[EndpointAnswer], bool] = lambda answer: False,
         attempt: Attempt | None = None,
+        is_peer: bool = False,
     ) -> None:
+        self._is_peer = is_peer
         self._attempt = attempt or Attempt(SystemClock())
         self._writer = writer
         self._splitter = splitter
@@ -106,7 +109,8 @@
 
     def on_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Check the status and headers; see `AnswerSink.on_head`."""
-        _check_peer_refusal(status, headers)
+        if self._is_peer:
+            _check_peer_refusal(status, headers)
         answer = self._read_answer(status, headers)
         self.answer = answer
         if answer.kind is AnswerKind.NOT_RUN:
@@ -234,7 +238,6 @@
 
 
 def _check_peer_refusal(status: int, headers: tuple[tuple[str, str], ...]) -> None:
-    # Only other instances send this header field, never endpoints.
     for name, value in headers:
         if name.lower() != _OUTCOME_FIELD:
             continue
--- a/oriolepaddle/errors/__init__.py
+++ b/oriolepaddle/errors/__init__.py
@@ -11,6 +11,7 @@
     EndpointReplacedError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    RefusalUnconfirmedError,
 )
 from oriolepaddle.errors.gateway import (
     AnswerMalformedError,
@@ -59,6 +60,7 @@
     "PeerUnavailableError",
     "PermissionDeniedError",
     "PlatformUnavailableError",
+    "RefusalUnconfirmedError",
     "RefusedError",
     "SettingsError",
     "TicketError",
--- a/oriolepaddle/errors/code.py
+++ b/oriolepaddle/errors/code.py
@@ -128,6 +128,12 @@
         Outcome.NOT_RUN,
         "The endpoint refused the request and did not run it.",
     )
+    REFUSAL_UNCONFIRMED = (
+        "refusal_unconfirmed",
+        502,
+        Outcome.UNKNOWN,
+        "The endpoint's status says 'not run', but the request may have run.",
+    )
     ENDPOINT_UNREACHABLE = (
         "endpoint_unreachable",
         502,
--- a/oriolepaddle/errors/endpoint.py
+++ b/oriolepaddle/errors/endpoint.py
@@ -12,6 +12,7 @@
     "EndpointReplacedError",
     "EndpointTimeoutError",
     "EndpointUnreachableError",
+    "RefusalUnconfirmedError",
 ]
 
 
@@ -56,6 +57,12 @@
     default_code = ErrorCode.ENDPOINT_FAILED
 
 
+class RefusalUnconfirmedError(EndpointFailedError):
+    """The endpoint's status says "not run", but it may have run the request."""
+
+    default_code = ErrorCode.REFUSAL_UNCONFIRMED
+
+
 class CommandWithheldError(EndpointError):
     """An engine command was not sent.
 
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -10,6 +10,7 @@
     edge_alternatives,
     edge_bodies,
     edge_keys,
+    edge_promises,
     edge_silence,
     edge_sink,
     endless,
@@ -215,6 +216,23 @@
         ),
         "compressed bodies",
     ),
+    Claim(
+        "A request that may have run is never answered as one that was not run.",
+        (
+            (
+                "endpoint's own 408, 429, 503, also forwarded",
+                edge_promises("TestOrderThatRan::test_is_not_answered_as_not_run"),
+            ),
+            (
+                "endpoint that states an outcome like an instance",
+                edge_promises(
+                    "TestOrderThatRan::test_is_not_believed_to_be_refused_by_a_peer"
+                ),
+            ),
+            ("true refusal", edge_promises("TestRefusal::test_stays_one")),
+        ),
+        unproved="a refusal without an id on a connection in use again (issue 49)",
+    ),
     Claim(
         "Stalled streams and silent endpoints end, and nothing runs twice for it.",
         (
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -12,6 +12,7 @@
     "edge_alternatives",
     "edge_bodies",
     "edge_keys",
+    "edge_promises",
     "edge_signals",
     "edge_silence",
     "edge_sink",
@@ -71,6 +72,7 @@
 edge_alternatives = _TestFile("daemon/tests/test_edge_alternatives.py")
 edge_bodies = _TestFile("daemon/tests/test_edge_bodies.py")
 edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
+edge_promises = _TestFile("daemon/tests/test_edge_promises.py")
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
 edge_silence = _TestFile("daemon/tests/test_edge_silence.py")
 edge_sink = _TestFile("edge/tests/test_sink.py")
--- a/oriolepaddle/platform/names.py
+++ b/oriolepaddle/platform/names.py
@@ -16,6 +16,7 @@
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 INSTANCE = "X-Oriolepaddle-Instance"
+OUTCOME = "X-Request-Outcome"
 
 SIGNALS = frozenset((LIMIT.lower(), LEAVING.lower(), RETRY_AFTER.lower()))
 """Header fields in which an endpoint tells of itself."""
--- a/oriolepaddle/platform/protocol.py
+++ b/oriolepaddle/platform/protocol.py
@@ -39,7 +39,11 @@
     )
 )
 _DROPPED_FROM_REQUESTS = names.CONNECTION_FIELDS | names.RESERVED | _REWRITTEN
-_DROPPED_FROM_RESPONSES = names.CONNECTION_FIELDS | {names.LOAD.lower()}
+# Only instances state an outcome; an endpoint's statement would be taken for theirs.
+_DROPPED_FROM_RESPONSES = names.CONNECTION_FIELDS | {
+    names.LOAD.lower(),
+    names.OUTCOME.lower(),
+}
 
 
 class PlatformProtocol:
--- a/oriolepaddle/platform/standins/runner.py
+++ b/oriolepaddle/platform/standins/runner.py
@@ -110,6 +110,8 @@
         behaviours: Behaviours for the next requests; `ANSWER` when it is empty.
         received: The requests that were read.
         events: The number of events in a stream; 0 for a plain body.
+        error_status: The status of its failures.
+        error_fields: Header fields that its failures have in addition.
         answer_bytes: The size of a plain body, 0 for one that repeats the request's; or
             the bytes that are added to a stream, divided among its events.
         pause_s: Seconds before each event, or before a plain response.
@@ -143,6 +145,8 @@
         self.behaviours: deque[RunnerBehaviour] = deque()
         self.received: list[ReceivedRequest] = []
         self.events = events
+        self.error_status = 500
+        self.error_fields: list[tuple[str, str]] = []
         self.answer_bytes = 0
         self.pause_s = 0.0
         self.resumed = threading.Event()
@@ -325,7 +329,8 @@
         if behaviour is not RunnerBehaviour.UNSEALED:
             fields.append((names.SEAL, f"{SEAL_VALUE}.{self.id}"))
         if behaviour is RunnerBehaviour.ERROR:
-            writer.answer(500, b"failed", "text/plain", fields)
+            fields += self.error_fields
+            writer.answer(self.error_status, b"failed", "text/plain", fields)
         elif behaviour is RunnerBehaviour.ENDLESS:
             self._answer_without_end(writer, fields)
         elif self.events:
