Reject an answer without a length that ends before its request was sent

Cause: a body without a length ends with its connection, and libcurl reports success at the end of the body, also if the request was not sent whole.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -28,6 +28,10 @@
 """Errors of a handle that gets no descriptors for its own pipes."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
+_UPLOADED_BYTES = getattr(pycurl, "SIZE_UPLOAD_T", pycurl.SIZE_UPLOAD)
+"""Older versions of pycurl have only the second one, which is deprecated."""
+_FRAMING_FIELDS = ("content-length", "transfer-encoding")
+_BODILESS_STATUSES = (204, 304)
 _END_OF_HEAD = (b"\r\n", b"\n")
 
 
@@ -80,6 +84,7 @@
             # curl takes the end of the connection inside a head for its end.
             self._error = AnswerTruncatedError("the answer ended inside its head")
         self._deliver_head()
+        self._check_unframed_body()
         if self._error is not None:
             raise self._error
 
@@ -151,6 +156,27 @@
         except (OSError, OriolepaddleError) as error:
             self._error = error
 
+    def _check_unframed_body(self) -> None:
+        """Reject a body that ends with its connection before the request was sent.
+
+        An endpoint may respond before it has read a long request. If it then ends the
+        connection, the end may be that of the body or that of a failure.
+        """
+        body_bytes = len(self._request.body)
+        if self._error is not None or not body_bytes or not self._ends_with_close():
+            return
+        sent_bytes = self._handle.curl.getinfo(_UPLOADED_BYTES)
+        if sent_bytes < body_bytes or not self._handle.has_delivered():
+            self._error = AnswerTruncatedError(
+                "the connection ended before the request was sent whole, and the "
+                "answer declares no length"
+            )
+
+    def _ends_with_close(self) -> bool:
+        if self._request.method == "HEAD" or self._status in _BODILESS_STATUSES:
+            return False
+        return not any(name.lower() in _FRAMING_FIELDS for name, _ in self._headers)
+
     def _on_data(self, data: bytes) -> int:
         self._last_byte_s = self._clock.monotonic_s()
         self._deliver_head()
--- a/oriolepaddle/endpoints/handles.py
+++ b/oriolepaddle/endpoints/handles.py
@@ -12,6 +12,7 @@
 import pycurl
 
 from oriolepaddle.clock import Clock
+from oriolepaddle.sockets import count_queued_bytes
 
 __all__ = ["HandlePool", "PooledHandle"]
 
@@ -76,6 +77,18 @@
             with contextlib.suppress(OSError):
                 open_socket.shutdown(socket.SHUT_RDWR)
 
+    def has_delivered(self) -> bool:
+        """Return whether the other side has received all that was sent to it."""
+        open_socket = self._socket
+        if open_socket is None:
+            return True
+        try:
+            if open_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return False
+            return count_queued_bytes(open_socket) == 0
+        except OSError:
+            return True
+
     def close(self) -> None:
         """Close the connection."""
         self.curl.close()
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -6,6 +6,7 @@
     broken_heads,
     budget,
     descriptor_watch,
+    early_answers,
     edge,
     edge_alternatives,
     edge_bodies,
@@ -206,6 +207,12 @@
                 "stream that can't be resumed",
                 edge("TestStream::test_that_cannot_be_resumed_is_visibly_cut"),
             ),
+            (
+                "no length, ends during the upload",
+                early_answers(
+                    "TestUnframedAnswer::test_that_ends_during_the_upload_is_truncated"
+                ),
+            ),
             (
                 "body without end",
                 edge_bodies(
--- a/oriolepaddle/web/pace.py
+++ b/oriolepaddle/web/pace.py
@@ -1,14 +1,10 @@
 """Whether a client reads its response fast enough."""
 
-import fcntl
-import socket
-import struct
-import termios
 from datetime import timedelta
 
 from oriolepaddle.clock import Clock
 
-__all__ = ["ReadingPace", "count_queued_bytes"]
+__all__ = ["ReadingPace"]
 
 MIN_BYTES_PER_S = 1024
 """Minimum rate while the response waits for the client. Six hundred clients that read
@@ -74,9 +70,3 @@
         if self._waiting_since_s is None:
             return self._waited_s
         return self._waited_s + self._clock.monotonic_s() - self._waiting_since_s
-
-
-def count_queued_bytes(connection: socket.socket) -> int:
-    """Return the bytes that the kernel has accepted and the client has not."""
-    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("@i", 0))
-    return struct.unpack("@i", answer)[0]
--- a/oriolepaddle/web/writer.py
+++ b/oriolepaddle/web/writer.py
@@ -12,7 +12,8 @@
 
 from oriolepaddle.clock import Clock, SystemClock
 from oriolepaddle.errors import OriolepaddleError
-from oriolepaddle.web.pace import ReadingPace, count_queued_bytes
+from oriolepaddle.sockets import count_queued_bytes
+from oriolepaddle.web.pace import ReadingPace
 
 __all__ = ["AnswerWriter", "Headers", "write_error_body"]
 
