Reject answers whose status is none of a final response

Cause: the status that libcurl passes on was relayed without a check.

Change: a status is three digits, a final one from 200 to 599; else the attempt fails as answer_malformed with an unknown outcome, in both interfaces.

--- a/oriolepaddle/edge/retry_rules.py
+++ b/oriolepaddle/edge/retry_rules.py
@@ -5,6 +5,7 @@
 from oriolepaddle.catalog import HostRoute, RepeatRule
 from oriolepaddle.edge.progress import ExchangeProgress
 from oriolepaddle.errors import (
+    AnswerMalformedError,
     AnswerMismatchedError,
     AnswerTruncatedError,
     EndpointError,
@@ -20,7 +21,12 @@
 """Time to the deadline below which a retry can't succeed."""
 RETRY_AFTER = timedelta(milliseconds=200)
 """Retry delay sent to callers whose request was not run."""
-_RETRYABLE_ERRORS = (EndpointError, AnswerMismatchedError, AnswerTruncatedError)
+_RETRYABLE_ERRORS = (
+    EndpointError,
+    AnswerMalformedError,
+    AnswerMismatchedError,
+    AnswerTruncatedError,
+)
 
 
 def may_retry(
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -10,6 +10,7 @@
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.sink import AnswerSink
 from oriolepaddle.errors import (
+    AnswerMalformedError,
     AnswerTruncatedError,
     EndpointDeadlineError,
     EndpointFailedError,
@@ -28,9 +29,11 @@
 """Errors of a handle that gets no descriptors for its own pipes."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
+STATUS_DIGITS = 3
 _UPLOADED_BYTES = getattr(pycurl, "SIZE_UPLOAD_T", pycurl.SIZE_UPLOAD)
 """Older versions of pycurl have only the second one, which is deprecated."""
 _FRAMING_FIELDS = ("content-length", "transfer-encoding")
+_FINAL_STATUSES = range(200, 600)
 _BODILESS_STATUSES = (204, 304)
 _END_OF_HEAD = (b"\r\n", b"\n")
 
@@ -136,7 +139,7 @@
         self._last_byte_s = self._clock.monotonic_s()
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self._status = int(text.split()[1])
+            self._status = _parse_status(text)
             self._headers = []
             self._is_head_complete = False
         elif line in _END_OF_HEAD:
@@ -151,6 +154,12 @@
         if self._is_head_delivered or self._error is not None:
             return
         self._is_head_delivered = True
+        if self._status not in _FINAL_STATUSES:
+            self._error = AnswerMalformedError(
+                f"the answer's status {self._status} is none of a final response",
+                outcome=Outcome.UNKNOWN,
+            )
+            return
         try:
             self._sink.on_head(self._status, tuple(self._headers))
         except (OSError, OriolepaddleError) as error:
@@ -223,6 +232,13 @@
         return EndpointFailedError(text)
 
 
+def _parse_status(line: str) -> int:
+    """Return the status of a status line, 0 if it has none."""
+    text = (line.split() + [""])[1]
+    is_status = len(text) == STATUS_DIGITS and text.isascii() and text.isdigit()
+    return int(text) if is_status else 0
+
+
 def _parse_keep_alive_timeout(value: str) -> float | None:
     for item in value.split(","):
         name, _, seconds = item.strip().partition("=")
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -2,6 +2,7 @@
 
 from oriolepaddle.faults.claim import Claim
 from oriolepaddle.faults.sources import (
+    answer_statuses,
     authenticator,
     broken_heads,
     budget,
@@ -192,6 +193,16 @@
         ),
         "extra bytes on connections between instances",
     ),
+    Claim(
+        "A status that is none of a final response reaches no caller.",
+        (
+            (
+                "any status line",
+                answer_statuses("TestStatus::test_that_is_none_fails_the_attempt"),
+            ),
+        ),
+        unproved="heads with malformed fields (issue 49)",
+    ),
     Claim(
         "An answer that breaks off reaches no caller as complete.",
         (
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -8,6 +8,7 @@
     "commands",
     "daemon",
     "descriptor_watch",
+    "answer_statuses",
     "early_answers",
     "edge",
     "edge_alternatives",
@@ -69,6 +70,7 @@
 commands = _TestFile("commands/tests/test_issuer.py")
 daemon = _TestFile("daemon/tests/test_faults.py")
 descriptor_watch = _TestFile("daemon/tests/test_descriptors.py")
+answer_statuses = _TestFile("endpoints/tests/test_statuses.py")
 early_answers = _TestFile("endpoints/tests/test_early_answers.py")
 edge = _TestFile("daemon/tests/test_edge.py")
 edge_alternatives = _TestFile("daemon/tests/test_edge_alternatives.py")
--- a/oriolepaddle/gateway/exchange.py
+++ b/oriolepaddle/gateway/exchange.py
@@ -10,6 +10,7 @@
 from oriolepaddle.config.model import Endpoint
 from oriolepaddle.endpoints import EndpointRequest
 from oriolepaddle.errors import (
+    AnswerMalformedError,
     AnswerTruncatedError,
     AuthenticationError,
     EndpointDeadlineError,
@@ -42,7 +43,7 @@
 __all__ = ["Exchange"]
 
 MIN_CHARGED_TOKENS = 1.0
-_RETRYABLE_ERRORS = (EndpointError, AnswerTruncatedError)
+_RETRYABLE_ERRORS = (EndpointError, AnswerMalformedError, AnswerTruncatedError)
 
 
 class Exchange:
