Bound the answers to health checks and calls of engines

What was seen: one faulty endpoint that sends a body without end took 224 to 490 MB in a health check of the own interface, and 1.6 to 2.3 GB in a call of an engine; the process would run out of memory (LOST).

Cause: these calls collected the body until their timeout.

--- a/oriolepaddle/endpoints/control.py
+++ b/oriolepaddle/endpoints/control.py
@@ -6,12 +6,17 @@
 
 import attrs
 
+from oriolepaddle.buffers import ShortBody
 from oriolepaddle.clock import Clock
 from oriolepaddle.commands import EngineCommand, EngineState
 from oriolepaddle.config.model import Endpoint
 from oriolepaddle.endpoints.request import EndpointRequest
 from oriolepaddle.endpoints.transport import EndpointTransport
-from oriolepaddle.errors import EndpointFailedError, EndpointRefusedError
+from oriolepaddle.errors import (
+    AnswerMalformedError,
+    EndpointFailedError,
+    EndpointRefusedError,
+)
 
 __all__ = ["HttpEngineControl"]
 
@@ -82,7 +87,7 @@
     def __init__(self, recheck: Callable[[], None]) -> None:
         self._recheck = recheck
         self._status = 0
-        self._body = bytearray()
+        self._body = ShortBody()
 
     def before_send(self) -> None:
         """Check the command again; see `AnswerSink.before_send`."""
@@ -94,7 +99,9 @@
 
     def on_data(self, data: bytes) -> None:
         """Append a part of the body; see `AnswerSink.on_data`."""
-        self._body += data
+        self._body.write(data)
+        if self._body.is_too_long:
+            raise AnswerMalformedError("the engine's answer is too long")
 
     def check(self) -> None:
         """Never cancel; the timeouts of the call apply."""
@@ -111,7 +118,7 @@
         if self._status != 200:
             raise EndpointFailedError(f"the engine answered with status {self._status}")
         try:
-            document = json.loads(self._body)
+            document = json.loads(self._body.data)
         except ValueError as error:
             raise EndpointFailedError("the engine's answer is not JSON") from error
         if not isinstance(document, dict):
--- a/oriolepaddle/endpoints/health.py
+++ b/oriolepaddle/endpoints/health.py
@@ -2,11 +2,11 @@
 
 import json
 from datetime import timedelta
-from io import BytesIO
 
 import attrs
 import pycurl
 
+from oriolepaddle.buffers import ShortBody
 from oriolepaddle.routing import CacheEvents
 
 __all__ = ["CacheReading", "HealthCheckResult", "HealthChecker"]
@@ -96,31 +96,31 @@
         response = _get(address, "/load")
         if response.status:
             return _parse_load(response.status, response.body)
-        return HealthCheckResult(is_up=False, is_refused=not response.has_timed_out)
+        return HealthCheckResult(is_up=False, is_refused=response.is_refused)
 
 
 @attrs.frozen
 class _Response:
     status: int = 0
     body: bytes = b""
-    has_timed_out: bool = False
+    is_refused: bool = False
 
 
 def _get(address: str, path: str) -> _Response:
-    buffer = BytesIO()
+    body = ShortBody()
     curl = pycurl.Curl()
     curl.setopt(pycurl.URL, f"http://{address}{path}")
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
     curl.setopt(pycurl.TIMEOUT_MS, _to_ms(TOTAL_TIMEOUT))
-    curl.setopt(pycurl.WRITEDATA, buffer)
+    curl.setopt(pycurl.WRITEFUNCTION, body.write)
     try:
         curl.perform()
-        return _Response(curl.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue())
+        return _Response(curl.getinfo(pycurl.RESPONSE_CODE), body.data)
     except pycurl.error as error:
         has_timed_out = error.args[0] == pycurl.E_OPERATION_TIMEDOUT
-        return _Response(has_timed_out=has_timed_out)
+        return _Response(is_refused=not has_timed_out and not body.is_too_long)
     finally:
         curl.close()
 
--- a/oriolepaddle/publication/client.py
+++ b/oriolepaddle/publication/client.py
@@ -3,12 +3,12 @@
 import json
 import threading
 from datetime import timedelta
-from io import BytesIO
 from typing import Any
 from urllib.parse import urlencode
 
 import pycurl
 
+from oriolepaddle.buffers import ShortBody
 from oriolepaddle.errors import PlatformUnavailableError
 
 __all__ = ["PlatformClient", "parse_json"]
@@ -67,7 +67,7 @@
         return self._perform(url, wait + self._read_timeout)
 
     def _perform(self, url: str, timeout: timedelta) -> tuple[int, bytes]:
-        buffer = BytesIO()
+        body = ShortBody(MAX_RESPONSE_BYTES)
         curl = self._acquire_handle()
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.PROXY, "")
@@ -76,7 +76,7 @@
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
         curl.setopt(pycurl.TIMEOUT_MS, _to_ms(timeout))
-        curl.setopt(pycurl.WRITEDATA, buffer)
+        curl.setopt(pycurl.WRITEFUNCTION, body.write)
         try:
             curl.perform()
         except pycurl.error as error:
@@ -87,7 +87,7 @@
         status = curl.getinfo(pycurl.RESPONSE_CODE)
         with self._lock:
             self._idle_handles.append(curl)
-        return status, buffer.getvalue()
+        return status, body.data
 
     def _acquire_handle(self) -> pycurl.Curl:
         # A pending watch occupies its connection, so concurrent calls can't share one.
