Bound the head of an answer and the bytes that libcurl discards

What was seen: a head was bounded by the installed libcurl only, at some times its size in memory, and the extension of a chunk was read until the deadline (25 GB in 8 s in the review).

Change: 64 KiB and 512 lines for a head with interim answers and trailers; 1 MB for what is received while no part of an answer comes.

Result: the 4 new tests of test_endless.py failed before, all pass.

--- a/oriolepaddle/daemon/tests/test_slow_clients.py
+++ b/oriolepaddle/daemon/tests/test_slow_clients.py
@@ -62,15 +62,8 @@
     def __init__(self):
         self.store = StoreStandin()
         self.store.start()
-        document = make_document()
-        document["limits"] |= {"maxBodyBytes": BODY_BYTES}
-        document["routes"].append(make_route("long", "/long/", "safe", ARCHIVE))
-        document["services"].append({"name": ARCHIVE, "healthPath": "/health"})
-        self.store.put("op/config", json.dumps(document).encode())
-        self.runners = [RunnerStandin("desk-1", DESK, "nordur-a")]
-        for number in range(8):
-            self._add_long_runner(f"archive-{number}", ARCHIVE, 0)
-            self._add_long_runner(f"engine-{number}", ENGINES, EVENTS)
+        self.store.put("op/config", json.dumps(self.make_document()).encode())
+        self.runners = self.make_runners()
         for runner in self.runners:
             runner.start()
             self.store.put(f"servers/{runner.id}", runner.describe())
@@ -89,10 +82,19 @@
         self.processes.await_ready()
         await_true(self.is_answered)
 
-    def _add_long_runner(self, name, service, events):
-        runner = RunnerStandin(name, service, "nordur-a", events)
-        runner.answer_bytes = ANSWER_BYTES
-        self.runners.append(runner)
+    def make_document(self):
+        document = make_document()
+        document["limits"] |= {"maxBodyBytes": BODY_BYTES}
+        document["routes"].append(make_route("long", "/long/", "safe", ARCHIVE))
+        document["services"].append({"name": ARCHIVE, "healthPath": "/health"})
+        return document
+
+    def make_runners(self):
+        runners = [RunnerStandin("desk-1", DESK, "nordur-a")]
+        for number in range(8):
+            runners.append(_make_long_runner(f"archive-{number}", ARCHIVE, 0))
+            runners.append(_make_long_runner(f"engine-{number}", ENGINES, EVENTS))
+        return runners
 
     def meter(self):
         return ProcessMeter(self.instance.process.pid)
@@ -126,6 +128,12 @@
         self.store.stop()
 
 
+def _make_long_runner(name, service, events):
+    runner = RunnerStandin(name, service, "nordur-a", events)
+    runner.answer_bytes = ANSWER_BYTES
+    return runner
+
+
 @pytest.fixture
 def fleet():
     fleet = SlowClientFleet()
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -29,6 +29,12 @@
 """Errors of a handle that gets no descriptors for its own pipes."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
+MAX_HEAD_BYTES = 65_536
+MAX_HEAD_LINES = 512
+"""Bounds of the head of an answer, with its interim answers and trailers."""
+MIN_SILENCE_S = 1.0
+"""Time without a part of an answer after which the received bytes are counted."""
+MAX_DISCARDED_BYTES = 1_000_000
 STATUS_DIGITS = 3
 _UPLOADED_BYTES = getattr(pycurl, "SIZE_UPLOAD_T", pycurl.SIZE_UPLOAD)
 """Older versions of pycurl have only the second one, which is deprecated."""
@@ -64,6 +70,9 @@
         self._started_s = clock.monotonic_s()
         self._last_byte_s = self._started_s
         self._status = 0
+        self._received_before: tuple[float, int] | None = None
+        self._head_bytes = 0
+        self._head_lines = 0
         self._headers: list[tuple[str, str]] = []
         self._is_head_complete = False
         self._is_head_delivered = False
@@ -135,8 +144,16 @@
         self._is_sent = True
         return pycurl.PREREQFUNC_OK
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int:
         self._last_byte_s = self._clock.monotonic_s()
+        # Interim answers count as well.
+        self._head_bytes += len(line)
+        self._head_lines += 1
+        if self._head_bytes > MAX_HEAD_BYTES or self._head_lines > MAX_HEAD_LINES:
+            self._error = AnswerMalformedError(
+                "the answer's head is too long", outcome=Outcome.UNKNOWN
+            )
+            return _ABORT_TRANSFER
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self._status = _parse_status(text)
@@ -149,6 +166,7 @@
             self._headers.append((name.strip(), value.strip()))
             if name.lower() == "keep-alive":
                 self._handle.keep_alive_timeout_s = _parse_keep_alive_timeout(value)
+        return len(line)
 
     def _deliver_head(self) -> None:
         if self._is_head_delivered or self._error is not None:
@@ -211,6 +229,26 @@
             )
         if self._status and silent_s > request.stall_timeout_s:
             raise EndpointTimeoutError(f"the answer stalled for {silent_s:.1f} s")
+        if silent_s > MIN_SILENCE_S:
+            self._check_discarded_bytes()
+
+    def _check_discarded_bytes(self) -> None:
+        """End an answer whose bytes libcurl discards, such as an extension of a chunk.
+
+        Raises:
+            AnswerMalformedError: Many bytes were received, but no part of an answer.
+        """
+        received_bytes = self._handle.count_received_bytes()
+        if received_bytes is None:
+            return
+        last_byte_s, before_bytes = self._received_before or (None, 0)
+        if last_byte_s != self._last_byte_s:
+            self._received_before = (self._last_byte_s, received_bytes)
+        elif received_bytes - before_bytes > MAX_DISCARDED_BYTES:
+            raise AnswerMalformedError(
+                f"{received_bytes - before_bytes} bytes are no part of an answer",
+                outcome=Outcome.UNKNOWN,
+            )
 
     def _classify_error(self, error: pycurl.error) -> Exception:
         number, text = error.args
--- a/oriolepaddle/endpoints/handles.py
+++ b/oriolepaddle/endpoints/handles.py
@@ -12,7 +12,7 @@
 import pycurl
 
 from oriolepaddle.clock import Clock
-from oriolepaddle.sockets import count_queued_bytes
+from oriolepaddle.sockets import count_queued_bytes, count_received_bytes
 
 __all__ = ["HandlePool", "PooledHandle"]
 
@@ -89,6 +89,16 @@
         except OSError:
             return True
 
+    def count_received_bytes(self) -> int | None:
+        """Return the bytes received on its connection, None if not known."""
+        open_socket = self._socket
+        if open_socket is None:
+            return None
+        try:
+            return count_received_bytes(open_socket)
+        except OSError:
+            return None
+
     def close(self) -> None:
         """Close the connection."""
         self.curl.close()
--- a/oriolepaddle/endpoints/tests/test_endless.py
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -14,7 +14,7 @@
 from oriolepaddle.edge.sink import EdgeSink
 from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
-from oriolepaddle.errors import OriolepaddleError, Outcome
+from oriolepaddle.errors import AnswerMalformedError, OriolepaddleError, Outcome
 
 MAX_SENT_BYTES = 24_000_000
 """Accepted bytes of one answer: the largest buffered body, and the sockets' buffers."""
@@ -73,10 +73,11 @@
         return False
 
 
-def run_endless(start, part, sink):
+def run_endless(start, part, sink, **changes):
     clock = SystemClock()
     server = EndlessServer(start, part)
-    request = make_request(clock, deadline_s=clock.monotonic_s() + DEADLINE_S)
+    changes["deadline_s"] = clock.monotonic_s() + DEADLINE_S
+    request = make_request(clock, **changes)
     started_s = clock.monotonic_s()
     with pytest.raises(OriolepaddleError) as caught:
         EndpointTransport(clock).run(server.address, request, sink)
@@ -104,6 +105,32 @@
         assert error.outcome is Outcome.UNKNOWN
 
 
+class TestLongHead:
+    """The failure: the fields of many answers took a multiple of their bytes."""
+
+    @pytest.mark.parametrize(
+        "fields", [b"A: b\r\n" * 1000, (b"A: " + b"x" * 9000 + b"\r\n") * 8]
+    )
+    def test_fails_the_attempt(self, fields):
+        head = OK + fields + b"Content-Length: 0\r\n\r\n"
+        _, error = run_endless(head, b"x" * 8192, CollectingSink())
+        assert isinstance(error, AnswerMalformedError)
+        assert error.outcome is Outcome.UNKNOWN
+
+
+class TestEndlessExtension:
+    """The failure: bytes that libcurl discards were read until the deadline."""
+
+    @pytest.mark.parametrize("start", [b"1;", b"1\r\nx\r\n1;"])
+    def test_ends_the_attempt_as_uncertain(self, start):
+        start = OK + b"Transfer-Encoding: chunked\r\n\r\n" + start
+        _, error = run_endless(
+            start, b"x" * 8192, CollectingSink(), stall_timeout_s=DEADLINE_S
+        )
+        assert isinstance(error, AnswerMalformedError)
+        assert error.outcome is Outcome.UNKNOWN
+
+
 class TestEndlessBody:
     @pytest.mark.parametrize("is_stream", [False, True])
     @pytest.mark.parametrize("name", BODIES)
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -11,11 +11,13 @@
     edge,
     edge_alternatives,
     edge_bodies,
+    edge_endless,
     edge_keys,
     edge_promises,
     edge_silence,
     edge_sink,
     endless,
+    endless_calls,
     endpoints,
     extra_bytes,
     handle_pool,
@@ -281,6 +283,16 @@
                 "silent endpoint",
                 edge_silence("TestSilentEndpoint::test_order_is_not_sent_again"),
             ),
+            (
+                "bytes without end, crowd",
+                edge_endless(
+                    "TestAnswerWithoutEnd::test_leaves_the_process_within_its_limits"
+                ),
+            ),
+            (
+                "bytes without end in health checks",
+                endless_calls("TestHealthCheck::test_reads_a_short_answer_only"),
+            ),
             (
                 "bytes without end",
                 endless("TestEndlessHead::test_ends_the_attempt_as_uncertain"),
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -13,12 +13,14 @@
     "edge",
     "edge_alternatives",
     "edge_bodies",
+    "edge_endless",
     "edge_keys",
     "edge_promises",
     "edge_signals",
     "edge_silence",
     "edge_sink",
     "endless",
+    "endless_calls",
     "endpoints",
     "extra_bytes",
     "gossip_signals",
@@ -80,7 +82,9 @@
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
 edge_silence = _TestFile("daemon/tests/test_edge_silence.py")
 edge_sink = _TestFile("edge/tests/test_sink.py")
+edge_endless = _TestFile("daemon/tests/test_edge_endless.py")
 endless = _TestFile("endpoints/tests/test_endless.py")
+endless_calls = _TestFile("endpoints/tests/test_endless_calls.py")
 endpoints = _TestFile("endpoints/tests/test_transport.py")
 extra_bytes = _TestFile("platform/tests/test_extra_bytes.py")
 gossip_signals = _TestFile("gossip/tests/test_signals.py")
