Count an attempt that seems lost against its endpoint at once

Cause: since an attempt that seems lost goes on, its endpoint was blamed only when an alternative took over, and other requests were placed there meanwhile.

Change: the start of an alternative counts as a failure of the first endpoint, as its end did before; the takeover doesn't count again.

--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -475,6 +475,8 @@
         if alternative is not None:
             self._progress.exclude(endpoint.incarnation)
             crash_guard.end_turn()
+            # Others are placed elsewhere, before it is known whether it is lost.
+            run.suspect()
             alternative.start(lambda: self._run_alternative(alternative))
 
     def _acquire_alternative(
--- a/oriolepaddle/placement/run.py
+++ b/oriolepaddle/placement/run.py
@@ -48,6 +48,7 @@
         self._uncached_tokens = choice.uncached_tokens
         self._stall_detector = StallDetector()
         self._has_first_byte = False
+        self._is_suspected = False
         self._last_event_s: float | None = None
         self._events = 0
         self._cost: CostEstimate | None = None
@@ -140,8 +141,16 @@
             stats = self._load.stream_stats.service
             stats.record_answer(self._events, self._job.output_tokens)
 
+    def suspect(self) -> None:
+        """Record that its response seems lost; it counts as a failure already."""
+        if not self._is_suspected:
+            self.fail(is_unreachable=False)
+            self._is_suspected = True
+
     def fail(self, is_unreachable: bool) -> None:
         """Record a failure of the endpoint, which may be unreachable."""
+        if self._is_suspected and not is_unreachable:
+            return
         with self._lock:
             self._load.record_failure(self._clock.monotonic_s(), is_unreachable)
 
