Read a store that came back from an older copy anew, by its era

Cause: revisions are given out again after a restoration, and nothing read the header that tells the eras apart: a watch from a revision that exists again misses what was written below it. An older configuration, and a peer that knew one, also confirmed the known one as current.

Change: the era is part of each reading. A later one has everything read again, an earlier one changes and confirms nothing; the known configuration is confirmed only while the store or a peer holds the same one; entries of a copy put no endpoint into use that leaves or has left.

Result: test_edge_restored_store.py, the withdrawal below the watched revision failed before; all pass, and test_eras.py without a network.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -20,6 +20,9 @@
 """Time after an outage of the store for which endpoints whose entries expired during
 it are retained; live endpoints register again within about two seconds."""
 
+MAX_DEPARTED = 1024
+"""Incarnations that are remembered as gone, of which the oldest are forgotten."""
+
 MAX_STORE_READING_AGE = timedelta(seconds=2.5)
 """Age of the last reading of the store above which snapshots of peers are accepted;
 twice the sum of the longest watch and the pause after it."""
@@ -46,6 +49,12 @@
         self._document: ConfigDocument | None = None
         # The store holds a configuration that this instance doesn't know.
         self._is_document_lost = False
+        self._era: int | None = None
+        # Until the first whole reading of an era that began with an older copy.
+        self._is_restored = False
+        self._reread_at_s = float("inf")
+        self._stored_version = 0
+        self._departed: dict[str, None] = {}
         self._endpoints: dict[str, RegisteredEndpoint] = {}
         self._pending_removals: dict[str, float] = {}
         self._evacuated: dict[str, str] = {}
@@ -65,6 +74,11 @@
         """The version of the current configuration, 0 before the first."""
         return self._document.version if self._document else 0
 
+    @property
+    def era(self) -> int | None:
+        """How often the store has been restored from a copy, None if not known."""
+        return self._era
+
     def age_s(self) -> float:
         """Return the seconds since the configuration was last confirmed as current."""
         return self._clock.monotonic_s() - self._confirmed_at_s
@@ -90,6 +104,8 @@
     @property
     def watch_revision(self) -> int | None:
         """The revision from which to watch, or None if everything is to be read."""
+        if self._clock.monotonic_s() >= self._reread_at_s:
+            return None
         return self._watch_revision
 
     def reset_watch_revision(self) -> None:
@@ -105,7 +121,8 @@
             version: The version that was current at that time.
         """
         with self._lock:
-            if version <= self.version:
+            # A peer that knows an older one may have read it in a restored store.
+            if version == self.version:
                 self._confirmed_at_s = max(self._confirmed_at_s, requested_at_s)
 
     def confirm_endpoints(self, complete_at_s: float) -> None:
@@ -122,22 +139,31 @@
     def apply(self, reading: CatalogReading, requested_at_s: float) -> None:
         """Apply a reading of the store.
 
-        While the store's configuration can't be read, the one known here is not
-        confirmed as current, since the other may withdraw keys.
+        While the store's configuration can't be read, or is older than the one known
+        here, the latter is not confirmed as current, since the store may lack another
+        that withdraws keys. The era of the store decides which readings count: those
+        of an earlier one change and confirm nothing, and a later one is read whole.
 
         Args:
             reading: The result of a call.
             requested_at_s: Monotonic time just before the call.
         """
         with self._lock:
+            if not self._accept_era(reading):
+                return
             is_current = self._is_current(reading, requested_at_s)
             if is_current and reading.is_whole:
                 self._drop_missing(reading.changes)
+            if reading.is_whole:
+                self._stored_version = 0
             for change in reading.changes:
                 if is_current or change.concerns_document:
                     self._apply_change(change)
+            if reading.is_whole:
+                self._end_restoration()
             self._last_read_at_s = max(self._last_read_at_s, requested_at_s)
-            if not self._is_document_lost:
+            is_known = self._stored_version >= self.version
+            if is_known and not self._is_document_lost:
                 self._confirmed_at_s = max(self._confirmed_at_s, requested_at_s)
             if is_current:
                 self._watch_revision = reading.revision
@@ -281,6 +307,40 @@
             texts += sorted(self._evacuated.values())
         return xxhash.xxh3_64_intdigest("|".join(texts).encode()) >> 1
 
+    def _accept_era(self, reading: CatalogReading) -> bool:
+        """Return whether a reading counts, and begin its era if it is a later one."""
+        era, known = reading.era, self._era
+        # An older platform counts no eras.
+        if era is None or era == known:
+            return True
+        if known is not None and era < known:
+            log_event("store_reading_outdated", era=era, known=known)
+            return False
+        self._era = era
+        if known is None and (reading.is_whole or self._watch_revision is None):
+            return True
+        log_event(
+            "store_era_changed",
+            era=era,
+            before=known,
+            revision=reading.revision,
+            watched=self._watch_revision,
+            version=self.version,
+            knowledge_age_s=round(self._clock.monotonic_s() - self._confirmed_at_s, 3),
+        )
+        self.record_store_recovery()
+        self._is_restored = True
+        self._stored_version = 0
+        self._watch_revision = None
+        return reading.is_whole
+
+    def _end_restoration(self) -> None:
+        """Record that a copy has been read; what was kept is read again later."""
+        self._reread_at_s = float("inf")
+        if self._is_restored:
+            self._is_restored = False
+            self._reread_at_s = self._removal_grace_until_s
+
     def _is_current(self, reading: CatalogReading, requested_at_s: float) -> bool:
         # A snapshot of another instance may have been applied during the call.
         if reading.is_whole:
@@ -292,6 +352,7 @@
             self._remove(change.key)
         elif change.document is not None:
             self._is_document_lost = False
+            self._stored_version = change.document.version
             self._adopt(change.document)
         elif change.is_document_lost:
             self._is_document_lost = True
@@ -319,11 +380,25 @@
         known = self._endpoints.get(endpoint.id)
         if known is not None and endpoint.started_at_ms < known.started_at_ms:
             return
+        if self._is_restored and self._is_outdated(known, endpoint):
+            return
+        self._departed.pop(endpoint.incarnation, None)
         self._pending_removals.pop(endpoint.id, None)
         self._endpoints[endpoint.id] = endpoint
         if known is None or _has_changed(known, endpoint):
             _log_registered(endpoint)
 
+    def _is_outdated(
+        self, known: RegisteredEndpoint | None, endpoint: RegisteredEndpoint
+    ) -> bool:
+        """Return whether the entry of a copy is older than what is known.
+
+        An endpoint that lives writes its entry again.
+        """
+        if known is None or known.incarnation != endpoint.incarnation:
+            return endpoint.incarnation in self._departed
+        return known.state is not EndpointState.READY
+
     def _remove(self, key: str) -> None:
         evacuated = self._evacuated.get(key)
         if evacuated is not None:
@@ -344,13 +419,19 @@
 
     def _drop(self, endpoint_id: str) -> None:
         self._pending_removals.pop(endpoint_id, None)
-        if self._endpoints.pop(endpoint_id, None) is not None:
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._departed[endpoint.incarnation] = None
+            if len(self._departed) > MAX_DEPARTED:
+                del self._departed[next(iter(self._departed))]
             log_event("endpoint_gone", endpoint=endpoint_id)
 
     def _drop_missing(self, changes: Iterable[CatalogChange]) -> None:
         present = {change.key for change in changes}
-        for key in [key for key in self._evacuated if key not in present]:
-            self._remove(key)
+        if not self._is_restored:
+            # The operator writes an evacuation again that a copy lacks.
+            for key in [key for key in self._evacuated if key not in present]:
+                self._remove(key)
         ids = {change.endpoint.id for change in changes if change.endpoint}
         for endpoint_id in [name for name in self._endpoints if name not in ids]:
             self._remove(endpoint_id)
--- a/oriolepaddle/catalog/source.py
+++ b/oriolepaddle/catalog/source.py
@@ -50,11 +50,14 @@
         changes: The changes, in the order of the store.
         revision: The revision from which to watch next.
         is_whole: Whether the changes are the complete content of the store.
+        era: How often the store has been restored from a copy, or None if it doesn't
+            say. Revisions are given out again in each era.
     """
 
     changes: tuple[CatalogChange, ...]
     revision: int
     is_whole: bool = False
+    era: int | None = None
 
 
 class CatalogSource(Protocol):
--- a/oriolepaddle/daemon/edge_gauges.py
+++ b/oriolepaddle/daemon/edge_gauges.py
@@ -15,6 +15,7 @@
     "endpoints_age_seconds": (
         "Time since the known endpoints were surely all there were."
     ),
+    "store_era": "How often the store was restored; -1 if it doesn't say.",
     "store_calls": "Calls to the store so far.",
     "peers_reachable": "Instances that were heard of late.",
     "requests_in_flight": "Requests being served.",
--- a/oriolepaddle/daemon/edge_inspection.py
+++ b/oriolepaddle/daemon/edge_inspection.py
@@ -62,6 +62,7 @@
             "is_draining": self._is_draining(),
             "is_hub": self._roster.is_hub(),
             "highest_ticket": self._catalog.version,
+            "store_era": self._catalog.era,
             "knowledge_age_s": _round(self._catalog.age_s()),
             "endpoints_age_s": _round(self._catalog.endpoints_age_s()),
             "peers_reachable": len(self._roster.alive()),
--- a/oriolepaddle/daemon/edge_instance.py
+++ b/oriolepaddle/daemon/edge_instance.py
@@ -268,6 +268,7 @@
             "config_ticket": lambda: self.catalog.version,
             "config_age_seconds": self.catalog.age_s,
             "endpoints_age_seconds": self.catalog.endpoints_age_s,
+            "store_era": lambda: -1 if self.catalog.era is None else self.catalog.era,
             "store_calls": lambda: self._follower.call_count,
             "peers_reachable": lambda: len(self.roster.alive()),
             "requests_in_flight": lambda: self.context.activity.count,
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -6,6 +6,7 @@
     authenticator,
     broken_heads,
     budget,
+    catalog_eras,
     descriptor_watch,
     early_answers,
     edge,
@@ -14,6 +15,7 @@
     edge_endless,
     edge_keys,
     edge_promises,
+    edge_restored_store,
     edge_silence,
     edge_sink,
     endless,
@@ -253,6 +255,33 @@
         ),
         unproved="a refusal without an id on a connection in use again (issue 49)",
     ),
+    Claim(
+        "A store that comes back from an older copy keeps no withdrawn key in use.",
+        (
+            (
+                "withdrawal below the watched revision",
+                edge_restored_store(
+                    "TestRestoredStore::"
+                    "test_withdrawal_below_the_watched_revision_is_read"
+                ),
+            ),
+            (
+                "copy with the withdrawn key",
+                edge_restored_store(
+                    "TestRestoredStore::"
+                    "test_older_copy_doesnt_bring_a_withdrawn_key_back"
+                ),
+            ),
+            (
+                "readings of several eras in any order",
+                catalog_eras(
+                    "TestReadingsInAnyOrder::"
+                    "test_end_as_the_newest_version_of_the_newest_era"
+                ),
+            ),
+        ),
+        unproved="snapshots among peers during the drill (issue 50)",
+    ),
     Claim(
         "Stalled streams and silent endpoints end, and nothing runs twice for it.",
         (
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -9,6 +9,7 @@
     "daemon",
     "descriptor_watch",
     "answer_statuses",
+    "catalog_eras",
     "early_answers",
     "edge",
     "edge_alternatives",
@@ -16,6 +17,7 @@
     "edge_endless",
     "edge_keys",
     "edge_promises",
+    "edge_restored_store",
     "edge_signals",
     "edge_silence",
     "edge_sink",
@@ -73,12 +75,14 @@
 daemon = _TestFile("daemon/tests/test_faults.py")
 descriptor_watch = _TestFile("daemon/tests/test_descriptors.py")
 answer_statuses = _TestFile("endpoints/tests/test_statuses.py")
+catalog_eras = _TestFile("catalog/tests/test_eras.py")
 early_answers = _TestFile("endpoints/tests/test_early_answers.py")
 edge = _TestFile("daemon/tests/test_edge.py")
 edge_alternatives = _TestFile("daemon/tests/test_edge_alternatives.py")
 edge_bodies = _TestFile("daemon/tests/test_edge_bodies.py")
 edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
 edge_promises = _TestFile("daemon/tests/test_edge_promises.py")
+edge_restored_store = _TestFile("daemon/tests/test_edge_restored_store.py")
 edge_signals = _TestFile("daemon/tests/test_edge_signals.py")
 edge_silence = _TestFile("daemon/tests/test_edge_silence.py")
 edge_sink = _TestFile("edge/tests/test_sink.py")
--- a/oriolepaddle/platform/standins/store.py
+++ b/oriolepaddle/platform/standins/store.py
@@ -5,12 +5,13 @@
 import threading
 from typing import Any
 
+import attrs
 from werkzeug.wrappers import Request
 
 from oriolepaddle.clock import SystemClock
 from oriolepaddle.web import AnswerWriter, HttpServer
 
-__all__ = ["StoreMode", "StoreStandin"]
+__all__ = ["StoreCopy", "StoreMode", "StoreStandin"]
 
 MAX_ITEMS = 500
 SILENCE_S = 5.0
@@ -33,6 +34,21 @@
     SILENT = "silent"
 
 
+@attrs.frozen
+class StoreCopy:
+    """The content of a store at one time.
+
+    Attributes:
+        items: The items by key.
+        changes: The history.
+        revision: The last revision.
+    """
+
+    items: dict[str, dict[str, Any]]
+    changes: tuple[dict[str, Any], ...]
+    revision: int
+
+
 class StoreStandin:
     """Serves ranges and watches over HTTP; tests write to it directly.
 
@@ -40,12 +56,14 @@
         mode: How the store responds to calls.
         call_count: The number of calls, including refused ones.
         max_items: The maximum number of items on one page.
+        era: How often it was restored, as text of its header field; None for none.
     """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
         self.mode = StoreMode.SERVING
         self.call_count = 0
         self.max_items = MAX_ITEMS
+        self.era: str | None = "1"
         self._change_condition = threading.Condition()
         self._items: dict[str, dict[str, Any]] = {}
         self._changes: list[dict[str, Any]] = []
@@ -93,6 +111,20 @@
             )
             self._change_condition.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the items, to restore later."""
+        with self._change_condition:
+            return StoreCopy(dict(self._items), tuple(self._changes), self._revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the items by those of a copy; its era rises by one."""
+        with self._change_condition:
+            self._items = dict(copy.items)
+            self._changes = list(copy.changes)
+            self._revision = copy.revision
+            self.era = str(int(self.era or 0) + 1)
+            self._change_condition.notify_all()
+
     def forget_history(self) -> None:
         """Drop all changes, so that watches from earlier revisions get a 410."""
         with self._change_condition:
@@ -108,7 +140,7 @@
         if self.mode in (StoreMode.RESET, StoreMode.SILENT):
             raise ConnectionResetError("the store closes the connection")
         if self.mode is StoreMode.BUSY:
-            writer.answer_json(503, {})
+            writer.answer_json(503, {}, self._describe_era())
         elif request.path == "/kv-range":
             self._answer_range(request, writer)
         else:
@@ -127,7 +159,8 @@
                 "truncated": len(keys) > len(page),
                 "currentRev": self._revision,
             }
-        writer.answer_json(200, reply)
+            fields = self._describe_era()
+        writer.answer_json(200, reply, fields)
 
     def _answer_watch(self, request: Request, writer: AnswerWriter) -> None:
         prefix = request.args.get("pathPrefix", "")
@@ -142,19 +175,24 @@
                 and change["key"].startswith(prefix)
             ]
 
+        def has_revision() -> bool:
+            oldest = self._oldest_watchable_revision
+            return oldest <= after_revision <= self._revision
+
         with self._change_condition:
-            if after_revision >= self._oldest_watchable_revision:
-                self._change_condition.wait_for(
-                    lambda: (
-                        find_changes()
-                        or after_revision < self._oldest_watchable_revision
-                    ),
-                    timeout=wait_s,
-                )
-            is_history_gone = after_revision < self._oldest_watchable_revision
+            self._change_condition.wait_for(
+                lambda: find_changes() or not has_revision(), timeout=wait_s
+            )
+            is_history_gone = not has_revision()
             reply = {"events": find_changes(), "currentRev": self._revision}
+            fields = self._describe_era()
         if self.mode is not StoreMode.SERVING:
             raise ConnectionResetError("the store closes the connection")
         writer.answer_json(
-            410 if is_history_gone else 200, {} if is_history_gone else reply
+            410 if is_history_gone else 200,
+            {} if is_history_gone else reply,
+            fields,
         )
+
+    def _describe_era(self) -> list[tuple[str, str]]:
+        return [] if self.era is None else [("Store-Era", self.era)]
--- a/oriolepaddle/platform/store.py
+++ b/oriolepaddle/platform/store.py
@@ -31,6 +31,8 @@
 MAX_UNREADABLE = 256
 """Entries that are logged as unreadable."""
 MAX_LOGGED_CHARACTERS = 300
+ERA_FIELD = "store-era"
+MAX_ERA_DIGITS = 18
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
 _LOST_DOCUMENT = CatalogChange(CONFIGURATION_KEY, is_document_lost=True)
@@ -48,24 +50,34 @@
         self._client = PlatformClient(address, READ_TIMEOUT)
         self._clock = clock
         self._unreadable_keys: set[str] = set()
+        self._has_logged_era = False
 
     def read(self) -> CatalogReading:
         """Return all items; see `CatalogSource.read`."""
         changes: list[CatalogChange] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = {"pathPrefix": ALL_KEYS_PREFIX}
             if after:
                 query["after"] = after
-            page = self._get("/kv-range", query)
+            page, page_era = self._get("/kv-range", query)
+            if revision is None:
+                era = page_era
+            elif page_era != era:
+                raise PlatformUnavailableError(
+                    "the store was restored between two pages"
+                )
             items = page.get("items") or []
             changes += self._decode(items)
             # Pages are read one after the other. The watch starts at the first
             # page's revision, so that it returns changes made meanwhile.
             revision = page["currentRev"] if revision is None else revision
             if not page.get("truncated") or not items:
-                return CatalogReading(tuple(changes), int(revision), is_whole=True)
+                return CatalogReading(
+                    tuple(changes), int(revision), is_whole=True, era=era
+                )
             after = items[-1]["key"]
 
     def watch(self, revision: int, timeout: timedelta) -> CatalogReading:
@@ -75,22 +87,34 @@
             "after": revision,
             "waitMs": int(timeout.total_seconds() * 1000),
         }
-        document = self._get("/kv-watch", query, timeout)
+        document, era = self._get("/kv-watch", query, timeout)
         changes = tuple(self._decode(document.get("events") or []))
-        return CatalogReading(changes, int(document["currentRev"]))
+        return CatalogReading(changes, int(document["currentRev"]), era=era)
 
     def _get(
         self, path: str, query: dict[str, Any], wait: timedelta = timedelta(0)
-    ) -> dict[str, Any]:
-        status, body = self._client.fetch(path, query, wait)
+    ) -> tuple[dict[str, Any], int | None]:
+        response = self._client.call(path, query, wait)
+        status = response.status
         if status == HISTORY_GONE_STATUS:
             raise HistoryGoneError(f"{path}: the store no longer has the changes")
         if status != OK_STATUS:
             raise PlatformUnavailableError(f"{path} responded with status {status}")
-        document = parse_json(path, body)
+        document = parse_json(path, response.body)
         if not isinstance(document, dict) or "currentRev" not in document:
             raise PlatformUnavailableError(f"{path} responded without a revision")
-        return document
+        return document, self._read_era(response.headers)
+
+    def _read_era(self, headers: dict[str, str]) -> int | None:
+        text = headers.get(ERA_FIELD)
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            if not self._has_logged_era:
+                self._has_logged_era = True
+                log_event("store_era_unreadable", era=text[:MAX_LOGGED_CHARACTERS])
+            return None
+        return int(text)
 
     def _decode(self, items: list[dict[str, Any]]) -> Iterator[CatalogChange]:
         for item in items:
--- a/oriolepaddle/platform/tests/test_store.py
+++ b/oriolepaddle/platform/tests/test_store.py
@@ -108,3 +108,47 @@
         standin.forget_history()
         with pytest.raises(HistoryGoneError):
             store.watch(revision, NOW)
+
+
+class TestEra:
+    """The failure: nothing read how often the store had been restored."""
+
+    def test_is_part_of_each_reading(self, standin, store):
+        standin.put("op/config", DOCUMENT)
+        reading = store.read()
+        assert reading.era == 1
+        assert store.watch(reading.revision, NOW).era == 1
+        standin.restore(standin.copy())
+        assert store.read().era == 2
+
+    @pytest.mark.parametrize("text", [None, "", "x", "-1", "1.5", "9" * 30])
+    def test_that_is_no_number_counts_as_absent(self, standin, store, text):
+        standin.put("op/config", DOCUMENT)
+        standin.era = text
+        assert store.read().era is None
+
+    def test_that_changes_between_two_pages_makes_them_worthless(
+        self, standin, store, entry
+    ):
+        standin.max_items = 1
+        for number in range(3):
+            standin.put(f"servers/i-{number}", entry)
+        answer = standin.handle
+
+        def restore_once(request, writer):
+            answer(request, writer)
+            if standin.era == "1":
+                standin.restore(standin.copy())
+
+        standin.handle = restore_once
+        with pytest.raises(PlatformUnavailableError):
+            store.read()
+        assert store.read().era == 2
+
+    def test_watch_from_a_revision_that_is_gone_reads_everything(self, standin, store):
+        copy = standin.copy()
+        standin.put("op/config", DOCUMENT)
+        revision = store.read().revision
+        standin.restore(copy)
+        with pytest.raises(HistoryGoneError):
+            store.watch(revision, NOW)
--- a/oriolepaddle/publication/client.py
+++ b/oriolepaddle/publication/client.py
@@ -6,18 +6,35 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import attrs
 import pycurl
 
 from oriolepaddle.buffers import ShortBody
 from oriolepaddle.errors import PlatformUnavailableError
 
-__all__ = ["PlatformClient", "parse_json"]
+__all__ = ["PlatformClient", "PlatformResponse", "parse_json"]
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
 READ_TIMEOUT = timedelta(seconds=10)
+MAX_HEAD_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_000_000
 
 
+@attrs.frozen
+class PlatformResponse:
+    """A complete response.
+
+    Attributes:
+        status: The HTTP status.
+        body: The body.
+        headers: Header fields by lower-case name.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
 class PlatformClient:
     """An HTTP client of one service, with a connection for each concurrent call.
 
@@ -60,14 +77,26 @@
             query: The fields of the query.
             wait: How long the service may wait before it responds.
 
+        Raises:
+            PlatformUnavailableError: There was no complete response.
+        """
+        response = self.call(path, query, wait)
+        return response.status, response.body
+
+    def call(
+        self, path: str, query: dict[str, Any], wait: timedelta = timedelta(0)
+    ) -> PlatformResponse:
+        """Return the response to a GET request; see `fetch`.
+
         Raises:
             PlatformUnavailableError: There was no complete response.
         """
         url = f"http://{self._address}{path}?{urlencode(query)}"
         return self._perform(url, wait + self._read_timeout)
 
-    def _perform(self, url: str, timeout: timedelta) -> tuple[int, bytes]:
+    def _perform(self, url: str, timeout: timedelta) -> PlatformResponse:
         body = ShortBody(MAX_RESPONSE_BYTES)
+        head = ShortBody(MAX_HEAD_BYTES)
         curl = self._acquire_handle()
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.PROXY, "")
@@ -77,6 +106,7 @@
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
         curl.setopt(pycurl.TIMEOUT_MS, _to_ms(timeout))
         curl.setopt(pycurl.WRITEFUNCTION, body.write)
+        curl.setopt(pycurl.HEADERFUNCTION, head.write)
         try:
             curl.perform()
         except pycurl.error as error:
@@ -87,7 +117,7 @@
         status = curl.getinfo(pycurl.RESPONSE_CODE)
         with self._lock:
             self._idle_handles.append(curl)
-        return status, body.data
+        return PlatformResponse(status, body.data, _parse_fields(head.data))
 
     def _acquire_handle(self) -> pycurl.Curl:
         # A pending watch occupies its connection, so concurrent calls can't share one.
@@ -109,5 +139,18 @@
         raise PlatformUnavailableError(f"the response to {path} is not JSON") from error
 
 
+def _parse_fields(head: bytes) -> dict[str, str]:
+    """Return the fields of the last head, after those of interim answers."""
+    fields: dict[str, str] = {}
+    for line in head.decode("latin-1").splitlines():
+        if line.startswith("HTTP/"):
+            fields = {}
+            continue
+        name, separator, value = line.partition(":")
+        if separator:
+            fields[name.strip().lower()] = value.strip()
+    return fields
+
+
 def _to_ms(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
