Wait for the alternative of an alternative, and take over with successes only

Cause: an attempt that had taken over could be replaced in turn on routes with three attempts, and the request's thread didn't wait for the third: its stream was cut. An alternative with a 4xx of its own also took over from an attempt that may be sound.

Change: each attempt waits for its alternative; an alternative takes over with a success; the restoration ends with a reading that counts.

Result: TestThirdEndpoint failed before, all tests of alternatives pass.

--- a/oriolepaddle/catalog/catalog.py
+++ b/oriolepaddle/catalog/catalog.py
@@ -159,7 +159,7 @@
             for change in reading.changes:
                 if is_current or change.concerns_document:
                     self._apply_change(change)
-            if reading.is_whole:
+            if reading.is_whole and is_current:
                 self._end_restoration()
             self._last_read_at_s = max(self._last_read_at_s, requested_at_s)
             is_known = self._stored_version >= self.version
--- a/oriolepaddle/daemon/tests/test_edge_alternatives.py
+++ b/oriolepaddle/daemon/tests/test_edge_alternatives.py
@@ -1,6 +1,12 @@
 import pytest
 
-from oriolepaddle.daemon.tests.edge_fleet import DESK, ENGINES, EdgeFleet, await_true
+from oriolepaddle.daemon.tests.edge_fleet import (
+    DESK,
+    ENGINES,
+    EdgeFleet,
+    await_true,
+    make_document,
+)
 from oriolepaddle.daemon.tests.slow_clock import SlowClock
 from oriolepaddle.platform.standins import RunnerBehaviour
 
@@ -85,11 +91,41 @@
         assert pair.read() == b"".join(EVENTS)
 
 
+class TestThirdEndpoint:
+    """The failure: a third attempt began beside the second one's alternative."""
+
+    def test_continues_a_stream_that_rests_twice(self, fleet):
+        fleet.add_runner("e3", ENGINES)
+        document = make_document(2)
+        for route in document["routes"]:
+            route |= {"maxAttempts": 3, "timeoutMs": 20_000}
+        fleet.publish(document)
+        await_true(lambda: fleet.instances["n1"].catalog.version == 2)
+        await_true(lambda: len(fleet.instances["n1"].catalog.endpoints()) == 5)
+        engines = [fleet.runners[name] for name in ("e1", "e2", "e3")]
+        for engine in engines:
+            engine.behaviours.append(RunnerBehaviour.HELD)
+            engine.events = 8
+            engine.pause_s = 0.2
+        response = fleet.send("n1", "/chat/1", **CHAT)
+        await_true(lambda: sum(len(item.received) for item in engines) == 2)
+        (third,) = [engine for engine in engines if not engine.received]
+        third.behaviours.clear()
+        assert response.read().count(b"data: ") == 8
+        assert len(third.received) == 1
+        await_true(lambda: sum(item.abandoned_count for item in engines) == 2)
+
+
 class TestOverdueResponse:
     """The failure: a sound run without a first byte was given up for nothing."""
 
+    @pytest.mark.parametrize("status", [500, 503, 429, 404])
     @pytest.mark.parametrize("other", [RunnerBehaviour.SHED, RunnerBehaviour.ERROR])
-    def test_is_delivered_if_the_other_endpoint_does_not_serve_it(self, fleet, other):
+    def test_is_delivered_if_the_other_endpoint_does_not_serve_it(
+        self, fleet, other, status
+    ):
+        for name in ("d1", "d2"):
+            fleet.runners[name].error_status = status
         pair = Pair(fleet, ("d1", "d2"), "/read/1", other)
         pair.await_alternative()
         pair.first.resumed.set()
--- a/oriolepaddle/edge/exchange.py
+++ b/oriolepaddle/edge/exchange.py
@@ -157,7 +157,8 @@
         progress = self._progress
         while True:
             try:
-                self._attempt_with_alternative()
+                attempt = Attempt(self._context.clock)
+                self._attempt_with_alternative(attempt, self._crash_guard)
                 break
             except OriolepaddleError as error:
                 if error.outcome is not Outcome.NOT_RUN:
@@ -172,11 +173,12 @@
                 break
         self._record_answer()
 
-    def _attempt_with_alternative(self) -> None:
-        """Run one attempt, or wait for the alternative that replaces it."""
-        attempt = Attempt(self._context.clock)
+    def _attempt_with_alternative(
+        self, attempt: Attempt, crash_guard: CrashGuard
+    ) -> None:
+        """Run one attempt, and wait for the alternative that replaces it."""
         try:
-            self._attempt_once(attempt, self._crash_guard)
+            self._attempt_once(attempt, crash_guard)
         except OriolepaddleError:
             if not attempt.await_alternative():
                 raise
@@ -499,7 +501,7 @@
         outcome = AlternativeOutcome.FAILED
         reason = ""
         try:
-            self._attempt_once(alternative, self._make_crash_guard())
+            self._attempt_with_alternative(alternative, self._make_crash_guard())
         except AttemptSupersededError as error:
             outcome, reason = AlternativeOutcome.SUPERSEDED, error.message
             raise
--- a/oriolepaddle/edge/sink.py
+++ b/oriolepaddle/edge/sink.py
@@ -128,14 +128,14 @@
             raise AnswerTruncatedError(
                 f"the stream can't be resumed: the response has status {status}"
             )
-        if not answer.is_server_error:
-            self._attempt.claim()
-            self._attempt.release()
-        elif self._attempt.is_pending:
+        if self._attempt.is_pending and not answer.is_success:
             # The first endpoint may still serve the request.
             raise EndpointFailedError(
                 f"the alternative endpoint responded with status {status}"
             )
+        if not answer.is_server_error:
+            self._attempt.claim()
+            self._attempt.release()
 
     def on_data(self, data: bytes) -> None:
         """Relay or buffer a part of the body; see `AnswerSink.on_data`."""
