--- a/oriolepaddle/daemon/tests/test_edge_alternatives.py
+++ b/oriolepaddle/daemon/tests/test_edge_alternatives.py
@@ -1,3 +1,5 @@
+import threading
+
 import pytest
 
 from oriolepaddle.daemon.tests.edge_fleet import (
@@ -31,11 +33,11 @@
 class Pair:
     """Two endpoints of a service, the first of which holds a response back."""
 
-    def __init__(self, fleet, names, path, other, **options):
+    def __init__(self, fleet, names, path, other, instance="n1", **options):
         runners = [fleet.runners[name] for name in names]
         for runner in runners:
             runner.behaviours.append(RunnerBehaviour.HELD)
-        self._connection = fleet.begin("n1", path, **options)
+        self._connection = fleet.begin(instance, path, **options)
         await_true(lambda: any(runner.received for runner in runners))
         self.first = next(runner for runner in runners if runner.received)
         self.other = next(runner for runner in runners if not runner.received)
@@ -91,6 +93,27 @@
         assert pair.read() == b"".join(EVENTS)
 
 
+class TestRestingStreamElsewhere:
+    """The failure: a stream was cut while its instance drained, or at another one."""
+
+    def test_goes_on_while_its_instance_drains(self, fleet):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SHED, **CHAT)
+        threading.Thread(target=fleet.instances["n1"].stop, daemon=True).start()
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+        assert pair.first.abandoned_count == 0
+
+    def test_goes_on_if_it_was_forwarded(self, fleet):
+        fleet.add_instance("s1", "sudur-a")
+        fleet.await_ready()
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SHED, "s1", **CHAT)
+        pair.await_alternative()
+        pair.first.resumed.set()
+        assert pair.read() == b"".join(EVENTS)
+        assert pair.first.abandoned_count == 0
+
+
 class TestThirdEndpoint:
     """The failure: a third attempt began beside the second one's alternative."""
 
@@ -119,11 +142,9 @@
 class TestOverdueResponse:
     """The failure: a sound run without a first byte was given up for nothing."""
 
-    @pytest.mark.parametrize("status", [500, 503, 429, 404])
-    @pytest.mark.parametrize("other", [RunnerBehaviour.SHED, RunnerBehaviour.ERROR])
-    def test_is_delivered_if_the_other_endpoint_does_not_serve_it(
-        self, fleet, other, status
-    ):
+    @pytest.mark.parametrize("status", [None, 500, 503, 429, 404])
+    def test_is_delivered_if_the_other_endpoint_does_not_serve_it(self, fleet, status):
+        other = RunnerBehaviour.ERROR if status else RunnerBehaviour.SHED
         for name in ("d1", "d2"):
             fleet.runners[name].error_status = status
         pair = Pair(fleet, ("d1", "d2"), "/read/1", other)
