--- a/oriolepaddle/daemon/tests/test_edge_alternatives.py
+++ b/oriolepaddle/daemon/tests/test_edge_alternatives.py
@@ -57,22 +57,11 @@
 class TestRestingStream:
     """The failure: a sound stream was cut as soon as it seemed lost."""
 
-    def test_goes_on_if_the_other_endpoint_refuses(self, fleet):
-        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SHED, **CHAT)
-        pair.await_alternative()
-        pair.first.resumed.set()
-        assert pair.read() == b"".join(EVENTS)
-        assert pair.first.abandoned_count == 0
-
-    def test_goes_on_if_the_other_endpoint_does_not_answer(self, fleet):
-        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.SILENT, **CHAT)
-        pair.await_alternative()
-        pair.first.resumed.set()
-        assert pair.read() == b"".join(EVENTS)
-        assert pair.first.abandoned_count == 0
-
-    def test_goes_on_if_the_other_endpoint_fails(self, fleet):
-        pair = Pair(fleet, ("e1", "e2"), "/chat/1", RunnerBehaviour.ERROR, **CHAT)
+    @pytest.mark.parametrize(
+        "other", [RunnerBehaviour.SHED, RunnerBehaviour.SILENT, RunnerBehaviour.ERROR]
+    )
+    def test_goes_on_if_the_other_endpoint_does_not_take_it(self, fleet, other):
+        pair = Pair(fleet, ("e1", "e2"), "/chat/1", other, **CHAT)
         pair.await_alternative()
         pair.first.resumed.set()
         assert pair.read() == b"".join(EVENTS)
--- a/oriolepaddle/daemon/tests/test_edge_endless.py
+++ b/oriolepaddle/daemon/tests/test_edge_endless.py
@@ -1,6 +1,5 @@
 """Endpoints that send bytes without end to an edge instance that is a process."""
 
-import contextlib
 import itertools
 import socket
 import threading
@@ -16,6 +15,7 @@
     check_bounds,
     succeeds_in_attempts,
 )
+from oriolepaddle.endpoints.tests.raw_endpoint import ConnectionServer
 from oriolepaddle.platform.standins import RunnerStandin
 
 __all__ = ["alone"]
@@ -59,44 +59,30 @@
 SLOW_PAUSE_S = 0.1
 
 
-class EndlessEndpoint:
+class EndlessEndpoint(ConnectionServer):
     """Answers each request with a start and a part that it repeats until the close."""
 
     def __init__(self, start, part, pause_s):
         self._start = start
         self._part = part
         self._pause_s = pause_s
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.connections = 0
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._run, daemon=True).start()
+        super().__init__(self._respond)
 
-    def close(self):
-        self._listener.close()
-
-    def _run(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=[connection], daemon=True
-                ).start()
-
-    def _serve(self, connection):
+    def _respond(self, connection):
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, PEER_SEND_BUFFER_BYTES
         )
-        with connection, contextlib.suppress(OSError):
-            head = connection.recv(65_536)
-            self.connections += 1
-            name = b"x-oriolepaddle-request-id: "
-            request_id = head.lower().partition(name)[2].partition(b"\r\n")[0]
-            start = self._start
-            connection.sendall(start % request_id if b"%b" in start else start)
-            for part in itertools.repeat(self._part):
-                connection.sendall(part)
-                if self._pause_s:
-                    threading.Event().wait(self._pause_s)
+        head = connection.recv(65_536)
+        self.connections += 1
+        name = b"x-oriolepaddle-request-id: "
+        request_id = head.lower().partition(name)[2].partition(b"\r\n")[0]
+        start = self._start
+        connection.sendall(start % request_id if b"%b" in start else start)
+        for part in itertools.repeat(self._part):
+            connection.sendall(part)
+            if self._pause_s:
+                threading.Event().wait(self._pause_s)
 
 
 class EndlessFleet(SlowClientFleet):
--- a/oriolepaddle/endpoints/tests/raw_endpoint.py
+++ b/oriolepaddle/endpoints/tests/raw_endpoint.py
@@ -6,6 +6,10 @@
 import struct
 import threading
 
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
+
 READ_BYTES = 4096
 PAUSE_S = 0.3
 
@@ -19,47 +23,63 @@
     READ_ALL = "read the request whole, then end"
 
 
-class RawEndpoint:
-    """Answers each connection with the same bytes, after the first of a request.
+class ConnectionServer:
+    """Serves each connection on a thread of its own.
 
     Args:
-        answer: Returns the bytes for the request's first bytes.
-        ending: How each connection ends.
+        serve: Called with each connection; may raise an `OSError`.
+
+    Attributes:
+        address: `host:port`.
     """
 
-    def __init__(self, answer, ending):
-        self._answer = answer
-        self._ending = ending
-        self.connections = 0
-        self._listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, serve):
+        self._serve = serve
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._run, daemon=True).start()
+        threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
         self._listener.close()
 
-    def _run(self):
+    def _accept(self):
         with contextlib.suppress(OSError):
             while True:
                 connection, _ = self._listener.accept()
-                self.connections += 1
                 threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
+                    target=self._run, args=(connection,), daemon=True
                 ).start()
 
-    def _serve(self, connection):
+    def _run(self, connection):
         with connection, contextlib.suppress(OSError):
-            head = connection.recv(READ_BYTES)
-            if self._ending is Ending.READ_ALL:
-                self._read_all(connection, head)
-            connection.sendall(self._answer(head))
-            if self._ending is Ending.END_THEN_RESET:
-                connection.shutdown(socket.SHUT_WR)
-            if self._ending in (Ending.END_THEN_RESET, Ending.LATE_RESET):
-                threading.Event().wait(PAUSE_S)
-            if self._ending is not Ending.READ_ALL:
-                linger = struct.pack("@ii", 1, 0)
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self._serve(connection)
+
+
+class RawEndpoint(ConnectionServer):
+    """Answers each connection with the same bytes, after the first of a request.
+
+    Args:
+        answer: The bytes.
+        ending: How each connection ends.
+    """
+
+    def __init__(self, answer, ending):
+        self._answer = answer
+        self._ending = ending
+        super().__init__(self._respond)
+
+    def _respond(self, connection):
+        head = connection.recv(READ_BYTES)
+        if self._ending is Ending.READ_ALL:
+            self._read_all(connection, head)
+        connection.sendall(self._answer)
+        if self._ending is Ending.END_THEN_RESET:
+            connection.shutdown(socket.SHUT_WR)
+        if self._ending in (Ending.END_THEN_RESET, Ending.LATE_RESET):
+            threading.Event().wait(PAUSE_S)
+        if self._ending is not Ending.READ_ALL:
+            linger = struct.pack("@ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def _read_all(self, connection, data):
         head, _, body = data.partition(b"\r\n\r\n")
@@ -67,4 +87,20 @@
         missing = int(fields[1].split(b"\r\n")[0]) if len(fields) > 1 else 0
         missing -= len(body)
         while missing > 0:
-            missing -= len(connection.recv(READ_BYTES)) or missing
+            received = connection.recv(READ_BYTES)
+            if not received:
+                return
+            missing -= len(received)
+
+
+def run_attempt(answer, ending, **changes):
+    """Run one attempt at an endpoint that answers with the bytes; return its sink."""
+    endpoint = RawEndpoint(answer, ending)
+    clock, sink = SystemClock(), CollectingSink()
+    transport = EndpointTransport(clock)
+    try:
+        transport.run(endpoint.address, make_request(clock, **changes), sink)
+    finally:
+        transport.close()
+        endpoint.close()
+    return sink
--- a/oriolepaddle/endpoints/tests/test_early_answers.py
+++ b/oriolepaddle/endpoints/tests/test_early_answers.py
@@ -1,9 +1,6 @@
 import pytest
 
-from oriolepaddle.clock import SystemClock
-from oriolepaddle.endpoints import EndpointTransport
-from oriolepaddle.endpoints.tests.raw_endpoint import Ending, RawEndpoint
-from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
+from oriolepaddle.endpoints.tests.raw_endpoint import Ending, run_attempt
 from oriolepaddle.errors import AnswerTruncatedError, OriolepaddleError, Outcome
 
 UPLOAD = b"x" * 3_000_000
@@ -22,17 +19,8 @@
 BREAKS = [ending for ending in Ending if ending is not Ending.READ_ALL]
 
 
-def run(answer, ending, body=UPLOAD, **changes):
-    endpoint = RawEndpoint(lambda head: answer, ending)
-    clock, sink = SystemClock(), CollectingSink()
-    transport = EndpointTransport(clock)
-    request = make_request(clock, body=body, is_idempotent=False, **changes)
-    try:
-        transport.run(endpoint.address, request, sink)
-    finally:
-        transport.close()
-        endpoint.close()
-    return sink
+def run(answer, ending, body=UPLOAD):
+    return run_attempt(answer, ending, body=body, is_idempotent=False)
 
 
 class TestUnframedAnswer:
--- a/oriolepaddle/endpoints/tests/test_statuses.py
+++ b/oriolepaddle/endpoints/tests/test_statuses.py
@@ -1,11 +1,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from oriolepaddle.clock import SystemClock
-from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.endpoints.exchange import _parse_status
-from oriolepaddle.endpoints.tests.raw_endpoint import Ending, RawEndpoint
-from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
+from oriolepaddle.endpoints.tests.raw_endpoint import Ending, run_attempt
 from oriolepaddle.errors import OriolepaddleError, Outcome
 
 INVALID = ["000", "099", "600", "999", "2000", "20", "200x", "-20", "+200", "", "101"]
@@ -19,19 +16,7 @@
 
 def run(status):
     head = f"HTTP/1.1 {status} Name\r\nContent-Length: 0\r\n\r\n"
-    return run_with(head.encode())
-
-
-def run_with(answer):
-    endpoint = RawEndpoint(lambda request: answer, Ending.READ_ALL)
-    clock, sink = SystemClock(), CollectingSink()
-    transport = EndpointTransport(clock)
-    try:
-        transport.run(endpoint.address, make_request(clock), sink)
-    finally:
-        transport.close()
-        endpoint.close()
-    return sink
+    return run_attempt(head.encode(), Ending.READ_ALL)
 
 
 class TestStatus:
@@ -45,7 +30,7 @@
 
     def test_of_another_protocol_fails_the_attempt(self):
         with pytest.raises(OriolepaddleError) as caught:
-            run_with(SWITCHING)
+            run_attempt(SWITCHING, Ending.READ_ALL)
         assert caught.value.outcome is Outcome.UNKNOWN
 
     @pytest.mark.parametrize("status", VALID)
--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -292,7 +292,8 @@
             (
                 "stalled stream, other endpoint full",
                 edge_alternatives(
-                    "TestRestingStream::test_goes_on_if_the_other_endpoint_refuses"
+                    "TestRestingStream::"
+                    "test_goes_on_if_the_other_endpoint_does_not_take_it"
                 ),
             ),
             (
