Don't count an answer that waits for a slow caller as no answer

Cause: the check of bytes that libcurl discards looked only at the time since the last part; while a slow caller takes a part, the next ones wait in the kernel and may have grown by more than 1 MB. Found by reading.

Change: the check is left out while a part is delivered.

Result: TestSlowCaller failed before.

--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -70,6 +70,7 @@
         self._started_s = clock.monotonic_s()
         self._last_byte_s = self._started_s
         self._status = 0
+        self._is_delivering = False
         self._received_before: tuple[float, int] | None = None
         self._head_bytes = 0
         self._head_lines = 0
@@ -206,12 +207,14 @@
 
     def _on_data(self, data: bytes) -> int:
         self._last_byte_s = self._clock.monotonic_s()
+        self._is_delivering = True
         self._deliver_head()
         if self._error is None:
             try:
                 self._sink.on_data(data)
             except (OSError, OriolepaddleError) as error:
                 self._error = error
+        self._is_delivering = False
         return len(data) if self._error is None else _ABORT_TRANSFER
 
     def _check_timeouts(self) -> None:
@@ -229,7 +232,8 @@
             )
         if self._status and silent_s > request.stall_timeout_s:
             raise EndpointTimeoutError(f"the answer stalled for {silent_s:.1f} s")
-        if silent_s > MIN_SILENCE_S:
+        # While a slow caller takes a part, the next ones wait in the kernel.
+        if silent_s > MIN_SILENCE_S and not self._is_delivering:
             self._check_discarded_bytes()
 
     def _check_discarded_bytes(self) -> None:
--- a/oriolepaddle/endpoints/tests/test_endless.py
+++ b/oriolepaddle/endpoints/tests/test_endless.py
@@ -4,15 +4,17 @@
 import itertools
 import socket
 import threading
+from datetime import timedelta
 
 import pytest
 
 from oriolepaddle.buffers import BufferBudget
-from oriolepaddle.clock import SystemClock
+from oriolepaddle.clock import ManualClock, SystemClock
 from oriolepaddle.edge.answer import AnswerKind, EndpointAnswer
 from oriolepaddle.edge.event_splitter import EventSplitter
 from oriolepaddle.edge.sink import EdgeSink
 from oriolepaddle.endpoints import EndpointTransport
+from oriolepaddle.endpoints.exchange import MAX_DISCARDED_BYTES, CurlExchange
 from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
 from oriolepaddle.errors import AnswerMalformedError, OriolepaddleError, Outcome
 
@@ -131,6 +133,54 @@
         assert error.outcome is Outcome.UNKNOWN
 
 
+class ReceivingHandle:
+    """A handle whose connection receives more each time that it is asked."""
+
+    def __init__(self):
+        self.received_bytes = 0
+        self.is_interrupted = False
+
+    def count_received_bytes(self):
+        self.received_bytes += 2 * MAX_DISCARDED_BYTES
+        return self.received_bytes
+
+    def interrupt(self):
+        self.is_interrupted = True
+
+
+class BlockingSink(CollectingSink):
+    """A sink whose caller takes a part only after several inspections."""
+
+    def __init__(self, inspect):
+        super().__init__()
+        self._inspect = inspect
+
+    def on_data(self, data):
+        self._inspect()
+        super().on_data(data)
+
+
+class TestSlowCaller:
+    """The failure: parts that wait for a slow caller counted as no answer."""
+
+    def test_keeps_the_answer_that_waits_for_it(self):
+        clock, handle = ManualClock(), ReceivingHandle()
+
+        def inspect():
+            for _ in range(8):
+                clock.advance(timedelta(seconds=0.5))
+                exchange.inspect()
+
+        sink = BlockingSink(inspect)
+        request = make_request(clock, deadline_s=60.0, stall_timeout_s=60.0)
+        exchange = CurlExchange(handle, clock, request, sink)
+        exchange._on_header(b"HTTP/1.1 200 OK")
+        assert exchange._on_data(b"part") == 4
+        assert not handle.is_interrupted
+        inspect()
+        assert handle.is_interrupted
+
+
 class TestEndlessBody:
     @pytest.mark.parametrize("is_stream", [False, True])
     @pytest.mark.parametrize("name", BODIES)
