Fail answers whose chunks are not HTTP

Callers got a body as complete although its chunks were not HTTP: a size with letters after it, line feeds alone, a control byte in an extension or a trailer that is no field. Such a body may be cut wrongly, so that it isn't the endpoint's.

libcurl decodes chunks leniently, and the transport took its word for the body. It now passes the bytes on as they are, and the parser that already checks the chunks of requests decodes them. libcurl still finds the end of the answer; both must agree on it, or the answer is truncated. The outcome stays unknown, as for any answer that breaks.

Bytes after the last chunk are dropped as before.

--- a/oriolepaddle/daemon/tests/test_broken_answers.py
+++ b/oriolepaddle/daemon/tests/test_broken_answers.py
@@ -7,6 +7,7 @@
 from oriolepaddle.daemon.tests.broken_endpoint import BREAKS, BrokenEndpoint
 from oriolepaddle.daemon.tests.fleet import Fleet, await_true
 from oriolepaddle.endpoints.tests.broken_answers import (
+    BROKEN_CHUNKS,
     EARLY,
     SOUND,
     STATUS_000,
@@ -60,6 +61,17 @@
     assert json.loads(body)["error"]["outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("path", INSTANCES)
+class TestBrokenChunks:
+    """The failure: chunks whose framing is not HTTP were taken as a body."""
+
+    @pytest.mark.parametrize("name", BROKEN_CHUNKS)
+    def test_fail_the_request(self, fleet, name, path):
+        fleet.broken_desk.set_answer(BROKEN_CHUNKS[name])
+        check_failed(*fleet.send(INSTANCES[path]))
+        assert fleet.broken_desk.requests == 1
+
+
 @pytest.mark.parametrize("path", INSTANCES)
 class TestStatus000:
     """The failure: an answer whose status is none reached the caller."""
--- a/oriolepaddle/daemon/tests/test_edge_broken_answers.py
+++ b/oriolepaddle/daemon/tests/test_edge_broken_answers.py
@@ -20,6 +20,7 @@
 )
 from oriolepaddle.daemon.tests.edge_processes import EdgeProcesses
 from oriolepaddle.endpoints.tests.broken_answers import (
+    BROKEN_CHUNKS,
     EARLY,
     SOUND,
     STATUS_000,
@@ -145,6 +146,17 @@
     assert json.loads(body)["error"]["outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("path", INSTANCES)
+class TestBrokenChunks:
+    """The failure: chunks whose framing is not HTTP were taken as a body."""
+
+    @pytest.mark.parametrize("name", BROKEN_CHUNKS)
+    def test_fail_the_request(self, fleet, name, path):
+        fleet.set_answer(BROKEN_CHUNKS[name])
+        check_failed(fleet.send(INSTANCES[path], "POST", "/book/1"))
+        assert fleet.desk.requests == 1
+
+
 @pytest.mark.parametrize("path", INSTANCES)
 class TestStatus000:
     """The failure: an answer whose status is none reached the caller."""
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -5,6 +5,7 @@
 
 import pycurl
 
+from oriolepaddle.answers import ChunkedBody
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.handles import PooledHandle
 from oriolepaddle.endpoints.request import EndpointRequest
@@ -31,7 +32,7 @@
 _ABORT_TRANSFER = -1
 MAX_HEAD_BYTES = 65_536
 MAX_HEAD_LINES = 512
-"""Bounds of the head of an answer, with its interim answers and trailers."""
+"""Bounds of the head of an answer, with its interim answers."""
 MIN_SILENCE_S = 1.0
 """Time without a part of an answer after which the received bytes are counted."""
 MAX_DISCARDED_BYTES = 1_000_000
@@ -77,6 +78,7 @@
         self._headers: list[tuple[str, str]] = []
         self._is_head_complete = False
         self._is_head_delivered = False
+        self._chunks: ChunkedBody | None = None
         self._is_sent = False
         self._error: Exception | None = None
 
@@ -85,6 +87,8 @@
         curl = self._handle.curl
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        # The chunks are decoded here, since libcurl accepts malformed ones.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
         try:
             curl.perform()
@@ -98,6 +102,7 @@
             self._error = AnswerTruncatedError("the answer ended inside its head")
         self._deliver_head()
         self._check_unframed_body()
+        self._check_last_chunk()
         if self._error is not None:
             raise self._error
 
@@ -162,6 +167,8 @@
             self._is_head_complete = False
         elif line in _END_OF_HEAD:
             self._is_head_complete = True
+            is_chunked = self._has_field("transfer-encoding")
+            self._chunks = ChunkedBody() if is_chunked else None
         elif ":" in text:
             name, _, value = text.partition(":")
             self._headers.append((name.strip(), value.strip()))
@@ -200,23 +207,43 @@
                 "answer declares no length"
             )
 
+    def _check_last_chunk(self) -> None:
+        is_cut = self._chunks is not None and not self._chunks.is_complete
+        if self._error is None and is_cut and not self._is_bodiless():
+            self._error = AnswerTruncatedError("the answer ended before its last chunk")
+
     def _ends_with_close(self) -> bool:
-        if self._request.method == "HEAD" or self._status in _BODILESS_STATUSES:
-            return False
-        return not any(name.lower() in _FRAMING_FIELDS for name, _ in self._headers)
+        is_framed = any(self._has_field(name) for name in _FRAMING_FIELDS)
+        return not is_framed and not self._is_bodiless()
+
+    def _is_bodiless(self) -> bool:
+        return self._request.method == "HEAD" or self._status in _BODILESS_STATUSES
+
+    def _has_field(self, lower_name: str) -> bool:
+        return any(name.lower() == lower_name for name, _ in self._headers)
 
     def _on_data(self, data: bytes) -> int:
-        self._last_byte_s = self._clock.monotonic_s()
-        self._is_delivering = True
-        self._deliver_head()
-        if self._error is None:
-            try:
-                self._sink.on_data(data)
-            except (OSError, OriolepaddleError) as error:
-                self._error = error
-        self._is_delivering = False
+        try:
+            content = self._chunks.decode(data) if self._chunks is not None else data
+        except AnswerMalformedError as error:
+            self._error = error
+            return _ABORT_TRANSFER
+        if content:
+            self._last_byte_s = self._clock.monotonic_s()
+            self._is_delivering = True
+            self._deliver_content(content)
+            self._is_delivering = False
         return len(data) if self._error is None else _ABORT_TRANSFER
 
+    def _deliver_content(self, content: bytes) -> None:
+        self._deliver_head()
+        if self._error is not None:
+            return
+        try:
+            self._sink.on_data(content)
+        except (OSError, OriolepaddleError) as error:
+            self._error = error
+
     def _check_timeouts(self) -> None:
         now_s = self._clock.monotonic_s()
         request = self._request
--- a/oriolepaddle/endpoints/tests/broken_answers.py
+++ b/oriolepaddle/endpoints/tests/broken_answers.py
@@ -3,6 +3,15 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"3\r\nabc\r\n0\r\n\r\n"
+BROKEN_CHUNKS = {
+    name: OK + CHUNKED + b"\r\n" + body
+    for name, body in {
+        "letter after the size": b"3x\r\nabc\r\n0\r\n\r\n",
+        "bare line feeds": b"3\nabc\n0\n\n",
+        "control byte in an extension": b"3;\x01\r\nabc\r\n0\r\n\r\n",
+        "blank in the name of a trailer": b"3\r\nabc\r\n0\r\nX Note: a\r\n\r\n",
+    }.items()
+}
 STATUS_000 = b"HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nabc"
 EARLY = {
     "version 1.1": OK + b"\r\nabc",
