Fail answers whose heads are not HTTP

Callers got an answer as complete with a body that was not the runner's: the head was spoilt where it declares the length, had a line that is no field, or a field whose name held a blank or a control byte. Such a line was also passed on to callers.

libcurl skips or guesses at such lines, and then reads the body up to the end of the connection; the transport kept every line with a colon. Each head, interim ones as well, is now checked as a whole by the parser that already checks those of requests, before any of it is used. No list of broken forms is needed: what isn't a status line and fields of RFC 9112 is malformed. Lengths that libcurl can't hold and codings other than chunked are malformed too, so that both parsers find the same end of the body. Equal lengths, bare line feeds and interim answers are still accepted.

Requests forwarded between regions, repeated requests, resumed streams, peers and engine control share this transport. The outcome is unknown: nothing that may have run is repeated, the connection is closed, and the caller gets no promise.

A head that libcurl itself rejects is malformed in the same way. It counted as a broken connection, and so as a sign that the request had crashed the runner.

Requests of these tests are new ones each, since the fleet rejects a request that has broken two runners.

--- a/oriolepaddle/daemon/tests/broken_endpoint.py
+++ b/oriolepaddle/daemon/tests/broken_endpoint.py
@@ -9,6 +9,7 @@
 
 FINAL_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (200|000)[^\n]*\n")
 REQUEST_ID = re.compile(rb"(?i)\r\nx-oriolepaddle-request-id: (\S+)")
+RESUMPTION = b"\r\nlast-event-id: "
 CLOSE = b"Connection: close\r\n"
 PLATFORM_FIELDS = (
     b"X-Oriolepaddle-Request-Id: %b\r\nX-Oriolepaddle-Server-Seal: 3e1b.07\r\n"
@@ -28,18 +29,23 @@
 
     Attributes:
         answer: The bytes of the answer.
+        resumed_answer: The bytes of the answer to a request that resumes a stream.
         ending: How the connection ends.
         requests: The number of requests, health checks left out.
+        resumptions: The number of those that resume a stream.
     """
 
     def __init__(self):
         self.answer = b""
+        self.resumed_answer = b""
         self.ending = Ending.READ_ALL
         self.requests = 0
+        self.resumptions = 0
         super().__init__(self._respond)
 
     def set_answer(self, answer, ending=Ending.READ_ALL):
-        self.answer, self.ending, self.requests = answer, ending, 0
+        self.answer, self.ending = answer, ending
+        self.requests = self.resumptions = 0
 
     def _respond(self, connection):
         head = b""
@@ -52,11 +58,14 @@
             connection.sendall(LOAD)
             return
         self.requests += 1
+        is_resumption = RESUMPTION in head.lower()
+        self.resumptions += is_resumption
+        answer = self.resumed_answer if is_resumption else self.answer
         fields = CLOSE
         request_id = REQUEST_ID.search(head)
         if request_id:
             fields += PLATFORM_FIELDS % request_id.group(1)
-        connection.sendall(FINAL_STATUS_LINE.sub(rb"\g<0>" + fields, self.answer, 1))
+        connection.sendall(FINAL_STATUS_LINE.sub(rb"\g<0>" + fields, answer, 1))
         self._end(connection)
 
     def _end(self, connection):
--- a/oriolepaddle/daemon/tests/test_broken_answers.py
+++ b/oriolepaddle/daemon/tests/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Endpoints whose answers break HTTP, behind daemons that are processes."""
 
+import itertools
 import json
 
 import pytest
@@ -8,6 +9,9 @@
 from oriolepaddle.daemon.tests.fleet import Fleet, await_true
 from oriolepaddle.endpoints.tests.broken_answers import (
     BROKEN_CHUNKS,
+    BROKEN_LENGTHS,
+    BROKEN_LINES,
+    BROKEN_NAMES,
     EARLY,
     SOUND,
     STATUS_000,
@@ -16,6 +20,7 @@
 PATH = "/services/visit-desk/visits"
 UPLOAD_TEXT = "x" * 3_000_000
 INSTANCES = {"direct": "n1", "forwarded": "s1"}
+_numbers = itertools.count(1)
 
 
 class BrokenDeskFleet(Fleet):
@@ -27,12 +32,14 @@
         routes = ["visit-desk"]
         self.publish([self.make_endpoint("desk", "nordur-a", self.broken_desk, routes)])
 
-    def send(self, name, document="x"):
-        """Send a request until it isn't refused as not run.
+    def send(self, name, text=""):
+        """Send a new request until it isn't refused as not run.
 
         Returns:
             The response and its body.
         """
+        # One that has broken endpoints before would be rejected.
+        document = f"{next(_numbers)} {text}"
 
         def send_once():
             response = self.daemons[name].send("POST", PATH, document)
@@ -61,6 +68,29 @@
     assert json.loads(body)["error"]["outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("path", INSTANCES)
+class TestBrokenHead:
+    """The failure: a head that is not HTTP came with an answer taken as complete."""
+
+    @pytest.mark.parametrize("name", BROKEN_LENGTHS)
+    def test_that_tells_no_length_fails_the_request(self, fleet, name, path):
+        fleet.broken_desk.set_answer(BROKEN_LENGTHS[name])
+        check_failed(*fleet.send(INSTANCES[path]))
+        assert fleet.broken_desk.requests == 1
+
+    @pytest.mark.parametrize("name", BROKEN_LINES)
+    def test_with_a_line_that_is_no_field_fails_the_request(self, fleet, name, path):
+        fleet.broken_desk.set_answer(BROKEN_LINES[name])
+        check_failed(*fleet.send(INSTANCES[path]))
+        assert fleet.broken_desk.requests == 1
+
+    @pytest.mark.parametrize("name", BROKEN_NAMES)
+    def test_with_a_broken_name_fails_the_request(self, fleet, name, path):
+        fleet.broken_desk.set_answer(BROKEN_NAMES[name])
+        check_failed(*fleet.send(INSTANCES[path]))
+        assert fleet.broken_desk.requests == 1
+
+
 @pytest.mark.parametrize("path", INSTANCES)
 class TestBrokenChunks:
     """The failure: chunks whose framing is not HTTP were taken as a body."""
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -5,7 +5,7 @@
 
 import pycurl
 
-from oriolepaddle.answers import ChunkedBody
+from oriolepaddle.answers import ChunkedBody, HeadParser
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.handles import PooledHandle
 from oriolepaddle.endpoints.request import EndpointRequest
@@ -28,21 +28,18 @@
 SHORTAGE_RETRY_AFTER = timedelta(seconds=1)
 _SHORTAGE_ERRORS = (pycurl.E_OUT_OF_MEMORY, pycurl.E_FAILED_INIT)
 """Errors of a handle that gets no descriptors for its own pipes."""
+_E_WEIRD_SERVER_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY
+"""The error of a broken head; pycurl has only the name that libcurl first gave it."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
-MAX_HEAD_BYTES = 65_536
-MAX_HEAD_LINES = 512
-"""Bounds of the head of an answer, with its interim answers."""
 MIN_SILENCE_S = 1.0
 """Time without a part of an answer after which the received bytes are counted."""
 MAX_DISCARDED_BYTES = 1_000_000
 STATUS_DIGITS = 3
 _UPLOADED_BYTES = getattr(pycurl, "SIZE_UPLOAD_T", pycurl.SIZE_UPLOAD)
 """Older versions of pycurl have only the second one, which is deprecated."""
-_FRAMING_FIELDS = ("content-length", "transfer-encoding")
 _FINAL_STATUSES = range(200, 600)
 _BODILESS_STATUSES = (204, 304)
-_END_OF_HEAD = (b"\r\n", b"\n")
 
 
 class CurlExchange:
@@ -73,10 +70,7 @@
         self._status = 0
         self._is_delivering = False
         self._received_before: tuple[float, int] | None = None
-        self._head_bytes = 0
-        self._head_lines = 0
-        self._headers: list[tuple[str, str]] = []
-        self._is_head_complete = False
+        self._head = HeadParser()
         self._is_head_delivered = False
         self._chunks: ChunkedBody | None = None
         self._is_sent = False
@@ -97,7 +91,7 @@
         finally:
             with self._lock:
                 self._is_running = False
-        if self._error is None and not self._is_head_complete:
+        if self._error is None and not self._head.is_complete:
             # curl takes the end of the connection inside a head for its end.
             self._error = AnswerTruncatedError("the answer ended inside its head")
         self._deliver_head()
@@ -152,29 +146,22 @@
 
     def _on_header(self, line: bytes) -> int:
         self._last_byte_s = self._clock.monotonic_s()
-        # Interim answers count as well.
-        self._head_bytes += len(line)
-        self._head_lines += 1
-        if self._head_bytes > MAX_HEAD_BYTES or self._head_lines > MAX_HEAD_LINES:
-            self._error = AnswerMalformedError(
-                "the answer's head is too long", outcome=Outcome.UNKNOWN
-            )
+        if self._head.is_at_start:
+            self._status = _parse_status(line.decode("latin-1"))
+        try:
+            self._head.feed_line(line)
+        except AnswerMalformedError as error:
+            self._error = error
             return _ABORT_TRANSFER
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            self._status = _parse_status(text)
-            self._headers = []
-            self._is_head_complete = False
-        elif line in _END_OF_HEAD:
-            self._is_head_complete = True
-            is_chunked = self._has_field("transfer-encoding")
-            self._chunks = ChunkedBody() if is_chunked else None
-        elif ":" in text:
-            name, _, value = text.partition(":")
-            self._headers.append((name.strip(), value.strip()))
+        if self._head.is_complete:
+            self._chunks = ChunkedBody() if self._head.is_chunked else None
+            self._read_keep_alive_timeout()
+        return len(line)
+
+    def _read_keep_alive_timeout(self) -> None:
+        for name, value in self._head.fields:
             if name.lower() == "keep-alive":
                 self._handle.keep_alive_timeout_s = _parse_keep_alive_timeout(value)
-        return len(line)
 
     def _deliver_head(self) -> None:
         if self._is_head_delivered or self._error is not None:
@@ -187,7 +174,7 @@
             )
             return
         try:
-            self._sink.on_head(self._status, tuple(self._headers))
+            self._sink.on_head(self._status, self._head.fields)
         except (OSError, OriolepaddleError) as error:
             self._error = error
 
@@ -213,15 +200,12 @@
             self._error = AnswerTruncatedError("the answer ended before its last chunk")
 
     def _ends_with_close(self) -> bool:
-        is_framed = any(self._has_field(name) for name in _FRAMING_FIELDS)
+        is_framed = self._head.is_chunked or self._head.has_length
         return not is_framed and not self._is_bodiless()
 
     def _is_bodiless(self) -> bool:
         return self._request.method == "HEAD" or self._status in _BODILESS_STATUSES
 
-    def _has_field(self, lower_name: str) -> bool:
-        return any(name.lower() == lower_name for name, _ in self._headers)
-
     def _on_data(self, data: bytes) -> int:
         try:
             content = self._chunks.decode(data) if self._chunks is not None else data
@@ -298,6 +282,8 @@
             return EndpointDeadlineError(text)
         if number in _TRUNCATION_ERRORS and self._status:
             return AnswerTruncatedError(text)
+        if number == _E_WEIRD_SERVER_REPLY:
+            return AnswerMalformedError(text, outcome=Outcome.UNKNOWN)
         return EndpointFailedError(text)
 
 
--- a/oriolepaddle/endpoints/tests/broken_answers.py
+++ b/oriolepaddle/endpoints/tests/broken_answers.py
@@ -3,6 +3,66 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 CHUNKS = b"3\r\nabc\r\n0\r\n\r\n"
+
+
+def make_answers(lines, body):
+    return {name: OK + line + b"\r\n\r\n" + body for name, line in lines.items()}
+
+
+BROKEN_LENGTHS = make_answers(
+    {
+        "blank before the colon": b"Content-Length : 3",
+        "tab before the colon": b"Content-Length\t: 3",
+        "letters": b"Content-Length: 3x",
+        "sign": b"Content-Length: +3",
+        "blank inside": b"Content-Length: 3 3",
+        "empty": b"Content-Length:",
+        "two that differ": b"Content-Length: 3\r\nContent-Length: 5",
+        "list that differs": b"Content-Length: 3, 5",
+        "20 digits": b"Content-Length: 9223372036854775809",
+        "26 digits": b"Content-Length: 20000000000000000000000000",
+        "empty coding": b"Transfer-Encoding:",
+        "identity beside a length": b"Transfer-Encoding: identity\r\nContent-Length: 3",
+        "unknown coding": b"Transfer-Encoding: x",
+    },
+    b"abcde",
+) | make_answers(
+    {
+        "blank before the colon of the coding": b"Transfer-Encoding : chunked",
+        "control byte before the coding": b"Transfer-Encoding: \x0bchunked",
+        "control byte after the coding": b"Transfer-Encoding: chunked\x1c",
+        "chunked twice": b"Transfer-Encoding: chunked, chunked",
+        "chunked in two lines": CHUNKED + b"Transfer-Encoding: chunked",
+        "chunked beside a length": CHUNKED + b"Content-Length: 5",
+        "length beside chunked": b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+    },
+    CHUNKS,
+)
+BROKEN_LINES = make_answers(
+    {
+        "no colon": b"abc\r\nContent-Length: 3",
+        "no name": b": abc\r\nContent-Length: 3",
+        "second status line": b"HTTP/1.1 404 No: a\r\nContent-Length: 3",
+        "carriage return": b"A: b\rContent-Length: 5\r\nContent-Length: 3",
+    },
+    b"abcde",
+)
+BROKEN_NAMES = {
+    name: OK + line + b"\r\nContent-Length: 3\r\n\r\nabc"
+    for name, line in {
+        "blank": b"X Note: a",
+        "tab": b"X\tNote: a",
+        "blank at the end": b"X-Note : a",
+        "control byte": b"X\x01Note: a",
+        "vertical tab at the beginning": b"\x0bX-Note: a",
+        "delete": b"X\x7fNote: a",
+        "byte beyond ASCII": b"X\xe9Note: a",
+    }.items()
+} | {
+    "blank in an interim answer": b"HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n"
+    + OK
+    + b"Content-Length: 3\r\n\r\nabc"
+}
 BROKEN_CHUNKS = {
     name: OK + CHUNKED + b"\r\n" + body
     for name, body in {
--- a/oriolepaddle/endpoints/tests/test_broken_answers.py
+++ b/oriolepaddle/endpoints/tests/test_broken_answers.py
@@ -1,6 +1,13 @@
 import pytest
 
-from oriolepaddle.endpoints.tests.broken_answers import BROKEN_CHUNKS, OK, SOUND
+from oriolepaddle.endpoints.tests.broken_answers import (
+    BROKEN_CHUNKS,
+    BROKEN_LENGTHS,
+    BROKEN_LINES,
+    BROKEN_NAMES,
+    OK,
+    SOUND,
+)
 from oriolepaddle.endpoints.tests.raw_endpoint import Ending, run_attempt
 from oriolepaddle.errors import (
     AnswerMalformedError,
@@ -8,6 +15,7 @@
     Outcome,
 )
 
+BROKEN_HEADS = BROKEN_LENGTHS | BROKEN_LINES | BROKEN_NAMES
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -17,6 +25,18 @@
     assert caught.value.outcome is Outcome.UNKNOWN
 
 
+class TestBrokenHead:
+    """The failure: a head that is not HTTP came with an answer taken as complete."""
+
+    @pytest.mark.parametrize("name", BROKEN_HEADS)
+    def test_fails_the_attempt(self, name):
+        check_malformed(BROKEN_HEADS[name])
+
+    @pytest.mark.parametrize("name", BROKEN_HEADS)
+    def test_without_a_body_fails_the_attempt(self, name):
+        check_malformed(BROKEN_HEADS[name], method="HEAD")
+
+
 class TestBrokenChunks:
     """The failure: chunks whose framing is not HTTP were taken as a body."""
 
