Fail short calls whose answers are not HTTP

An instance took answers of endpoints and of the platform that are not HTTP: an endpoint was up with a load and an incarnation from a body of unknown length, and the store's configuration, keys and lists of instances were adopted from one. oriolectl showed such a body as a result.

Health checks, the client of the platform and oriolectl each read answers with libcurl on their own, with the leniency that the transport to endpoints had. They now share one call, whose head and chunks are checked by the parser of the transport. A health check that gets such an answer fails, but is no sign that the endpoint has ended; the platform counts as unreachable, so that an instance keeps what it knows; oriolectl reports that the call may have run.

--- a/oriolepaddle/answers/head.py
+++ b/oriolepaddle/answers/head.py
@@ -28,11 +28,13 @@
     """Checks the head of one answer, and those of its interim answers before it.
 
     Attributes:
-        fields: The header fields of the last complete head.
+        status: The status of the last complete head, 0 before it.
+        fields: Its header fields.
         is_complete: Whether the last line was the end of a head.
     """
 
     def __init__(self) -> None:
+        self.status = 0
         self.fields: tuple[tuple[str, str], ...] = ()
         self.is_complete = False
         self._lines: list[bytes] = []
@@ -80,6 +82,7 @@
             raise _make_error(f"malformed answer: {error}") from error
         if not events.has_head:
             raise _make_error("the answer's head isn't complete at its empty line")
+        self.status = parser.get_status_code()
         self.fields = tuple(events.fields)
         _check_framing(parser.get_http_version(), self.fields)
 
--- a/oriolepaddle/ctl/client.py
+++ b/oriolepaddle/ctl/client.py
@@ -2,14 +2,20 @@
 
 import json
 import os
+import sys
 from datetime import timedelta
-from io import BytesIO
 from typing import Any
 
 import pycurl
 
+from oriolepaddle.answers import perform_call
+from oriolepaddle.buffers import ShortBody
 from oriolepaddle.ctl.failure import CallFailedError
-from oriolepaddle.errors import PeerUnavailableError
+from oriolepaddle.errors import (
+    AnswerMalformedError,
+    AnswerTruncatedError,
+    PeerUnavailableError,
+)
 
 __all__ = ["OperatorClient"]
 
@@ -35,7 +41,8 @@
 
         Raises:
             PeerUnavailableError: The instance is unreachable.
-            CallFailedError: The instance answered with an error.
+            CallFailedError: The instance answered with an error, or its answer is
+                broken.
         """
         status, data = self._send(method, path, body)
         try:
@@ -56,7 +63,8 @@
 
         Raises:
             PeerUnavailableError: The instance is unreachable.
-            CallFailedError: The instance answered with an error.
+            CallFailedError: The instance answered with an error, or its answer is
+                broken.
         """
         status, data = self._send("GET", path, None)
         if status != 200:
@@ -64,7 +72,6 @@
         return data
 
     def _send(self, method: str, path: str, body: bytes | None) -> tuple[int, bytes]:
-        buffer = BytesIO()
         curl = pycurl.Curl()
         base_url = (
             self._address if "://" in self._address else f"http://{self._address}"
@@ -80,13 +87,16 @@
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         headers = [f"Authorization: Bearer {self._token}", "Expect:"]
         curl.setopt(pycurl.HTTPHEADER, headers)
-        curl.setopt(pycurl.WRITEDATA, buffer)
         try:
-            curl.perform()
+            answer = perform_call(curl, ShortBody(sys.maxsize))
         except pycurl.error as error:
             raise PeerUnavailableError(
                 f"{self._address} is unreachable: {error.args[1]}"
             ) from error
-        status = curl.getinfo(pycurl.RESPONSE_CODE)
-        curl.close()
-        return status, buffer.getvalue()
+        except (AnswerMalformedError, AnswerTruncatedError) as error:
+            raise CallFailedError(
+                f"the call may have run, but its answer is broken: {error}"
+            ) from error
+        finally:
+            curl.close()
+        return answer.status, answer.body
--- a/oriolepaddle/endpoints/exchange.py
+++ b/oriolepaddle/endpoints/exchange.py
@@ -5,7 +5,7 @@
 
 import pycurl
 
-from oriolepaddle.answers import ChunkedBody, HeadParser
+from oriolepaddle.answers import E_BROKEN_HEAD, AnswerParser
 from oriolepaddle.clock import Clock
 from oriolepaddle.endpoints.handles import PooledHandle
 from oriolepaddle.endpoints.request import EndpointRequest
@@ -28,8 +28,6 @@
 SHORTAGE_RETRY_AFTER = timedelta(seconds=1)
 _SHORTAGE_ERRORS = (pycurl.E_OUT_OF_MEMORY, pycurl.E_FAILED_INIT)
 """Errors of a handle that gets no descriptors for its own pipes."""
-_E_WEIRD_SERVER_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY
-"""The error of a broken head; pycurl has only the name that libcurl first gave it."""
 _TRUNCATION_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
 _ABORT_TRANSFER = -1
 MIN_SILENCE_S = 1.0
@@ -39,7 +37,6 @@
 _UPLOADED_BYTES = getattr(pycurl, "SIZE_UPLOAD_T", pycurl.SIZE_UPLOAD)
 """Older versions of pycurl have only the second one, which is deprecated."""
 _FINAL_STATUSES = range(200, 600)
-_BODILESS_STATUSES = (204, 304)
 
 
 class CurlExchange:
@@ -70,9 +67,8 @@
         self._status = 0
         self._is_delivering = False
         self._received_before: tuple[float, int] | None = None
-        self._head = HeadParser()
+        self._parser = AnswerParser(request.method)
         self._is_head_delivered = False
-        self._chunks: ChunkedBody | None = None
         self._is_sent = False
         self._error: Exception | None = None
 
@@ -81,8 +77,7 @@
         curl = self._handle.curl
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
-        # The chunks are decoded here, since libcurl accepts malformed ones.
-        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+        AnswerParser.prepare(curl)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
         try:
             curl.perform()
@@ -91,12 +86,10 @@
         finally:
             with self._lock:
                 self._is_running = False
-        if self._error is None and not self._head.is_complete:
-            # curl takes the end of the connection inside a head for its end.
-            self._error = AnswerTruncatedError("the answer ended inside its head")
+        if self._error is None:
+            self._parser.check_end()
         self._deliver_head()
         self._check_unframed_body()
-        self._check_last_chunk()
         if self._error is not None:
             raise self._error
 
@@ -146,20 +139,19 @@
 
     def _on_header(self, line: bytes) -> int:
         self._last_byte_s = self._clock.monotonic_s()
-        if self._head.is_at_start:
+        if self._parser.head.is_at_start:
             self._status = _parse_status(line.decode("latin-1"))
         try:
-            self._head.feed_line(line)
+            self._parser.feed_line(line)
         except AnswerMalformedError as error:
             self._error = error
             return _ABORT_TRANSFER
-        if self._head.is_complete:
-            self._chunks = ChunkedBody() if self._head.is_chunked else None
+        if self._parser.head.is_complete:
             self._read_keep_alive_timeout()
         return len(line)
 
     def _read_keep_alive_timeout(self) -> None:
-        for name, value in self._head.fields:
+        for name, value in self._parser.head.fields:
             if name.lower() == "keep-alive":
                 self._handle.keep_alive_timeout_s = _parse_keep_alive_timeout(value)
 
@@ -174,7 +166,7 @@
             )
             return
         try:
-            self._sink.on_head(self._status, self._head.fields)
+            self._sink.on_head(self._status, self._parser.head.fields)
         except (OSError, OriolepaddleError) as error:
             self._error = error
 
@@ -185,7 +177,9 @@
         connection, the end may be that of the body or that of a failure.
         """
         body_bytes = len(self._request.body)
-        if self._error is not None or not body_bytes or not self._ends_with_close():
+        if self._error is not None or not body_bytes:
+            return
+        if not self._parser.ends_with_connection:
             return
         sent_bytes = self._handle.curl.getinfo(_UPLOADED_BYTES)
         if sent_bytes < body_bytes or not self._handle.has_delivered():
@@ -194,21 +188,9 @@
                 "answer declares no length"
             )
 
-    def _check_last_chunk(self) -> None:
-        is_cut = self._chunks is not None and not self._chunks.is_complete
-        if self._error is None and is_cut and not self._is_bodiless():
-            self._error = AnswerTruncatedError("the answer ended before its last chunk")
-
-    def _ends_with_close(self) -> bool:
-        is_framed = self._head.is_chunked or self._head.has_length
-        return not is_framed and not self._is_bodiless()
-
-    def _is_bodiless(self) -> bool:
-        return self._request.method == "HEAD" or self._status in _BODILESS_STATUSES
-
     def _on_data(self, data: bytes) -> int:
         try:
-            content = self._chunks.decode(data) if self._chunks is not None else data
+            content = self._parser.decode(data)
         except AnswerMalformedError as error:
             self._error = error
             return _ABORT_TRANSFER
@@ -282,7 +264,7 @@
             return EndpointDeadlineError(text)
         if number in _TRUNCATION_ERRORS and self._status:
             return AnswerTruncatedError(text)
-        if number == _E_WEIRD_SERVER_REPLY:
+        if number == E_BROKEN_HEAD:
             return AnswerMalformedError(text, outcome=Outcome.UNKNOWN)
         return EndpointFailedError(text)
 
--- a/oriolepaddle/endpoints/health.py
+++ b/oriolepaddle/endpoints/health.py
@@ -6,7 +6,9 @@
 import attrs
 import pycurl
 
+from oriolepaddle.answers import perform_call
 from oriolepaddle.buffers import ShortBody
+from oriolepaddle.errors import AnswerMalformedError, AnswerTruncatedError
 from oriolepaddle.routing import CacheEvents
 
 __all__ = ["CacheReading", "HealthCheckResult", "HealthChecker"]
@@ -114,10 +116,11 @@
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
     curl.setopt(pycurl.TIMEOUT_MS, _to_ms(TOTAL_TIMEOUT))
-    curl.setopt(pycurl.WRITEFUNCTION, body.write)
     try:
-        curl.perform()
-        return _Response(curl.getinfo(pycurl.RESPONSE_CODE), body.data)
+        answer = perform_call(curl, body)
+        return _Response(answer.status, answer.body)
+    except (AnswerMalformedError, AnswerTruncatedError):
+        return _Response()
     except pycurl.error as error:
         has_timed_out = error.args[0] == pycurl.E_OPERATION_TIMEDOUT
         return _Response(is_refused=not has_timed_out and not body.is_too_long)
--- a/oriolepaddle/endpoints/transport.py
+++ b/oriolepaddle/endpoints/transport.py
@@ -119,7 +119,6 @@
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.FOLLOWLOCATION, 0)
-        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         handle.setopt(pycurl.TCP_KEEPALIVE, 1)
         handle.setopt(pycurl.TCP_KEEPIDLE, 5)
         handle.setopt(pycurl.TCP_KEEPINTVL, 5)
--- a/oriolepaddle/publication/client.py
+++ b/oriolepaddle/publication/client.py
@@ -9,14 +9,18 @@
 import attrs
 import pycurl
 
+from oriolepaddle.answers import perform_call
 from oriolepaddle.buffers import ShortBody
-from oriolepaddle.errors import PlatformUnavailableError
+from oriolepaddle.errors import (
+    AnswerMalformedError,
+    AnswerTruncatedError,
+    PlatformUnavailableError,
+)
 
 __all__ = ["PlatformClient", "PlatformResponse", "parse_json"]
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
 READ_TIMEOUT = timedelta(seconds=10)
-MAX_HEAD_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_000_000
 
 
@@ -96,7 +100,6 @@
 
     def _perform(self, url: str, timeout: timedelta) -> PlatformResponse:
         body = ShortBody(MAX_RESPONSE_BYTES)
-        head = ShortBody(MAX_HEAD_BYTES)
         curl = self._acquire_handle()
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.PROXY, "")
@@ -105,19 +108,22 @@
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, _to_ms(CONNECT_TIMEOUT))
         curl.setopt(pycurl.TIMEOUT_MS, _to_ms(timeout))
-        curl.setopt(pycurl.WRITEFUNCTION, body.write)
-        curl.setopt(pycurl.HEADERFUNCTION, head.write)
         try:
-            curl.perform()
+            answer = perform_call(curl, body)
         except pycurl.error as error:
             curl.close()
             raise PlatformUnavailableError(
                 f"the platform at {self._address} did not answer: {error.args[1]}"
             ) from error
-        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        except (AnswerMalformedError, AnswerTruncatedError) as error:
+            curl.close()
+            raise PlatformUnavailableError(
+                f"the platform at {self._address} did not answer: {error}"
+            ) from error
         with self._lock:
             self._idle_handles.append(curl)
-        return PlatformResponse(status, body.data, _parse_fields(head.data))
+        fields = {name.lower(): value for name, value in answer.fields}
+        return PlatformResponse(answer.status, answer.body, fields)
 
     def _acquire_handle(self) -> pycurl.Curl:
         # A pending watch occupies its connection, so concurrent calls can't share one.
@@ -139,18 +145,5 @@
         raise PlatformUnavailableError(f"the response to {path} is not JSON") from error
 
 
-def _parse_fields(head: bytes) -> dict[str, str]:
-    """Return the fields of the last head, after those of interim answers."""
-    fields: dict[str, str] = {}
-    for line in head.decode("latin-1").splitlines():
-        if line.startswith("HTTP/"):
-            fields = {}
-            continue
-        name, separator, value = line.partition(":")
-        if separator:
-            fields[name.strip().lower()] = value.strip()
-    return fields
-
-
 def _to_ms(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
