--- a/oriolepaddle/faults/hardening.py
+++ b/oriolepaddle/faults/hardening.py
@@ -4,6 +4,7 @@
 from oriolepaddle.faults.sources import (
     answer_statuses,
     authenticator,
+    broken_answers,
     broken_heads,
     budget,
     catalog_eras,
@@ -12,6 +13,7 @@
     edge,
     edge_alternatives,
     edge_bodies,
+    edge_broken_answers,
     edge_endless,
     edge_keys,
     edge_promises,
@@ -28,6 +30,7 @@
     request_keys,
     request_parser,
     server,
+    short_calls,
     shortage,
     slow_clients,
 )
@@ -204,8 +207,65 @@
                 "any status line",
                 answer_statuses("TestStatus::test_that_is_none_fails_the_attempt"),
             ),
+            (
+                "status 000 at processes, direct and forwarded",
+                edge_broken_answers("TestStatus000::test_fails_the_request"),
+            ),
+        ),
+    ),
+    Claim(
+        "An answer that is not HTTP reaches no caller and is not acted on.",
+        (
+            (
+                "length that can't be read, direct and forwarded",
+                edge_broken_answers(
+                    "TestBrokenHead::test_that_tells_no_length_fails_the_request"
+                ),
+            ),
+            (
+                "line that is no field",
+                edge_broken_answers(
+                    "TestBrokenHead::"
+                    "test_with_a_line_that_is_no_field_fails_the_request"
+                ),
+            ),
+            (
+                "name of a field that is none",
+                edge_broken_answers(
+                    "TestBrokenHead::test_with_a_broken_name_fails_the_request"
+                ),
+            ),
+            (
+                "chunks",
+                edge_broken_answers("TestBrokenChunks::test_fail_the_request"),
+            ),
+            (
+                "request that may be repeated",
+                edge_broken_answers(
+                    "TestRepeatedRequest::test_is_answered_by_another_endpoint"
+                ),
+            ),
+            (
+                "resumed stream",
+                edge_broken_answers(
+                    "TestResumedStream::test_gets_no_event_of_a_broken_answer"
+                ),
+            ),
+            (
+                "length that can't be read, own interface",
+                broken_answers(
+                    "TestBrokenHead::test_that_tells_no_length_fails_the_request"
+                ),
+            ),
+            (
+                "health check",
+                short_calls("TestHealthCheck::test_with_a_broken_answer_fails"),
+            ),
+            (
+                "platform and lists of instances",
+                short_calls("TestPlatformClient::test_rejects_broken_answers"),
+            ),
         ),
-        unproved="heads with malformed fields (issue 49)",
     ),
     Claim(
         "An answer that breaks off reaches no caller as complete.",
--- a/oriolepaddle/faults/sources.py
+++ b/oriolepaddle/faults/sources.py
@@ -3,6 +3,7 @@
 __all__ = [
     "admission",
     "authenticator",
+    "broken_answers",
     "broken_heads",
     "budget",
     "commands",
@@ -14,6 +15,7 @@
     "edge",
     "edge_alternatives",
     "edge_bodies",
+    "edge_broken_answers",
     "edge_endless",
     "edge_keys",
     "edge_promises",
@@ -48,6 +50,7 @@
     "router",
     "router_failure",
     "server",
+    "short_calls",
     "shortage",
     "signal_board",
     "signal_pauses",
@@ -69,6 +72,7 @@
 
 admission = _TestFile("admission/tests/test_admission.py")
 authenticator = _TestFile("gateway/tests/test_authenticator.py")
+broken_answers = _TestFile("daemon/tests/test_broken_answers.py")
 broken_heads = _TestFile("endpoints/tests/test_broken_heads.py")
 budget = _TestFile("buffers/tests/test_budget.py")
 commands = _TestFile("commands/tests/test_issuer.py")
@@ -80,6 +84,7 @@
 edge = _TestFile("daemon/tests/test_edge.py")
 edge_alternatives = _TestFile("daemon/tests/test_edge_alternatives.py")
 edge_bodies = _TestFile("daemon/tests/test_edge_bodies.py")
+edge_broken_answers = _TestFile("daemon/tests/test_edge_broken_answers.py")
 edge_keys = _TestFile("daemon/tests/test_edge_keys.py")
 edge_promises = _TestFile("daemon/tests/test_edge_promises.py")
 edge_restored_store = _TestFile("daemon/tests/test_edge_restored_store.py")
@@ -114,6 +119,7 @@
 router = _TestFile("routing/tests/test_router.py")
 router_failure = _TestFile("routing/tests/test_endpoint_failure.py")
 server = _TestFile("web/tests/test_server.py")
+short_calls = _TestFile("answers/tests/test_call.py")
 shortage = _TestFile("web/tests/test_shortage.py")
 slow_clients = _TestFile("daemon/tests/test_slow_clients.py")
 signal_board = _TestFile("signals/tests/test_board.py")
