Test that broken chunks cut a stream and close the connection

Two promises of the fix had no test of their own: a stream whose chunks break after its first event ends without a last chunk, and the connection of an answer that is not HTTP isn't used again.

--- a/oriolepaddle/answers/call.py
+++ b/oriolepaddle/answers/call.py
@@ -60,12 +60,20 @@
 
 
 class _Call:
+    """Takes the answer of one call from libcurl.
+
+    Attributes:
+        parser: Checks the answer.
+        error: What ended the call, if it was the answer.
+    """
+
     def __init__(self, body: ShortBody) -> None:
         self.parser = AnswerParser("GET")
         self.error: AnswerMalformedError | None = None
         self._body = body
 
     def take_line(self, line: bytes) -> int:
+        """Check a line of a head; a `HEADERFUNCTION` of libcurl."""
         try:
             self.parser.feed_line(line)
         except AnswerMalformedError as error:
@@ -74,6 +82,7 @@
         return len(line)
 
     def take_data(self, data: bytes) -> int:
+        """Append the content of a part of the body; a `WRITEFUNCTION` of libcurl."""
         try:
             content = self.parser.decode(data)
         except AnswerMalformedError as error:
--- a/oriolepaddle/daemon/tests/test_edge_broken_answers.py
+++ b/oriolepaddle/daemon/tests/test_edge_broken_answers.py
@@ -34,6 +34,8 @@
 
 SEAL = b"x-oriolepaddle-server-seal"
 OUTCOME = b"x-request-outcome: unknown"
+END = b"\r\n"
+EVENT = b"f\r\nid: 1\ndata: a\n\n\r\n"
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 UPLOAD = b"x" * 3_000_000
@@ -202,6 +204,14 @@
         check_failed(fleet.send(INSTANCES[path], "POST", "/book/"))
         assert fleet.desk.requests == 1
 
+    def test_of_a_stream_cut_it_visibly(self, fleet, path):
+        broken = b"fx\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
+        fleet.set_answer(STREAM + CHUNKED + END + EVENT + broken)
+        response = fleet.send(INSTANCES[path], "POST", "/ask/")
+        assert b"id: 2" not in response
+        is_failure = response.startswith(b"HTTP/1.1 502 ")
+        assert is_failure or not response.endswith(b"0\r\n\r\n")
+
 
 @pytest.mark.parametrize("path", INSTANCES)
 class TestStatus000:
@@ -279,7 +289,7 @@
     @pytest.mark.parametrize("line", [b"X Note: a", b"Content-Length : 42", b"abc"])
     def test_gets_no_event_of_a_broken_answer(self, fleet, endpoints, line):
         for endpoint in endpoints:
-            endpoint.set_answer(STREAM + CHUNKED + b"\r\nf\r\nid: 1\ndata: a\n\n\r\n")
+            endpoint.set_answer(STREAM + CHUNKED + END + EVENT)
             endpoint.resumed_answer = STREAM + line + b"\r\n\r\nid: 2\ndata: b\n\n"
 
         def is_resumed():
--- a/oriolepaddle/endpoints/tests/test_broken_answers.py
+++ b/oriolepaddle/endpoints/tests/test_broken_answers.py
@@ -1,5 +1,7 @@
 import pytest
 
+from oriolepaddle.clock import SystemClock
+from oriolepaddle.endpoints import EndpointTransport
 from oriolepaddle.endpoints.tests.broken_answers import (
     BROKEN_CHUNKS,
     BROKEN_LENGTHS,
@@ -8,7 +10,8 @@
     OK,
     SOUND,
 )
-from oriolepaddle.endpoints.tests.raw_endpoint import Ending, run_attempt
+from oriolepaddle.endpoints.tests.raw_endpoint import Ending, RawEndpoint, run_attempt
+from oriolepaddle.endpoints.tests.test_transport import CollectingSink, make_request
 from oriolepaddle.errors import (
     AnswerMalformedError,
     AnswerTruncatedError,
@@ -37,6 +40,21 @@
         check_malformed(BROKEN_HEADS[name], method="HEAD")
 
 
+class TestConnection:
+    """The failure: a connection was used again after an answer that is not HTTP."""
+
+    @pytest.mark.parametrize("name", ["blank", "letter after the size"])
+    def test_of_a_broken_answer_is_closed(self, name):
+        endpoint = RawEndpoint((BROKEN_NAMES | BROKEN_CHUNKS)[name], Ending.READ_ALL)
+        clock = SystemClock()
+        transport = EndpointTransport(clock)
+        with pytest.raises(AnswerMalformedError):
+            transport.run(endpoint.address, make_request(clock), CollectingSink())
+        assert transport.idle_count == 0
+        transport.close()
+        endpoint.close()
+
+
 class TestBrokenChunks:
     """The failure: chunks whose framing is not HTTP were taken as a body."""
 
